Lay down the workspace, charts, names, configuration, fold and table

The folders and the core types of the chosen shape: state charts in files with their interpreter, shared immutable names, the log's fold and the immutable routing table. Nothing runs yet.

--- /dev/null
+++ b/lab/src/main.rs
@@ -0,0 +1,3 @@
+//! The program `zinnia-lab`.
+
+fn main() {}
--- /dev/null
+++ b/src/bin/zinnia.rs
@@ -0,0 +1,3 @@
+//! The program `zinnia`.
+
+fn main() {}
--- /dev/null
+++ b/src/chart.rs
@@ -0,0 +1,440 @@
+//! Reads a state chart from its file, checks it, and drives a decision by it.
+//!
+//! A chart names states, events, guards and actions by words. [`chart_words!`](crate::chart_words)
+//! ties each word to a variant of an enum, so that a decision module handles typed values only.
+//! [`ChartTable`] is the compiled, dense form: one row a state, one column an event.
+
+use std::collections;
+use std::fmt;
+use std::marker;
+
+/// A word of a chart: one variant of a state, event, guard or action enum.
+pub trait ChartWord: Copy + Eq + fmt::Debug + 'static {
+    /// Every variant, in the order of its index.
+    const ALL: &'static [Self];
+
+    /// Returns the word that stands for this variant in the chart's file.
+    fn word(self) -> &'static str;
+
+    /// Returns the variant's position in [`Self::ALL`].
+    fn index(self) -> usize;
+}
+
+/// Declares an enum whose variants are words of a chart.
+#[macro_export]
+macro_rules! chart_words {
+    ($(#[$doc:meta])* $name:ident { $($(#[$variant_doc:meta])* $variant:ident = $word:literal),* $(,)? }) => {
+        $(#[$doc])*
+        #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+        pub enum $name {
+            $($(#[$variant_doc])* #[doc = concat!("The word `", $word, "`.")] $variant),*
+        }
+
+        impl $crate::chart::ChartWord for $name {
+            const ALL: &'static [Self] = &[$(Self::$variant),*];
+
+            fn word(self) -> &'static str {
+                match self { $(Self::$variant => $word),* }
+            }
+
+            fn index(self) -> usize {
+                self as usize
+            }
+        }
+    };
+}
+
+/// The words of one chart and its file.
+pub trait ChartVocabulary: 'static {
+    /// The states.
+    type State: ChartWord;
+    /// The events.
+    type Event: ChartWord;
+    /// The guards.
+    type Guard: ChartWord;
+    /// The actions.
+    type Action: ChartWord;
+    /// The chart's file, embedded at build.
+    const SOURCE: &'static str;
+}
+
+/// A fault in a chart's file.
+#[derive(Debug, PartialEq)]
+#[derive(snafu::Snafu)]
+#[snafu(module)]
+pub enum ChartError {
+    /// The file is not in the chart format.
+    #[snafu(display("chart cannot be read: {message}"))]
+    Unreadable {
+        /// What the reader said.
+        message: String,
+    },
+    /// The file uses a word that the code does not know.
+    #[snafu(display("chart {chart}: {kind} '{word}' is unknown to the code"))]
+    UnknownWord {
+        /// The chart's name.
+        chart: String,
+        /// Which kind of word.
+        kind: &'static str,
+        /// The word.
+        word: String,
+    },
+    /// The code knows a word that the file never uses.
+    #[snafu(display("chart {chart}: {kind} '{word}' is never used"))]
+    UnusedWord {
+        /// The chart's name.
+        chart: String,
+        /// Which kind of word.
+        kind: &'static str,
+        /// The word.
+        word: String,
+    },
+    /// A state neither handles nor ignores an event.
+    #[snafu(display("chart {chart}: state '{state}' leaves event '{event}' unhandled"))]
+    Unhandled {
+        /// The chart's name.
+        chart: String,
+        /// The state.
+        state: String,
+        /// The event.
+        event: String,
+    },
+    /// A state has only guarded transitions for an event, or one behind an unguarded one.
+    #[snafu(display(
+        "chart {chart}: state '{state}' needs exactly one unguarded transition, the last, for event '{event}'"
+    ))]
+    BadGuards {
+        /// The chart's name.
+        chart: String,
+        /// The state.
+        state: String,
+        /// The event.
+        event: String,
+    },
+    /// No sequence of events leads to a state.
+    #[snafu(display("chart {chart}: state '{state}' cannot be reached"))]
+    Unreachable {
+        /// The chart's name.
+        chart: String,
+        /// The state.
+        state: String,
+    },
+}
+
+/// A chart as its file states it.
+#[derive(Clone, Debug)]
+#[derive(serde::Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ChartFile {
+    /// The chart's name.
+    pub name: String,
+    /// The first state.
+    pub initial: String,
+    /// The states.
+    pub state: Vec<StateEntry>,
+}
+
+/// One state of a chart's file.
+#[derive(Clone, Debug, Default)]
+#[derive(serde::Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct StateEntry {
+    /// The state's name.
+    pub name: String,
+    /// Whether no transition leaves the state.
+    pub r#final: bool,
+    /// The events that change nothing in this state.
+    pub ignores: Vec<String>,
+    /// The transitions.
+    pub on: Vec<TransitionEntry>,
+}
+
+/// One transition of a chart's file.
+#[derive(Clone, Debug)]
+#[derive(serde::Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct TransitionEntry {
+    /// The event that it answers.
+    pub event: String,
+    /// The condition under which it is taken.
+    pub guard: Option<String>,
+    /// The state that follows.
+    pub next: String,
+    /// The actions, in their order.
+    pub actions: Vec<String>,
+}
+
+impl ChartFile {
+    /// Reads a chart's file.
+    ///
+    /// # Errors
+    /// Fails when the text is not in the chart format.
+    pub fn parse(source: &str) -> Result<Self, ChartError> {
+        toml::from_str(source).map_err(|e| ChartError::Unreadable {
+            message: e.to_string(),
+        })
+    }
+
+    /// Draws the chart as a Mermaid state diagram.
+    #[must_use]
+    pub fn to_mermaid(&self) -> String {
+        let mut text = format!("stateDiagram-v2\n    [*] --> {}\n", dashless(&self.initial));
+        for state in &self.state {
+            for entry in &state.on {
+                let from = dashless(&state.name);
+                let to = dashless(&entry.next);
+                text += &format!("    {from} --> {to}: {}\n", entry.label());
+            }
+            if state.r#final {
+                text += &format!("    {} --> [*]\n", dashless(&state.name));
+            }
+        }
+        text
+    }
+
+    /// Draws the chart in Graphviz's DOT language.
+    #[must_use]
+    pub fn to_dot(&self) -> String {
+        let mut text = format!("digraph \"{}\" {{\n", self.name);
+        for state in &self.state {
+            for entry in &state.on {
+                text += &format!(
+                    "    \"{}\" -> \"{}\" [label=\"{}\"];\n",
+                    state.name,
+                    entry.next,
+                    entry.label()
+                );
+            }
+        }
+        text + "}\n"
+    }
+}
+
+impl TransitionEntry {
+    fn label(&self) -> String {
+        let guard = self.guard.as_ref().map(|g| format!(" [{g}]"));
+        let mut label = format!("{}{}", self.event, guard.unwrap_or_default());
+        if !self.actions.is_empty() {
+            label += &format!(" / {}", self.actions.join(", "));
+        }
+        label
+    }
+}
+
+fn dashless(word: &str) -> String {
+    word.replace('-', "_")
+}
+
+/// One transition in compiled form.
+#[derive(Debug)]
+pub struct ChartStep<V: ChartVocabulary> {
+    guard: Option<V::Guard>,
+    /// The state that follows.
+    pub next: V::State,
+    /// The actions, in their order.
+    pub actions: Box<[V::Action]>,
+}
+
+/// A checked chart in dense form.
+pub struct ChartTable<V: ChartVocabulary> {
+    initial: V::State,
+    cells: Vec<Vec<ChartStep<V>>>,
+    marker: marker::PhantomData<V>,
+}
+
+impl<V: ChartVocabulary> ChartTable<V> {
+    /// Reads, checks and compiles the vocabulary's chart.
+    ///
+    /// # Errors
+    /// Fails on the first fault of the file; see [`ChartError`].
+    pub fn new() -> Result<Self, ChartError> {
+        Self::with_source(V::SOURCE)
+    }
+
+    /// Compiles a chart from other text with the same words.
+    ///
+    /// # Errors
+    /// Fails on the first fault of the text; see [`ChartError`].
+    pub fn with_source(source: &str) -> Result<Self, ChartError> {
+        let file = ChartFile::parse(source)?;
+        check_words::<V>(&file)?;
+        check_events::<V>(&file)?;
+        check_reachable(&file)?;
+        Self::compile(&file)
+    }
+
+    fn compile(file: &ChartFile) -> Result<Self, ChartError> {
+        let events = V::Event::ALL.len();
+        let mut cells = Vec::new();
+        cells.resize_with(V::State::ALL.len() * events, Vec::new);
+        for state in &file.state {
+            let row = find::<V::State>(file, "state", &state.name)?.index();
+            for entry in &state.on {
+                let column = find::<V::Event>(file, "event", &entry.event)?.index();
+                cells[row * events + column].push(compile_step(file, entry)?);
+            }
+        }
+        let initial = find::<V::State>(file, "state", &file.initial)?;
+        Ok(Self {
+            initial,
+            cells,
+            marker: marker::PhantomData,
+        })
+    }
+
+    /// Returns the first state.
+    #[must_use]
+    pub fn initial(&self) -> V::State {
+        self.initial
+    }
+
+    /// Returns the transition that `event` takes in `state`, or `None` where it changes nothing.
+    pub fn step(
+        &self,
+        state: V::State,
+        event: V::Event,
+        holds: impl Fn(V::Guard) -> bool,
+    ) -> Option<&ChartStep<V>> {
+        let cell = &self.cells[state.index() * V::Event::ALL.len() + event.index()];
+        cell.iter().find(|step| step.guard.is_none_or(&holds))
+    }
+}
+
+fn compile_step<V: ChartVocabulary>(
+    file: &ChartFile,
+    entry: &TransitionEntry,
+) -> Result<ChartStep<V>, ChartError> {
+    let guard = entry
+        .guard
+        .as_ref()
+        .map(|word| find::<V::Guard>(file, "guard", word))
+        .transpose()?;
+    let actions: Result<Vec<_>, _> = entry
+        .actions
+        .iter()
+        .map(|word| find::<V::Action>(file, "action", word))
+        .collect();
+    Ok(ChartStep {
+        guard,
+        next: find::<V::State>(file, "state", &entry.next)?,
+        actions: actions?.into_boxed_slice(),
+    })
+}
+
+fn find<W: ChartWord>(file: &ChartFile, kind: &'static str, word: &str) -> Result<W, ChartError> {
+    let found = W::ALL.iter().copied().find(|w| w.word() == word);
+    found.ok_or_else(|| ChartError::UnknownWord {
+        chart: file.name.clone(),
+        kind,
+        word: word.into(),
+    })
+}
+
+fn check_words<V: ChartVocabulary>(file: &ChartFile) -> Result<(), ChartError> {
+    let transitions = || file.state.iter().flat_map(|s| &s.on);
+    let states = file.state.iter().map(|s| s.name.as_str());
+    let events = transitions().map(|t| t.event.as_str());
+    let guards = transitions().filter_map(|t| t.guard.as_deref());
+    let actions = transitions().flat_map(|t| t.actions.iter().map(String::as_str));
+    check_kind::<V::State>(file, "state", states)?;
+    check_kind::<V::Event>(file, "event", events)?;
+    check_kind::<V::Guard>(file, "guard", guards)?;
+    check_kind::<V::Action>(file, "action", actions)
+}
+
+fn check_kind<'a, W: ChartWord>(
+    file: &ChartFile,
+    kind: &'static str,
+    words: impl Iterator<Item = &'a str>,
+) -> Result<(), ChartError> {
+    let used: collections::BTreeSet<&str> = words.collect();
+    for word in &used {
+        find::<W>(file, kind, word)?;
+    }
+    let unused = W::ALL.iter().find(|w| !used.contains(w.word()));
+    match unused {
+        None => Ok(()),
+        Some(word) => Err(ChartError::UnusedWord {
+            chart: file.name.clone(),
+            kind,
+            word: word.word().into(),
+        }),
+    }
+}
+
+fn check_events<V: ChartVocabulary>(file: &ChartFile) -> Result<(), ChartError> {
+    for state in &file.state {
+        for word in &state.ignores {
+            find::<V::Event>(file, "event", word)?;
+        }
+        for event in V::Event::ALL {
+            check_event(file, state, event.word())?;
+        }
+    }
+    Ok(())
+}
+
+fn check_event(file: &ChartFile, state: &StateEntry, event: &str) -> Result<(), ChartError> {
+    let ignored = state.ignores.iter().any(|word| word == event);
+    let guards: Vec<bool> = state
+        .on
+        .iter()
+        .filter(|entry| entry.event == event)
+        .map(|entry| entry.guard.is_some())
+        .collect();
+    if guards.is_empty() != ignored {
+        return Err(ChartError::Unhandled {
+            chart: file.name.clone(),
+            state: state.name.clone(),
+            event: event.into(),
+        });
+    }
+    let unguarded = guards.iter().filter(|guarded| !**guarded).count();
+    let well_formed = ignored || (unguarded == 1 && guards.last() == Some(&false));
+    if well_formed {
+        return Ok(());
+    }
+    Err(ChartError::BadGuards {
+        chart: file.name.clone(),
+        state: state.name.clone(),
+        event: event.into(),
+    })
+}
+
+fn check_reachable(file: &ChartFile) -> Result<(), ChartError> {
+    let mut reached = collections::BTreeSet::from([file.initial.as_str()]);
+    loop {
+        let next: Vec<&str> = file
+            .state
+            .iter()
+            .filter(|state| reached.contains(state.name.as_str()))
+            .flat_map(|state| state.on.iter().map(|entry| entry.next.as_str()))
+            .collect();
+        let before = reached.len();
+        reached.extend(next);
+        if reached.len() == before {
+            break;
+        }
+    }
+    let lost = file
+        .state
+        .iter()
+        .find(|state| !reached.contains(state.name.as_str()));
+    match lost {
+        None => Ok(()),
+        Some(state) => Err(ChartError::Unreachable {
+            chart: file.name.clone(),
+            state: state.name.clone(),
+        }),
+    }
+}
+
+/// The charts that the program holds, by name.
+pub const CHART_SOURCES: [&str; 6] = [
+    include_str!("../charts/grant.toml"),
+    include_str!("../charts/host.toml"),
+    include_str!("../charts/lease.toml"),
+    include_str!("../charts/patch.toml"),
+    include_str!("../charts/request.toml"),
+    include_str!("../charts/term.toml"),
+];
--- /dev/null
+++ b/src/table.rs
@@ -0,0 +1,336 @@
+//! The routing table: an immutable snapshot that traffic threads read, and the per-domain tables
+//! that hosts pass on to each other.
+
+use std::collections;
+use std::sync;
+
+use crate::clock;
+use crate::configuration;
+use crate::fence;
+use crate::names;
+use crate::shard;
+
+/// How many changes a domain's table keeps, so that a peer that is a little behind gets just these.
+pub const RECENT_CHANGES: usize = 4_096;
+
+/// Where requests of one shard go.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case")]
+pub struct RouteEntry {
+    /// The owner.
+    pub server: names::ServerName,
+    /// The fence of its grant.
+    pub fence: fence::GrantFence,
+}
+
+/// A change of one shard's route.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case")]
+pub struct RouteChange {
+    /// The shard.
+    pub shard: names::ShardId,
+    /// Its route, none while it has no owner.
+    pub route: Option<RouteEntry>,
+}
+
+/// The position of a domain's table: its granter's term, then a counter.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(serde::Serialize, serde::Deserialize)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case")]
+pub struct TableMark {
+    /// The term.
+    pub term: sync::Arc<fence::TermId>,
+    /// The number of changes in the term.
+    pub sequence: u64,
+}
+
+/// The changes that lead from one position of a domain's table to a later one.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case")]
+pub struct TableUpdate {
+    /// The domain.
+    pub domain: names::DomainName,
+    /// The position that it leads to.
+    pub mark: TableMark,
+    /// The counter that it starts from; none where it holds the whole table.
+    pub base: Option<u64>,
+    /// The changes.
+    pub changes: Vec<RouteChange>,
+}
+
+/// The routes of one failure domain's shards.
+#[derive(Clone, Debug)]
+pub struct DomainTable {
+    mark: TableMark,
+    routes: collections::BTreeMap<names::ShardId, RouteEntry>,
+    recent: collections::VecDeque<names::ShardId>,
+}
+
+impl DomainTable {
+    /// Creates an empty table at the start of a term.
+    #[must_use]
+    pub const fn new(term: sync::Arc<fence::TermId>) -> Self {
+        Self {
+            mark: TableMark { term, sequence: 0 },
+            routes: collections::BTreeMap::new(),
+            recent: collections::VecDeque::new(),
+        }
+    }
+
+    /// Returns the table's position.
+    #[must_use]
+    pub const fn mark(&self) -> &TableMark {
+        &self.mark
+    }
+
+    /// Returns the routes.
+    #[must_use]
+    pub const fn routes(&self) -> &collections::BTreeMap<names::ShardId, RouteEntry> {
+        &self.routes
+    }
+
+    /// Changes one route; reports whether it was different.
+    pub fn set(&mut self, change: RouteChange) -> bool {
+        let RouteChange { shard, route } = change;
+        if self.routes.get(&shard) == route.as_ref() {
+            return false;
+        }
+        self.replace(&shard, route);
+        self.mark.sequence += 1;
+        self.recent.push_back(shard);
+        if self.recent.len() > RECENT_CHANGES {
+            self.recent.pop_front();
+        }
+        true
+    }
+
+    fn replace(&mut self, shard: &names::ShardId, route: Option<RouteEntry>) {
+        match route {
+            Some(entry) => self.routes.insert(shard.clone(), entry),
+            None => self.routes.remove(shard),
+        };
+    }
+
+    /// Returns what a holder of the table at `known` lacks, or `None` where it lacks nothing.
+    #[must_use]
+    pub fn update_since(
+        &self,
+        domain: &names::DomainName,
+        known: Option<&TableMark>,
+    ) -> Option<TableUpdate> {
+        if known.is_some_and(|mark| *mark >= self.mark) {
+            return None;
+        }
+        let base = known
+            .filter(|mark| mark.term == self.mark.term)
+            .filter(|mark| self.mark.sequence - mark.sequence <= self.recent.len() as u64)
+            .map(|mark| mark.sequence);
+        let shards: collections::BTreeSet<&names::ShardId> = match base {
+            None => self.routes.keys().collect(),
+            Some(base) => {
+                let missing = usize::try_from(self.mark.sequence - base).unwrap_or(usize::MAX);
+                self.recent.iter().rev().take(missing).collect()
+            }
+        };
+        let change = |shard: &names::ShardId| RouteChange {
+            shard: shard.clone(),
+            route: self.routes.get(shard).cloned(),
+        };
+        Some(TableUpdate {
+            domain: domain.clone(),
+            mark: self.mark.clone(),
+            base,
+            changes: shards.into_iter().map(change).collect(),
+        })
+    }
+
+    /// Takes an update; returns the shards whose routes changed, none where the update does not
+    /// fit.
+    pub fn merge(&mut self, update: &TableUpdate) -> Vec<RouteChange> {
+        if update.mark <= self.mark {
+            return Vec::new();
+        }
+        match update.base {
+            Some(base) => self.merge_changes(update, base),
+            None => self.merge_whole(update),
+        }
+    }
+
+    fn merge_changes(&mut self, update: &TableUpdate, base: u64) -> Vec<RouteChange> {
+        let fits = update.mark.term == self.mark.term && base <= self.mark.sequence;
+        if !fits {
+            return Vec::new();
+        }
+        for change in &update.changes {
+            self.replace(&change.shard, change.route.clone());
+        }
+        self.mark = update.mark.clone();
+        // The single steps are unknown here, so peers that are further behind get the whole table.
+        self.recent.clear();
+        update.changes.clone()
+    }
+
+    fn merge_whole(&mut self, update: &TableUpdate) -> Vec<RouteChange> {
+        let old = std::mem::take(&mut self.routes);
+        for change in &update.changes {
+            self.replace(&change.shard, change.route.clone());
+        }
+        self.mark = update.mark.clone();
+        self.recent.clear();
+        let gone = old
+            .keys()
+            .filter(|shard| !self.routes.contains_key(*shard))
+            .map(|shard| RouteChange {
+                shard: shard.clone(),
+                route: None,
+            });
+        let changed = update
+            .changes
+            .iter()
+            .filter(|change| old.get(&change.shard) != change.route.as_ref())
+            .cloned();
+        gone.chain(changed).collect()
+    }
+}
+
+/// The route of one shard with the server's settings beside it.
+#[derive(Clone, Debug)]
+pub struct ShardRoute {
+    /// The owner.
+    pub server: sync::Arc<configuration::ServerSpec>,
+    /// The fence of its grant.
+    pub fence: fence::GrantFence,
+}
+
+/// The routes of one service.
+#[derive(Clone, Debug)]
+pub struct ServiceRoutes {
+    /// The service.
+    pub spec: configuration::ServiceSpec,
+    routes: imbl::Vector<Option<ShardRoute>>,
+}
+
+/// Where a key's request goes.
+#[derive(Clone, Debug)]
+pub struct KeyLookup<'a> {
+    /// The service.
+    pub service: &'a configuration::ServiceSpec,
+    /// The key's shard.
+    pub shard: names::ShardId,
+    /// The shard's route, none while it has no owner.
+    pub route: Option<&'a ShardRoute>,
+}
+
+/// The snapshot that traffic threads read. Copies share all that did not change.
+#[derive(Clone, Debug, Default)]
+pub struct RoutingTable {
+    /// The configuration's version.
+    pub version: u64,
+    /// Until when the host counts as in contact; later, `when-stale` decides on features' work.
+    pub fresh_until: clock::MonoTime,
+    services: imbl::HashMap<names::ServiceName, ServiceRoutes>,
+    features: imbl::HashMap<names::FeatureName, configuration::FeatureSpec>,
+    servers: imbl::HashMap<names::ServerName, sync::Arc<configuration::ServerSpec>>,
+    table_leases: imbl::HashMap<names::DomainName, clock::MonoTime>,
+}
+
+impl RoutingTable {
+    /// Creates the table of a configuration, without routes.
+    #[must_use]
+    pub fn new(version: u64, configuration: &configuration::Configuration) -> Self {
+        let service = |spec: &configuration::ServiceSpec| {
+            let routes = std::iter::repeat_n(None, spec.shards as usize).collect();
+            let routes = ServiceRoutes {
+                spec: spec.clone(),
+                routes,
+            };
+            (spec.name.clone(), routes)
+        };
+        Self {
+            version,
+            fresh_until: clock::MonoTime::default(),
+            services: configuration.service.iter().map(service).collect(),
+            features: configuration
+                .feature
+                .iter()
+                .map(|spec| (spec.name.clone(), spec.clone()))
+                .collect(),
+            servers: configuration
+                .server
+                .iter()
+                .map(|spec| (spec.name.clone(), sync::Arc::new(spec.clone())))
+                .collect(),
+            table_leases: imbl::HashMap::new(),
+        }
+    }
+
+    /// Takes over route changes; those of unknown servers become routes to nowhere.
+    pub fn set_routes<'a>(&mut self, changes: impl IntoIterator<Item = &'a RouteChange>) {
+        for change in changes {
+            let route = change.route.as_ref().and_then(|entry| {
+                let server = sync::Arc::clone(self.servers.get(&entry.server)?);
+                let fence = entry.fence.clone();
+                Some(ShardRoute { server, fence })
+            });
+            let Some(service) = self.services.get_mut(&change.shard.service) else {
+                continue;
+            };
+            let index = change.shard.index as usize;
+            if index < service.routes.len() {
+                service.routes.set(index, route);
+            }
+        }
+    }
+
+    /// Notes until when requests may go to the unchecked servers of a domain.
+    pub fn set_table_lease(&mut self, domain: names::DomainName, until: clock::MonoTime) {
+        self.table_leases.insert(domain, until);
+    }
+
+    /// Reports whether a request may go to the server now: unchecked ones need a table lease.
+    #[must_use]
+    pub fn may_send(&self, server: &configuration::ServerSpec, now: clock::MonoTime) -> bool {
+        let leased = self.table_leases.get(&server.domain);
+        server.is_checked() || leased.is_some_and(|until| now < *until)
+    }
+
+    /// Returns the feature of that name.
+    #[must_use]
+    pub fn feature(&self, name: &str) -> Option<&configuration::FeatureSpec> {
+        self.features.get(name)
+    }
+
+    /// Returns the service of that name.
+    #[must_use]
+    pub fn service(&self, name: &str) -> Option<&ServiceRoutes> {
+        self.services.get(name)
+    }
+
+    /// Returns the services.
+    pub fn services(&self) -> impl Iterator<Item = &ServiceRoutes> {
+        self.services.values()
+    }
+
+    /// Returns where a key's requests go, or `None` where no such service is configured.
+    #[must_use]
+    pub fn lookup(&self, service: &str, key: &str) -> Option<KeyLookup<'_>> {
+        let service = self.services.get(service)?;
+        let index = shard::shard_of(&service.spec.name, key, service.spec.shards);
+        let route = service.routes.get(index as usize).and_then(Option::as_ref);
+        Some(KeyLookup {
+            service: &service.spec,
+            shard: names::ShardId::new(service.spec.name.clone(), index),
+            route,
+        })
+    }
+}
+
+impl ServiceRoutes {
+    /// Returns the route of each shard, in order of number.
+    pub fn routes(&self) -> impl Iterator<Item = Option<&ShardRoute>> {
+        self.routes.iter().map(Option::as_ref)
+    }
+}
