--- /dev/null
+++ b/lab/tests/processes.rs
@@ -0,0 +1,459 @@
+//! The real form: log, host list, servers and entry hosts as processes of their own.
+
+use std::net;
+use std::path;
+use std::process;
+use std::time;
+
+use zinnia_lab::caller;
+use zinnia_lab::server_state;
+use zinnia_lab::site;
+use zinniastack::cmd;
+use zinniastack::configuration;
+use zinniastack::edge::controller;
+use zinniastack::edge::operators;
+use zinniastack::fold;
+use zinniastack::names;
+use zinniastack::report;
+
+/// How long a step may take before the test gives up; no test asserts a time.
+const GIVE_UP_S: u64 = 60;
+
+/// A process that is ended, by its id, when the test ends.
+struct TestProcess {
+    child: process::Child,
+}
+
+impl TestProcess {
+    fn start(program: &path::Path, arguments: &[String]) -> Self {
+        let child = process::Command::new(program)
+            .args(arguments)
+            .stderr(process::Stdio::null())
+            .spawn()
+            .unwrap_or_else(|e| panic!("{} starts: {e}", program.display()));
+        Self { child }
+    }
+
+    fn signal(&self, name: &str) {
+        let id = self.child.id().to_string();
+        let sent = process::Command::new("kill").args([name, &id]).status();
+        assert!(sent.expect("kill runs").success());
+    }
+}
+
+impl Drop for TestProcess {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+fn lab_program() -> &'static path::Path {
+    path::Path::new(env!("CARGO_BIN_EXE_zinnia-lab"))
+}
+
+// Built beside this one by `cargo test --workspace`.
+fn entry_program() -> path::PathBuf {
+    let program = lab_program().with_file_name("zinnia");
+    assert!(program.exists(), "run cargo test --workspace");
+    program
+}
+
+fn flags(pairs: &[(&str, String)]) -> Vec<String> {
+    let texts = pairs.iter();
+    texts
+        .flat_map(|(flag, value)| [format!("--{flag}"), value.clone()])
+        .collect()
+}
+
+/// One entry host as a process.
+struct HostProcess {
+    process: TestProcess,
+    spec: configuration::HostSpec,
+    callers: net::SocketAddr,
+    operators: net::SocketAddr,
+}
+
+/// One server as a process.
+struct ServerProcess {
+    process: TestProcess,
+    spec: configuration::ServerSpec,
+}
+
+/// A site of processes.
+struct ProcessSite {
+    _platform: Vec<TestProcess>,
+    log: net::SocketAddr,
+    hosts: Vec<HostProcess>,
+    servers: Vec<ServerProcess>,
+    client: caller::CallerClient,
+    counter: u64,
+}
+
+const DOMAIN: &str = "north";
+
+impl ProcessSite {
+    fn start(hosts: usize, servers: usize, services: &[&str]) -> Self {
+        let log = site::free_address().expect("a port is free");
+        let list = site::free_address().expect("a port is free");
+        let listen = |command: &str, address: net::SocketAddr| {
+            let mut arguments = vec![command.to_owned()];
+            arguments.extend(flags(&[("listen", address.to_string())]));
+            TestProcess::start(lab_program(), &arguments)
+        };
+        let platform = vec![listen("log", log), listen("hosts", list)];
+        let servers = services
+            .iter()
+            .flat_map(|service| (1..=servers).map(move |number| start_server(service, number)));
+        let servers = servers.collect();
+        let peers: Vec<_> = (0..hosts)
+            .map(|_| site::free_address().expect("a port is free"))
+            .collect();
+        let hosts = (0..hosts).map(|number| start_host(number, &peers, log, list));
+        Self {
+            _platform: platform,
+            log,
+            hosts: hosts.collect(),
+            servers,
+            client: caller::CallerClient::new(),
+            counter: 0,
+        }
+    }
+
+    fn configuration(&self) -> configuration::Configuration {
+        let domain = names::DomainName::new(DOMAIN).expect("a name");
+        let mut services: Vec<names::ServiceName> = Vec::new();
+        for server in &self.servers {
+            if !services.contains(&server.spec.service) {
+                services.push(server.spec.service.clone());
+            }
+        }
+        let service = |(index, name): (usize, &names::ServiceName)| configuration::ServiceSpec {
+            name: name.clone(),
+            rank: configuration::WorkRank::new(u8::try_from(index).expect("few") + 1)
+                .expect("a rank"),
+            shards: 16,
+            deadline_ms: 2_000,
+            floor_percent: 10,
+            max_body_bytes: 64 << 20,
+            homes: vec![domain.clone()],
+        };
+        configuration::Configuration {
+            domain: vec![configuration::DomainSpec {
+                name: domain.clone(),
+                gone: None,
+            }],
+            host: self.hosts.iter().map(|host| host.spec.clone()).collect(),
+            service: services.iter().enumerate().map(service).collect(),
+            server: self.servers.iter().map(|s| s.spec.clone()).collect(),
+            feature: Vec::new(),
+        }
+    }
+
+    async fn submit(
+        &self,
+        host: usize,
+        base: u64,
+        changes: Vec<configuration::ConfigurationChange>,
+    ) -> fold::PatchVerdict {
+        let started = time::Instant::now();
+        let id = names::RecordId::new(&format!("patch-{base}")).expect("an id");
+        let submission = operators::PatchSubmission { id, base, changes };
+        loop {
+            let address = self.hosts[host].operators;
+            let answer: Result<Option<controller::PatchStanding>, _> =
+                cmd::call_host(address, "/patches", Some(&submission)).await;
+            if let Ok(Some(standing)) = answer
+                && let Some(verdict) = standing.verdict
+            {
+                return verdict;
+            }
+            wait(started, "the patch has a verdict").await;
+        }
+    }
+
+    async fn status(&self, host: usize) -> Option<report::HostStatus> {
+        let address = self.hosts[host].operators;
+        let answer = cmd::call_host::<(), _>(address, "/status", None).await;
+        answer.ok().flatten()
+    }
+
+    async fn send_until_ran(&mut self, host: usize, service: &str, key: &str) -> String {
+        let started = time::Instant::now();
+        loop {
+            self.counter += 1;
+            let id = format!("request-{}", self.counter);
+            let request = caller::CallerRequest::new(service, key, &id);
+            let answer = self.client.send(self.hosts[host].callers, &request).await;
+            if answer.is_ok_and(|answer| answer.ran()) {
+                return id;
+            }
+            wait(started, "the request runs").await;
+        }
+    }
+
+    async fn journal(&self, server: usize) -> Vec<server_state::JournalEntry> {
+        let address = self.servers[server].spec.address;
+        let answer = cmd::call_host::<(), _>(address, "/journal", None).await;
+        answer.ok().flatten().unwrap_or_default()
+    }
+
+    async fn ran_at(&self, id: &str) -> Vec<usize> {
+        let mut ran = Vec::new();
+        for server in 0..self.servers.len() {
+            let journal = self.journal(server).await;
+            let times = journal.iter().filter(|entry| entry.id.as_str() == id);
+            ran.extend(times.map(|_| server));
+        }
+        ran
+    }
+
+    async fn granter(&self, host: usize) -> Option<usize> {
+        let status = self.status(host).await?;
+        let granter = status.domains.first()?.granter.clone()?;
+        self.hosts.iter().position(|h| h.spec.name == granter)
+    }
+}
+
+fn start_server(service: &str, number: usize) -> ServerProcess {
+    let address = site::free_address().expect("a port is free");
+    let mut arguments = vec!["server".to_owned()];
+    arguments.extend(flags(&[("listen", address.to_string())]));
+    let spec = configuration::ServerSpec {
+        name: names::ServerName::new(&format!("{service}-{number}")).expect("a name"),
+        service: names::ServiceName::new(service).expect("a name"),
+        domain: names::DomainName::new(DOMAIN).expect("a name"),
+        address,
+        fences: configuration::FenceMode::Checked,
+        slots: 6,
+        connections: 130,
+        withdrawn: None,
+    };
+    ServerProcess {
+        process: TestProcess::start(lab_program(), &arguments),
+        spec,
+    }
+}
+
+fn start_host(
+    number: usize,
+    peers: &[net::SocketAddr],
+    log: net::SocketAddr,
+    list: net::SocketAddr,
+) -> HostProcess {
+    let callers = site::free_address().expect("a port is free");
+    let operators = site::free_address().expect("a port is free");
+    let name = format!("entry-{number}");
+    let bootstrap: Vec<_> = peers.iter().map(ToString::to_string).collect();
+    let mut arguments = vec!["entry".to_owned()];
+    arguments.extend(flags(&[
+        ("name", name.clone()),
+        ("domain", DOMAIN.to_owned()),
+        ("callers", callers.to_string()),
+        ("operators", operators.to_string()),
+        ("peers", peers[number].to_string()),
+        ("log", log.to_string()),
+        ("host-list", list.to_string()),
+        ("bootstrap", bootstrap.join(",")),
+    ]));
+    HostProcess {
+        process: TestProcess::start(&entry_program(), &arguments),
+        spec: configuration::HostSpec {
+            name: names::HostName::new(&name).expect("a name"),
+            domain: names::DomainName::new(DOMAIN).expect("a name"),
+            peer: peers[number],
+        },
+        callers,
+        operators,
+    }
+}
+
+async fn wait(started: time::Instant, step: &str) {
+    let given_up = started.elapsed() > time::Duration::from_secs(GIVE_UP_S);
+    assert!(!given_up, "not within {GIVE_UP_S} s: {step}");
+    tokio::time::sleep(time::Duration::from_millis(20)).await;
+}
+
+/// Names each case and runs it in a system of its own.
+macro_rules! process_cases {
+    ($($name:ident),* $(,)?) => {$(
+        #[test]
+        fn $name() {
+            actix::System::new().block_on(cases::$name());
+        }
+    )*};
+}
+
+process_cases! {
+    serves_each_rank_and_a_patch,
+    replaces_a_killed_granter_while_the_log_is_down,
+    serves_the_keys_of_a_frozen_server_elsewhere,
+    takes_back_a_paused_granter_without_a_second_owner,
+    cuts_no_request_on_sigterm,
+    names_a_bad_setting_and_exits_2,
+}
+
+mod cases {
+    use super::*;
+
+    pub async fn serves_each_rank_and_a_patch() {
+        let mut site = ProcessSite::start(2, 2, &["stock", "orders", "site-files"]);
+        let changes = site.configuration().to_changes();
+        let verdict = site.submit(0, 0, changes).await;
+        assert_eq!(verdict, fold::PatchVerdict::Accepted { version: 1 });
+        for host in 0..2 {
+            for service in ["stock", "orders", "site-files"] {
+                let id = site.send_until_ran(host, service, "yard-3").await;
+                assert_eq!(site.ran_at(&id).await.len(), 1);
+            }
+        }
+        let feature = configuration::FeatureSpec {
+            name: names::FeatureName::new("digest").expect("a name"),
+            service: names::ServiceName::new("stock").expect("a name"),
+            status: configuration::FeatureStatus::Retired,
+            when_stale: configuration::StalePolicy::Hold,
+        };
+        let change = configuration::ConfigurationChange::PutFeature(feature.clone());
+        let verdict = site.submit(1, 1, vec![change]).await;
+        assert_eq!(verdict, fold::PatchVerdict::Accepted { version: 2 });
+        let request = caller::CallerRequest::new("stock", "yard-3", "job");
+        let request = request.with_feature(feature.name);
+        let answer = site.client.send(site.hosts[1].callers, &request).await;
+        assert_eq!(answer.map(|answer| answer.status), Ok(410));
+        assert!(site.ran_at("job").await.is_empty());
+    }
+
+    pub async fn replaces_a_killed_granter_while_the_log_is_down() {
+        let mut site = ProcessSite::start(5, 4, &["stock"]);
+        let changes = site.configuration().to_changes();
+        site.submit(0, 0, changes).await;
+        for host in 0..5 {
+            site.send_until_ran(host, "stock", "yard-3").await;
+        }
+        let faults = zinnia_lab::log_state::LogFaults {
+            outage: true,
+            ..Default::default()
+        };
+        set_faults(site.log, &faults).await;
+        let killed = site.granter(0).await.expect("a host grants");
+        site.hosts[killed].process.signal("-KILL");
+        let other = (killed + 1) % 5;
+        let started = time::Instant::now();
+        let successor = loop {
+            let granter = site.granter(other).await;
+            if let Some(granter) = granter.filter(|granter| *granter != killed) {
+                break granter;
+            }
+            wait(started, "another host grants").await;
+        };
+        assert_ne!(successor, killed);
+        for key in 0..16 {
+            let id = site.send_until_ran(other, "stock", &key.to_string()).await;
+            assert_eq!(site.ran_at(&id).await.len(), 1);
+        }
+    }
+
+    pub async fn serves_the_keys_of_a_frozen_server_elsewhere() {
+        let mut site = ProcessSite::start(2, 3, &["stock"]);
+        let changes = site.configuration().to_changes();
+        site.submit(0, 0, changes).await;
+        let id = site.send_until_ran(0, "stock", "yard-3").await;
+        let owner = site.ran_at(&id).await[0];
+        site.servers[owner].process.signal("-STOP");
+        let next = site.send_until_ran(1, "stock", "yard-3").await;
+        site.servers[owner].process.signal("-CONT");
+        let ran = site.ran_at(&next).await;
+        assert_eq!(ran.len(), 1);
+        assert_ne!(ran[0], owner);
+        let later = site.send_until_ran(0, "stock", "yard-3").await;
+        assert_eq!(site.ran_at(&later).await.len(), 1);
+    }
+
+    pub async fn takes_back_a_paused_granter_without_a_second_owner() {
+        let mut site = ProcessSite::start(3, 3, &["stock"]);
+        let changes = site.configuration().to_changes();
+        site.submit(0, 0, changes).await;
+        site.send_until_ran(0, "stock", "yard-3").await;
+        let paused = site.granter(0).await.expect("a host grants");
+        site.hosts[paused].process.signal("-STOP");
+        let other = (paused + 1) % 3;
+        let started = time::Instant::now();
+        while site.granter(other).await == Some(paused) {
+            wait(started, "another host grants").await;
+        }
+        site.hosts[paused].process.signal("-CONT");
+        for key in 0..16 {
+            for host in 0..3 {
+                let id = site.send_until_ran(host, "stock", &key.to_string()).await;
+                assert_eq!(site.ran_at(&id).await.len(), 1);
+            }
+        }
+    }
+
+    pub async fn cuts_no_request_on_sigterm() {
+        let mut site = ProcessSite::start(2, 3, &["stock"]);
+        let changes = site.configuration().to_changes();
+        site.submit(0, 0, changes).await;
+        for key in 0..16 {
+            site.send_until_ran(0, "stock", &key.to_string()).await;
+        }
+        for server in &site.servers {
+            let faults = zinnia_lab::http::ServerFaults {
+                slow_ms: 300,
+                ..Default::default()
+            };
+            set_faults(server.spec.address, &faults).await;
+        }
+        let address = site.hosts[0].callers;
+        let mut calls = Vec::new();
+        for key in 0..12 {
+            let client = site.client.clone();
+            let request =
+                caller::CallerRequest::new("stock", &key.to_string(), &format!("late-{key}"));
+            calls.push(actix::spawn(
+                async move { client.send(address, &request).await },
+            ));
+        }
+        let started = time::Instant::now();
+        let mut running = 0;
+        while running == 0 {
+            for key in 0..12 {
+                running += site.ran_at(&format!("late-{key}")).await.len();
+            }
+            wait(started, "a request is in flight").await;
+        }
+        site.hosts[0].process.signal("-TERM");
+        for call in calls {
+            let answer = call.await.expect("the call ends").expect("a whole answer");
+            assert!(!answer.outcome.is_empty(), "{answer:?}");
+            let ran = site.ran_at(&answer.id).await.len();
+            assert_eq!(ran, usize::from(answer.ran()), "{answer:?}");
+        }
+        let exit = site.hosts[0].process.child.wait().expect("it ends");
+        assert_eq!(exit.code(), Some(0));
+    }
+
+    pub async fn names_a_bad_setting_and_exits_2() {
+        let output = process::Command::new(entry_program())
+            .args(["entry", "--name", "entry-1", "--domain", "north"])
+            .args(["--callers", "not-an-address"])
+            .output()
+            .expect("it runs");
+        assert_eq!(output.status.code(), Some(2));
+        let text = String::from_utf8_lossy(&output.stderr);
+        for part in [
+            "--callers",
+            "ZINNIA_CALLERS",
+            "not-an-address",
+            "127.0.0.1:7000",
+        ] {
+            assert!(text.contains(part), "{text}");
+        }
+    }
+}
+
+async fn set_faults<T: serde::Serialize>(address: net::SocketAddr, faults: &T) {
+    let client = awc::Client::default();
+    let call = client.post(format!("http://{address}/faults"));
+    call.send_json(faults).await.expect("the faults are set");
+}
