--- /dev/null
+++ b/lab/src/checker.rs
@@ -0,0 +1,319 @@
+//! The promises of ownership, checked against a virtual world after every event.
+
+use std::collections;
+use std::time;
+
+use zinniastack::clock;
+use zinniastack::fence;
+use zinniastack::names;
+
+use crate::world;
+
+/// The greatest number of violations that are kept.
+pub const MAX_VIOLATIONS: usize = 8;
+
+/// Watches a world.
+#[derive(Debug, Default)]
+pub struct WorldChecker {
+    violations: Vec<String>,
+    accepted: collections::BTreeMap<names::ShardId, fence::GrantFence>,
+    versions: collections::BTreeMap<names::HostName, VersionSeen>,
+    assigned: collections::BTreeMap<names::HostName, AssignmentsSeen>,
+    sendable: collections::BTreeMap<names::ShardId, Vec<SendableRoute>>,
+    unserved_since: collections::BTreeMap<names::ShardId, clock::MonoTime>,
+    longest_unserved: time::Duration,
+    moves: u64,
+    owners: collections::BTreeMap<names::ShardId, names::ServerName>,
+}
+
+#[derive(Debug)]
+struct VersionSeen {
+    life: u64,
+    version: u64,
+}
+
+#[derive(Debug)]
+struct AssignmentsSeen {
+    life: u64,
+    offset: u64,
+    fences: collections::BTreeMap<names::ShardId, fence::GrantFence>,
+}
+
+#[derive(Debug)]
+struct SendableRoute {
+    server: names::ServerName,
+    at: clock::MonoTime,
+}
+
+impl WorldChecker {
+    /// Creates a checker that has seen nothing.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Returns what went wrong.
+    #[must_use]
+    pub fn violations(&self) -> &[String] {
+        &self.violations
+    }
+
+    /// Returns the longest time for which a shard was not served, since the last mark.
+    #[must_use]
+    pub fn longest_unserved(&self, world: &world::LabWorld) -> time::Duration {
+        let open = self.unserved_since.values();
+        let open = open.map(|since| world.now().since(*since)).max();
+        self.longest_unserved.max(open.unwrap_or_default())
+    }
+
+    /// Returns how many shards changed their owner since the last mark.
+    #[must_use]
+    pub const fn moves(&self) -> u64 {
+        self.moves
+    }
+
+    /// Returns how many shards are served.
+    #[must_use]
+    pub fn served(&self, world: &world::LabWorld) -> usize {
+        shards(world).len() - self.unserved_since.len()
+    }
+
+    /// Starts measuring afresh.
+    pub fn mark(&mut self, now: clock::MonoTime) {
+        self.longest_unserved = time::Duration::ZERO;
+        self.moves = 0;
+        self.unserved_since
+            .values_mut()
+            .for_each(|since| *since = now);
+    }
+
+    /// Looks at the world.
+    pub fn check(&mut self, world: &world::LabWorld) {
+        self.check_versions(world);
+        self.check_assignments(world);
+        self.check_owners(world);
+        self.check_requests(world);
+    }
+
+    fn report(&mut self, world: &world::LabWorld, fault: &str) {
+        if self.violations.len() < MAX_VIOLATIONS {
+            let millis = world.now().as_millis();
+            self.violations.push(format!("at {millis} ms: {fault}"));
+        }
+    }
+
+    fn check_versions(&mut self, world: &world::LabWorld) {
+        for (name, host) in &world.hosts {
+            let Some(state) = &host.state else {
+                continue;
+            };
+            let version = state.fold().state().version;
+            let life = host.life();
+            let seen = self.versions.get(name).filter(|seen| seen.life == life);
+            let fell = seen.is_some_and(|seen| seen.version > version);
+            if fell {
+                self.report(world, &format!("the version fell at {name}"));
+            }
+            self.versions
+                .insert(name.clone(), VersionSeen { life, version });
+        }
+    }
+
+    fn check_assignments(&mut self, world: &world::LabWorld) {
+        for (name, host) in &world.hosts {
+            let Some(state) = &host.state else {
+                continue;
+            };
+            let fold = state.fold().state();
+            let life = host.life();
+            let seen = self.assigned.get(name).filter(|seen| seen.life == life);
+            if seen.is_some_and(|seen| seen.offset == fold.next_offset) {
+                continue;
+            }
+            let fences: collections::BTreeMap<_, _> = fold
+                .assignments
+                .iter()
+                .map(|(shard, assignment)| (shard.clone(), assignment.fence.clone()))
+                .collect();
+            let lost = seen.and_then(|seen| {
+                let mut old = seen.fences.iter();
+                let lost = old.find(|(shard, fence)| fences.get(shard) < Some(fence));
+                lost.map(|(shard, _)| shard.clone())
+            });
+            if let Some(shard) = lost.filter(|shard| !given_up(world, name, shard)) {
+                self.report(
+                    world,
+                    &format!("the assignment of {shard} was lost at {name}"),
+                );
+            }
+            let offset = fold.next_offset;
+            let seen = AssignmentsSeen {
+                life,
+                offset,
+                fences,
+            };
+            self.assigned.insert(name.clone(), seen);
+        }
+    }
+
+    fn check_owners(&mut self, world: &world::LabWorld) {
+        let mut owners: collections::BTreeMap<names::ShardId, Vec<names::ServerName>> =
+            collections::BTreeMap::new();
+        for (name, server) in &world.servers {
+            let Some(state) = server.state.as_ref().filter(|state| state.is_checked()) else {
+                continue;
+            };
+            for shard in state.owned(server.time(world.now())) {
+                owners.entry(shard.clone()).or_default().push(name.clone());
+            }
+        }
+        self.note_sendable(world);
+        for (shard, routes) in &self.sendable {
+            let servers = routes.iter().map(|route| route.server.clone());
+            owners.entry(shard.clone()).or_default().extend(servers);
+        }
+        for (shard, servers) in owners {
+            let Some(first) = servers.first() else {
+                continue;
+            };
+            if servers.len() > 1 {
+                let list: Vec<_> = servers.iter().map(ToString::to_string).collect();
+                self.report(
+                    world,
+                    &format!("{shard} has the owners {}", list.join(", ")),
+                );
+            }
+            self.note_owner(&shard, first);
+        }
+    }
+
+    fn note_owner(&mut self, shard: &names::ShardId, server: &names::ServerName) {
+        let former = self.owners.insert(shard.clone(), server.clone());
+        if former.is_some_and(|former| former != *server) {
+            self.moves += 1;
+        }
+    }
+
+    // An unchecked server counts as an owner while a host may send to it, and for one deadline
+    // longer, since the last request that was let through may still run.
+    fn note_sendable(&mut self, world: &world::LabWorld) {
+        let now = world.now();
+        let deadline = time::Duration::from_millis(world::DEADLINE_MS);
+        for routes in self.sendable.values_mut() {
+            routes.retain(|route| now.since(route.at) < deadline);
+        }
+        for host in world.hosts.values().filter(|host| !host.paused) {
+            let Some(state) = &host.state else {
+                continue;
+            };
+            let table = state.routing();
+            let Some(service) = table.service(world::UNCHECKED_SERVICE) else {
+                continue;
+            };
+            let time = host.time(now);
+            for (index, route) in (0..).zip(service.routes()) {
+                let open = route.filter(|route| table.may_send(&route.server, time));
+                let Some(route) = open else {
+                    continue;
+                };
+                let shard = names::ShardId::new(service.spec.name.clone(), index);
+                let known = self.sendable.entry(shard).or_default();
+                let server = route.server.name.clone();
+                match known.iter_mut().find(|known| known.server == server) {
+                    Some(known) => known.at = now,
+                    None => known.push(SendableRoute { server, at: now }),
+                }
+            }
+        }
+    }
+
+    // Tries a request for each shard from each host.
+    fn check_requests(&mut self, world: &world::LabWorld) {
+        let mut served = collections::BTreeSet::new();
+        for (name, host) in world.hosts.iter().filter(|(_, host)| !host.paused) {
+            let Some(state) = &host.state else {
+                continue;
+            };
+            let here = world::WorldNode::Host(name.clone());
+            let time = host.time(world.now());
+            let table = state.routing();
+            for service in table.services() {
+                for (index, route) in (0..).zip(service.routes()) {
+                    let Some(route) = route.filter(|route| table.may_send(&route.server, time))
+                    else {
+                        continue;
+                    };
+                    let shard = names::ShardId::new(service.spec.name.clone(), index);
+                    if accepts(world, &here, &shard, route) {
+                        self.note_accepted(world, &shard, &route.fence);
+                        served.insert(shard);
+                    }
+                }
+            }
+        }
+        self.note_served(world, &served);
+    }
+
+    fn note_accepted(
+        &mut self,
+        world: &world::LabWorld,
+        shard: &names::ShardId,
+        fence: &fence::GrantFence,
+    ) {
+        let higher = self.accepted.get(shard).filter(|known| *known > fence);
+        if let Some(known) = higher {
+            let fault = format!("{shard} was served under {fence} after {known}");
+            self.report(world, &fault);
+        } else {
+            self.accepted.insert(shard.clone(), fence.clone());
+        }
+    }
+
+    fn note_served(
+        &mut self,
+        world: &world::LabWorld,
+        served: &collections::BTreeSet<names::ShardId>,
+    ) {
+        for shard in shards(world) {
+            if !served.contains(&shard) {
+                self.unserved_since.entry(shard).or_insert(world.now());
+                continue;
+            }
+            if let Some(since) = self.unserved_since.remove(&shard) {
+                let span = world.now().since(since);
+                self.longest_unserved = self.longest_unserved.max(span);
+            }
+        }
+    }
+}
+
+fn given_up(world: &world::LabWorld, host: &names::HostName, shard: &names::ShardId) -> bool {
+    let state = world.hosts.get(host).and_then(|host| host.state.as_ref());
+    let gone = state.map(|state| &state.fold().state().configuration.domain);
+    let any_gone = gone.is_some_and(|domains| domains.iter().any(|domain| domain.is_gone()));
+    any_gone && !shard.service.as_str().is_empty()
+}
+
+fn accepts(
+    world: &world::LabWorld,
+    here: &world::WorldNode,
+    shard: &names::ShardId,
+    route: &zinniastack::table::ShardRoute,
+) -> bool {
+    let Some(server) = world.servers.get(&route.server.name) else {
+        return false;
+    };
+    let there = world::WorldNode::Server(route.server.name.clone());
+    let Some(state) = server.state.as_ref().filter(|_| !server.frozen) else {
+        return false;
+    };
+    if !world.connected(here, &there) {
+        return false;
+    }
+    let held = state.fence_of(shard) == Some(&route.fence);
+    !state.is_checked() || (held && state.has_lease(server.time(world.now())))
+}
+
+fn shards(world: &world::LabWorld) -> Vec<names::ShardId> {
+    world.shards().to_vec()
+}
--- a/lab/src/cmd/mod.rs
+++ b/lab/src/cmd/mod.rs
@@ -4,3 +4,4 @@
 pub mod log;
 pub mod server;
 pub mod try_site;
+pub mod walk;
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -4,9 +4,13 @@
 //! same states on loopback.
 
 pub mod caller;
+pub mod checker;
 pub mod cmd;
 pub mod host_list;
 pub mod http;
 pub mod log_state;
+pub mod scenario;
 pub mod server_state;
 pub mod site;
+pub mod walk;
+pub mod world;
--- /dev/null
+++ b/lab/src/scenario.rs
@@ -0,0 +1,404 @@
+//! The commands of scripted scenarios: a small language over a virtual world.
+
+use std::collections;
+use std::str;
+use std::time;
+
+use zinniastack::clock;
+use zinniastack::configuration;
+use zinniastack::names;
+use zinniastack::timing;
+
+use crate::checker;
+use crate::server_state;
+use crate::world;
+
+/// One command: its name and its arguments.
+#[derive(Clone, Debug)]
+pub struct ScenarioCommand {
+    name: String,
+    arguments: collections::BTreeMap<String, Vec<String>>,
+    input: String,
+}
+
+impl ScenarioCommand {
+    /// Creates a command.
+    #[must_use]
+    pub fn new(name: &str, input: &str) -> Self {
+        Self {
+            name: name.into(),
+            arguments: collections::BTreeMap::new(),
+            input: input.trim().into(),
+        }
+    }
+
+    /// Adds an argument.
+    #[must_use]
+    pub fn with_argument(mut self, name: &str, values: &[String]) -> Self {
+        self.arguments.insert(name.into(), values.to_vec());
+        self
+    }
+
+    fn text(&self, name: &str) -> Option<&str> {
+        let values = self.arguments.get(name)?;
+        values.first().map(String::as_str)
+    }
+
+    fn value<T: str::FromStr>(&self, name: &str) -> Result<T, String> {
+        let text = self.text(name).unwrap_or_default();
+        text.parse()
+            .map_err(|_| format!("{} needs {name}=..., got '{text}'", self.name))
+    }
+
+    fn or<T: str::FromStr>(&self, name: &str, default: T) -> Result<T, String> {
+        match self.text(name) {
+            Some(_) => self.value(name),
+            None => Ok(default),
+        }
+    }
+}
+
+/// A scenario on its way.
+pub struct ScenarioRun {
+    world: world::LabWorld,
+    checker: checker::WorldChecker,
+}
+
+impl ScenarioRun {
+    /// Creates the world that the command `world` describes.
+    ///
+    /// # Errors
+    /// Fails when an argument is missing or faulty.
+    pub fn new(command: &ScenarioCommand) -> Result<Self, String> {
+        let domains = command.arguments.get("domains");
+        let domains = domains.ok_or("world needs domains=(NAME.HOSTS.CHECKED.UNCHECKED,...)")?;
+        let domains: Result<Vec<_>, _> = domains.iter().map(|text| parse_domain(text)).collect();
+        let plan = world::WorldPlan {
+            seed: command.value("seed")?,
+            domains: domains?,
+            shards: command.or("shards", 6)?,
+            hold_up_one_in: command.or("hold-up", 0)?,
+            flaw: server_state::ServerFlaw::None,
+            fast_hosts_ppm: 0,
+            timing: timing::LeaseTiming::new(),
+        };
+        Ok(Self::with_plan(plan))
+    }
+
+    /// Creates a world by a plan.
+    #[must_use]
+    pub fn with_plan(plan: world::WorldPlan) -> Self {
+        Self {
+            world: world::LabWorld::new(plan),
+            checker: checker::WorldChecker::new(),
+        }
+    }
+
+    /// Returns the world.
+    #[must_use]
+    pub const fn world(&self) -> &world::LabWorld {
+        &self.world
+    }
+
+    /// Returns the world, for changes.
+    pub const fn world_mut(&mut self) -> &mut world::LabWorld {
+        &mut self.world
+    }
+
+    /// Returns the checker.
+    #[must_use]
+    pub const fn checker(&self) -> &checker::WorldChecker {
+        &self.checker
+    }
+
+    /// Starts measuring afresh.
+    pub fn mark(&mut self) {
+        self.checker.mark(self.world.now());
+    }
+
+    /// Lets a span pass, with a check after every event.
+    pub fn advance(&mut self, span: time::Duration) {
+        let until = self.world.now() + span;
+        while self.world.step(until) {
+            self.checker.check(&self.world);
+        }
+    }
+
+    /// Lets time pass until all shards are served, for at most a span; reports whether they are.
+    pub fn settle(&mut self, span: time::Duration) -> bool {
+        let until = self.world.now() + span;
+        while self.world.step(until) {
+            self.checker.check(&self.world);
+            if self.checker.served(&self.world) == self.world.shards().len() {
+                return true;
+            }
+        }
+        false
+    }
+
+    /// Executes a command; returns what it prints.
+    ///
+    /// # Errors
+    /// Fails when the command or an argument is faulty.
+    pub fn execute(&mut self, command: &ScenarioCommand) -> Result<String, String> {
+        match command.name.as_str() {
+            "run" => {
+                let span = time::Duration::from_millis(command.value("ms")?);
+                self.advance(span);
+                Ok(String::new())
+            }
+            "settle" => {
+                let span = time::Duration::from_millis(command.value("ms")?);
+                let all = self.settle(span);
+                Ok(if all {
+                    "all served\n"
+                } else {
+                    "not all served\n"
+                }
+                .into())
+            }
+            "mark" => {
+                self.mark();
+                Ok(String::new())
+            }
+            "kill" | "start" | "pause" | "resume" | "freeze" | "thaw" | "drain" => {
+                self.change_process(command)
+            }
+            "cut" => self.cut(command),
+            "heal" => {
+                self.world.heal();
+                Ok(String::new())
+            }
+            "log" => self.change_log(command),
+            "publish" => {
+                self.world.log.append(command.input.clone());
+                Ok(String::new())
+            }
+            "patch" => self.patch(command),
+            "show" => self.show(command),
+            other => Err(format!("unknown command '{other}'")),
+        }
+    }
+
+    fn change_process(&mut self, command: &ScenarioCommand) -> Result<String, String> {
+        let verb = command.name.as_str();
+        if command.text("server").is_some() {
+            let name: names::ServerName = command.value("server")?;
+            self.change_server(verb, &name)?;
+            return Ok(String::new());
+        }
+        let name = match command.text("granter") {
+            Some(_) => {
+                let domain = command.value("granter")?;
+                self.granter(&domain).ok_or("no host grants")?
+            }
+            None => command.value("host")?,
+        };
+        match verb {
+            "kill" => self.world.kill_host(&name),
+            "start" => self.world.start_host(&name),
+            "pause" => self.world.pause_host(&name),
+            "resume" => self.world.resume_host(&name),
+            other => return Err(format!("a host does not {other}")),
+        }
+        Ok(String::new())
+    }
+
+    fn change_server(&mut self, verb: &str, name: &names::ServerName) -> Result<(), String> {
+        match verb {
+            "kill" => self.world.kill_server(name),
+            "start" => self.world.restart_server(name),
+            "freeze" => self.world.freeze_server(name),
+            "thaw" => self.world.thaw_server(name),
+            "drain" => {
+                let server = self.world.servers.get_mut(name);
+                if let Some(state) = server.and_then(|server| server.state.as_mut()) {
+                    state.draining = true;
+                }
+            }
+            other => return Err(format!("a server does not {other}")),
+        }
+        Ok(())
+    }
+
+    fn cut(&mut self, command: &ScenarioCommand) -> Result<String, String> {
+        if command.text("domain").is_some() {
+            let domain = command.value("domain")?;
+            self.world.cut_domain(&domain);
+            return Ok(String::new());
+        }
+        let left = self.node(command, "left")?;
+        let right = self.node(command, "right")?;
+        self.world.cut(&left, &right);
+        Ok(String::new())
+    }
+
+    fn node(&self, command: &ScenarioCommand, side: &str) -> Result<world::WorldNode, String> {
+        let text = command.text(side).unwrap_or_default();
+        if text == "log" {
+            return Ok(world::WorldNode::Log);
+        }
+        if let Some(host) = self.world.hosts.keys().find(|name| name.as_str() == text) {
+            return Ok(world::WorldNode::Host(host.clone()));
+        }
+        let server = self.world.servers.keys().find(|name| name.as_str() == text);
+        let server = server.ok_or(format!("nothing is named '{text}'"))?;
+        Ok(world::WorldNode::Server(server.clone()))
+    }
+
+    fn change_log(&mut self, command: &ScenarioCommand) -> Result<String, String> {
+        if command.text("keep").is_some() {
+            let keep = command.value("keep")?;
+            self.world.log.trim(keep);
+            return Ok(String::new());
+        }
+        if command.arguments.contains_key("lose-past") {
+            self.world.log.lose_past();
+            return Ok(String::new());
+        }
+        self.world.log.faults.outage = command.or("outage", false)?;
+        self.world.log.faults.slow_ms = command.or("slow-ms", 0)?;
+        self.world.log.faults.lose_answers = command.or("lose-answers", 0)?;
+        Ok(String::new())
+    }
+
+    fn patch(&mut self, command: &ScenarioCommand) -> Result<String, String> {
+        let id: String = command.value("id")?;
+        let base = command.value("base")?;
+        let change = if command.text("retire").is_some() {
+            let name = command.value("retire")?;
+            configuration::ConfigurationChange::RetireFeature { name }
+        } else if command.text("withdraw").is_some() {
+            let name = command.value("withdraw")?;
+            configuration::ConfigurationChange::WithdrawServer { name }
+        } else if command.text("remove").is_some() {
+            let name = command.value("remove")?;
+            configuration::ConfigurationChange::RemoveServer { name }
+        } else {
+            let name = command.value("give-up")?;
+            configuration::ConfigurationChange::GiveUpDomain { name }
+        };
+        match command.text("host") {
+            Some(_) => {
+                let host = command.value("host")?;
+                self.world.submit(&host, &id, base, vec![change]);
+            }
+            None => self.world.append_patch(&id, base, vec![change]),
+        }
+        Ok(String::new())
+    }
+
+    /// Returns the host that grants in a domain by its own clock.
+    #[must_use]
+    pub fn granter(&self, domain: &names::DomainName) -> Option<names::HostName> {
+        let mut hosts = self.world.hosts.iter();
+        let granting = hosts.find(|(_, host)| {
+            let state = host.state.as_ref().filter(|_| !host.paused);
+            state.is_some_and(|state| state.granting().contains(domain))
+        });
+        granting.map(|(name, _)| name.clone())
+    }
+
+    fn show(&self, command: &ScenarioCommand) -> Result<String, String> {
+        let mut text = String::new();
+        for what in command.arguments.keys() {
+            text += &match what.as_str() {
+                "served" => {
+                    let served = self.checker.served(&self.world);
+                    format!("served {}/{}\n", served, self.world.shards().len())
+                }
+                "violations" => self.show_violations(),
+                "granters" => self.show_granters(),
+                "versions" => self.show_versions(),
+                "unserved-below-ms" => {
+                    let bound: u64 = command.value("unserved-below-ms")?;
+                    self.show_unserved(bound)
+                }
+                "moves" => format!("moves {}\n", self.checker.moves()),
+                "verdict" => self.show_verdict(&command.value("verdict")?),
+                "skipped" => self.show_skipped(),
+                "shards-of" => self.show_shards_of(&command.value("shards-of")?),
+                other => return Err(format!("there is no '{other}' to show")),
+            };
+        }
+        Ok(text)
+    }
+
+    fn show_violations(&self) -> String {
+        let violations = self.checker.violations();
+        if violations.is_empty() {
+            return "no violation\n".into();
+        }
+        violations.join("\n") + "\n"
+    }
+
+    fn show_granters(&self) -> String {
+        let configuration = self.world.configuration();
+        let lines = configuration.domain.iter().map(|domain| {
+            let granter = self.granter(&domain.name);
+            let granter = granter.map_or("none".into(), |name| name.to_string());
+            format!("granter of {}: {granter}\n", domain.name)
+        });
+        lines.collect()
+    }
+
+    fn show_versions(&self) -> String {
+        let lines = self.world.hosts.iter().map(|(name, host)| {
+            let version = host.state.as_ref().map(|s| s.fold().state().version);
+            let version = version.map_or("dead".into(), |version| version.to_string());
+            format!("{name}: version {version}\n")
+        });
+        lines.collect()
+    }
+
+    fn show_unserved(&self, bound: u64) -> String {
+        let longest = self.checker.longest_unserved(&self.world).as_millis();
+        if longest < u128::from(bound) {
+            return format!("unserved for less than {bound} ms\n");
+        }
+        format!("unserved for {longest} ms, bound {bound} ms\n")
+    }
+
+    fn show_verdict(&self, id: &names::RecordId) -> String {
+        let lines = self.world.hosts.iter().map(|(name, host)| {
+            let state = host.state.as_ref();
+            let verdict = state.and_then(|state| state.fold().verdict(id));
+            format!("{name}: {verdict:?}\n")
+        });
+        lines.collect()
+    }
+
+    fn show_skipped(&self) -> String {
+        let lines = self.world.hosts.iter().map(|(name, host)| {
+            let skipped = host.state.as_ref().map(|s| s.fold().state().skipped);
+            format!("{name}: skipped {skipped:?}\n")
+        });
+        lines.collect()
+    }
+
+    fn show_shards_of(&self, name: &names::ServerName) -> String {
+        let server = self.world.servers.get(name);
+        let owned = server.and_then(|server| {
+            let time: clock::MonoTime = server.time(self.world.now());
+            server.state.as_ref().map(|state| state.owned(time).count())
+        });
+        format!("{name} owns {} shards\n", owned.unwrap_or(0))
+    }
+}
+
+fn parse_domain(text: &str) -> Result<world::DomainPlan, String> {
+    let parts: Vec<&str> = text.split('.').collect();
+    let [name, hosts, checked, unchecked] = parts[..] else {
+        return Err(format!("'{text}' is not NAME.HOSTS.CHECKED.UNCHECKED"));
+    };
+    let number = |part: &str| {
+        part.parse()
+            .map_err(|_| format!("'{part}' is no number in '{text}'"))
+    };
+    Ok(world::DomainPlan {
+        name: name.into(),
+        hosts: number(hosts)?,
+        checked: number(checked)?,
+        unchecked: number(unchecked)?,
+    })
+}
--- a/lab/src/server_state.rs
+++ b/lab/src/server_state.rs
@@ -20,6 +20,22 @@
     pub incarnation: u64,
 }
 
+/// A deliberate flaw, by which a test shows that its checks can fail.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum ServerFlaw {
+    /// None.
+    #[default]
+    None,
+    /// A lease counts from when its order came, not from the token.
+    CountsFromReceipt,
+    /// Lower terms are obeyed.
+    IgnoresTerms,
+    /// Acknowledgements of other terms are not reported.
+    HidesAcks,
+    /// A restarted process claims to have run for long.
+    HidesRestart,
+}
+
 /// One request that the server ran.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(serde::Serialize, serde::Deserialize)]
@@ -61,6 +77,7 @@
     running: collections::BTreeMap<names::ShardId, u32>,
     finished: u64,
     journal: Vec<JournalEntry>,
+    flaw: ServerFlaw,
     /// Whether the server asks to be relieved of its shards.
     pub draining: bool,
 }
@@ -84,10 +101,18 @@
             running: collections::BTreeMap::new(),
             finished: 0,
             journal: Vec::new(),
+            flaw: ServerFlaw::None,
             draining: false,
         }
     }
 
+    /// Gives the server a flaw.
+    #[must_use]
+    pub const fn with_flaw(mut self, flaw: ServerFlaw) -> Self {
+        self.flaw = flaw;
+        self
+    }
+
     /// Returns what the server ran, in order.
     #[must_use]
     pub fn journal(&self) -> &[JournalEntry] {
@@ -131,7 +156,10 @@
         } else {
             self.acked_at
         };
-        let ack_age_ms = other_ack.map(|at| millis(now.since(at)));
+        let ack_age_ms = match self.flaw {
+            ServerFlaw::HidesAcks => None,
+            _ => other_ack.map(|at| millis(now.since(at))),
+        };
         let lease_left_ms = millis(self.lease_until.since(now));
         if accepted && !order.probe {
             self.promise(&order.term, now);
@@ -148,7 +176,8 @@
 
     fn accepts(&self, term: &fence::TermId, witness_set: u64) -> bool {
         let higher = self.promised.as_ref().is_none_or(|known| term >= known);
-        !self.is_checked() || (higher && witness_set >= self.witness_set)
+        let obeys_all = !self.is_checked() || self.flaw == ServerFlaw::IgnoresTerms;
+        obeys_all || (higher && witness_set >= self.witness_set)
     }
 
     fn promise(&mut self, term: &fence::TermId, now: clock::MonoTime) {
@@ -200,7 +229,10 @@
         let Some(token) = current else {
             return contract::LeaseVerdict::NeedToken;
         };
-        let issued = clock::MonoTime::from_micros(token.clock_us);
+        let issued = match self.flaw {
+            ServerFlaw::CountsFromReceipt => now,
+            _ => clock::MonoTime::from_micros(token.clock_us),
+        };
         let until = issued + time::Duration::from_millis(order.lease_ms);
         if until <= now {
             return contract::LeaseVerdict::NeedToken;
@@ -234,7 +266,10 @@
                 incarnation: self.setup.incarnation,
                 clock_us: now.as_micros(),
             },
-            up_ms: millis(now.since(self.started)),
+            up_ms: match self.flaw {
+                ServerFlaw::HidesRestart | ServerFlaw::HidesAcks => u64::MAX / 1_000_000,
+                _ => millis(now.since(self.started)),
+            },
             promised: self.promised.clone(),
             witness_set: self.witness_set,
             version: self.version,
--- /dev/null
+++ b/lab/src/walk.rs
@@ -0,0 +1,297 @@
+//! Seeded random schedules of faults over a virtual world, and their shrinking to a scenario.
+
+use std::fmt;
+use std::time;
+
+use rand::RngExt as _;
+use rand::SeedableRng as _;
+
+use zinniastack::names;
+
+use crate::scenario;
+use crate::world;
+
+/// The longest time between two faults, in milliseconds.
+pub const MAX_PAUSE_MS: u64 = 400;
+/// How long a world may take to serve all shards once all faults have ended, in milliseconds.
+pub const RECOVERY_MS: u64 = 12_000;
+
+/// One fault, or the end of one.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum WalkStep {
+    /// Time passes.
+    Run(u64),
+    /// A host's process ends.
+    KillHost(String),
+    /// A host's process starts afresh.
+    StartHost(String),
+    /// A host's process is paused.
+    PauseHost(String),
+    /// A paused host goes on.
+    ResumeHost(String),
+    /// A server's process ends.
+    KillServer(String),
+    /// A server's process starts afresh.
+    StartServer(String),
+    /// A server freezes.
+    FreezeServer(String),
+    /// A frozen server goes on.
+    ThawServer(String),
+    /// A server asks to be relieved.
+    DrainServer(String),
+    /// A domain is cut off.
+    CutDomain(String),
+    /// Two parties are cut off from each other.
+    Cut(String, String),
+    /// All cuts end.
+    Heal,
+    /// The log fails.
+    LogOutage,
+    /// The log takes appends without answering.
+    LoseAnswers(u32),
+    /// The log works.
+    LogWorks,
+    /// An operator submits a patch through a host.
+    Retire(String, u32),
+}
+
+impl fmt::Display for WalkStep {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Run(ms) => write!(f, "run ms={ms}"),
+            Self::KillHost(name) => write!(f, "kill host={name}"),
+            Self::StartHost(name) => write!(f, "start host={name}"),
+            Self::PauseHost(name) => write!(f, "pause host={name}"),
+            Self::ResumeHost(name) => write!(f, "resume host={name}"),
+            Self::KillServer(name) => write!(f, "kill server={name}"),
+            Self::StartServer(name) => write!(f, "start server={name}"),
+            Self::FreezeServer(name) => write!(f, "freeze server={name}"),
+            Self::ThawServer(name) => write!(f, "thaw server={name}"),
+            Self::DrainServer(name) => write!(f, "drain server={name}"),
+            Self::CutDomain(name) => write!(f, "cut domain={name}"),
+            Self::Cut(left, right) => write!(f, "cut left={left} right={right}"),
+            Self::Heal => write!(f, "heal"),
+            Self::LogOutage => write!(f, "log outage=true"),
+            Self::LoseAnswers(count) => write!(f, "log lose-answers={count}"),
+            Self::LogWorks => write!(f, "log outage=false"),
+            Self::Retire(host, number) => {
+                write!(
+                    f,
+                    "patch id=retire-{number} base=1 retire=digest host={host}"
+                )
+            }
+        }
+    }
+}
+
+/// Why a schedule failed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(snafu::Snafu)]
+pub enum WalkFault {
+    /// A promise was broken.
+    #[snafu(display("{violation}"))]
+    Broken {
+        /// What the checker says.
+        violation: String,
+    },
+    /// Some shards are still not served long after the last fault ended.
+    #[snafu(display("{served} of {all} shards served after recovery"))]
+    Unserved {
+        /// How many are.
+        served: usize,
+        /// How many there are.
+        all: usize,
+    },
+}
+
+/// A schedule of faults in a world.
+#[derive(Clone, Debug)]
+pub struct FaultWalk {
+    plan: world::WorldPlan,
+    steps: Vec<WalkStep>,
+}
+
+impl FaultWalk {
+    /// Creates the schedule of a seed: as many steps as told, with pauses between them.
+    #[must_use]
+    pub fn new(plan: world::WorldPlan, count: usize) -> Self {
+        let mut generator = rand::rngs::StdRng::seed_from_u64(plan.seed ^ 0x5eed);
+        let mut steps = vec![WalkStep::Run(2_500)];
+        for number in 0..count {
+            let number = u32::try_from(number).unwrap_or(u32::MAX);
+            steps.push(random_step(&plan, &mut generator, number));
+            let pause = generator.random_range(0..MAX_PAUSE_MS);
+            steps.push(WalkStep::Run(pause));
+        }
+        Self { plan, steps }
+    }
+
+    /// Runs the schedule, ends all faults, and waits for all shards to be served.
+    ///
+    /// # Errors
+    /// Fails with the first promise that was broken.
+    pub fn run(&self) -> Result<(), WalkFault> {
+        let mut run = scenario::ScenarioRun::with_plan(self.plan.clone());
+        for step in &self.steps {
+            apply(&mut run, step);
+            find_broken(&run)?;
+        }
+        end_faults(&mut run);
+        let all_served = run.settle(time::Duration::from_millis(RECOVERY_MS));
+        find_broken(&run)?;
+        if all_served {
+            return Ok(());
+        }
+        let served = run.checker().served(run.world());
+        let all = run.world().shards().len();
+        UnservedSnafu { served, all }.fail()
+    }
+
+    /// Removes steps as long as the schedule still fails.
+    #[must_use]
+    pub fn shrink(&self) -> Self {
+        let mut best = self.clone();
+        let mut size = best.steps.len() / 2;
+        while size > 0 {
+            let mut start = 0;
+            while start < best.steps.len() {
+                let mut candidate = best.clone();
+                let end = (start + size).min(candidate.steps.len());
+                candidate.steps.drain(start..end);
+                if candidate.run().is_err() {
+                    best = candidate;
+                } else {
+                    start += size;
+                }
+            }
+            size /= 2;
+        }
+        best
+    }
+
+    /// Writes the schedule as a scenario.
+    #[must_use]
+    pub fn to_scenario(&self) -> String {
+        let domains = self.plan.domains.iter();
+        let domains =
+            domains.map(|d| format!("{}.{}.{}.{}", d.name, d.hosts, d.checked, d.unchecked));
+        let domains: Vec<_> = domains.collect();
+        let hold_up = self.plan.hold_up_one_in;
+        let mut text = format!(
+            "world seed={} domains=({}) shards={} hold-up={hold_up}\n----\n",
+            self.plan.seed,
+            domains.join(","),
+            self.plan.shards
+        );
+        for step in &self.steps {
+            text += &format!("\n{step}\n----\n");
+        }
+        text + "\nshow violations\n----\n"
+    }
+}
+
+fn find_broken(run: &scenario::ScenarioRun) -> Result<(), WalkFault> {
+    match run.checker().violations().first() {
+        None => Ok(()),
+        Some(violation) => BrokenSnafu { violation }.fail(),
+    }
+}
+
+fn random_step(
+    plan: &world::WorldPlan,
+    generator: &mut rand::rngs::StdRng,
+    number: u32,
+) -> WalkStep {
+    let domain = plan.domains[generator.random_range(0..plan.domains.len())].clone();
+    let host = format!(
+        "{}-h{}",
+        domain.name,
+        generator.random_range(1..=domain.hosts)
+    );
+    let last = domain.checked + domain.unchecked;
+    let position = generator.random_range(1..=last);
+    let server = if position <= domain.checked {
+        format!("{}-s{position}", domain.name)
+    } else {
+        format!("{}-u{}", domain.name, position - domain.checked)
+    };
+    match generator.random_range(0..24) {
+        0 => WalkStep::KillHost(host),
+        1..=3 => WalkStep::StartHost(host),
+        4 | 5 => WalkStep::PauseHost(host),
+        6..=8 => WalkStep::ResumeHost(host),
+        9 => WalkStep::KillServer(server),
+        10 | 11 => WalkStep::StartServer(server),
+        12 | 13 => WalkStep::FreezeServer(server),
+        14..=16 => WalkStep::ThawServer(server),
+        17 => WalkStep::DrainServer(server),
+        18 => WalkStep::CutDomain(domain.name),
+        19 => WalkStep::Cut(host, server),
+        20 => WalkStep::Heal,
+        21 => WalkStep::LogOutage,
+        22 => WalkStep::LogWorks,
+        _ if generator.random_range(0..2) == 0 => WalkStep::LoseAnswers(2),
+        _ => WalkStep::Retire(host, number),
+    }
+}
+
+fn apply(run: &mut scenario::ScenarioRun, step: &WalkStep) {
+    let host = |name: &str| names::HostName::new(name).ok();
+    let server = |name: &str| names::ServerName::new(name).ok();
+    match step {
+        WalkStep::Run(ms) => run.advance(time::Duration::from_millis(*ms)),
+        WalkStep::KillHost(name) => on(run, host(name), world::LabWorld::kill_host),
+        WalkStep::StartHost(name) => on(run, host(name), world::LabWorld::start_host),
+        WalkStep::PauseHost(name) => on(run, host(name), world::LabWorld::pause_host),
+        WalkStep::ResumeHost(name) => on(run, host(name), world::LabWorld::resume_host),
+        WalkStep::KillServer(name) => on(run, server(name), world::LabWorld::kill_server),
+        WalkStep::StartServer(name) => on(run, server(name), world::LabWorld::restart_server),
+        WalkStep::FreezeServer(name) => on(run, server(name), world::LabWorld::freeze_server),
+        WalkStep::ThawServer(name) => on(run, server(name), world::LabWorld::thaw_server),
+        other => {
+            let line = other.to_string();
+            let mut words = line.split(' ');
+            let mut command = scenario::ScenarioCommand::new(words.next().unwrap_or(""), "");
+            for word in words {
+                let (name, value) = word.split_once('=').unwrap_or((word, ""));
+                command = command.with_argument(name, &[value.to_owned()]);
+            }
+            // Every step is a command of the scenario language, so none can fail.
+            let _ = run.execute(&command);
+        }
+    }
+}
+
+fn on<N>(
+    run: &mut scenario::ScenarioRun,
+    name: Option<N>,
+    change: impl FnOnce(&mut world::LabWorld, &N),
+) {
+    if let Some(name) = name {
+        change(run.world_mut(), &name);
+    }
+}
+
+fn end_faults(run: &mut scenario::ScenarioRun) {
+    let world = run.world_mut();
+    world.heal();
+    world.log.faults = crate::log_state::LogFaults::default();
+    let hosts: Vec<_> = world.hosts.keys().cloned().collect();
+    for host in &hosts {
+        world.resume_host(host);
+        if world.hosts[host].state.is_none() {
+            world.start_host(host);
+        }
+    }
+    let servers: Vec<_> = world.servers.keys().cloned().collect();
+    for server in &servers {
+        world.thaw_server(server);
+        let draining = world.servers[server]
+            .state
+            .as_ref()
+            .is_none_or(|s| s.draining);
+        if draining {
+            world.restart_server(server);
+        }
+    }
+}
--- a/src/authority.rs
+++ b/src/authority.rs
@@ -117,6 +117,10 @@
     pub witnesses: &'a fold::WitnessView,
     /// The configuration's version.
     pub version: u64,
+    /// The number that a new term must exceed: the highest that the log or a peer told of, and the
+    /// wall clock in milliseconds. The clock outruns terms that the log never had and that restarts
+    /// have wiped from every memory; no promise rests on it.
+    pub known_number: u64,
 }
 
 /// Who makes claims.
@@ -305,7 +309,7 @@
                 Some(AuthorityAction::AskServers(order))
             }
             TermAction::RaiseTerm => {
-                self.highest += 1;
+                self.highest = self.next_number(view);
                 self.acks.clear();
                 self.term = Some(sync::Arc::new(fence::TermId::new(
                     self.highest,
@@ -332,7 +336,7 @@
 
     fn start_round(&mut self, view: &ClaimView<'_>, probe: bool) -> contract::ClaimOrder {
         let number = if probe {
-            self.highest + 1
+            self.next_number(view)
         } else {
             self.highest
         };
@@ -352,6 +356,10 @@
         order
     }
 
+    fn next_number(&self, view: &ClaimView<'_>) -> u64 {
+        self.highest.max(view.known_number) + 1
+    }
+
     fn start_grants(&mut self) -> Option<AuthorityAction> {
         let round = self.round.as_ref()?;
         let term = self.term.clone()?;
@@ -367,6 +375,10 @@
             return;
         };
         let reply = &answer.reply;
+        let promised = reply.status.promised.as_ref().map(|term| term.number);
+        let granted = reply.held.iter().map(|grant| grant.fence.term.number);
+        let seen = granted.chain(promised).max().unwrap_or(0);
+        self.highest = self.highest.max(seen);
         // A restarted server has forgotten what it acknowledged, so its start stands for that.
         let age_ms = reply.ack_age_ms.unwrap_or(reply.status.up_ms);
         let acked_at = now.back(time::Duration::from_millis(age_ms));
--- a/src/control.rs
+++ b/src/control.rs
@@ -34,6 +34,8 @@
 pub const CHECKPOINT_STEP_SECONDS: u64 = 5;
 /// How many reads in a row must show a log that ends before what the host has folded.
 pub const REGRESSED_READS: u32 = 3;
+/// The last place in the order of candidates; all behind it share it.
+pub const MAX_PLACES: usize = 8;
 /// The greatest jitter in a candidate's patience, in milliseconds.
 pub const JITTER_MS: u64 = 20;
 
@@ -48,6 +50,8 @@
     pub bootstrap: Vec<net::SocketAddr>,
     /// The spans that leases rest on.
     pub timing: timing::LeaseTiming,
+    /// The wall clock at the origin of the host's monotonic clock, in milliseconds.
+    pub wall_origin_ms: u64,
     /// The seed of the host's random choices.
     pub seed: u64,
 }
@@ -281,13 +285,14 @@
             &domain::DomainView<'_>,
         ) -> Vec<domain::DomainOrder>,
     ) {
-        let patience = self.patience(name);
+        let patience = self.patience(name, now);
         let Some(control) = self.domains.get_mut(name) else {
             return;
         };
         let view = domain::DomainView {
             now,
             fold: self.fold.state(),
+            wall_ms: self.settings.wall_origin_ms + now.as_millis(),
             patience,
         };
         let orders = step(control, &view);
@@ -353,19 +358,27 @@
         }
     }
 
-    // Hosts of the domain claim first, in order of name; then the others.
-    fn patience(&self, domain: &names::DomainName) -> time::Duration {
+    // Hosts of the domain claim first, in order of name; then the others. While a host of the domain
+    // is heard of, the others leave it to claim, unless the domain stays without a granter for long.
+    fn patience(&self, domain: &names::DomainName, now: clock::MonoTime) -> time::Duration {
         let hosts = &self.fold.state().configuration.host;
         let inside = self.settings.domain == *domain;
-        let before = hosts
+        let (own, others): (Vec<_>, Vec<_>) = hosts.iter().partition(|h| h.domain == *domain);
+        let rivals = if inside { &own } else { &others };
+        let before = rivals.iter().filter(|h| h.name < *self.host()).count();
+        let window = time::Duration::from_millis(timing::HEARD_MS);
+        let claimable = own
             .iter()
-            .filter(|h| (h.domain == *domain) == inside && h.name < *self.host())
-            .count();
-        let step = time::Duration::from_millis(timing::CANDIDATE_STEP_MS);
+            .any(|h| self.roster.is_heard(&h.name, window, now));
+        let base_ms = match (inside, claimable) {
+            (true, _) => 0,
+            (false, false) => timing::OUTSIDE_STEP_MS,
+            (false, true) => timing::OUTSIDE_HEARD_MS,
+        };
         let jitter = self.jitters.get(domain).copied().unwrap_or_default();
-        let outside = time::Duration::from_millis(timing::OUTSIDE_STEP_MS);
-        let base = if inside { jitter } else { jitter + outside };
-        base + step * u32::try_from(before.min(8)).unwrap_or(8)
+        let step = time::Duration::from_millis(timing::CANDIDATE_STEP_MS);
+        let place = u32::try_from(before.min(MAX_PLACES)).unwrap_or(u32::MAX);
+        time::Duration::from_millis(base_ms) + jitter + step * place
     }
 
     fn tick_checkpoint(&mut self, now: clock::MonoTime) {
@@ -805,11 +818,7 @@
 
     fn table_leases(&self, now: clock::MonoTime) -> Vec<peer::TableKnown> {
         let leases = self.domains.iter().filter_map(|(name, control)| {
-            let view = domain::DomainView {
-                now,
-                fold: self.fold.state(),
-                patience: time::Duration::ZERO,
-            };
+            let view = self.quiet_view(now);
             let table = control.table().filter(|_| control.is_granting(&view))?;
             Some(peer::TableKnown {
                 domain: name.clone(),
@@ -819,6 +828,16 @@
         leases.collect()
     }
 
+    // A view for steps that claim nothing.
+    fn quiet_view(&self, now: clock::MonoTime) -> domain::DomainView<'_> {
+        domain::DomainView {
+            now,
+            fold: self.fold.state(),
+            wall_ms: 0,
+            patience: time::Duration::ZERO,
+        }
+    }
+
     /// Takes a peer's answer to a question that was sent at `sent_at`.
     pub fn on_exchange_reply(
         &mut self,
@@ -872,6 +891,7 @@
             let view = domain::DomainView {
                 now,
                 fold: self.fold.state(),
+                wall_ms: 0,
                 patience: time::Duration::ZERO,
             };
             for control in self.domains.values_mut() {
--- a/src/domain.rs
+++ b/src/domain.rs
@@ -57,6 +57,8 @@
     pub now: clock::MonoTime,
     /// The fold of the log.
     pub fold: &'a fold::FoldState,
+    /// The wall clock, in milliseconds.
+    pub wall_ms: u64,
     /// This host's place in the order of candidates, from 0, with the jitter of this attempt.
     pub patience: time::Duration,
 }
@@ -124,7 +126,9 @@
     #[must_use]
     pub fn is_granting(&self, view: &DomainView<'_>) -> bool {
         let witnesses = self.witnesses(view);
-        let term = self.authority.current_term(&claim_view(view, &witnesses));
+        let term = self
+            .authority
+            .current_term(&self.claim_view(view, &witnesses));
         self.book.is_some() && term.is_some()
     }
 
@@ -133,11 +137,30 @@
         known.cloned().unwrap_or_default()
     }
 
+    fn claim_view<'a>(
+        &self,
+        view: &DomainView<'_>,
+        witnesses: &'a fold::WitnessView,
+    ) -> authority::ClaimView<'a> {
+        let logged = view
+            .fold
+            .terms
+            .get(&self.name)
+            .map_or(0, |term| term.number);
+        let heard = self.sign.as_ref().map_or(0, |sign| sign.term.number);
+        authority::ClaimView {
+            now: view.now,
+            witnesses,
+            version: view.fold.version,
+            known_number: logged.max(heard).max(view.wall_ms),
+        }
+    }
+
     /// Lets time pass.
     pub fn tick(&mut self, view: &DomainView<'_>) -> Vec<DomainOrder> {
         let witnesses = self.witnesses(view);
         let silent = self.is_silent(view);
-        let claim = claim_view(view, &witnesses);
+        let claim = self.claim_view(view, &witnesses);
         let actions = self.authority.tick(&claim, silent);
         let mut orders = self.perform(actions, view);
         if self.is_granting(view) {
@@ -237,7 +260,7 @@
         view: &DomainView<'_>,
     ) -> Vec<DomainOrder> {
         let witnesses = self.witnesses(view);
-        let claim = claim_view(view, &witnesses);
+        let claim = self.claim_view(view, &witnesses);
         let actions = self.authority.on_claim_reply(order, answer.clone(), &claim);
         let orders = self.perform(actions, view);
         if self.is_granting(view)
@@ -261,7 +284,7 @@
             return Vec::new();
         }
         let witnesses = self.witnesses(view);
-        let claim = claim_view(view, &witnesses);
+        let claim = self.claim_view(view, &witnesses);
         let status = &answer.reply.status;
         let refused = answer.reply.verdict == contract::LeaseVerdict::Refused;
         let actions = match &status.promised {
@@ -295,7 +318,7 @@
             self.sign = Some(sign);
         }
         let witnesses = self.witnesses(view);
-        let claim = claim_view(view, &witnesses);
+        let claim = self.claim_view(view, &witnesses);
         let own = self.book.as_ref().is_some_and(|b| **b.term() == news.term);
         if own {
             return Vec::new();
@@ -327,7 +350,7 @@
     /// Gives up granting and claiming for good.
     pub fn on_stop(&mut self, view: &DomainView<'_>) {
         let witnesses = self.witnesses(view);
-        let claim = claim_view(view, &witnesses);
+        let claim = self.claim_view(view, &witnesses);
         let actions = self.authority.on_stop(&claim);
         self.perform(actions, view);
     }
@@ -345,14 +368,3 @@
     /// The answer.
     pub reply: contract::LeaseReply,
 }
-
-fn claim_view<'a>(
-    view: &DomainView<'_>,
-    witnesses: &'a fold::WitnessView,
-) -> authority::ClaimView<'a> {
-    authority::ClaimView {
-        now: view.now,
-        witnesses,
-        version: view.fold.version,
-    }
-}
--- a/src/edge/host.rs
+++ b/src/edge/host.rs
@@ -182,10 +182,17 @@
         domain: settings.domain.clone(),
         bootstrap: settings.bootstrap.clone(),
         timing: timing::LeaseTiming::new(),
+        wall_origin_ms: wall_clock_ms(),
         seed: rand::random(),
     }
 }
 
+fn wall_clock_ms() -> u64 {
+    let since = time::SystemTime::now().duration_since(time::SystemTime::UNIX_EPOCH);
+    let millis = since.map_or(0, |span| span.as_millis());
+    u64::try_from(millis).unwrap_or(0)
+}
+
 fn start_control(
     arbiter: &actix::Arbiter,
     state: control::ControlState,
--- a/src/grant.rs
+++ b/src/grant.rs
@@ -117,6 +117,13 @@
     load: f64,
 }
 
+// A server that reported a shard which the granter counts as another's: the shard is not placed
+// until the server has the grants of the revision, which are without it.
+struct ShardBlock {
+    server: names::ServerName,
+    revision: u64,
+}
+
 /// What a granter is started with.
 pub struct GrantSetup<'a> {
     /// The failure domain.
@@ -148,6 +155,7 @@
     shards: collections::BTreeMap<names::ShardId, ShardRecord>,
     owned: collections::BTreeMap<names::ServerName, collections::BTreeSet<names::ShardId>>,
     vacant: collections::BTreeSet<names::ShardId>,
+    blocks: collections::BTreeMap<names::ShardId, Vec<ShardBlock>>,
     routes: table::DomainTable,
     unlogged: Vec<record::AssignmentEntry>,
     versions_acked: collections::BTreeMap<names::ServerName, u64>,
@@ -175,6 +183,7 @@
             shards: collections::BTreeMap::new(),
             owned: collections::BTreeMap::new(),
             vacant: collections::BTreeSet::new(),
+            blocks: collections::BTreeMap::new(),
             routes: table::DomainTable::new(sync::Arc::clone(&setup.start.term)),
             unlogged: Vec::new(),
             versions_acked: collections::BTreeMap::new(),
@@ -345,8 +354,10 @@
     }
 
     fn adopt_report(&mut self, server: &names::ServerName, held: &[contract::ShardGrant]) {
+        self.touch(server);
         for grant in held {
             self.adopt(&grant.shard, server, &grant.fence);
+            self.block_unless_owner(&grant.shard, server);
         }
         let reported: collections::BTreeSet<_> = held.iter().map(|g| &g.shard).collect();
         let lost: Vec<_> = self
@@ -357,7 +368,29 @@
         for shard in &lost {
             self.handle_shard(shard, GrantEvent::OwnerLost);
         }
-        self.touch(server);
+    }
+
+    fn block_unless_owner(&mut self, shard: &names::ShardId, server: &names::ServerName) {
+        let Some(record) = self.shards.get(shard) else {
+            return;
+        };
+        if record.owner.as_ref() == Some(server) {
+            return;
+        }
+        let revision = self
+            .servers
+            .get(server)
+            .map_or(0, lease::ServerLease::revision);
+        let server = server.clone();
+        let block = ShardBlock { server, revision };
+        self.blocks.entry(shard.clone()).or_default().push(block);
+    }
+
+    fn unblock(&mut self, server: &names::ServerName, revision: u64) {
+        for blocks in self.blocks.values_mut() {
+            blocks.retain(|block| block.server != *server || block.revision > revision);
+        }
+        self.blocks.retain(|_, blocks| !blocks.is_empty());
     }
 
     fn owned_by<'a>(
@@ -421,6 +454,7 @@
             return;
         };
         lease.note_acked(revision);
+        self.unblock(server, revision);
         let shards: Vec<_> = self.owned_by(server).cloned().collect();
         for shard in shards {
             let record = &self.shards[&shard];
@@ -526,6 +560,7 @@
     }
 
     fn free_shards(&mut self, server: &names::ServerName, now: clock::MonoTime) {
+        self.unblock(server, u64::MAX);
         let shards: Vec<_> = self.owned_by(server).cloned().collect();
         for shard in &shards {
             self.wait_for_stale_sends(shard, now);
@@ -646,6 +681,7 @@
                 .iter()
                 .filter(|shard| shard.service == service.name)
                 .filter(|shard| now >= self.shards[*shard].free_at)
+                .filter(|shard| !self.blocks.contains_key(*shard))
                 .cloned()
                 .collect();
             if vacant.is_empty() {
--- a/src/membership.rs
+++ b/src/membership.rs
@@ -75,6 +75,18 @@
         }
     }
 
+    /// Reports whether a host was heard of within a span.
+    #[must_use]
+    pub fn is_heard(
+        &self,
+        host: &names::HostName,
+        span: time::Duration,
+        now: clock::MonoTime,
+    ) -> bool {
+        let sign = self.signs.get(host);
+        sign.is_some_and(|sign| now.since(sign.at) < span)
+    }
+
     /// Returns what to tell a peer: at most [`peer::MAX_HOSTS_TOLD`] hosts, others each time.
     pub fn tell(&mut self, now: clock::MonoTime) -> Vec<peer::HostNews> {
         let count = self.signs.len();
--- a/src/timing.rs
+++ b/src/timing.rs
@@ -16,6 +16,10 @@
 pub const CANDIDATE_STEP_MS: u64 = 40;
 /// The extra silence for candidates outside the domain, in milliseconds.
 pub const OUTSIDE_STEP_MS: u64 = 150;
+/// How lately a host must have been heard of to count as able to claim, in milliseconds.
+pub const HEARD_MS: u64 = 400;
+/// The extra silence for candidates outside a domain that has a host able to claim, in milliseconds.
+pub const OUTSIDE_HEARD_MS: u64 = 2_000;
 /// The time within which a claim must reach its majority, in milliseconds.
 pub const CLAIM_WAIT_MS: u64 = 150;
 /// The interval between two exchanges with peers, in milliseconds.
--- /dev/null
+++ b/tests/walks.rs
@@ -0,0 +1,95 @@
+//! Seeded random schedules of faults, and deliberate flaws that must be found.
+
+use zinnia_lab::server_state;
+use zinnia_lab::walk;
+use zinnia_lab::world;
+use zinniastack::timing;
+
+/// How many schedules each case runs here; `zinnia-lab walk` runs more.
+const SCHEDULES: u64 = 60;
+/// How many schedules a deliberate flaw is looked for in, at the most.
+const FLAW_SCHEDULES: u64 = 2_000;
+/// One in how many messages is held up where many are.
+const MANY_HELD_UP_ONE_IN: u32 = 6;
+/// How many faults a schedule has.
+const FAULTS: usize = 200;
+
+fn plan(seed: u64, checked: u32, unchecked: u32) -> world::WorldPlan {
+    let domain = |name: &str, hosts: u32| world::DomainPlan {
+        name: name.into(),
+        hosts,
+        checked,
+        unchecked,
+    };
+    world::WorldPlan {
+        seed,
+        domains: vec![domain("north", 2), domain("south", 1)],
+        shards: 4,
+        hold_up_one_in: 200,
+        flaw: server_state::ServerFlaw::None,
+        fast_hosts_ppm: 0,
+        timing: timing::LeaseTiming::new(),
+    }
+}
+
+fn expect_kept(first: u64, checked: u32, unchecked: u32) {
+    expect_kept_with(first, |seed| plan(seed, checked, unchecked));
+}
+
+fn expect_kept_with(first: u64, plan: impl Fn(u64) -> world::WorldPlan) {
+    for seed in first..first + SCHEDULES {
+        let walk = walk::FaultWalk::new(plan(seed), FAULTS);
+        if let Err(fault) = walk.run() {
+            let scenario = walk.shrink().to_scenario();
+            panic!("seed {seed}: {fault}\n{scenario}");
+        }
+    }
+}
+
+fn expect_found(change: impl Fn(&mut world::WorldPlan)) {
+    let found = (0..FLAW_SCHEDULES).any(|seed| {
+        let mut plan = plan(seed, 3, 0);
+        change(&mut plan);
+        let result = walk::FaultWalk::new(plan, FAULTS).run();
+        matches!(result, Err(walk::WalkFault::Broken { .. }))
+    });
+    assert!(
+        found,
+        "the flaw was not found in {FLAW_SCHEDULES} schedules"
+    );
+}
+
+macro_rules! walk_cases {
+    ($($name:ident: $check:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            $check;
+        }
+    )*};
+}
+
+walk_cases! {
+    three_checked_servers: expect_kept(1_000, 3, 0);
+    five_checked_servers: expect_kept(2_000, 5, 0);
+    with_unchecked_servers: expect_kept(3_000, 3, 2);
+    with_many_messages_held_up: expect_kept_with(4_000, |seed| world::WorldPlan {
+        hold_up_one_in: MANY_HELD_UP_ONE_IN,
+        ..plan(seed, 3, 0)
+    });
+    finds_a_lease_counted_from_receipt: expect_found(|plan| {
+        plan.flaw = server_state::ServerFlaw::CountsFromReceipt;
+    });
+    finds_ignored_terms: expect_found(|plan| {
+        plan.flaw = server_state::ServerFlaw::IgnoresTerms;
+        plan.hold_up_one_in = MANY_HELD_UP_ONE_IN;
+    });
+    finds_hidden_acknowledgements: expect_found(|plan| {
+        plan.flaw = server_state::ServerFlaw::HidesAcks;
+    });
+    finds_hidden_restarts: expect_found(|plan| {
+        plan.flaw = server_state::ServerFlaw::HidesRestart;
+    });
+    finds_clocks_beyond_the_margin: expect_found(|plan| {
+        plan.fast_hosts_ppm = 400_000;
+    });
+}
