Let a server that no longer asks to leave take shards again

Cause: the drain signal stuck in the granter's record, so a restarted server counted as leaving for good (seed 20039, shrunk to two drains); and a granter that started after the platform's list had come never learned of it. Change: leaving is what the configuration, the current list and the server's latest answer say.

--- a/src/control.rs
+++ b/src/control.rs
@@ -292,6 +292,7 @@
         let view = domain::DomainView {
             now,
             fold: self.fold.state(),
+            leaving: &self.leaving,
             wall_ms: self.settings.wall_origin_ms + now.as_millis(),
             patience,
         };
@@ -751,11 +752,6 @@
             .iter()
             .filter(|s| s.state == platform::ListedState::Leaving);
         self.leaving = leaving.map(|s| s.name.clone()).collect();
-        for control in self.domains.values_mut() {
-            if let Some(book) = control.book_mut() {
-                self.leaving.iter().for_each(|name| book.note_leaving(name));
-            }
-        }
     }
 
     /// Answers a peer's question.
@@ -833,6 +829,7 @@
         domain::DomainView {
             now,
             fold: self.fold.state(),
+            leaving: &self.leaving,
             wall_ms: 0,
             patience: time::Duration::ZERO,
         }
@@ -891,6 +888,7 @@
             let view = domain::DomainView {
                 now,
                 fold: self.fold.state(),
+                leaving: &self.leaving,
                 wall_ms: 0,
                 patience: time::Duration::ZERO,
             };
--- a/src/domain.rs
+++ b/src/domain.rs
@@ -1,5 +1,6 @@
 //! One host's part in one failure domain: its claim, its grants and the domain's routes.
 
+use std::collections;
 use std::sync;
 use std::time;
 
@@ -57,6 +58,8 @@
     pub now: clock::MonoTime,
     /// The fold of the log.
     pub fold: &'a fold::FoldState,
+    /// The servers that the platform lists as leaving.
+    pub leaving: &'a collections::BTreeSet<names::ServerName>,
     /// The wall clock, in milliseconds.
     pub wall_ms: u64,
     /// This host's place in the order of candidates, from 0, with the jitter of this attempt.
@@ -184,6 +187,7 @@
             at: view.now,
         });
         book.follow(view.fold);
+        book.follow_listing(view.leaving);
         book.tick(view.now, witnesses);
         let due = book.due_orders(view.now);
         let mut orders: Vec<_> = due.into_iter().map(DomainOrder::Grant).collect();
--- a/src/grant.rs
+++ b/src/grant.rs
@@ -240,7 +240,6 @@
         for spec in configuration.servers_of(&self.domain) {
             if let Some(lease) = self.servers.get_mut(&spec.name) {
                 lease.spec = spec.clone();
-                lease.leaving |= spec.is_withdrawn();
                 continue;
             }
             let chart = sync::Arc::clone(&self.charts.lease);
@@ -248,7 +247,7 @@
             self.servers.insert(spec.name.clone(), lease);
         }
         for (name, lease) in &mut self.servers {
-            lease.leaving |= configuration.find_server(name).is_none();
+            lease.removed = configuration.find_server(name).is_none();
         }
     }
 
@@ -489,10 +488,10 @@
         witnesses.pending.is_some() && witnesses.has_majority(told)
     }
 
-    /// Notes that the platform or the configuration says that a server leaves.
-    pub fn note_leaving(&mut self, server: &names::ServerName) {
-        if let Some(lease) = self.servers.get_mut(server) {
-            lease.leaving = true;
+    /// Takes over which servers the platform lists as leaving.
+    pub fn follow_listing(&mut self, leaving: &collections::BTreeSet<names::ServerName>) {
+        for (name, lease) in &mut self.servers {
+            lease.listed_leaving = leaving.contains(name);
         }
     }
 
@@ -598,7 +597,7 @@
         let leaving: Vec<_> = self
             .servers
             .iter()
-            .filter(|(_, lease)| lease.leaving && lease.state() == lease::LeaseState::Held)
+            .filter(|(_, lease)| lease.is_leaving() && lease.state() == lease::LeaseState::Held)
             .map(|(name, _)| name.clone())
             .collect();
         for server in leaving {
@@ -654,7 +653,7 @@
     fn targets(&self, service: &names::ServiceName) -> Vec<placement::PlacementTarget> {
         let leases = self.servers.values();
         let usable = leases
-            .filter(|lease| lease.spec.service == *service && !lease.leaving)
+            .filter(|lease| lease.spec.service == *service && !lease.is_leaving())
             .filter(|lease| lease.state() == lease::LeaseState::Held);
         usable.map(|lease| self.target_of(&lease.spec)).collect()
     }
--- a/src/lease.rs
+++ b/src/lease.rs
@@ -57,8 +57,11 @@
     revision: u64,
     sent_revision: u64,
     acked_revision: u64,
-    /// Whether the server must lose its shards.
-    pub leaving: bool,
+    /// Whether the platform lists the server as leaving.
+    pub listed_leaving: bool,
+    /// Whether the configuration no longer has the server.
+    pub removed: bool,
+    draining: bool,
     /// The latest report of its load.
     pub load: contract::LoadReport,
     releasing: Vec<crate::names::ShardId>,
@@ -74,7 +77,9 @@
         Self {
             state: table.initial(),
             table,
-            leaving: spec.is_withdrawn(),
+            listed_leaving: false,
+            removed: false,
+            draining: false,
             spec,
             token: None,
             token_at: clock::MonoTime::default(),
@@ -95,6 +100,13 @@
         self.state
     }
 
+    /// Reports whether the server must lose its shards: the operators, the platform or the server
+    /// itself says so.
+    #[must_use]
+    pub fn is_leaving(&self) -> bool {
+        self.spec.is_withdrawn() || self.removed || self.listed_leaving || self.draining
+    }
+
     /// Returns the number of the grants' current state.
     #[must_use]
     pub const fn revision(&self) -> u64 {
@@ -133,7 +145,7 @@
         self.token = Some(status.token);
         self.token_at = now;
         self.load = status.load;
-        self.leaving |= status.draining;
+        self.draining = status.draining;
         self.releasing.clone_from(&status.releasing);
     }
 
