--- a/lab/src/scenario.rs
+++ b/lab/src/scenario.rs
@@ -32,6 +32,18 @@
         }
     }
 
+    /// Reads a command from one line: its name and arguments such as `ms=5`.
+    #[must_use]
+    pub fn from_line(line: &str) -> Self {
+        let mut words = line.split(' ');
+        let mut command = Self::new(words.next().unwrap_or_default(), "");
+        for word in words {
+            let (name, value) = word.split_once('=').unwrap_or((word, ""));
+            command = command.with_argument(name, &[value.to_owned()]);
+        }
+        command
+    }
+
     /// Adds an argument.
     #[must_use]
     pub fn with_argument(mut self, name: &str, values: &[String]) -> Self {
--- a/lab/src/walk.rs
+++ b/lab/src/walk.rs
@@ -249,13 +249,7 @@
         WalkStep::FreezeServer(name) => on(run, server(name), world::LabWorld::freeze_server),
         WalkStep::ThawServer(name) => on(run, server(name), world::LabWorld::thaw_server),
         other => {
-            let line = other.to_string();
-            let mut words = line.split(' ');
-            let mut command = scenario::ScenarioCommand::new(words.next().unwrap_or(""), "");
-            for word in words {
-                let (name, value) = word.split_once('=').unwrap_or((word, ""));
-                command = command.with_argument(name, &[value.to_owned()]);
-            }
+            let command = scenario::ScenarioCommand::from_line(&other.to_string());
             // Every step is a command of the scenario language, so none can fail.
             let _ = run.execute(&command);
         }
@@ -272,7 +266,8 @@
     }
 }
 
-fn end_faults(run: &mut scenario::ScenarioRun) {
+/// Ends all faults: heals, resumes, thaws and restarts what does not run.
+pub fn end_faults(run: &mut scenario::ScenarioRun) {
     let world = run.world_mut();
     world.heal();
     world.log.faults = crate::log_state::LogFaults::default();
