--- a/src/chart.rs
+++ b/src/chart.rs
@@ -348,7 +348,9 @@
 
 fn check_words<V: ChartVocabulary>(file: &ChartFile) -> Result<(), ChartError> {
     let transitions = || file.state.iter().flat_map(|s| &s.on);
-    let states = file.state.iter().map(|s| s.name.as_str());
+    let named = file.state.iter().map(|s| s.name.as_str());
+    let nexts = transitions().map(|t| t.next.as_str());
+    let states = named.chain(nexts).chain([file.initial.as_str()]);
     let events = transitions().map(|t| t.event.as_str());
     let guards = transitions().filter_map(|t| t.guard.as_deref());
     let actions = transitions().flat_map(|t| t.actions.iter().map(String::as_str));
--- a/src/queue.rs
+++ b/src/queue.rs
@@ -255,17 +255,21 @@
     fn choose_rank(&mut self) -> Option<usize> {
         let urgent = self.ranks.iter().position(|rank| !rank.is_empty())?;
         for index in urgent + 1..self.ranks.len() {
-            if self.ranks[index].is_empty() {
-                self.credits[index] = 0;
-                continue;
-            }
-            self.credits[index] += self.floors[index];
-            if self.credits[index] >= FLOOR_CREDIT {
-                self.credits[index] -= FLOOR_CREDIT;
-                return Some(index);
-            }
+            let credit = self.credits[index] + self.floors[index];
+            self.credits[index] = if self.ranks[index].is_empty() {
+                0
+            } else {
+                credit
+            };
+        }
+        let lower = urgent + 1..self.ranks.len();
+        let due = lower
+            .filter(|index| self.credits[*index] >= FLOOR_CREDIT)
+            .max_by_key(|index| self.credits[*index]);
+        if let Some(index) = due {
+            self.credits[index] -= FLOOR_CREDIT;
         }
-        Some(urgent)
+        due.or(Some(urgent))
     }
 
     /// Takes the end of an exchange that lasted `elapsed`.
--- /dev/null
+++ b/tests/charts.rs
@@ -0,0 +1,135 @@
+//! The state charts: those of the program are sound, and each kind of fault in one is found.
+
+use zinniastack::authority;
+use zinniastack::chart;
+use zinniastack::flow;
+use zinniastack::fold;
+use zinniastack::grant;
+use zinniastack::lease;
+use zinniastack::lifecycle;
+
+zinniastack::chart_words!(
+    /// States of a door.
+    DoorState { Open = "open", Shut = "shut" }
+);
+zinniastack::chart_words!(
+    /// Events of a door.
+    DoorEvent { Pushed = "pushed" }
+);
+zinniastack::chart_words!(
+    /// Guards of a door.
+    DoorGuard { Locked = "locked" }
+);
+zinniastack::chart_words!(
+    /// Actions of a door.
+    DoorAction { Creak = "creak" }
+);
+
+#[derive(Debug)]
+struct DoorVocabulary;
+
+impl chart::ChartVocabulary for DoorVocabulary {
+    type State = DoorState;
+    type Event = DoorEvent;
+    type Guard = DoorGuard;
+    type Action = DoorAction;
+    const SOURCE: &'static str = SOUND;
+}
+
+const SOUND: &str = r#"
+name = "door"
+initial = "shut"
+
+[[state]]
+name = "shut"
+[[state.on]]
+event = "pushed"
+guard = "locked"
+next = "shut"
+actions = []
+[[state.on]]
+event = "pushed"
+next = "open"
+actions = ["creak"]
+
+[[state]]
+name = "open"
+ignores = ["pushed"]
+"#;
+
+fn fault_of(from: &str, to: &str) -> String {
+    assert!(SOUND.contains(from), "the change applies");
+    let source = SOUND.replacen(from, to, 1);
+    let table = chart::ChartTable::<DoorVocabulary>::with_source(&source);
+    table.err().map(|e| e.to_string()).unwrap_or_default()
+}
+
+fn expect_fault(from: &str, to: &str, part: &str) {
+    let fault = fault_of(from, to);
+    assert!(fault.contains(part), "'{fault}' says '{part}'");
+}
+
+fn expect_sound<V: chart::ChartVocabulary>() {
+    let table = chart::ChartTable::<V>::new();
+    assert!(table.is_ok(), "{:?}", table.err());
+}
+
+fn steps_by_guard() {
+    let table = chart::ChartTable::<DoorVocabulary>::new().expect("it is sound");
+    let push = |locked: bool| {
+        let step = table.step(DoorState::Shut, DoorEvent::Pushed, |_| locked);
+        step.map(|step| (step.next, step.actions.len()))
+    };
+    assert_eq!(push(true), Some((DoorState::Shut, 0)));
+    assert_eq!(push(false), Some((DoorState::Open, 1)));
+    let ignored = table.step(DoorState::Open, DoorEvent::Pushed, |_| false);
+    assert!(ignored.is_none());
+}
+
+fn draws_every_chart() {
+    for source in chart::CHART_SOURCES {
+        let file = chart::ChartFile::parse(source).expect("it can be read");
+        assert!(file.to_mermaid().starts_with("stateDiagram-v2"));
+        assert!(file.to_dot().starts_with("digraph"));
+        for state in &file.state {
+            assert!(file.to_mermaid().contains(&state.name.replace('-', "_")));
+        }
+    }
+}
+
+macro_rules! chart_cases {
+    ($($name:ident: $check:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            $check;
+        }
+    )*};
+}
+
+chart_cases! {
+    term_is_sound: expect_sound::<authority::TermVocabulary>();
+    lease_is_sound: expect_sound::<lease::LeaseVocabulary>();
+    grant_is_sound: expect_sound::<grant::GrantVocabulary>();
+    patch_is_sound: expect_sound::<fold::PatchVocabulary>();
+    request_is_sound: expect_sound::<flow::RequestVocabulary>();
+    host_is_sound: expect_sound::<lifecycle::HostVocabulary>();
+    a_step_follows_its_guard: steps_by_guard();
+    every_chart_is_drawn: draws_every_chart();
+    unknown_state: expect_fault("next = \"open\"", "next = \"ajar\"", "state 'ajar' is unknown");
+    unknown_event: expect_fault("event = \"pushed\"", "event = \"kicked\"", "event 'kicked'");
+    unknown_guard: expect_fault("guard = \"locked\"", "guard = \"barred\"", "guard 'barred'");
+    unknown_action: expect_fault("[\"creak\"]", "[\"creak\", \"slam\"]", "action 'slam'");
+    unused_guard: expect_fault("guard = \"locked\"\n", "", "guard 'locked' is never used");
+    unhandled_event: expect_fault("ignores = [\"pushed\"]", "", "leaves event 'pushed' unhandled");
+    no_unguarded_way: expect_fault(
+        "event = \"pushed\"\nnext = \"open\"",
+        "event = \"pushed\"\nguard = \"locked\"\nnext = \"open\"",
+        "exactly one unguarded",
+    );
+    unreachable_state: expect_fault(
+        "next = \"open\"\nactions = [\"creak\"]\n",
+        "next = \"shut\"\nactions = [\"creak\"]\n",
+        "'open' cannot be reached",
+    );
+    unreadable: expect_fault("initial", "initially", "cannot be read");
+}
--- /dev/null
+++ b/tests/fold.rs
@@ -0,0 +1,295 @@
+//! The fold of the log: patches, assignments, witnesses, checkpoints, and records of any kind.
+
+use zinniastack::configuration;
+use zinniastack::fold;
+use zinniastack::names;
+use zinniastack::record;
+
+fn name<T: std::str::FromStr>(text: &str) -> T
+where
+    T::Err: std::fmt::Debug,
+{
+    text.parse().expect("a name")
+}
+
+fn server(number: u32) -> configuration::ConfigurationChange {
+    configuration::ConfigurationChange::PutServer(configuration::ServerSpec {
+        name: name(&format!("s{number}")),
+        service: name("stock"),
+        domain: name("north"),
+        address: name(&format!("127.0.0.1:{}", 7_000 + number)),
+        fences: configuration::FenceMode::Checked,
+        slots: 6,
+        connections: 130,
+        withdrawn: None,
+    })
+}
+
+fn base_changes() -> Vec<configuration::ConfigurationChange> {
+    vec![
+        configuration::ConfigurationChange::PutDomain(configuration::DomainSpec {
+            name: name("north"),
+            gone: None,
+        }),
+        configuration::ConfigurationChange::PutDomain(configuration::DomainSpec {
+            name: name("south"),
+            gone: None,
+        }),
+        configuration::ConfigurationChange::PutService(configuration::ServiceSpec {
+            name: name("stock"),
+            rank: configuration::WorkRank::new(1).expect("a rank"),
+            shards: 4,
+            deadline_ms: 500,
+            floor_percent: 0,
+            max_body_bytes: 1_024,
+            homes: vec![name("north"), name("south")],
+        }),
+        configuration::ConfigurationChange::PutFeature(configuration::FeatureSpec {
+            name: name("digest"),
+            service: name("stock"),
+            status: configuration::FeatureStatus::Live,
+            when_stale: configuration::StalePolicy::Hold,
+        }),
+        server(1),
+        server(2),
+        server(3),
+    ]
+}
+
+fn patch(id: &str, base: u64, changes: Vec<configuration::ConfigurationChange>) -> String {
+    let body = record::RecordBody::Patch(record::PatchBody { base, changes });
+    record::LogRecord::new(name(id), body).encode()
+}
+
+fn assign(id: &str, shard: &str, server: &str, fence: &str) -> String {
+    let entry = record::AssignmentEntry {
+        shard: name(shard),
+        server: name(server),
+        fence: name(fence),
+    };
+    let body = record::AssignBody {
+        entries: vec![entry],
+    };
+    record::LogRecord::new(name(id), record::RecordBody::Assign(body)).encode()
+}
+
+fn settle(set: u64) -> String {
+    let body = record::RecordBody::Settle(record::SettleBody {
+        domain: name("north"),
+        witness_set: set,
+    });
+    record::LogRecord::new(name(&format!("settle-{set}")), body).encode()
+}
+
+fn folded(texts: &[String]) -> fold::LogFold {
+    let mut fold = fold::LogFold::new().expect("the chart is sound");
+    for text in texts {
+        fold.apply(text);
+    }
+    fold
+}
+
+fn with_base(texts: &[String]) -> fold::LogFold {
+    let mut all = vec![patch("first", 0, base_changes())];
+    all.extend_from_slice(texts);
+    folded(&all)
+}
+
+fn retire() -> Vec<configuration::ConfigurationChange> {
+    vec![configuration::ConfigurationChange::RetireFeature {
+        name: name("digest"),
+    }]
+}
+
+fn expect_verdict(texts: &[String], id: &str, expected: &str) {
+    let fold = with_base(texts);
+    let verdict = format!("{:?}", fold.verdict(&name(id)));
+    assert!(verdict.contains(expected), "{verdict}");
+}
+
+fn expect_invalid(change: configuration::ConfigurationChange, part: &str) {
+    expect_verdict(&[patch("p", 1, vec![change])], "p", part);
+}
+
+fn a_stale_patch_changes_nothing() {
+    let fold = with_base(&[
+        patch("left", 1, retire()),
+        patch("right", 1, vec![server(4)]),
+    ]);
+    assert_eq!(fold.state().version, 2);
+    assert!(
+        fold.state()
+            .configuration
+            .find_server(&name("s4"))
+            .is_none()
+    );
+}
+
+fn a_repeated_id_counts_once() {
+    let again = patch("again", 1, retire());
+    let fold = with_base(&[again.clone(), again]);
+    assert_eq!(fold.state().version, 2);
+    assert_eq!(
+        fold.verdict(&name("again")),
+        Some(&fold::PatchVerdict::Accepted { version: 2 })
+    );
+}
+
+fn the_higher_fence_stays() {
+    let fold = with_base(&[
+        assign("new", "stock/0", "s2", "5.h1.a.1"),
+        assign("late", "stock/0", "s1", "4.h2.b.9"),
+    ]);
+    let assignment = &fold.state().assignments[&name("stock/0")];
+    assert_eq!(assignment.server, name("s2"));
+}
+
+fn witnesses_change_one_at_a_time() {
+    let two = patch("two", 1, vec![server(4), server(5)]);
+    expect_verdict(&[two], "two", "one patch at a time");
+    let one = patch("one", 1, vec![server(4)]);
+    let next = patch("next", 2, vec![server(5)]);
+    expect_verdict(&[one.clone(), next.clone()], "next", "not settled yet");
+    expect_verdict(&[one, settle(2), next], "next", "Accepted { version: 3 }");
+}
+
+fn both_sets_count_until_settled() {
+    let fold = with_base(&[patch("one", 1, vec![server(4)])]);
+    let view = &fold.state().witnesses[&name::<names::DomainName>("north")];
+    let of = |list: &[&str]| view.has_majority(|n| list.contains(&n.as_str()));
+    assert!(of(&["s1", "s2", "s4"]));
+    assert!(!of(&["s1", "s4"]), "no majority of the settled set");
+    assert!(!of(&["s1", "s2"]), "no majority of the pending set");
+}
+
+fn a_given_up_domain_never_returns() {
+    let give_up = configuration::ConfigurationChange::GiveUpDomain {
+        name: name("south"),
+    };
+    let back = configuration::ConfigurationChange::PutDomain(configuration::DomainSpec {
+        name: name("south"),
+        gone: None,
+    });
+    let texts = [
+        patch("gone", 1, vec![give_up]),
+        patch("back", 2, vec![back]),
+    ];
+    expect_verdict(&texts, "back", "never comes back");
+    let fold = with_base(&texts);
+    let configuration = &fold.state().configuration;
+    let shards = configuration.shards_of(&configuration.domain[0].name);
+    assert_eq!(shards.count(), 4, "the other domain is home to all shards");
+}
+
+fn a_checkpoint_equals_the_records() {
+    let mut texts = vec![patch("first", 0, base_changes())];
+    texts.extend([
+        assign("a", "stock/0", "s1", "5.h1.a.1"),
+        "no record".to_owned(),
+        patch("retire", 1, retire()),
+    ]);
+    let tail = [
+        patch("late", 1, retire()),
+        assign("b", "stock/0", "s2", "5.h1.a.2"),
+        patch("retire", 2, retire()),
+    ];
+    let mut whole = folded(&texts);
+    let mut join = fold::CheckpointJoin::new();
+    let parts = whole.to_checkpoint();
+    let joined = parts.iter().filter_map(|part| join.add(part)).last();
+    let fresh = fold::LogFold::new().expect("the chart is sound");
+    let mut loaded = fresh.with_state(joined.expect("the checkpoint is whole"));
+    for text in &tail {
+        assert_eq!(whole.apply(text), loaded.apply(text));
+    }
+    assert_eq!(whole.state(), loaded.state());
+}
+
+fn a_damaged_checkpoint_is_passed_over() {
+    let fold = with_base(&[]);
+    let mut parts = fold.to_checkpoint();
+    parts[0].text = parts[0].text.replace("stock", "stork");
+    let mut join = fold::CheckpointJoin::new();
+    assert!(parts.iter().all(|part| join.add(part).is_none()));
+}
+
+fn any_text_is_skipped_or_folded() {
+    bolero::check!().with_type::<String>().for_each(|text| {
+        let mut fold = with_base(&[]);
+        let before = fold.state().clone();
+        let effect = fold.apply(text);
+        assert_eq!(fold.state().next_offset, before.next_offset + 1);
+        if matches!(effect, fold::FoldEffect::Skipped(_)) {
+            assert_eq!(fold.state().skipped, before.skipped + 1);
+            assert_eq!(fold.state().configuration, before.configuration);
+        }
+    });
+}
+
+// Damages a sound record at one place, so that more than the decoder's first step is reached.
+fn any_damaged_record_is_survived() {
+    let sound = patch("p", 1, retire()) + &assign("a", "stock/0", "s1", "5.h1.a.1");
+    let input = bolero::generator::produce::<(usize, u8)>();
+    bolero::check!()
+        .with_generator(input)
+        .for_each(|(at, byte)| {
+            let mut bytes = sound.clone().into_bytes();
+            let at = at % bytes.len();
+            bytes[at] = *byte;
+            let text = String::from_utf8_lossy(&bytes);
+            let mut fold = with_base(&[]);
+            fold.apply(&text);
+            assert!(fold.state().version >= 1);
+        });
+}
+
+fn oversize_is_skipped() {
+    let mut fold = with_base(&[]);
+    let effect = fold.apply(&" ".repeat(record::MAX_RECORD_BYTES + 1));
+    assert!(matches!(
+        effect,
+        fold::FoldEffect::Skipped(record::RecordError::Oversize { .. })
+    ));
+}
+
+macro_rules! fold_cases {
+    ($($name:ident: $check:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            $check;
+        }
+    )*};
+}
+
+fold_cases! {
+    accepted: expect_verdict(&[patch("p", 1, retire())], "p", "Accepted { version: 2 }");
+    stale: expect_verdict(&[patch("p", 0, retire())], "p", "Stale { current: 1 }");
+    from_the_future: expect_verdict(&[patch("p", 7, retire())], "p", "Stale { current: 1 }");
+    stale_changes_nothing: a_stale_patch_changes_nothing();
+    repeated_counts_once: a_repeated_id_counts_once();
+    higher_fence_stays: the_higher_fence_stays();
+    one_witness_at_a_time: witnesses_change_one_at_a_time();
+    both_witness_sets_count: both_sets_count_until_settled();
+    given_up_stays_given_up: a_given_up_domain_never_returns();
+    checkpoint_equals_records: a_checkpoint_equals_the_records();
+    damaged_checkpoint: a_damaged_checkpoint_is_passed_over();
+    any_text: any_text_is_skipped_or_folded();
+    any_damage: any_damaged_record_is_survived();
+    oversize: oversize_is_skipped();
+    unknown_feature: expect_invalid(
+        configuration::ConfigurationChange::RetireFeature { name: name("other") },
+        "unknown feature",
+    );
+    unknown_server: expect_invalid(
+        configuration::ConfigurationChange::WithdrawServer { name: name("s9") },
+        "unknown server",
+    );
+    removal_before_withdrawal: expect_invalid(
+        configuration::ConfigurationChange::RemoveServer { name: name("s1") },
+        "withdraw the server first",
+    );
+    unknown_host: expect_invalid(
+        configuration::ConfigurationChange::RemoveHost { name: name("h9") },
+        "unknown host",
+    );
+}
--- /dev/null
+++ b/tests/requests.rs
@@ -0,0 +1,245 @@
+//! What becomes of a request: the checks at the door, and the flow's table of states and events.
+
+use std::sync;
+use std::time;
+
+use zinniastack::chart;
+use zinniastack::chart::ChartWord as _;
+use zinniastack::clock;
+use zinniastack::configuration;
+use zinniastack::door;
+use zinniastack::flow;
+use zinniastack::outcome;
+use zinniastack::table;
+
+const CONFIGURATION: &str = include_str!("../examples/manizales.toml");
+const NOW: clock::MonoTime = clock::MonoTime::from_millis(10_000);
+
+fn configuration() -> configuration::Configuration {
+    toml::from_str(CONFIGURATION).expect("the example is sound")
+}
+
+fn table() -> table::RoutingTable {
+    let mut table = table::RoutingTable::new(1, &configuration());
+    table.fresh_until = NOW + time::Duration::from_secs(5);
+    for (service, server) in [("stock", "stock-1"), ("site-files", "site-files-1")] {
+        let changes: Vec<_> = (0..240)
+            .map(|index| table::RouteChange {
+                shard: format!("{service}/{index}").parse().expect("a shard"),
+                route: Some(table::RouteEntry {
+                    server: server.parse().expect("a name"),
+                    fence: "5.h1.a.1".parse().expect("a fence"),
+                }),
+            })
+            .collect();
+        table.set_routes(&changes);
+    }
+    table
+}
+
+fn envelope(service: &str) -> door::RequestEnvelope {
+    door::RequestEnvelope {
+        service: service.into(),
+        key: "yard-7".parse().expect("a key"),
+        id: "r1".parse().expect("an id"),
+        deadline_ms: None,
+        feature: None,
+        idempotent: true,
+        body_bytes: None,
+    }
+}
+
+fn with_feature(service: &str, feature: &str) -> door::RequestEnvelope {
+    door::RequestEnvelope {
+        feature: Some(feature.parse().expect("a name")),
+        ..envelope(service)
+    }
+}
+
+fn expect_door(
+    table: &table::RoutingTable,
+    envelope: &door::RequestEnvelope,
+    expected: Result<(), outcome::RefusalReason>,
+) {
+    let checked = door::check(table, envelope, NOW, NOW);
+    assert_eq!(checked.map(|_| ()), expected);
+}
+
+fn retired_table() -> table::RoutingTable {
+    let name = "nightly-stock-digest".parse().expect("a name");
+    let change = configuration::ConfigurationChange::RetireFeature { name };
+    let next = configuration().with_changes(&[change]).expect("it fits");
+    table::RoutingTable::new(2, &next)
+}
+
+fn stale_table() -> table::RoutingTable {
+    let mut table = table();
+    table.fresh_until = NOW;
+    table
+}
+
+fn leased_table() -> table::RoutingTable {
+    let mut table = table();
+    let until = NOW + time::Duration::from_millis(1);
+    table.set_table_lease("chipre".parse().expect("a name"), until);
+    table
+}
+
+fn the_callers_deadline_is_at_most_the_services() {
+    let table = table();
+    for (given, expected) in [(None, 500), (Some(90), 90), (Some(9_000), 500)] {
+        let request = door::RequestEnvelope {
+            deadline_ms: given,
+            ..envelope("stock")
+        };
+        let pass = door::check(&table, &request, NOW, NOW).expect("it passes");
+        let span = time::Duration::from_millis(expected);
+        assert_eq!(pass.deadline, NOW + span);
+    }
+}
+
+/// How a request is made, for the table of flows.
+#[derive(Clone, Copy)]
+struct FlowKind {
+    idempotent: bool,
+    replayable: bool,
+    facts: flow::RequestFacts,
+}
+
+const PLAIN: FlowKind = FlowKind {
+    idempotent: false,
+    replayable: true,
+    facts: flow::RequestFacts {
+        feature_retired: false,
+        no_time_left: false,
+    },
+};
+const IDEMPOTENT: FlowKind = FlowKind {
+    idempotent: true,
+    ..PLAIN
+};
+const STREAMED: FlowKind = FlowKind {
+    replayable: false,
+    ..IDEMPOTENT
+};
+const RETIRED: FlowKind = FlowKind {
+    facts: flow::RequestFacts {
+        feature_retired: true,
+        no_time_left: false,
+    },
+    ..PLAIN
+};
+const OUT_OF_TIME: FlowKind = FlowKind {
+    facts: flow::RequestFacts {
+        feature_retired: false,
+        no_time_left: true,
+    },
+    ..IDEMPOTENT
+};
+
+// Events and actions by their words, so that a row reads like the chart.
+fn expect_flow(
+    kind: FlowKind,
+    events: &[&str],
+    actions: &[&str],
+    expected: outcome::RequestOutcome,
+) {
+    let chart = chart::ChartTable::new().expect("the chart is sound");
+    let mut flow = flow::RequestFlow::new(sync::Arc::new(chart), kind.idempotent)
+        .with_replayable(kind.replayable);
+    let mut last = Vec::new();
+    for word in events {
+        let event = flow::RequestEvent::ALL.iter().find(|e| e.word() == *word);
+        last = flow.handle(*event.expect("an event"), kind.facts);
+    }
+    let words: Vec<_> = last.iter().map(|action| action.word()).collect();
+    assert_eq!(words, actions);
+    assert_eq!(flow.outcome(), expected);
+}
+
+fn a_request_is_sent_again_at_most_thrice() {
+    let chart = chart::ChartTable::new().expect("the chart is sound");
+    let mut flow = flow::RequestFlow::new(sync::Arc::new(chart), true);
+    let facts = flow::RequestFacts::default();
+    for _ in 0..flow::MAX_RETRIES {
+        flow.handle(flow::RequestEvent::Permitted, facts);
+        let actions = flow.handle(flow::RequestEvent::RefusedNotRun, facts);
+        assert!(actions.contains(&flow::RequestAction::EnqueueAgain));
+    }
+    flow.handle(flow::RequestEvent::Permitted, facts);
+    let actions = flow.handle(flow::RequestEvent::RefusedNotRun, facts);
+    assert!(actions.contains(&flow::RequestAction::AnswerRefused));
+}
+
+use outcome::RefusalReason as Reason;
+use outcome::RequestOutcome as Outcome;
+
+macro_rules! request_cases {
+    ($($name:ident: $check:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            $check;
+        }
+    )*};
+}
+
+request_cases! {
+    door_passes: expect_door(&table(), &envelope("stock"), Ok(()));
+    door_knows_no_configuration:
+        expect_door(&table::RoutingTable::default(), &envelope("stock"), Err(Reason::Starting));
+    door_knows_no_service: expect_door(&table(), &envelope("stork"), Err(Reason::UnknownService));
+    door_finds_no_owner: expect_door(&table(), &envelope("orders"), Err(Reason::NoOwner));
+    door_needs_a_table_lease:
+        expect_door(&table(), &envelope("site-files"), Err(Reason::NoTableLease));
+    door_has_a_table_lease: expect_door(&leased_table(), &envelope("site-files"), Ok(()));
+    door_passes_a_live_feature:
+        expect_door(&table(), &with_feature("stock", "nightly-stock-digest"), Ok(()));
+    door_stops_a_retired_feature: expect_door(
+        &retired_table(), &with_feature("stock", "nightly-stock-digest"), Err(Reason::FeatureRetired));
+    door_stops_an_unknown_feature: expect_door(
+        &table(), &with_feature("stock", "forgotten"), Err(Reason::FeatureUnknown));
+    door_stops_another_services_feature: expect_door(
+        &table(), &with_feature("stock", "dispatch-reminder"), Err(Reason::FeatureUnknown));
+    door_holds_when_stale: expect_door(
+        &stale_table(), &with_feature("stock", "nightly-stock-digest"), Err(Reason::FeatureHeld));
+    door_limits_the_body: expect_door(
+        &table(),
+        &door::RequestEnvelope { body_bytes: Some(16_385), ..envelope("stock") },
+        Err(Reason::BodyTooLarge),
+    );
+    door_sets_the_deadline: the_callers_deadline_is_at_most_the_services();
+    answered: expect_flow(PLAIN, &["permitted", "answered-whole"],
+        &["release-permit", "answer-ran"], Outcome::NotRun);
+    refused_by_the_queue: expect_flow(PLAIN, &["queue-refused"],
+        &["answer-overloaded"], Outcome::NotRun);
+    late_in_the_queue: expect_flow(PLAIN, &["deadline-passed"],
+        &["leave-queue", "answer-deadline-not-run"], Outcome::NotRun);
+    retired_in_the_queue: expect_flow(RETIRED, &["permitted"],
+        &["release-permit", "answer-retired"], Outcome::NotRun);
+    out_of_time_at_dispatch: expect_flow(OUT_OF_TIME, &["permitted"],
+        &["release-permit", "answer-deadline-not-run"], Outcome::NotRun);
+    unsent_is_repeated: expect_flow(PLAIN, &["permitted", "connect-failed"],
+        &["release-permit", "enqueue-again"], Outcome::NotRun);
+    refused_is_repeated: expect_flow(PLAIN, &["permitted", "refused-not-run"],
+        &["release-permit", "enqueue-again"], Outcome::NotRun);
+    broken_is_not_repeated: expect_flow(PLAIN, &["permitted", "exchange-broken"],
+        &["release-permit", "answer-unknown"], Outcome::Unknown);
+    broken_idempotent_is_repeated: expect_flow(IDEMPOTENT, &["permitted", "exchange-broken"],
+        &["release-permit", "enqueue-again"], Outcome::Unknown);
+    broken_then_refused_stays_unknown:
+        expect_flow(IDEMPOTENT, &["permitted", "exchange-broken", "queue-refused"],
+        &["answer-overloaded"], Outcome::Unknown);
+    broken_stream_is_not_repeated: expect_flow(STREAMED, &["permitted", "exchange-broken"],
+        &["release-permit", "answer-unknown"], Outcome::Unknown);
+    refused_stream_is_not_repeated: expect_flow(STREAMED, &["permitted", "refused-not-run"],
+        &["release-permit", "answer-refused"], Outcome::NotRun);
+    late_at_the_owner: expect_flow(PLAIN, &["permitted", "deadline-passed"],
+        &["cancel-exchange", "release-permit", "answer-deadline-unknown"], Outcome::Unknown);
+    caller_left_the_queue: expect_flow(PLAIN, &["caller-left"],
+        &["leave-queue"], Outcome::NotRun);
+    caller_left_the_exchange: expect_flow(PLAIN, &["permitted", "caller-left"],
+        &["cancel-exchange", "release-permit"], Outcome::Unknown);
+    answered_stays_answered: expect_flow(PLAIN,
+        &["permitted", "answered-whole", "exchange-broken"], &[], Outcome::NotRun);
+    thrice_at_most: a_request_is_sent_again_at_most_thrice();
+}
