--- a/lab/src/cmd/mod.rs
+++ b/lab/src/cmd/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod hosts;
 pub mod log;
+pub mod measure;
 pub mod server;
 pub mod try_site;
 pub mod walk;
--- a/lab/src/cmd/try_site.rs
+++ b/lab/src/cmd/try_site.rs
@@ -265,6 +265,7 @@
                 configuration::FeatureSpec {
                     name,
                     service,
+                    rank: None,
                     status: configuration::FeatureStatus::Live,
                     when_stale: configuration::StalePolicy::Serve,
                 },
--- /dev/null
+++ b/lab/src/flood.rs
@@ -0,0 +1,565 @@
+//! A flood on virtual time: the real queues, limits and flows of several hosts before small fakes of
+//! servers that have slots and shed.
+
+use std::collections;
+use std::sync;
+use std::time;
+
+use rand::RngExt as _;
+use rand::SeedableRng as _;
+
+use zinniastack::chart;
+use zinniastack::clock;
+use zinniastack::configuration;
+use zinniastack::flow;
+use zinniastack::limit;
+use zinniastack::outcome;
+use zinniastack::queue;
+
+/// The interval between two looks for requests that wait in vain, in milliseconds.
+pub const SWEEP_MS: u64 = 5;
+/// The longest time that is told apart, in microseconds.
+pub const MAX_TIME_US: u64 = 60_000_000;
+/// The share of the capacity that each rank offers in calm.
+pub const CALM_SHARES: [f64; configuration::WorkRank::COUNT] = [0.25, 0.15, 0.10];
+/// The share of the capacity that a flood offers.
+pub const FLOOD_SHARE: f64 = 10.0;
+
+/// A site as far as floods are concerned.
+#[derive(Clone, Copy, Debug)]
+pub struct FloodSite {
+    /// Its name.
+    pub name: &'static str,
+    /// The entry hosts.
+    pub hosts: usize,
+    /// The servers.
+    pub servers: usize,
+    /// Each server's slots.
+    pub slots: u32,
+    /// The mean time of a request, in microseconds.
+    pub service_us: u64,
+    /// The time between two failure domains, one way, in microseconds.
+    pub network_us: u64,
+    /// The time within a failure domain, one way, in microseconds.
+    pub inside_us: u64,
+    /// The deadline of each rank, in milliseconds.
+    pub deadlines_ms: [u64; configuration::WorkRank::COUNT],
+    /// The floor of each rank, in percent.
+    pub floors: [u8; configuration::WorkRank::COUNT],
+}
+
+/// The users' two sites, with all ranks on one pool of servers.
+pub const SITES: [FloodSite; 2] = [
+    FloodSite {
+        name: "manizales",
+        hosts: 5,
+        servers: 20,
+        slots: 6,
+        service_us: 20_000,
+        network_us: 500,
+        inside_us: 100,
+        deadlines_ms: [500, 2_000, 30_000],
+        floors: [0, 20, 10],
+    },
+    FloodSite {
+        name: "coastline",
+        hosts: 5,
+        servers: 20,
+        slots: 3,
+        service_us: 20_000,
+        network_us: 1_500,
+        inside_us: 100,
+        deadlines_ms: [2_000, 1_000, 30_000],
+        floors: [0, 20, 10],
+    },
+];
+
+/// A stretch of time with its own load.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum FloodPhase {
+    /// Before all floods.
+    Calm,
+    /// The least urgent rank floods.
+    LowFlood,
+    /// The time after it.
+    AfterLow,
+    /// The most urgent rank floods.
+    HighFlood,
+    /// The time after it.
+    AfterHigh,
+}
+
+impl FloodPhase {
+    /// The phases in their order.
+    pub const ALL: [Self; 5] = [
+        Self::Calm,
+        Self::LowFlood,
+        Self::AfterLow,
+        Self::HighFlood,
+        Self::AfterHigh,
+    ];
+
+    /// Returns the phase's name.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Calm => "calm",
+            Self::LowFlood => "flood-rank-3",
+            Self::AfterLow => "after-rank-3",
+            Self::HighFlood => "flood-rank-1",
+            Self::AfterHigh => "after-rank-1",
+        }
+    }
+
+    fn share(self, rank: usize) -> f64 {
+        match (self, rank) {
+            (Self::LowFlood, 2) | (Self::HighFlood, 0) => FLOOD_SHARE,
+            _ => CALM_SHARES[rank],
+        }
+    }
+}
+
+/// What became of one rank's requests of one phase.
+#[derive(Clone, Debug, Default)]
+pub struct RankTally {
+    /// Requests that came.
+    pub offered: u64,
+    /// Requests answered by their deadline.
+    pub on_time: u64,
+    /// Requests that ran, but whose answer came too late.
+    pub late: u64,
+    /// Requests refused, by reason.
+    pub refused: collections::BTreeMap<outcome::RefusalReason, u64>,
+    /// The times of those answered, in microseconds.
+    pub times_us: Vec<u64>,
+}
+
+impl RankTally {
+    /// Returns the part of the offered requests that was answered in time.
+    #[must_use]
+    pub fn on_time_ratio(&self) -> f64 {
+        ratio(self.on_time, self.offered)
+    }
+
+    /// Returns the time within which a part of the answers came, in microseconds.
+    #[must_use]
+    pub fn quantile_us(&self, part: f64) -> u64 {
+        let Ok(mut histogram) = hdrhistogram::Histogram::<u64>::new_with_max(MAX_TIME_US, 3) else {
+            return 0;
+        };
+        for value in &self.times_us {
+            histogram.saturating_record(*value);
+        }
+        histogram.value_at_quantile(part)
+    }
+}
+
+/// Returns one count over another.
+#[must_use]
+pub fn ratio(part: u64, whole: u64) -> f64 {
+    let exact = |count: u64| f64::from(u32::try_from(count).unwrap_or(u32::MAX));
+    exact(part) / exact(whole.max(1))
+}
+
+/// The outcome of a whole run.
+#[derive(Clone, Debug, Default)]
+pub struct FloodReport {
+    /// By phase of arrival, then by rank.
+    pub tallies: collections::BTreeMap<FloodPhase, [RankTally; configuration::WorkRank::COUNT]>,
+    /// Requests finished by the servers, by phase in which they finished.
+    pub finished: collections::BTreeMap<FloodPhase, u64>,
+    /// Requests that ran more than once.
+    pub doubled: u64,
+    /// Requests that were told not to have run, and had.
+    pub not_run_but_ran: u64,
+    /// Requests sent again.
+    pub repeated: u64,
+    /// Requests sent for the first time.
+    pub sent: u64,
+    /// By phase, the time from its start until each rank is answered in time again, in
+    /// milliseconds.
+    pub recovery_ms: collections::BTreeMap<FloodPhase, u64>,
+}
+
+struct FloodRequest {
+    rank: usize,
+    server: usize,
+    host: usize,
+    phase: FloodPhase,
+    arrived: clock::MonoTime,
+    deadline: clock::MonoTime,
+    flow: flow::RequestFlow,
+    runs: u32,
+    sent_at: clock::MonoTime,
+    closed: bool,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum FloodEvent {
+    Arrive(usize),
+    AtGate(usize),
+    AtServer(usize),
+    Served(usize),
+    Answered(usize),
+    Shed(usize),
+    Sweep,
+}
+
+struct FloodServer {
+    running: u32,
+    backlog: collections::VecDeque<usize>,
+}
+
+/// One run of a site under a policy.
+pub struct FloodRun {
+    site: FloodSite,
+    policy: queue::QueuePolicy,
+    phase_ms: u64,
+    generator: rand::rngs::StdRng,
+    now: clock::MonoTime,
+    counter: u64,
+    events: collections::BTreeMap<(clock::MonoTime, u64), FloodEvent>,
+    requests: Vec<FloodRequest>,
+    queues: Vec<queue::ServerQueue<usize>>,
+    servers: Vec<FloodServer>,
+    chart: sync::Arc<chart::ChartTable<flow::RequestVocabulary>>,
+    report: FloodReport,
+}
+
+impl FloodRun {
+    /// Creates a run whose phases last `phase_ms` each.
+    ///
+    /// # Errors
+    /// Fails when the chart `request` is faulty.
+    pub fn new(
+        site: FloodSite,
+        policy: queue::QueuePolicy,
+        seed: u64,
+        phase_ms: u64,
+    ) -> Result<Self, chart::ChartError> {
+        let queue = || {
+            queue::ServerQueue::new(site.slots, 1)
+                .with_policy(policy)
+                .with_floors(site.floors)
+        };
+        let server = || FloodServer {
+            running: 0,
+            backlog: collections::VecDeque::new(),
+        };
+        Ok(Self {
+            site,
+            policy,
+            phase_ms,
+            generator: rand::rngs::StdRng::seed_from_u64(seed),
+            now: clock::MonoTime::default(),
+            counter: 0,
+            events: collections::BTreeMap::new(),
+            requests: Vec::new(),
+            queues: (0..site.hosts * site.servers).map(|_| queue()).collect(),
+            servers: (0..site.servers).map(|_| server()).collect(),
+            chart: sync::Arc::new(chart::ChartTable::new()?),
+            report: FloodReport::default(),
+        })
+    }
+
+    /// Returns the requests that the servers can finish in one phase.
+    #[must_use]
+    pub fn capacity(&self) -> f64 {
+        let slots = f64::from(self.site.slots) * self.site.servers as f64;
+        slots * self.phase_ms as f64 * 1_000.0 / self.site.service_us as f64
+    }
+
+    /// Runs all phases.
+    #[must_use]
+    pub fn run(mut self) -> FloodReport {
+        for rank in 0..configuration::WorkRank::COUNT {
+            self.schedule_arrival(rank);
+        }
+        self.push(FloodEvent::Sweep, time::Duration::from_millis(SWEEP_MS));
+        let phases = FloodPhase::ALL.len() as u64;
+        let end = clock::MonoTime::from_millis(self.phase_ms * phases);
+        while let Some(entry) = self.events.first_entry() {
+            let at = entry.key().0;
+            if at > end {
+                break;
+            }
+            let event = entry.remove();
+            self.now = at;
+            self.handle(event);
+        }
+        self.close();
+        self.report
+    }
+
+    fn phase(&self) -> FloodPhase {
+        let position = self.now.as_millis() / self.phase_ms;
+        let position = usize::try_from(position).unwrap_or(usize::MAX);
+        FloodPhase::ALL[position.min(FloodPhase::ALL.len() - 1)]
+    }
+
+    fn push(&mut self, event: FloodEvent, delay: time::Duration) {
+        self.counter += 1;
+        self.events.insert((self.now + delay, self.counter), event);
+    }
+
+    fn schedule_arrival(&mut self, rank: usize) {
+        let per_second = self.capacity() * 1_000.0 / self.phase_ms as f64;
+        let rate = per_second * self.phase().share(rank);
+        let uniform: f64 = self.generator.random_range(f64::EPSILON..1.0);
+        let gap = time::Duration::from_secs_f64(-uniform.ln() / rate);
+        // A phase's rate holds from its start, so no gap reaches far into the next phase.
+        let longest = time::Duration::from_millis(self.phase_ms / 50);
+        self.push(FloodEvent::Arrive(rank), gap.min(longest));
+    }
+
+    fn handle(&mut self, event: FloodEvent) {
+        match event {
+            FloodEvent::Arrive(rank) => {
+                self.arrive(rank);
+                self.schedule_arrival(rank);
+            }
+            FloodEvent::AtGate(id) => self.enqueue(id, false),
+            FloodEvent::AtServer(id) => self.at_server(id),
+            FloodEvent::Served(id) => self.served(id),
+            FloodEvent::Answered(id) => self.answered(id),
+            FloodEvent::Shed(id) => self.shed(id),
+            FloodEvent::Sweep => {
+                for position in 0..self.queues.len() {
+                    if self.queues[position].waiting() > 0 {
+                        self.pump(position);
+                    }
+                }
+                self.push(FloodEvent::Sweep, time::Duration::from_millis(SWEEP_MS));
+            }
+        }
+    }
+
+    fn arrive(&mut self, rank: usize) {
+        let deadline = time::Duration::from_millis(self.site.deadlines_ms[rank]);
+        let mut request = FloodRequest {
+            rank,
+            server: self.generator.random_range(0..self.site.servers),
+            host: self.generator.random_range(0..self.site.hosts),
+            phase: self.phase(),
+            arrived: self.now,
+            deadline: self.now + deadline,
+            flow: flow::RequestFlow::new(sync::Arc::clone(&self.chart), rank == 0),
+            runs: 0,
+            sent_at: self.now,
+            closed: false,
+        };
+        let facts = flow::RequestFacts::default();
+        request.flow.handle(flow::RequestEvent::GateHere, facts);
+        self.tally(request.phase, rank).offered += 1;
+        let hop = self.hop_to_gate(request.host, request.server);
+        self.requests.push(request);
+        self.push(FloodEvent::AtGate(self.requests.len() - 1), hop);
+    }
+
+    fn tally(&mut self, phase: FloodPhase, rank: usize) -> &mut RankTally {
+        &mut self.report.tallies.entry(phase).or_default()[rank]
+    }
+
+    // Requests reach a server through the one host that is its gate, or under the baseline straight
+    // from the host at which they came.
+    fn position(&self, id: usize) -> usize {
+        let request = &self.requests[id];
+        let host = match self.policy {
+            queue::QueuePolicy::ByRank => request.server % self.site.hosts,
+            queue::QueuePolicy::FirstInFirstOut => request.host,
+        };
+        host * self.site.servers + request.server
+    }
+
+    fn hop_to_gate(&self, host: usize, server: usize) -> time::Duration {
+        let here = host == server % self.site.hosts;
+        if here || self.policy == queue::QueuePolicy::FirstInFirstOut {
+            return time::Duration::ZERO;
+        }
+        time::Duration::from_micros(self.site.network_us)
+    }
+
+    fn hop_to_server(&self) -> time::Duration {
+        time::Duration::from_micros(match self.policy {
+            queue::QueuePolicy::ByRank => self.site.inside_us,
+            queue::QueuePolicy::FirstInFirstOut => self.site.network_us,
+        })
+    }
+
+    fn enqueue(&mut self, id: usize, again: bool) {
+        let position = self.position(id);
+        let request = &self.requests[id];
+        let number = u8::try_from(request.rank + 1).unwrap_or(u8::MAX);
+        let Ok(rank) = configuration::WorkRank::new(number) else {
+            return;
+        };
+        let waiting = queue::WaitingRequest {
+            ticket: id,
+            rank,
+            arrived: request.arrived,
+            deadline: request.deadline,
+        };
+        let queue = &mut self.queues[position];
+        let pushed = if again {
+            queue.push_again(waiting, self.now)
+        } else {
+            queue.push(waiting, self.now)
+        };
+        if let Err(dropped) = pushed {
+            self.refuse(dropped.ticket, dropped.reason);
+        }
+        self.pump(position);
+    }
+
+    fn refuse(&mut self, id: usize, reason: outcome::RefusalReason) {
+        let facts = flow::RequestFacts::default();
+        let request = &mut self.requests[id];
+        request.flow.handle(flow::RequestEvent::QueueRefused, facts);
+        request.closed = true;
+        let told_not_run = request.flow.outcome() == outcome::RequestOutcome::NotRun;
+        let (phase, rank, ran) = (request.phase, request.rank, request.runs > 0);
+        if told_not_run && ran {
+            self.report.not_run_but_ran += 1;
+        }
+        *self.tally(phase, rank).refused.entry(reason).or_default() += 1;
+    }
+
+    fn pump(&mut self, position: usize) {
+        let result = self.queues[position].pump(self.now);
+        for dropped in result.dropped {
+            self.refuse(dropped.ticket, dropped.reason);
+        }
+        for id in result.permitted {
+            let facts = flow::RequestFacts::default();
+            let request = &mut self.requests[id];
+            request.flow.handle(flow::RequestEvent::Permitted, facts);
+            request.sent_at = self.now;
+            if request.flow.retries() == 0 {
+                self.report.sent += 1;
+            } else {
+                self.report.repeated += 1;
+            }
+            let hop = self.hop_to_server();
+            self.push(FloodEvent::AtServer(id), hop);
+        }
+    }
+
+    fn at_server(&mut self, id: usize) {
+        let server = self.requests[id].server;
+        let full = self.servers[server].running >= self.site.slots;
+        if !full {
+            self.start(id);
+        } else if self.policy == queue::QueuePolicy::FirstInFirstOut {
+            self.servers[server].backlog.push_back(id);
+        } else {
+            let hop = self.hop_to_server();
+            self.push(FloodEvent::Shed(id), hop);
+        }
+    }
+
+    fn start(&mut self, id: usize) {
+        let server = self.requests[id].server;
+        self.servers[server].running += 1;
+        self.requests[id].runs += 1;
+        if self.requests[id].runs > 1 {
+            self.report.doubled += 1;
+        }
+        let spread = self.generator.random_range(0.5..1.5);
+        let mean = time::Duration::from_micros(self.site.service_us);
+        self.push(FloodEvent::Served(id), mean.mul_f64(spread));
+    }
+
+    fn served(&mut self, id: usize) {
+        let server = self.requests[id].server;
+        self.servers[server].running -= 1;
+        *self.report.finished.entry(self.phase()).or_default() += 1;
+        if let Some(next) = self.servers[server].backlog.pop_front() {
+            self.start(next);
+        }
+        let hop = self.hop_to_server();
+        self.push(FloodEvent::Answered(id), hop);
+    }
+
+    fn answered(&mut self, id: usize) {
+        let facts = flow::RequestFacts::default();
+        let position = self.position(id);
+        let now = self.now;
+        let request = &mut self.requests[id];
+        request
+            .flow
+            .handle(flow::RequestEvent::AnsweredWhole, facts);
+        request.closed = true;
+        let elapsed = now.since(request.sent_at);
+        let (host, server) = (request.host, request.server);
+        let back = now + self.hop_to_gate(host, server);
+        let request = &self.requests[id];
+        let total = back.since(request.arrived);
+        let on_time = back <= request.deadline;
+        let (phase, rank) = (request.phase, request.rank);
+        let tally = self.tally(phase, rank);
+        if on_time {
+            tally.on_time += 1;
+            let micros = u64::try_from(total.as_micros()).unwrap_or(u64::MAX);
+            tally.times_us.push(micros);
+        } else {
+            tally.late += 1;
+        }
+        if !on_time || rank == 0 {
+            self.note_recovery(on_time);
+        }
+        self.queues[position].finish(limit::LimitSignal::Answered, elapsed);
+        self.pump(position);
+    }
+
+    // Recovery is the last time in a calm phase at which an urgent answer came late.
+    fn note_recovery(&mut self, on_time: bool) {
+        let phase = self.phase();
+        let calm = matches!(phase, FloodPhase::AfterLow | FloodPhase::AfterHigh);
+        let since = self.now.as_millis() % self.phase_ms;
+        if calm {
+            let recovery = self.report.recovery_ms.entry(phase).or_default();
+            if !on_time {
+                *recovery = since;
+            }
+        }
+    }
+
+    fn shed(&mut self, id: usize) {
+        let position = self.position(id);
+        let facts = flow::RequestFacts {
+            no_time_left: self.now >= self.requests[id].deadline,
+            ..flow::RequestFacts::default()
+        };
+        let elapsed = self.now.since(self.requests[id].sent_at);
+        let request = &mut self.requests[id];
+        let actions = request
+            .flow
+            .handle(flow::RequestEvent::RefusedNotRun, facts);
+        self.queues[position].finish(limit::LimitSignal::Overloaded, elapsed);
+        if actions.contains(&flow::RequestAction::EnqueueAgain) {
+            self.enqueue(id, true);
+        } else {
+            self.refuse(id, outcome::RefusalReason::ServerShed);
+        }
+        self.pump(position);
+    }
+
+    // What is open at the end counts as late if its deadline has passed, else not at all.
+    fn close(&mut self) {
+        let now = self.now;
+        let open: Vec<_> = self
+            .requests
+            .iter()
+            .filter(|request| !request.closed)
+            .map(|request| (request.phase, request.rank, now > request.deadline))
+            .collect();
+        for (phase, rank, late) in open {
+            let tally = self.tally(phase, rank);
+            if late {
+                tally.late += 1;
+            } else {
+                tally.offered -= 1;
+            }
+        }
+    }
+}
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod cmd;
 pub mod fakes;
 pub mod faults;
+pub mod flood;
 pub mod host_list;
 pub mod http;
 pub mod log_state;
--- a/lab/src/site.rs
+++ b/lab/src/site.rs
@@ -215,6 +215,7 @@
             name: settings.name.clone(),
             domain: settings.domain.clone(),
             peer: settings.peers,
+            callers: settings.callers,
         });
         let entry = host::EntryHost::start(settings.clone()).await?;
         hosts.push(SiteHost { settings, entry });
--- a/lab/src/world.rs
+++ b/lab/src/world.rs
@@ -269,6 +269,7 @@
                     name: names::HostName::new(&host).expect("a name"),
                     domain: name.clone(),
                     peer: next_port(),
+                    callers: next_port(),
                 };
                 self.add_host(spec);
             }
@@ -372,6 +373,7 @@
         let feature = configuration::FeatureSpec {
             name: names::FeatureName::new("digest").expect("a name"),
             service: names::ServiceName::new(CHECKED_SERVICE).expect("a name"),
+            rank: None,
             status: configuration::FeatureStatus::Live,
             when_stale: configuration::StalePolicy::Hold,
         };
--- a/lab/tests/processes.rs
+++ b/lab/tests/processes.rs
@@ -185,10 +185,11 @@
             let id = format!("request-{}", self.counter);
             let request = caller::CallerRequest::new(service, key, &id);
             let answer = self.client.send(self.hosts[host].callers, &request).await;
-            if answer.is_ok_and(|answer| answer.ran()) {
+            if answer.as_ref().is_ok_and(caller::CallerAnswer::ran) {
                 return id;
             }
-            wait(started, "the request runs").await;
+            let step = format!("{service}/{key} runs at host {host}, last {answer:?}");
+            wait(started, &step).await;
         }
     }
 
@@ -262,6 +263,7 @@
             name: names::HostName::new(&name).expect("a name"),
             domain: names::DomainName::new(DOMAIN).expect("a name"),
             peer: peers[number],
+            callers,
         },
         callers,
         operators,
@@ -310,6 +312,7 @@
         let feature = configuration::FeatureSpec {
             name: names::FeatureName::new("digest").expect("a name"),
             service: names::ServiceName::new("stock").expect("a name"),
+            rank: None,
             status: configuration::FeatureStatus::Retired,
             when_stale: configuration::StalePolicy::Hold,
         };
--- a/src/configuration.rs
+++ b/src/configuration.rs
@@ -97,6 +97,8 @@
     pub domain: names::DomainName,
     /// Where the other hosts reach it.
     pub peer: net::SocketAddr,
+    /// Where callers reach it, and where other hosts pass their requests on to it.
+    pub callers: net::SocketAddr,
 }
 
 /// A service: its rank, deadline and shards.
@@ -199,6 +201,8 @@
     pub name: names::FeatureName,
     /// The service that its work calls.
     pub service: names::ServiceName,
+    /// How urgent its work is, where that differs from the service's own.
+    pub rank: Option<WorkRank>,
     /// Whether its work is served.
     pub status: FeatureStatus,
     /// What a host without contact does with its work.
@@ -577,6 +581,17 @@
         self.find_domain(name).is_none_or(DomainSpec::is_gone)
     }
 
+    /// Returns the floor of each rank, in percent: the highest of the rank's services.
+    #[must_use]
+    pub fn floors(&self) -> [u8; WorkRank::COUNT] {
+        let mut floors = [0; WorkRank::COUNT];
+        for service in &self.service {
+            let floor = &mut floors[service.rank.index()];
+            *floor = service.floor_percent.max(*floor);
+        }
+        floors
+    }
+
     /// Returns the shards whose home is the domain.
     pub fn shards_of<'a>(
         &'a self,
--- a/src/control.rs
+++ b/src/control.rs
@@ -13,6 +13,7 @@
 use crate::domain;
 use crate::fence;
 use crate::fold;
+use crate::gate;
 use crate::grant;
 use crate::journal;
 use crate::lifecycle;
@@ -157,6 +158,8 @@
     exchange_at: clock::MonoTime,
     checkpoint_seen: CheckpointSign,
     granting: collections::BTreeSet<names::DomainName>,
+    usable: collections::BTreeSet<names::HostName>,
+    gates_version: u64,
 }
 
 #[derive(Clone, Copy, Debug, Default)]
@@ -194,6 +197,8 @@
             exchange_at: clock::MonoTime::default(),
             checkpoint_seen: CheckpointSign::default(),
             granting: collections::BTreeSet::new(),
+            usable: collections::BTreeSet::new(),
+            gates_version: 0,
             settings,
         })
     }
@@ -255,7 +260,9 @@
     /// Lets time pass.
     pub fn tick(&mut self, now: clock::MonoTime) -> Vec<ControlAction> {
         let mut actions = Vec::new();
-        self.roster.note_own(self.fold.state().version, now);
+        let draining = self.lifecycle.state() == lifecycle::HostState::Draining;
+        self.roster
+            .note_own(self.fold.state().version, draining, now);
         self.tick_domains(now, &mut actions);
         self.tick_checkpoint(now);
         self.tick_log(now, &mut actions);
@@ -651,6 +658,7 @@
         self.routing = table::RoutingTable::new(state.version, &configuration);
         self.routing.fresh_until = fresh_until;
         self.applied.clear();
+        self.gates_version = 0;
         for spec in &configuration.domain {
             if self.domains.contains_key(&spec.name) {
                 continue;
@@ -671,7 +679,20 @@
             .handle(lifecycle::HostEvent::ConfigurationKnown);
     }
 
+    fn refresh_gates(&mut self, now: clock::MonoTime) {
+        let state = self.fold.state();
+        let usable = self.roster.usable(now);
+        if usable == self.usable && state.version == self.gates_version {
+            return;
+        }
+        let gates = gate::GateMap::new(&state.configuration, &usable, self.host());
+        self.gates_version = state.version;
+        self.usable = usable;
+        self.routing.set_gates(sync::Arc::new(gates));
+    }
+
     fn refresh_routing(&mut self, now: clock::MonoTime, actions: &mut Vec<ControlAction>) {
+        self.refresh_gates(now);
         for (name, control) in &self.domains {
             let Some(table) = control.table() else {
                 continue;
--- a/src/door.rs
+++ b/src/door.rs
@@ -65,8 +65,11 @@
     let allowed = envelope.deadline_ms.unwrap_or(longest).min(longest);
     let deadline = arrived + time::Duration::from_millis(allowed);
     let route = check_route(table, &lookup, now)?;
+    let feature = envelope.feature.as_ref();
+    let feature = feature.and_then(|name| table.feature(name.as_str()));
+    let rank = feature.and_then(|spec| spec.rank);
     Ok(DoorPass {
-        rank: lookup.service.rank,
+        rank: rank.unwrap_or(lookup.service.rank),
         lookup,
         route,
         deadline,
--- a/src/edge/callers.rs
+++ b/src/edge/callers.rs
@@ -257,13 +257,19 @@
             peer: None,
             signal: limit::LimitSignal::Neutral,
         };
-        let mut event = self.wait_for_slot(&mut state).await;
+        let mut event = self.find_gate();
         loop {
             let facts = self.facts(&mut state, event);
             let actions = state.flow.handle(event, facts);
             let mut next = None;
             for action in actions {
                 match action {
+                    flow::RequestAction::PassOn => {
+                        next = Some(self.pass_on(&mut state).await);
+                    }
+                    flow::RequestAction::Enqueue => {
+                        next = Some(self.wait_for_slot(&mut state).await);
+                    }
                     flow::RequestAction::SendToOwner => {
                         next = Some(self.exchange(&mut state).await);
                     }
@@ -296,6 +302,52 @@
         }
     }
 
+    fn find_gate(&self) -> flow::RequestEvent {
+        let table = self.context.table.load();
+        let key = self.envelope.key.as_str();
+        let lookup = table.lookup(&self.envelope.service, key);
+        let route = lookup.and_then(|lookup| lookup.route);
+        let gate = route.and_then(|route| table.gate_of(&route.server.name));
+        let passed_on = self.head.headers().contains_key(exchange::FORWARDED_HEADER);
+        if gate.is_some() && !passed_on {
+            flow::RequestEvent::GateElsewhere
+        } else {
+            flow::RequestEvent::GateHere
+        }
+    }
+
+    async fn pass_on(&self, state: &mut JourneyState) -> flow::RequestEvent {
+        let table = self.context.table.load_full();
+        let key = self.envelope.key.as_str();
+        let lookup = table.lookup(&self.envelope.service, key);
+        let route = lookup.and_then(|lookup| lookup.route);
+        let gate = route.and_then(|route| table.gate_of(&route.server.name));
+        let Some(gate) = gate else {
+            return flow::RequestEvent::ConnectFailed;
+        };
+        self.context.metrics.passed_on.inc();
+        let target = exchange::WorkTarget::Gate(gate);
+        self.send(state, target, table.hosts).await
+    }
+
+    async fn send(
+        &self,
+        state: &mut JourneyState,
+        target: exchange::WorkTarget<'_>,
+        hosts: usize,
+    ) -> flow::RequestEvent {
+        let order = exchange::WorkOrder {
+            target,
+            id: &self.envelope.id,
+            head: self.head,
+            left: self.deadline.since(self.context.clock.now()),
+        };
+        let body = take_body(state);
+        let sent = self.client.send(&order, hosts, body);
+        let waited = tokio::time::timeout(order.left, sent).await;
+        note_end(state, waited)
+    }
+
     // The route is looked up afresh each time: after a refusal the owner may be another.
     async fn wait_for_slot(&self, state: &mut JourneyState) -> flow::RequestEvent {
         let table = self.context.table.load_full();
@@ -310,9 +362,12 @@
         state.peer = Some(pass.route.server.name.clone());
         let request = dispatcher::SlotRequest {
             server: sync::Arc::clone(&pass.route.server),
-            hosts: table.hosts,
+            hosts: match table.gate_of(&pass.route.server.name) {
+                None => 1,
+                Some(_) => table.hosts,
+            },
             rank: pass.rank,
-            floor_percent: pass.lookup.service.floor_percent,
+            floors: table.floors(),
             arrived: self.arrived,
             deadline: self.deadline,
             again: state.flow.retries() > 0,
@@ -353,22 +408,14 @@
             state.reason = outcome::RefusalReason::WrongFence;
             return flow::RequestEvent::RefusedNotRun;
         }
-        let order = exchange::WorkOrder {
-            route,
-            shard: &lookup.shard,
-            id: &self.envelope.id,
-            head: self.head,
-            left: self.deadline.since(now),
-        };
-        let body = take_body(state);
-        let sent = self.client.send(&order, table.hosts, body);
-        let waited = tokio::time::timeout(order.left, sent).await;
-        note_end(state, waited)
+        let target = exchange::WorkTarget::Owner(route, &lookup.shard);
+        self.send(state, target, table.hosts).await
     }
 
     fn answer(&self, state: JourneyState) -> Result<actix_web::HttpResponse, RefusedRequest> {
         if let Some(answer) = state.answer {
-            return Ok(owner_response(answer, &self.envelope.id));
+            let passed = state.flow.was_passed_on();
+            return Ok(owner_response(answer, &self.envelope.id, passed));
         }
         Err(RefusedRequest {
             reason: state.reason,
@@ -452,14 +499,21 @@
     }
 }
 
-fn owner_response(answer: exchange::WorkAnswer, id: &names::RequestId) -> actix_web::HttpResponse {
+fn owner_response(
+    answer: exchange::WorkAnswer,
+    id: &names::RequestId,
+    passed_on: bool,
+) -> actix_web::HttpResponse {
     let mut builder = actix_web::HttpResponse::build(answer.status);
     for (name, value) in answer.headers {
         builder.append_header((name, value));
     }
     builder.insert_header((contract::REQUEST_ID_HEADER, id.as_str()));
-    let ran = outcome::RequestOutcome::Ran.as_str();
-    builder.insert_header((contract::OUTCOME_HEADER, ran));
+    // A gate's answer says itself what became of the request.
+    if !passed_on {
+        let ran = outcome::RequestOutcome::Ran.as_str();
+        builder.insert_header((contract::OUTCOME_HEADER, ran));
+    }
     builder.body(answer.body)
 }
 
--- a/src/edge/dispatcher.rs
+++ b/src/edge/dispatcher.rs
@@ -31,8 +31,8 @@
     pub hosts: usize,
     /// The request's rank.
     pub rank: configuration::WorkRank,
-    /// The rank's floor at the server, in percent.
-    pub floor_percent: u8,
+    /// The floor of each rank, in percent.
+    pub floors: [u8; configuration::WorkRank::COUNT],
     /// When the request came.
     pub arrived: clock::MonoTime,
     /// When it must be answered.
@@ -139,8 +139,8 @@
         let now = self.clock.now();
         let name = request.server.name.clone();
         let queue = self.queues.entry(name.clone()).or_insert_with(|| {
-            queue::ServerQueue::new(request.server.slots, request.hosts)
-                .with_floor(request.rank, request.floor_percent)
+            let queue = queue::ServerQueue::new(request.server.slots, request.hosts);
+            queue.with_floors(request.floors)
         });
         let waiting = queue::WaitingRequest {
             ticket,
--- a/src/edge/exchange.rs
+++ b/src/edge/exchange.rs
@@ -5,15 +5,14 @@
 use std::io;
 use std::net;
 use std::rc;
-use std::sync;
 use std::time;
 
 use actix_web::body;
 use actix_web::http;
 use actix_web::web;
 
-use crate::configuration;
 use crate::contract;
+use crate::gate;
 use crate::names;
 use crate::outcome;
 use crate::table;
@@ -33,12 +32,47 @@
     Stream(u64, web::Payload),
 }
 
-/// What is sent to an owner.
+/// The header that names the host that passed a request on. It is not passed on again.
+pub const FORWARDED_HEADER: &str = "zinnia-forwarded";
+/// How many connections one traffic thread keeps to a gate.
+pub const GATE_CONNECTIONS: usize = 256;
+
+/// Whom a request is sent to.
+#[derive(Clone, Copy)]
+pub enum WorkTarget<'a> {
+    /// The owner of the shard, under the route's fence.
+    Owner(&'a table::ShardRoute, &'a names::ShardId),
+    /// The gate of the owner.
+    Gate(&'a gate::GateHost),
+}
+
+impl WorkTarget<'_> {
+    fn address(&self) -> net::SocketAddr {
+        match self {
+            Self::Owner(route, _) => route.server.address,
+            Self::Gate(gate) => gate.address,
+        }
+    }
+
+    fn path_prefix(&self) -> &'static str {
+        match self {
+            Self::Owner(..) => "/work",
+            Self::Gate(_) => "",
+        }
+    }
+
+    fn connections(&self, hosts: usize, threads: usize) -> usize {
+        match self {
+            Self::Owner(route, _) => route.server.connections as usize / hosts.max(1) / threads,
+            Self::Gate(_) => GATE_CONNECTIONS,
+        }
+    }
+}
+
+/// What is sent to an owner or its gate.
 pub struct WorkOrder<'a> {
-    /// The owner's route.
-    pub route: &'a table::ShardRoute,
-    /// The shard.
-    pub shard: &'a names::ShardId,
+    /// Whom to send it to.
+    pub target: WorkTarget<'a>,
     /// The request's id.
     pub id: &'a names::RequestId,
     /// The caller's method, path and headers.
@@ -85,12 +119,12 @@
         }
     }
 
-    fn client(&self, server: &configuration::ServerSpec, hosts: usize) -> awc::Client {
+    fn client(&self, target: &WorkTarget<'_>, hosts: usize) -> awc::Client {
         let mut clients = self.clients.borrow_mut();
-        let client = clients.entry(server.address).or_insert_with(|| {
-            let shared = server.connections as usize / hosts.max(1) / self.threads;
+        let client = clients.entry(target.address()).or_insert_with(|| {
+            let connections = target.connections(hosts, self.threads);
             let connector = awc::Connector::new()
-                .limit(shared.max(1))
+                .limit(connections.max(1))
                 .timeout(time::Duration::from_millis(CONNECT_TIMEOUT_MS))
                 .conn_keep_alive(time::Duration::from_secs(KEEP_ALIVE_S));
             awc::Client::builder()
@@ -104,8 +138,8 @@
     }
 
     // Connections on which an answer went astray must not serve another request.
-    fn forget(&self, server: &configuration::ServerSpec) {
-        self.clients.borrow_mut().remove(&server.address);
+    fn forget(&self, target: &WorkTarget<'_>) {
+        self.clients.borrow_mut().remove(&target.address());
     }
 
     /// Sends a request and waits for the whole answer.
@@ -118,9 +152,9 @@
         hosts: usize,
         content: WorkBody,
     ) -> Result<WorkAnswer, WorkFailure> {
-        let server = sync::Arc::clone(&order.route.server);
-        let client = self.client(&server, hosts);
-        let request = build_request(&client, &server, order);
+        let target = order.target;
+        let client = self.client(&target, hosts);
+        let request = build_request(&client, order);
         let sent = match content {
             WorkBody::Whole(bytes) => request.send_body(bytes).await,
             WorkBody::Stream(length, payload) => {
@@ -131,10 +165,11 @@
         };
         let mut response = sent.map_err(|e| classify(&e))?;
         if !echoes(response.headers(), order.id) {
-            self.forget(&server);
+            self.forget(&target);
             return Err(WorkFailure::Broken("answer to another request".into()));
         }
-        if says_not_run(response.headers()) {
+        let from_owner = matches!(target, WorkTarget::Owner(..));
+        if from_owner && says_not_run(response.headers()) {
             let refusal = refusal_of(response.headers());
             let unknown = || WorkFailure::Broken("refusal for an unknown reason".into());
             return Err(refusal.map_or_else(unknown, WorkFailure::Refused));
@@ -145,7 +180,7 @@
         let whole = response.body().limit(MAX_ANSWER_BYTES).await;
         let whole = whole.map_err(|e| WorkFailure::Broken(e.to_string()))?;
         if stated != Some(whole.len()) {
-            self.forget(&server);
+            self.forget(&target);
             return Err(WorkFailure::Broken("body not of a stated length".into()));
         }
         Ok(WorkAnswer {
@@ -156,19 +191,15 @@
     }
 }
 
-fn build_request(
-    client: &awc::Client,
-    server: &configuration::ServerSpec,
-    order: &WorkOrder<'_>,
-) -> awc::ClientRequest {
+fn build_request(client: &awc::Client, order: &WorkOrder<'_>) -> awc::ClientRequest {
     let head = order.head;
-    let target = head.uri().path_and_query();
-    let target = target.map_or("/", http::uri::PathAndQuery::as_str);
-    let address = server.address;
+    let path = head.uri().path_and_query();
+    let path = path.map_or("/", http::uri::PathAndQuery::as_str);
+    let (address, prefix) = (order.target.address(), order.target.path_prefix());
     let mut request = client
         .request(
             head.method().clone(),
-            format!("http://{address}/work{target}"),
+            format!("http://{address}{prefix}{path}"),
         )
         .no_decompress();
     for (name, value) in head.headers() {
@@ -177,16 +208,21 @@
         }
     }
     let left_ms = order.left.as_millis().to_string();
-    request
-        .insert_header((contract::FENCE_HEADER, order.route.fence.to_string()))
-        .insert_header((contract::SHARD_HEADER, order.shard.to_string()))
+    let request = request
         .insert_header((contract::REQUEST_ID_HEADER, order.id.as_str()))
-        .insert_header((contract::DEADLINE_HEADER, left_ms))
+        .insert_header((contract::DEADLINE_HEADER, left_ms));
+    match order.target {
+        WorkTarget::Owner(route, shard) => request
+            .insert_header((contract::FENCE_HEADER, route.fence.to_string()))
+            .insert_header((contract::SHARD_HEADER, shard.to_string())),
+        WorkTarget::Gate(gate) => request.insert_header((FORWARDED_HEADER, gate.host.as_str())),
+    }
 }
 
 // Headers that concern one connection only, and those that this host sets itself, stay behind.
 fn passes(name: &http::header::HeaderName) -> bool {
     let own = [
+        FORWARDED_HEADER,
         contract::FENCE_HEADER,
         contract::SHARD_HEADER,
         contract::REQUEST_ID_HEADER,
--- a/src/edge/metrics.rs
+++ b/src/edge/metrics.rs
@@ -72,6 +72,8 @@
     pub answered: counter::Counter,
     refused: ReasonCounters,
     retried: ReasonCounters,
+    /// Requests passed on to their gate.
+    pub passed_on: counter::Counter,
     /// The time from a request's arrival to its answer.
     pub latency: histogram::Histogram,
     /// Requests between arrival and answer.
@@ -101,6 +103,7 @@
             answered: counter::Counter::default(),
             refused: ReasonCounters::new(),
             retried: ReasonCounters::new(),
+            passed_on: counter::Counter::default(),
             latency: histogram::Histogram::new(LATENCY_BOUNDS_S),
             in_flight: gauge::Gauge::default(),
             patches: family::Family::default(),
@@ -132,6 +135,11 @@
             "Requests sent again, by reason",
             self.retried.family.clone(),
         );
+        registry.register(
+            "passed_on",
+            "Requests passed on to their gate",
+            self.passed_on.clone(),
+        );
         registry.register(
             "latency_seconds",
             "Time from arrival to answer",
--- a/src/flow.rs
+++ b/src/flow.rs
@@ -1,4 +1,4 @@
-//! One request's way from the queue to its answer, by the chart `request`.
+//! One request's way from its arrival to its answer, by the chart `request`.
 
 use std::sync;
 
@@ -11,6 +11,8 @@
 crate::chart_words!(
     /// The states of a request.
     RequestState {
+        Arrived = "arrived",
+        PassedOn = "passed-on",
         Queued = "queued",
         Sent = "sent",
         Answered = "answered",
@@ -20,6 +22,8 @@
 crate::chart_words!(
     /// The events of a request.
     RequestEvent {
+        GateHere = "gate-here",
+        GateElsewhere = "gate-elsewhere",
         Permitted = "permitted",
         QueueRefused = "queue-refused",
         AnsweredWhole = "answered-whole",
@@ -42,11 +46,14 @@
 crate::chart_words!(
     /// The actions of a request.
     RequestAction {
+        PassOn = "pass-on",
+        Enqueue = "enqueue",
         SendToOwner = "send-to-owner",
         EnqueueAgain = "enqueue-again",
         ReleasePermit = "release-permit",
         LeaveQueue = "leave-queue",
         CancelExchange = "cancel-exchange",
+        AnswerPassed = "answer-passed",
         AnswerRan = "answer-ran",
         AnswerRetired = "answer-retired",
         AnswerOverloaded = "answer-overloaded",
@@ -87,10 +94,11 @@
     replayable: bool,
     retries: u32,
     may_have_run: bool,
+    answered_by_gate: bool,
 }
 
 impl RequestFlow {
-    /// Creates a request that is about to be queued.
+    /// Creates a request that has just arrived.
     #[must_use]
     pub fn new(table: sync::Arc<chart::ChartTable<RequestVocabulary>>, idempotent: bool) -> Self {
         Self {
@@ -100,6 +108,7 @@
             replayable: true,
             retries: 0,
             may_have_run: false,
+            answered_by_gate: false,
         }
     }
 
@@ -122,6 +131,12 @@
         self.retries
     }
 
+    /// Reports whether the answer is the gate's.
+    #[must_use]
+    pub const fn was_passed_on(&self) -> bool {
+        self.answered_by_gate
+    }
+
     /// Returns what an answer that is not the owner's says of whether the request ran.
     #[must_use]
     pub const fn outcome(&self) -> outcome::RequestOutcome {
@@ -138,13 +153,14 @@
         let Some(step) = table.step(self.state, event, |guard| self.holds(guard, facts)) else {
             return Vec::new();
         };
-        let was_sent = self.state == RequestState::Sent;
+        let was_sent = matches!(self.state, RequestState::Sent | RequestState::PassedOn);
         let unsure = matches!(
             event,
             RequestEvent::ExchangeBroken | RequestEvent::DeadlinePassed | RequestEvent::CallerLeft
         );
         self.may_have_run |= was_sent && unsure;
         self.state = step.next;
+        self.answered_by_gate |= step.actions.contains(&RequestAction::AnswerPassed);
         if step.actions.contains(&RequestAction::EnqueueAgain) {
             self.retries += 1;
         }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod fence;
 pub mod flow;
 pub mod fold;
+pub mod gate;
 pub mod grant;
 pub mod journal;
 pub mod lease;
--- a/src/membership.rs
+++ b/src/membership.rs
@@ -15,9 +15,13 @@
 /// How long news of a host counts towards "in force at k of n", in milliseconds.
 pub const HOST_NEWS_MS: u64 = 3_000;
 
+/// How lately a host must have been heard of to serve as a gate, in milliseconds.
+pub const GATE_NEWS_MS: u64 = 1_000;
+
 #[derive(Clone, Debug)]
 struct HostSign {
     version: u64,
+    draining: bool,
     at: clock::MonoTime,
 }
 
@@ -59,8 +63,12 @@
     }
 
     /// Notes the host's own version.
-    pub fn note_own(&mut self, version: u64, now: clock::MonoTime) {
-        let sign = HostSign { version, at: now };
+    pub fn note_own(&mut self, version: u64, draining: bool, now: clock::MonoTime) {
+        let sign = HostSign {
+            version,
+            draining,
+            at: now,
+        };
         self.signs.insert(self.own.clone(), sign);
     }
 
@@ -69,9 +77,12 @@
         let at = now.back(time::Duration::from_millis(news.age_ms));
         let newer = self.signs.get(&news.host).is_none_or(|old| old.at < at);
         if newer && news.host != self.own {
-            let version = news.version;
-            self.signs
-                .insert(news.host.clone(), HostSign { version, at });
+            let sign = HostSign {
+                version: news.version,
+                draining: news.draining,
+                at,
+            };
+            self.signs.insert(news.host.clone(), sign);
         }
     }
 
@@ -87,6 +98,16 @@
         sign.is_some_and(|sign| now.since(sign.at) < span)
     }
 
+    /// Returns the hosts that may serve as gates: heard of lately, and not stopping.
+    #[must_use]
+    pub fn usable(&self, now: clock::MonoTime) -> collections::BTreeSet<names::HostName> {
+        let fresh = self.signs.iter().filter(|(_, sign)| {
+            let heard = now.since(sign.at) < window(GATE_NEWS_MS);
+            heard && !sign.draining
+        });
+        fresh.map(|(name, _)| name.clone()).collect()
+    }
+
     /// Returns what to tell a peer: at most [`peer::MAX_HOSTS_TOLD`] hosts, others each time.
     pub fn tell(&mut self, now: clock::MonoTime) -> Vec<peer::HostNews> {
         let count = self.signs.len();
@@ -98,6 +119,7 @@
             .map(|(host, sign)| peer::HostNews {
                 host: host.clone(),
                 version: sign.version,
+                draining: sign.draining,
                 age_ms: millis(now.since(sign.at)),
             })
             .collect()
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -22,6 +22,8 @@
     pub host: names::HostName,
     /// The configuration version in force there.
     pub version: u64,
+    /// Whether the host is stopping.
+    pub draining: bool,
     /// The age of the news, in milliseconds.
     pub age_ms: u64,
 }
--- a/src/queue.rs
+++ b/src/queue.rs
@@ -85,10 +85,10 @@
         }
     }
 
-    /// Sets a rank's floor, in percent of the server.
+    /// Sets the floor of each rank, in percent of the server.
     #[must_use]
-    pub fn with_floor(mut self, rank: configuration::WorkRank, percent: u8) -> Self {
-        self.floors[rank.index()] = u32::from(percent);
+    pub fn with_floors(mut self, percent: [u8; configuration::WorkRank::COUNT]) -> Self {
+        self.floors = percent.map(u32::from);
         self
     }
 
--- a/src/table.rs
+++ b/src/table.rs
@@ -7,6 +7,7 @@
 use crate::clock;
 use crate::configuration;
 use crate::fence;
+use crate::gate;
 use crate::names;
 use crate::shard;
 
@@ -237,6 +238,8 @@
     features: imbl::HashMap<names::FeatureName, configuration::FeatureSpec>,
     servers: imbl::HashMap<names::ServerName, sync::Arc<configuration::ServerSpec>>,
     table_leases: imbl::HashMap<names::DomainName, clock::MonoTime>,
+    floors: [u8; configuration::WorkRank::COUNT],
+    gates: sync::Arc<gate::GateMap>,
 }
 
 impl RoutingTable {
@@ -267,9 +270,28 @@
                 .map(|spec| (spec.name.clone(), sync::Arc::new(spec.clone())))
                 .collect(),
             table_leases: imbl::HashMap::new(),
+            floors: configuration.floors(),
+            gates: sync::Arc::default(),
         }
     }
 
+    /// Sets the hosts through which servers are reached.
+    pub fn set_gates(&mut self, gates: sync::Arc<gate::GateMap>) {
+        self.gates = gates;
+    }
+
+    /// Returns the host through which a server is reached; none where that is this host.
+    #[must_use]
+    pub fn gate_of(&self, server: &names::ServerName) -> Option<&gate::GateHost> {
+        self.gates.find(server)
+    }
+
+    /// Returns the floor of each rank, in percent.
+    #[must_use]
+    pub const fn floors(&self) -> [u8; configuration::WorkRank::COUNT] {
+        self.floors
+    }
+
     /// Takes over route changes; those of unknown servers become routes to nowhere.
     pub fn set_routes<'a>(&mut self, changes: impl IntoIterator<Item = &'a RouteChange>) {
         for change in changes {
--- a/tests/contracts.rs
+++ b/tests/contracts.rs
@@ -206,6 +206,7 @@
         hosts: vec![peer::HostNews {
             host: name("h2"),
             version: 0,
+            draining: false,
             age_ms: 0,
         }],
         granters: Vec::new(),
--- a/tests/fold.rs
+++ b/tests/fold.rs
@@ -47,6 +47,7 @@
         configuration::ConfigurationChange::PutFeature(configuration::FeatureSpec {
             name: name("digest"),
             service: name("stock"),
+            rank: None,
             status: configuration::FeatureStatus::Live,
             when_stale: configuration::StalePolicy::Hold,
         }),
--- /dev/null
+++ b/tests/grants.rs
@@ -0,0 +1,467 @@
+//! Single steps of a granter that random schedules seldom strike: reports, blocks, releases,
+//! versions, late answers; and of a claim.
+
+use std::sync;
+
+use zinniastack::authority;
+use zinniastack::chart;
+use zinniastack::clock;
+use zinniastack::configuration;
+use zinniastack::contract;
+use zinniastack::fence;
+use zinniastack::fold;
+use zinniastack::grant;
+use zinniastack::names;
+use zinniastack::peer;
+use zinniastack::record;
+use zinniastack::timing;
+
+const FORMER_END_MS: u64 = 10_400;
+const NOW_MS: u64 = 10_450;
+
+fn name<T: std::str::FromStr>(text: &str) -> T
+where
+    T::Err: std::fmt::Debug,
+{
+    text.parse().expect("a name")
+}
+
+fn at(millis: u64) -> clock::MonoTime {
+    clock::MonoTime::from_millis(millis)
+}
+
+fn configuration(servers: u16) -> configuration::Configuration {
+    let server = |number: u16| configuration::ServerSpec {
+        name: name(&format!("s{number}")),
+        service: name("stock"),
+        domain: name("north"),
+        address: ([127, 0, 0, 1], number).into(),
+        fences: configuration::FenceMode::Checked,
+        slots: 6,
+        connections: 130,
+        withdrawn: None,
+    };
+    configuration::Configuration {
+        domain: vec![configuration::DomainSpec {
+            name: name("north"),
+            gone: None,
+        }],
+        host: Vec::new(),
+        service: vec![configuration::ServiceSpec {
+            name: name("stock"),
+            rank: configuration::WorkRank::new(1).expect("a rank"),
+            shards: 1,
+            deadline_ms: 500,
+            floor_percent: 0,
+            max_body_bytes: 1_024,
+            homes: vec![name("north")],
+        }],
+        server: (1..=servers).map(server).collect(),
+        feature: Vec::new(),
+    }
+}
+
+// A fold in which the shard stock/0 is s3's under a fence of term 5.
+fn folded(servers: u16) -> fold::LogFold {
+    let mut fold = fold::LogFold::new().expect("the chart is sound");
+    let body = record::RecordBody::Patch(record::PatchBody {
+        base: 0,
+        changes: configuration(servers).to_changes(),
+    });
+    fold.apply(&record::LogRecord::new(name("first"), body).encode());
+    let entry = record::AssignmentEntry {
+        shard: name("stock/0"),
+        server: name("s3"),
+        fence: name("5.h1.7.4"),
+    };
+    let body = record::RecordBody::Assign(record::AssignBody {
+        entries: vec![entry],
+    });
+    fold.apply(&record::LogRecord::new(name("assign"), body).encode());
+    fold
+}
+
+fn status(version: u64, incarnation: u64) -> contract::ServerStatus {
+    contract::ServerStatus {
+        token: contract::LeaseToken {
+            incarnation,
+            clock_us: 1,
+        },
+        up_ms: 60_000,
+        promised: None,
+        witness_set: 1,
+        version,
+        releasing: Vec::new(),
+        draining: false,
+        load: contract::LoadReport::default(),
+    }
+}
+
+fn answer(server: &str, lease_left_ms: u64, held: &[(&str, &str)]) -> authority::ClaimAnswer {
+    let held = held.iter().map(|(shard, fence)| contract::ShardGrant {
+        shard: name(shard),
+        fence: name(fence),
+    });
+    authority::ClaimAnswer {
+        server: name(server),
+        sent_at: at(NOW_MS),
+        reply: contract::ClaimReply {
+            accepted: true,
+            ack_age_ms: Some(500),
+            lease_left_ms,
+            held: held.collect(),
+            status: status(1, 1),
+        },
+    }
+}
+
+/// A granter whose orders a test answers by hand.
+struct BookTrial {
+    book: grant::GrantBook,
+    fold: fold::LogFold,
+    now_ms: u64,
+}
+
+impl BookTrial {
+    fn new(reports: Vec<authority::ClaimAnswer>) -> Self {
+        let fold = folded(3);
+        let start = authority::GrantStart {
+            term: sync::Arc::new(fence::TermId::new(9, name("h2"), 8)),
+            former_end: at(FORMER_END_MS),
+            reports,
+        };
+        let setup = grant::GrantSetup {
+            domain: name("north"),
+            timing: timing::LeaseTiming::new(),
+            start: &start,
+            fold: fold.state(),
+            former: None,
+        };
+        let charts = grant::GrantCharts::new().expect("the charts are sound");
+        let book = grant::GrantBook::new(charts, &setup, at(NOW_MS));
+        Self {
+            book,
+            fold,
+            now_ms: NOW_MS,
+        }
+    }
+
+    fn tick(&mut self) -> Vec<grant::AddressedOrder> {
+        self.now_ms += timing::RENEW_INTERVAL_MS;
+        let domain: names::DomainName = name("north");
+        let witnesses = self.fold.state().witnesses[&domain].clone();
+        self.book.tick(at(self.now_ms), &witnesses);
+        self.book.due_orders(at(self.now_ms))
+    }
+
+    fn order_to(&mut self, server: &str) -> contract::LeaseOrder {
+        let orders = self.tick();
+        let found = orders
+            .into_iter()
+            .find_map(|addressed| match addressed.order {
+                grant::GrantOrder::Lease(order) if addressed.server.name.as_str() == server => {
+                    Some(order)
+                }
+                _ => None,
+            });
+        found.unwrap_or_else(|| panic!("{server} gets a lease order"))
+    }
+
+    fn acknowledge(&mut self, server: &str, order: &contract::LeaseOrder) {
+        self.reply(server, order, status(1, 1));
+    }
+
+    fn reply(
+        &mut self,
+        server: &str,
+        order: &contract::LeaseOrder,
+        status: contract::ServerStatus,
+    ) {
+        let verdict = contract::LeaseVerdict::Renewed;
+        let reply = contract::LeaseReply { verdict, status };
+        self.book
+            .on_lease_reply(&name(server), order, &reply, at(self.now_ms));
+    }
+
+    fn owner(&self) -> Option<String> {
+        let route = self
+            .book
+            .routes()
+            .routes()
+            .get(&name::<names::ShardId>("stock/0"));
+        route.map(|route| route.server.to_string())
+    }
+
+    fn granted_to(&mut self, server: &str) -> bool {
+        let order = self.order_to(server);
+        order.grants.is_some_and(|grants| !grants.is_empty())
+    }
+}
+
+fn empty(server: &str) -> authority::ClaimAnswer {
+    answer(server, 0, &[])
+}
+
+fn a_live_lease_keeps_its_shard() {
+    let reports = vec![
+        empty("s1"),
+        empty("s2"),
+        answer("s3", 700, &[("stock/0", "5.h1.7.4")]),
+    ];
+    let mut trial = BookTrial::new(reports);
+    assert!(trial.granted_to("s3"));
+    assert_eq!(trial.owner().as_deref(), Some("s3"));
+}
+
+fn a_lapsed_lease_does_not() {
+    let reports = vec![
+        empty("s1"),
+        empty("s2"),
+        answer("s3", 0, &[("stock/0", "5.h1.7.4")]),
+    ];
+    let mut trial = BookTrial::new(reports);
+    assert_eq!(trial.owner(), None);
+    assert!(trial.granted_to("s1"));
+}
+
+// The former granter may still act and count the lease as lapsed, so the report is not taken yet.
+fn a_lease_that_ends_too_soon_is_asked_again() {
+    let mut report = answer("s3", 20, &[("stock/0", "5.h1.7.4")]);
+    report.sent_at = at(FORMER_END_MS - 100);
+    let mut trial = BookTrial::new(vec![empty("s1"), empty("s2"), report]);
+    let orders = trial.tick();
+    let to_s3 = orders
+        .iter()
+        .find(|order| order.server.name.as_str() == "s3");
+    let asked = to_s3.map(|addressed| matches!(addressed.order, grant::GrantOrder::Claim(_)));
+    assert_eq!(asked, Some(true), "s3 is asked again");
+    let s1 = trial.order_to("s1");
+    assert_eq!(s1.grants, Some(Vec::new()), "nothing is placed meanwhile");
+}
+
+fn a_silent_server_keeps_the_service_waiting() {
+    let mut trial = BookTrial::new(vec![empty("s1"), empty("s2")]);
+    for _ in 0..10 {
+        let order = trial.order_to("s1");
+        assert!(order.grants.as_ref().is_none_or(Vec::is_empty));
+        trial.acknowledge("s1", &order);
+    }
+    trial.now_ms = FORMER_END_MS + timing::LEASE_MS + timing::CLOCK_MARGIN_MS;
+    let order = trial.order_to("s1");
+    assert!(
+        order.grants.is_some_and(|grants| grants.len() == 1),
+        "the wait is over"
+    );
+}
+
+// The log says s3 under a higher fence; s1 reports the shard under a lower one, and lives.
+fn another_holder_blocks_the_shard() {
+    let reports = vec![
+        answer("s1", 700, &[("stock/0", "5.h1.7.2")]),
+        empty("s2"),
+        empty("s3"),
+    ];
+    let mut trial = BookTrial::new(reports);
+    let order = trial.order_to("s1");
+    assert_eq!(
+        order.grants,
+        Some(Vec::new()),
+        "s1 is told that it has none"
+    );
+    let s2 = trial.order_to("s2");
+    assert_eq!(s2.grants, Some(Vec::new()), "not placed before s1 knows");
+    trial.acknowledge("s1", &order);
+    trial.tick();
+    let orders = trial.tick();
+    let placed = orders.iter().any(|addressed| match &addressed.order {
+        grant::GrantOrder::Lease(order) => order.grants.as_ref().is_some_and(|g| g.len() == 1),
+        grant::GrantOrder::Claim(_) => false,
+    });
+    assert!(placed, "placed once s1 knows");
+}
+
+fn a_release_needs_its_own_acknowledgement() {
+    let reports = vec![
+        empty("s1"),
+        empty("s2"),
+        answer("s3", 700, &[("stock/0", "5.h1.7.4")]),
+    ];
+    let mut trial = BookTrial::new(reports);
+    let before = trial.order_to("s3");
+    trial.acknowledge("s3", &before);
+    let older = trial.order_to("s3");
+    trial.book.follow_listing(&[name("s3")].into());
+    let release = trial.order_to("s3");
+    assert_eq!(release.grants, Some(Vec::new()));
+    trial.acknowledge("s3", &older);
+    let s1 = trial.order_to("s1");
+    assert!(
+        s1.grants.is_none_or(|grants| grants.is_empty()),
+        "not placed by an older answer"
+    );
+    trial.acknowledge("s3", &release);
+    trial.tick();
+    assert!(trial.granted_to("s1") || trial.granted_to("s2"));
+}
+
+fn a_release_waits_for_running_work() {
+    let reports = vec![
+        empty("s1"),
+        empty("s2"),
+        answer("s3", 700, &[("stock/0", "5.h1.7.4")]),
+    ];
+    let mut trial = BookTrial::new(reports);
+    trial.book.follow_listing(&[name("s3")].into());
+    let release = trial.order_to("s3");
+    let mut busy = status(1, 1);
+    busy.releasing = vec![name("stock/0")];
+    trial.reply("s3", &release, busy);
+    let s1 = trial.order_to("s1");
+    assert!(s1.grants.is_none_or(|grants| grants.is_empty()));
+    let again = trial.order_to("s3");
+    trial.acknowledge("s3", &again);
+    trial.tick();
+    assert!(trial.granted_to("s1") || trial.granted_to("s2"));
+}
+
+fn a_version_must_be_known_to_a_majority() {
+    let old = |server: &str| {
+        let mut report = empty(server);
+        report.reply.status.version = 0;
+        report
+    };
+    let mut trial = BookTrial::new(vec![empty("s1"), old("s2"), old("s3")]);
+    for _ in 0..3 {
+        let order = trial.order_to("s1");
+        assert_eq!(order.grants, Some(Vec::new()));
+    }
+    let order = trial.order_to("s2");
+    trial.acknowledge("s2", &order);
+    trial.tick();
+    assert!(trial.granted_to("s1") || trial.granted_to("s2"));
+}
+
+// An answer of the former process that comes late must not make the new one look restarted.
+fn a_late_answer_is_passed_over() {
+    let reports = vec![
+        empty("s1"),
+        empty("s2"),
+        answer("s3", 700, &[("stock/0", "5.h1.7.4")]),
+    ];
+    let mut trial = BookTrial::new(reports);
+    let early = trial.order_to("s3");
+    let late = trial.order_to("s3");
+    trial.acknowledge("s3", &late);
+    trial.reply("s3", &early, status(1, 77));
+    assert_eq!(trial.owner().as_deref(), Some("s3"));
+}
+
+fn a_restarted_server_owns_nothing() {
+    let reports = vec![
+        empty("s1"),
+        empty("s2"),
+        answer("s3", 700, &[("stock/0", "5.h1.7.4")]),
+    ];
+    let mut trial = BookTrial::new(reports);
+    let order = trial.order_to("s3");
+    trial.reply("s3", &order, status(1, 77));
+    assert_eq!(trial.owner(), None);
+}
+
+/// A claim whose witnesses a test answers by hand.
+struct ClaimTrial {
+    authority: authority::DomainAuthority,
+    witnesses: fold::WitnessView,
+}
+
+impl ClaimTrial {
+    fn new() -> Self {
+        let chart = chart::ChartTable::new().expect("the chart is sound");
+        let claimant = peer::HostIdentity {
+            host: name("h2"),
+            incarnation: 8,
+        };
+        let timing = timing::LeaseTiming::new();
+        let fold = folded(3);
+        let domain: names::DomainName = name("north");
+        Self {
+            authority: authority::DomainAuthority::new(sync::Arc::new(chart), claimant, timing),
+            witnesses: fold.state().witnesses[&domain].clone(),
+        }
+    }
+
+    fn probe(&mut self) -> contract::ClaimOrder {
+        let witnesses = self.witnesses.clone();
+        let actions = self.authority.tick(&view(&witnesses), true);
+        match &actions[..] {
+            [authority::AuthorityAction::AskWitnesses(order)] => order.clone(),
+            other => panic!("a probe, not {other:?}"),
+        }
+    }
+
+    fn answer(&mut self, order: &contract::ClaimOrder, server: &str, age: Option<u64>, up: u64) {
+        let mut report = answer(server, 0, &[]);
+        report.reply.ack_age_ms = age;
+        report.reply.status.up_ms = up;
+        let witnesses = self.witnesses.clone();
+        self.authority
+            .on_claim_reply(order, report, &view(&witnesses));
+    }
+}
+
+fn view(witnesses: &fold::WitnessView) -> authority::ClaimView<'_> {
+    authority::ClaimView {
+        now: at(NOW_MS),
+        witnesses,
+        version: 1,
+        known_number: 5,
+    }
+}
+
+fn expect_claim(answers: &[(&str, Option<u64>, u64)], expected: authority::TermState) {
+    let mut trial = ClaimTrial::new();
+    let order = trial.probe();
+    assert!(order.probe && order.term.number > 5);
+    for (server, age, up) in answers {
+        trial.answer(&order, server, *age, *up);
+    }
+    assert_eq!(trial.authority.state(), expected);
+}
+
+const SILENT: Option<u64> = Some(timing::AUTHORITY_MS + timing::CLOCK_MARGIN_MS);
+const UP_MS: u64 = 60_000;
+const FRESH_MS: u64 = timing::AUTHORITY_MS;
+
+use authority::TermState as State;
+
+macro_rules! grant_cases {
+    ($($name:ident: $check:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            $check;
+        }
+    )*};
+}
+
+grant_cases! {
+    live_lease: a_live_lease_keeps_its_shard();
+    lapsed_lease: a_lapsed_lease_does_not();
+    short_lease: a_lease_that_ends_too_soon_is_asked_again();
+    silent_server: a_silent_server_keeps_the_service_waiting();
+    other_holder: another_holder_blocks_the_shard();
+    older_acknowledgement: a_release_needs_its_own_acknowledgement();
+    running_work: a_release_waits_for_running_work();
+    unknown_version: a_version_must_be_known_to_a_majority();
+    late_answer: a_late_answer_is_passed_over();
+    restarted_server: a_restarted_server_owns_nothing();
+    silent_majority: expect_claim(&[("s1", SILENT, UP_MS), ("s2", SILENT, UP_MS)], State::Claiming);
+    never_acknowledged: expect_claim(&[("s1", None, UP_MS), ("s2", None, UP_MS)], State::Claiming);
+    one_silent: expect_claim(&[("s1", SILENT, UP_MS)], State::Probing);
+    one_lately_acknowledged:
+        expect_claim(&[("s1", SILENT, UP_MS), ("s2", Some(300), UP_MS)], State::Probing);
+    one_restarted: expect_claim(&[("s1", SILENT, UP_MS), ("s2", None, FRESH_MS)], State::Probing);
+    outvoted_by_two: expect_claim(
+        &[("s1", SILENT, UP_MS), ("s2", Some(300), UP_MS), ("s3", SILENT, UP_MS)],
+        State::Claiming,
+    );
+}
--- a/tests/owners.rs
+++ b/tests/owners.rs
@@ -146,9 +146,9 @@
     async fn send(&self, id: &str) -> Result<web::Bytes, exchange::WorkFailure> {
         let head = actix_web::test::TestRequest::get().uri("/stock/yard-7");
         let head = head.to_http_request();
+        let shard = "stock/3".parse().expect("a shard");
         let order = exchange::WorkOrder {
-            route: &self.route,
-            shard: &"stock/3".parse().expect("a shard"),
+            target: exchange::WorkTarget::Owner(&self.route, &shard),
             id: &id.parse().expect("an id"),
             head: &head,
             left: time::Duration::from_secs(1),
--- a/tests/queues.rs
+++ b/tests/queues.rs
@@ -29,9 +29,7 @@
 
 // One slot, and a known service time of 10 ms.
 fn one_slot() -> queue::ServerQueue<u32> {
-    let mut queue = queue::ServerQueue::new(1, 1)
-        .with_floor(rank(2), 20)
-        .with_floor(rank(3), 10);
+    let mut queue = queue::ServerQueue::new(1, 1).with_floors([0, 20, 10]);
     queue
         .push(waiting(0, 1, 0, 1_000), at(0))
         .expect("it is taken");
--- a/tests/requests.rs
+++ b/tests/requests.rs
@@ -148,6 +148,10 @@
     let mut flow = flow::RequestFlow::new(sync::Arc::new(chart), kind.idempotent)
         .with_replayable(kind.replayable);
     let mut last = Vec::new();
+    // A row that starts in the queue is that of a request whose gate is here.
+    if !events[0].starts_with("gate") {
+        flow.handle(flow::RequestEvent::GateHere, kind.facts);
+    }
     for word in events {
         let event = flow::RequestEvent::ALL.iter().find(|e| e.word() == *word);
         last = flow.handle(*event.expect("an event"), kind.facts);
@@ -161,6 +165,7 @@
     let chart = chart::ChartTable::new().expect("the chart is sound");
     let mut flow = flow::RequestFlow::new(sync::Arc::new(chart), true);
     let facts = flow::RequestFacts::default();
+    flow.handle(flow::RequestEvent::GateHere, facts);
     for _ in 0..flow::MAX_RETRIES {
         flow.handle(flow::RequestEvent::Permitted, facts);
         let actions = flow.handle(flow::RequestEvent::RefusedNotRun, facts);
@@ -241,5 +246,15 @@
         &["cancel-exchange", "release-permit"], Outcome::Unknown);
     answered_stays_answered: expect_flow(PLAIN,
         &["permitted", "answered-whole", "exchange-broken"], &[], Outcome::NotRun);
+    passed_on: expect_flow(PLAIN, &["gate-elsewhere", "answered-whole"],
+        &["answer-passed"], Outcome::NotRun);
+    gate_gone: expect_flow(PLAIN, &["gate-elsewhere", "connect-failed"],
+        &["enqueue"], Outcome::NotRun);
+    gate_broke: expect_flow(PLAIN, &["gate-elsewhere", "exchange-broken"],
+        &["answer-unknown"], Outcome::Unknown);
+    gate_broke_idempotent: expect_flow(IDEMPOTENT, &["gate-elsewhere", "exchange-broken"],
+        &["enqueue-again"], Outcome::Unknown);
+    gate_late: expect_flow(PLAIN, &["gate-elsewhere", "deadline-passed"],
+        &["cancel-exchange", "answer-deadline-unknown"], Outcome::Unknown);
     thrice_at_most: a_request_is_sent_again_at_most_thrice();
 }
