--- a/lab/tests/processes.rs
+++ b/lab/tests/processes.rs
@@ -13,6 +13,7 @@
 use zinniastack::edge::controller;
 use zinniastack::edge::operators;
 use zinniastack::fold;
+use zinniastack::gate;
 use zinniastack::names;
 use zinniastack::report;
 
@@ -210,6 +211,18 @@
         ran
     }
 
+    /// Returns the host through which all others reach a server.
+    fn gate_of(&self, server: usize) -> usize {
+        let configuration = self.configuration();
+        let usable = configuration.host.iter().map(|host| host.name.clone());
+        let nobody = names::HostName::new("nobody").expect("a name");
+        let gates = gate::GateMap::new(&configuration, &usable.collect(), &nobody);
+        let gate = gates.find(&self.servers[server].spec.name).expect("a gate");
+        let mut hosts = self.hosts.iter();
+        let position = hosts.position(|host| host.spec.name == gate.host);
+        position.expect("the gate is a host")
+    }
+
     async fn granter(&self, host: usize) -> Option<usize> {
         let status = self.status(host).await?;
         let granter = status.domains.first()?.granter.clone()?;
@@ -441,7 +454,8 @@
 
     pub async fn accounts_for_every_order_when_a_host_is_killed() {
         let mut site = ProcessSite::start(5, 3, &["orders"]);
-        orders_through(&mut site, |site| site.hosts[2].process.signal("-KILL")).await;
+        let gate = site.gate_of(0);
+        orders_through(&mut site, |site| site.hosts[gate].process.signal("-KILL")).await;
     }
 
     pub async fn accounts_for_every_order_when_a_server_freezes() {
@@ -459,6 +473,14 @@
                 site.send_until_ran(host, "orders", &key.to_string()).await;
             }
         }
+        // Slow enough that many orders are under way when the fault strikes.
+        for server in &site.servers {
+            let faults = zinnia_lab::http::ServerFaults {
+                slow_ms: 50,
+                ..Default::default()
+            };
+            set_faults(server.spec.address, &faults).await;
+        }
         let mut calls = Vec::new();
         for number in 0..ORDERS {
             if number == ORDERS / 2 {
