--- /dev/null
+++ b/lab/src/capacity.rs
@@ -0,0 +1,395 @@
+//! Measurements of what control costs, against sizes, and the slopes fitted to them.
+
+use std::hint;
+use std::sync;
+use std::time;
+
+use zinniastack::authority;
+use zinniastack::clock;
+use zinniastack::configuration;
+use zinniastack::contract;
+use zinniastack::fence;
+use zinniastack::fold;
+use zinniastack::grant;
+use zinniastack::names;
+use zinniastack::peer;
+use zinniastack::record;
+use zinniastack::table;
+use zinniastack::timing;
+
+use crate::server_state;
+
+/// The sizes of tables, in shards.
+pub const TABLE_SIZES: [u32; 4] = [1_000, 10_000, 100_000, 1_000_000];
+/// The numbers of servers of one granter.
+pub const SERVER_SIZES: [u16; 5] = [10, 30, 100, 300, 1_000];
+/// The numbers of hosts that an exchange tells of.
+pub const HOST_SIZES: [u16; 5] = [4, 8, 16, 24, 32];
+/// How many shards each server has in the measurement of renewals.
+pub const SHARDS_PER_SERVER: u32 = 12;
+
+/// One measured point.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct CapacityPoint {
+    /// The size.
+    pub size: f64,
+    /// The value at that size.
+    pub value: f64,
+}
+
+/// A line through measured points, by least squares.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct CapacitySlope {
+    /// The value at size 0.
+    pub base: f64,
+    /// The growth with each unit of size.
+    pub each: f64,
+}
+
+/// Fits a line to points.
+#[must_use]
+pub fn fit(points: &[CapacityPoint]) -> CapacitySlope {
+    let count = points.iter().map(|_| 1.0).sum::<f64>().max(1.0);
+    let mean_size = points.iter().map(|p| p.size).sum::<f64>() / count;
+    let mean_value = points.iter().map(|p| p.value).sum::<f64>() / count;
+    let spread: f64 = points.iter().map(|p| (p.size - mean_size).powi(2)).sum();
+    let joint = points
+        .iter()
+        .map(|p| (p.size - mean_size) * (p.value - mean_value));
+    let each = joint.sum::<f64>() / spread.max(f64::EPSILON);
+    CapacitySlope {
+        base: mean_value - each * mean_size,
+        each,
+    }
+}
+
+fn per_call(calls: u32, mut call: impl FnMut(u32)) -> time::Duration {
+    let started = time::Instant::now();
+    for number in 0..calls {
+        call(number);
+    }
+    started.elapsed() / calls
+}
+
+fn nanos(span: time::Duration) -> f64 {
+    span.as_secs_f64() * 1e9
+}
+
+fn micros(span: time::Duration) -> f64 {
+    span.as_secs_f64() * 1e6
+}
+
+fn name<T: std::str::FromStr>(text: &str) -> Option<T> {
+    text.parse().ok()
+}
+
+fn site(servers: u16, shards: u32) -> Option<configuration::Configuration> {
+    let domain: names::DomainName = name("north")?;
+    let service: names::ServiceName = name("stock")?;
+    let server = |number: u16| {
+        Some(configuration::ServerSpec {
+            name: name(&format!("s{number}"))?,
+            service: service.clone(),
+            domain: domain.clone(),
+            address: ([127, 0, 0, 1], number).into(),
+            fences: configuration::FenceMode::Checked,
+            slots: 6,
+            connections: 130,
+            withdrawn: None,
+        })
+    };
+    Some(configuration::Configuration {
+        domain: vec![configuration::DomainSpec {
+            name: domain.clone(),
+            gone: None,
+        }],
+        host: Vec::new(),
+        service: vec![configuration::ServiceSpec {
+            name: service.clone(),
+            rank: configuration::WorkRank::new(1).ok()?,
+            shards,
+            deadline_ms: 500,
+            floor_percent: 0,
+            max_body_bytes: 1_024,
+            homes: vec![domain.clone()],
+        }],
+        server: (1..=servers).map(server).collect::<Option<_>>()?,
+        feature: Vec::new(),
+    })
+}
+
+fn change(index: u32, sequence: u64) -> Option<table::RouteChange> {
+    let term = fence::TermId::new(5, name("h1")?, 7);
+    Some(table::RouteChange {
+        shard: names::ShardId::new(name("stock")?, index),
+        route: Some(table::RouteEntry {
+            server: name(&format!("s{}", index % 10 + 1))?,
+            fence: fence::GrantFence::new(sync::Arc::new(term), sequence),
+        }),
+    })
+}
+
+/// What a routing table of some size costs.
+#[derive(Clone, Copy, Debug)]
+pub struct TableCost {
+    /// Nanoseconds for a lookup.
+    pub lookup_ns: f64,
+    /// Nanoseconds to change one route and share the new table.
+    pub change_ns: f64,
+    /// Resident bytes that the table added.
+    pub bytes: f64,
+}
+
+/// Measures a routing table.
+#[must_use]
+pub fn measure_table(shards: u32) -> Option<TableCost> {
+    let configuration = site(10, shards)?;
+    let before = resident_bytes();
+    let mut table = table::RoutingTable::new(1, &configuration);
+    let term = sync::Arc::new(fence::TermId::new(5, name("h1")?, 7));
+    let routes = (0..shards).filter_map(|index| {
+        let mut change = change(index, u64::from(index))?;
+        let entry = change.route.as_mut()?;
+        entry.fence.term = sync::Arc::clone(&term);
+        Some(change)
+    });
+    routes.for_each(|change| table.set_routes([&change]));
+    let bytes = resident_bytes() - before;
+    let keys: Vec<String> = (0..4_096).map(|number| format!("key-{number}")).collect();
+    let lookup = per_call(400_000, |number| {
+        let key = &keys[number as usize % keys.len()];
+        hint::black_box(table.lookup("stock", key));
+    });
+    let changed = per_call(20_000, |number| {
+        let index = number.wrapping_mul(7_919) % shards;
+        if let Some(change) = change(index, u64::from(number)) {
+            table.set_routes([&change]);
+        }
+        hint::black_box(table.clone());
+    });
+    Some(TableCost {
+        lookup_ns: nanos(lookup),
+        change_ns: nanos(changed),
+        bytes,
+    })
+}
+
+// The second figure of the kernel's page counts; 0 where there is none.
+fn resident_bytes() -> f64 {
+    const PAGE_BYTES: f64 = 4_096.0;
+    let text = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages = text
+        .split(' ')
+        .nth(1)
+        .and_then(|field| field.parse::<f64>().ok());
+    pages.unwrap_or(0.0) * PAGE_BYTES
+}
+
+/// What one round of renewals costs a granter.
+#[derive(Clone, Copy, Debug)]
+pub struct RenewalCost {
+    /// Microseconds of processor time, with the messages' encoding and decoding.
+    pub round_us: f64,
+    /// Bytes of orders and answers.
+    pub round_bytes: f64,
+}
+
+/// Measures the renewals of a granter.
+#[must_use]
+pub fn measure_renewals(servers: u16) -> Option<RenewalCost> {
+    let shards = SHARDS_PER_SERVER * u32::from(servers);
+    let mut fold = fold::LogFold::new().ok()?;
+    let body = record::RecordBody::Patch(record::PatchBody {
+        base: 0,
+        changes: site(servers, shards)?.to_changes(),
+    });
+    fold.apply(&record::LogRecord::new(name("first")?, body).encode());
+    let domain: names::DomainName = name("north")?;
+    let witnesses = fold.state().witnesses.get(&domain)?.clone();
+    let start = authority::GrantStart {
+        term: sync::Arc::new(fence::TermId::new(9, name("h2")?, 8)),
+        former_end: clock::MonoTime::default(),
+        reports: Vec::new(),
+    };
+    let setup = grant::GrantSetup {
+        domain,
+        timing: timing::LeaseTiming::new(),
+        start: &start,
+        fold: fold.state(),
+        former: None,
+    };
+    let mut now = clock::MonoTime::from_millis(10_000);
+    let mut book = grant::GrantBook::new(grant::GrantCharts::new().ok()?, &setup, now);
+    let mut states: Vec<_> = (0..servers)
+        .map(|number| server_state::ServerSetup {
+            fences: configuration::FenceMode::Checked,
+            slots: 6,
+            incarnation: u64::from(number),
+        })
+        .map(|setup| server_state::ServerState::new(setup, clock::MonoTime::default()))
+        .collect();
+    let mut cost = RenewalCost {
+        round_us: 0.0,
+        round_bytes: 0.0,
+    };
+    const WARM_ROUNDS: u32 = 12;
+    const ROUNDS: u32 = 30;
+    for round in 0..WARM_ROUNDS + ROUNDS {
+        now = now + time::Duration::from_millis(timing::RENEW_INTERVAL_MS);
+        let started = time::Instant::now();
+        book.tick(now, &witnesses);
+        let orders = book.due_orders(now);
+        let mut spent = started.elapsed();
+        let mut bytes = 0;
+        for addressed in orders {
+            let (elapsed, size) = exchange(&mut book, &mut states, &addressed, now)?;
+            spent += elapsed;
+            bytes += size;
+        }
+        if round >= WARM_ROUNDS {
+            cost.round_us += micros(spent) / f64::from(ROUNDS);
+            cost.round_bytes += f64::from(u32::try_from(bytes).ok()?) / f64::from(ROUNDS);
+        }
+    }
+    Some(cost)
+}
+
+// The server's own time is not counted.
+fn exchange(
+    book: &mut grant::GrantBook,
+    states: &mut [server_state::ServerState],
+    addressed: &grant::AddressedOrder,
+    now: clock::MonoTime,
+) -> Option<(time::Duration, usize)> {
+    let position = usize::from(addressed.server.address.port()) - 1;
+    let state = &mut states[position];
+    match &addressed.order {
+        grant::GrantOrder::Claim(order) => {
+            let reply = state.claim(order, now);
+            let answer = authority::ClaimAnswer {
+                server: addressed.server.name.clone(),
+                sent_at: now,
+                reply,
+            };
+            book.on_report(&answer, now);
+            Some((time::Duration::ZERO, 0))
+        }
+        grant::GrantOrder::Lease(order) => {
+            let started = time::Instant::now();
+            let sent = serde_json::to_vec(order).ok()?;
+            let encoding = started.elapsed();
+            let reply = serde_json::to_vec(&state.lease(order, now)).ok()?;
+            let started = time::Instant::now();
+            let decoded: contract::LeaseReply = serde_json::from_slice(&reply).ok()?;
+            book.on_lease_reply(&addressed.server.name, order, &decoded, now);
+            Some((encoding + started.elapsed(), sent.len() + reply.len()))
+        }
+    }
+}
+
+/// Returns the bytes of one exchange between hosts, question and answer, that tell of some hosts.
+#[must_use]
+pub fn measure_exchange(hosts: u16) -> Option<f64> {
+    let news: Option<Vec<_>> = (0..hosts)
+        .map(|number| {
+            Some(peer::HostNews {
+                host: name(&format!("entry-{number}"))?,
+                version: 14_000,
+                draining: false,
+                age_ms: 120,
+            })
+        })
+        .collect();
+    let term = fence::TermId::new(1_796_000_000_000, name("entry-1")?, 0x1234_5678_9abc_def0);
+    let granter = |number: u16| {
+        Some(peer::GranterNews {
+            domain: name(&format!("domain-{number}"))?,
+            term: term.clone(),
+            age_ms: 120,
+        })
+    };
+    let known = |number: u16| {
+        Some(peer::TableKnown {
+            domain: name(&format!("domain-{number}"))?,
+            mark: table::TableMark {
+                term: sync::Arc::new(term.clone()),
+                sequence: 100_000,
+            },
+        })
+    };
+    const DOMAINS: u16 = 6;
+    let granters = (0..DOMAINS).map(granter).collect::<Option<Vec<_>>>()?;
+    let tables = (0..DOMAINS).map(known).collect::<Option<Vec<_>>>()?;
+    let request = peer::ExchangeRequest {
+        from: name("entry-1")?,
+        next_offset: 1_000_000,
+        version: 14_000,
+        tables: tables.clone(),
+        hosts: news.clone()?,
+        granters: granters.clone(),
+    };
+    let reply = peer::ExchangeReply {
+        hosts: news?,
+        granters,
+        tables: Vec::new(),
+        records: Vec::new(),
+        state: None,
+        leases: tables.into_iter().take(1).collect(),
+    };
+    let sizes = serde_json::to_vec(&request).ok()?.len() + serde_json::to_vec(&reply).ok()?.len();
+    Some(f64::from(u32::try_from(sizes).ok()?))
+}
+
+/// What the fold of a site costs.
+#[derive(Clone, Copy, Debug)]
+pub struct FoldCost {
+    /// Microseconds to fold one assignment of a batch.
+    pub assign_us: f64,
+    /// Bytes of a checkpoint.
+    pub checkpoint_bytes: f64,
+    /// Milliseconds to read a checkpoint.
+    pub load_ms: f64,
+}
+
+/// Measures the fold with as many assigned shards.
+#[must_use]
+pub fn measure_fold(shards: u32) -> Option<FoldCost> {
+    let mut fold = fold::LogFold::new().ok()?;
+    let body = record::RecordBody::Patch(record::PatchBody {
+        base: 0,
+        changes: site(10, shards)?.to_changes(),
+    });
+    fold.apply(&record::LogRecord::new(name("first")?, body).encode());
+    let mut spent = time::Duration::ZERO;
+    let indexes: Vec<u32> = (0..shards).collect();
+    for (batch, chunk) in indexes.chunks(1_000).enumerate() {
+        let entries = chunk.iter().map(|index| {
+            let entry = change(*index, u64::from(*index) + 1)?;
+            let route = entry.route?;
+            Some(record::AssignmentEntry {
+                shard: entry.shard,
+                server: route.server,
+                fence: route.fence,
+            })
+        });
+        let entries = entries.collect::<Option<Vec<_>>>()?;
+        let body = record::RecordBody::Assign(record::AssignBody { entries });
+        let id = names::RecordId::new(&format!("batch-{batch}")).ok()?;
+        let text = record::LogRecord::new(id, body).encode();
+        let started = time::Instant::now();
+        fold.apply(&text);
+        spent += started.elapsed();
+    }
+    let parts = fold.to_checkpoint();
+    let bytes: usize = parts.iter().map(|part| part.text.len()).sum();
+    let started = time::Instant::now();
+    let mut join = fold::CheckpointJoin::new();
+    let state = parts.iter().filter_map(|part| join.add(part)).last()?;
+    let load = started.elapsed();
+    hint::black_box(state);
+    Some(FoldCost {
+        assign_us: micros(spent) / f64::from(shards),
+        checkpoint_bytes: f64::from(u32::try_from(bytes).ok()?),
+        load_ms: load.as_secs_f64() * 1e3,
+    })
+}
--- a/lab/src/cmd/measure.rs
+++ b/lab/src/cmd/measure.rs
@@ -1,16 +1,27 @@
 //! `zinnia-lab measure`: measurements as key=value lines.
 
+use std::time;
+
 use zinniastack::cmd;
 use zinniastack::queue;
+use zinniastack::timing;
 
+use crate::capacity;
+use crate::faults;
 use crate::flood;
+use crate::scenario;
+use crate::server_state;
+use crate::world;
 
 /// The usage text.
 pub const USAGE: &str = "\
 Measures on virtual time, and prints key=value lines.
 
-Usage: zinnia-lab measure [--seed N] [--phase-ms N] flood
-Subjects: flood (service by rank, our policy beside a first-in-first-out queue)";
+Usage: zinnia-lab measure [--seed N] [--phase-ms N] SUBJECT
+Subjects:
+  flood      service by rank, our policy beside a first-in-first-out queue
+  ownership  time without an owner, moves and messages, for each kind of event
+  capacity   what tables, renewals, exchanges and the fold cost against their sizes";
 
 /// The arguments.
 #[derive(Clone, Debug)]
@@ -40,6 +51,11 @@
     };
     match args.subject.as_str() {
         "flood" => measure_flood(&args),
+        "ownership" => {
+            measure_ownership(&args);
+            Ok(cmd::EXIT_OK)
+        }
+        "capacity" => measure_capacity(),
         other => Err(cmd::CommandError::Usage {
             message: format!("'{other}' cannot be measured\n\n{USAGE}"),
         }),
@@ -99,3 +115,139 @@
         report.sent, report.repeated, report.doubled, report.not_run_but_ran
     );
 }
+
+/// The shards of each service in the measurement of ownership.
+const OWNERSHIP_SHARDS: u32 = 60;
+/// The time that each event is watched, in milliseconds.
+const WATCH_MS: u64 = 5_000;
+
+// Three domains with five hosts and twelve servers each: about the size of Manizales.
+fn ownership_plan(seed: u64) -> world::WorldPlan {
+    let domain = |name: &str, hosts: u32| world::DomainPlan {
+        name: name.into(),
+        hosts,
+        checked: 12,
+        unchecked: 0,
+    };
+    world::WorldPlan {
+        seed,
+        domains: vec![domain("north", 2), domain("south", 2), domain("east", 1)],
+        shards: OWNERSHIP_SHARDS,
+        hold_up_one_in: 0,
+        flaw: server_state::ServerFlaw::None,
+        fast_hosts_ppm: 0,
+        timing: timing::LeaseTiming::new(),
+    }
+}
+
+fn measure_ownership(args: &MeasureArgs) {
+    let events: [(&str, &[faults::SiteFault]); 7] = [
+        ("none", &[]),
+        ("server-lost", &[faults::SiteFault::ServerLost]),
+        ("server-frozen", &[faults::SiteFault::ServerFrozen]),
+        ("server-draining", &[faults::SiteFault::ServerDraining]),
+        ("granter-lost", &[faults::SiteFault::GranterLost]),
+        (
+            "granter-and-server-lost",
+            &[
+                faults::SiteFault::GranterLost,
+                faults::SiteFault::ServerLost,
+            ],
+        ),
+        ("log-down", &[faults::SiteFault::LogDown]),
+    ];
+    for (name, event) in events {
+        let mut run = scenario::ScenarioRun::with_plan(ownership_plan(args.seed));
+        run.settle(time::Duration::from_secs(10));
+        run.advance(time::Duration::from_millis(500));
+        run.mark();
+        let owned = run.owned_by_struck();
+        let before = run.world().sent();
+        for fault in event {
+            fault.strike(&mut run);
+        }
+        run.advance(time::Duration::from_millis(WATCH_MS));
+        let after = run.world().sent();
+        let seconds = WATCH_MS / 1_000;
+        println!(
+            "event={name} seed={} unserved_ms={} moved={} fewest={} peak_to_mean={:.3} \
+             violations={} orders_per_s={} appends_per_s={} exchanges_per_s={}",
+            args.seed,
+            run.checker().longest_unserved(run.world()).as_millis(),
+            run.checker().moves(),
+            owned
+                .iter()
+                .filter(|(fault, _)| event.contains(fault))
+                .map(|(_, n)| n)
+                .sum::<usize>(),
+            run.peak_to_mean(),
+            run.checker().violations().len(),
+            (after.orders - before.orders) / seconds,
+            (after.appends - before.appends) / seconds,
+            (after.exchanges - before.exchanges) / seconds,
+        );
+    }
+}
+
+fn measure_capacity() -> Result<u8, cmd::CommandError> {
+    let failed = || cmd::CommandError::failed("the measured site is faulty");
+    let mut points = CapacityPoints::default();
+    for size in capacity::TABLE_SIZES {
+        let cost = capacity::measure_table(size).ok_or_else(failed)?;
+        println!(
+            "subject=table shards={size} lookup_ns={:.0} change_ns={:.0} resident_bytes={:.0}",
+            cost.lookup_ns, cost.change_ns, cost.bytes
+        );
+        points.add("table.bytes", f64::from(size), cost.bytes);
+        points.add("table.change_ns", f64::from(size), cost.change_ns);
+        points.add("table.lookup_ns", f64::from(size), cost.lookup_ns);
+    }
+    for size in capacity::SERVER_SIZES {
+        let cost = capacity::measure_renewals(size).ok_or_else(failed)?;
+        println!(
+            "subject=renewals servers={size} round_us={:.1} round_bytes={:.0}",
+            cost.round_us, cost.round_bytes
+        );
+        points.add("renewals.round_us", f64::from(size), cost.round_us);
+        points.add("renewals.round_bytes", f64::from(size), cost.round_bytes);
+    }
+    for size in capacity::HOST_SIZES {
+        let bytes = capacity::measure_exchange(size).ok_or_else(failed)?;
+        println!("subject=exchange hosts={size} bytes={bytes:.0}");
+        points.add("exchange.bytes", f64::from(size), bytes);
+    }
+    for size in capacity::TABLE_SIZES {
+        let cost = capacity::measure_fold(size).ok_or_else(failed)?;
+        println!(
+            "subject=fold shards={size} assign_us={:.2} checkpoint_bytes={:.0} load_ms={:.1}",
+            cost.assign_us, cost.checkpoint_bytes, cost.load_ms
+        );
+        points.add(
+            "fold.checkpoint_bytes",
+            f64::from(size),
+            cost.checkpoint_bytes,
+        );
+        points.add("fold.load_ms", f64::from(size), cost.load_ms);
+    }
+    points.print();
+    Ok(cmd::EXIT_OK)
+}
+
+#[derive(Default)]
+struct CapacityPoints {
+    series: std::collections::BTreeMap<&'static str, Vec<capacity::CapacityPoint>>,
+}
+
+impl CapacityPoints {
+    fn add(&mut self, name: &'static str, size: f64, value: f64) {
+        let point = capacity::CapacityPoint { size, value };
+        self.series.entry(name).or_default().push(point);
+    }
+
+    fn print(&self) {
+        for (name, points) in &self.series {
+            let slope = capacity::fit(points);
+            println!("slope={name} base={:.3} each={:.6}", slope.base, slope.each);
+        }
+    }
+}
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -4,6 +4,7 @@
 //! same states on loopback.
 
 pub mod caller;
+pub mod capacity;
 pub mod checker;
 pub mod cmd;
 pub mod fakes;
--- a/lab/src/scenario.rs
+++ b/lab/src/scenario.rs
@@ -10,6 +10,7 @@
 use zinniastack::timing;
 
 use crate::checker;
+use crate::faults;
 use crate::server_state;
 use crate::world;
 
@@ -311,6 +312,47 @@
         granting.map(|(name, _)| name.clone())
     }
 
+    /// Returns, for each fault that costs a server its shards, how many shards that server has.
+    #[must_use]
+    pub fn owned_by_struck(&self) -> Vec<(faults::SiteFault, usize)> {
+        let struck = [
+            (faults::SiteFault::ServerLost, "north-s2"),
+            (faults::SiteFault::ServerFrozen, "north-s3"),
+            (faults::SiteFault::ServerDraining, "north-s1"),
+        ];
+        let owned = struck.into_iter().map(|(fault, name)| {
+            let count = self.owned_count(name);
+            (fault, count)
+        });
+        owned.collect()
+    }
+
+    fn owned_count(&self, name: &str) -> usize {
+        let server = self.world.servers.get(name);
+        let owned = server.and_then(|server| {
+            let time: clock::MonoTime = server.time(self.world.now());
+            server.state.as_ref().map(|state| state.owned(time).count())
+        });
+        owned.unwrap_or(0)
+    }
+
+    /// Returns the highest number of shards of one server over the mean, among the servers that have
+    /// any, in the domain where it is worst.
+    #[must_use]
+    pub fn peak_to_mean(&self) -> f64 {
+        let domains = self.world.configuration().domain;
+        let ratios = domains.iter().map(|domain| {
+            let servers = self.world.servers.values();
+            let here = servers.filter(|server| server.spec.domain == domain.name);
+            let counts = here.map(|server| self.owned_count(server.spec.name.as_str()));
+            let counts: Vec<usize> = counts.filter(|count| *count > 0).collect();
+            let total: usize = counts.iter().sum();
+            let peak = counts.iter().max().copied().unwrap_or(0);
+            ratio(peak * counts.len(), total)
+        });
+        ratios.fold(0.0, f64::max)
+    }
+
     fn show(&self, command: &ScenarioCommand) -> Result<String, String> {
         let mut texts = Vec::new();
         for what in command.arguments.keys() {
@@ -389,15 +431,16 @@
     }
 
     fn show_shards_of(&self, name: &names::ServerName) -> String {
-        let server = self.world.servers.get(name);
-        let owned = server.and_then(|server| {
-            let time: clock::MonoTime = server.time(self.world.now());
-            server.state.as_ref().map(|state| state.owned(time).count())
-        });
-        format!("{name} owns {} shards\n", owned.unwrap_or(0))
+        let owned = self.owned_count(name.as_str());
+        format!("{name} owns {owned} shards\n")
     }
 }
 
+fn ratio(part: usize, whole: usize) -> f64 {
+    let exact = |count: usize| f64::from(u32::try_from(count).unwrap_or(u32::MAX));
+    exact(part) / exact(whole.max(1))
+}
+
 fn parse_domain(text: &str) -> Result<world::DomainPlan, String> {
     let parts: Vec<&str> = text.split('.').collect();
     let [name, hosts, checked, unchecked] = parts[..] else {
