Tell operators how firm an assignment is, and where a patch is in force

explain says 'provisional' until the log has the assignment, then 'in place'. Cause of the second: the host that took a patch counted itself as behind until its next tick ('in force at 0 of 2 hosts' right after 'accepted 1', seen when the README was tried). Change: a host's own version counts at first hand, and submit looks for up to 2 s whether the version is in force everywhere.

--- a/lab/src/capacity.rs
+++ b/lab/src/capacity.rs
@@ -28,6 +28,13 @@
 /// How many shards each server has in the measurement of renewals.
 pub const SHARDS_PER_SERVER: u32 = 12;
 
+/// The rounds of renewals before the measured ones.
+const WARM_ROUNDS: u32 = 12;
+/// The measured rounds of renewals.
+const ROUNDS: u32 = 30;
+/// The failure domains that an exchange tells of.
+const DOMAINS: u16 = 6;
+
 /// One measured point.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct CapacityPoint {
@@ -232,8 +239,6 @@
         round_us: 0.0,
         round_bytes: 0.0,
     };
-    const WARM_ROUNDS: u32 = 12;
-    const ROUNDS: u32 = 30;
     for round in 0..WARM_ROUNDS + ROUNDS {
         now = now + time::Duration::from_millis(timing::RENEW_INTERVAL_MS);
         let started = time::Instant::now();
@@ -317,7 +322,6 @@
             },
         })
     };
-    const DOMAINS: u16 = 6;
     let granters = (0..DOMAINS).map(granter).collect::<Option<Vec<_>>>()?;
     let tables = (0..DOMAINS).map(known).collect::<Option<Vec<_>>>()?;
     let request = peer::ExchangeRequest {
--- a/lab/src/flood.rs
+++ b/lab/src/flood.rs
@@ -157,10 +157,13 @@
 /// Returns one count over another.
 #[must_use]
 pub fn ratio(part: u64, whole: u64) -> f64 {
-    let exact = |count: u64| f64::from(u32::try_from(count).unwrap_or(u32::MAX));
     exact(part) / exact(whole.max(1))
 }
 
+fn exact(count: u64) -> f64 {
+    f64::from(u32::try_from(count).unwrap_or(u32::MAX))
+}
+
 /// The outcome of a whole run.
 #[derive(Clone, Debug, Default)]
 pub struct FloodReport {
@@ -265,8 +268,9 @@
     /// Returns the requests that the servers can finish in one phase.
     #[must_use]
     pub fn capacity(&self) -> f64 {
-        let slots = f64::from(self.site.slots) * self.site.servers as f64;
-        slots * self.phase_ms as f64 * 1_000.0 / self.site.service_us as f64
+        let servers = u32::try_from(self.site.servers).unwrap_or(u32::MAX);
+        let slots = f64::from(self.site.slots) * f64::from(servers);
+        slots * exact(self.phase_ms) * 1_000.0 / exact(self.site.service_us)
     }
 
     /// Runs all phases.
@@ -303,7 +307,7 @@
     }
 
     fn schedule_arrival(&mut self, rank: usize) {
-        let per_second = self.capacity() * 1_000.0 / self.phase_ms as f64;
+        let per_second = self.capacity() * 1_000.0 / exact(self.phase_ms);
         let rate = per_second * self.phase().share(rank);
         let uniform: f64 = self.generator.random_range(f64::EPSILON..1.0);
         let gap = time::Duration::from_secs_f64(-uniform.ln() / rate);
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -15,7 +15,8 @@
   hosts    serve a stand-in of the platform's list of hosts
   server   serve a stand-in of a backend server
   try      bring up a whole site and try its promises
-  measure  measure on virtual time
+  load     send requests to entry hosts at a fixed rate
+  measure  measure service in floods, ownership, and capacity
   walk     run seeded schedules of faults over a virtual world
 
 zinnia-lab COMMAND --help shows a command's arguments.";
@@ -39,6 +40,7 @@
         Some("hosts") => zinnia_lab::cmd::hosts::run(rest),
         Some("server") => zinnia_lab::cmd::server::run(rest),
         Some("try") => zinnia_lab::cmd::try_site::run(rest),
+        Some("load") => zinnia_lab::cmd::load::run(rest),
         Some("measure") => zinnia_lab::cmd::measure::run(rest),
         Some("walk") => zinnia_lab::cmd::walk::run(rest),
         Some("--help" | "-h" | "help") => {
--- a/lab/tests/processes.rs
+++ b/lab/tests/processes.rs
@@ -528,7 +528,7 @@
         }
         let answered = answers
             .iter()
-            .filter(|(_, a)| a.as_ref().is_ok_and(|a| a.ran()));
+            .filter(|(_, a)| a.as_ref().is_ok_and(caller::CallerAnswer::ran));
         assert!(answered.count() >= ORDERS / 2, "the site serves on");
     }
 
--- a/src/cmd/explain.rs
+++ b/src/cmd/explain.rs
@@ -69,6 +69,7 @@
         "fence     {}",
         explanation.fence.clone().unwrap_or_else(none)
     );
+    println!("standing  {}", explanation.standing.as_str());
     println!("may send  {}", explanation.may_send);
     println!("because   {}", explanation.because);
 }
--- a/src/cmd/patch.rs
+++ b/src/cmd/patch.rs
@@ -1,10 +1,14 @@
 //! `zinnia patch`: submits a patch, and shows where one stands.
 
+use std::net;
+use std::time;
+
 use crate::cmd;
 use crate::cmd::check;
 use crate::edge::controller;
 use crate::edge::operators;
 use crate::fold;
+use crate::membership;
 use crate::names;
 use crate::settings;
 
@@ -17,6 +21,11 @@
 Exit codes: 0 accepted, 3 refused as stale, 4 refused as invalid,
             5 not known yet (ask again by its id), 1 no answer";
 
+/// How often `submit` looks whether an accepted patch is in force everywhere.
+pub const FORCE_LOOKS: u32 = 20;
+/// The pause between two such looks, in milliseconds.
+pub const FORCE_PAUSE_MS: u64 = 100;
+
 /// The arguments.
 #[derive(Debug)]
 #[derive(gumdrop::Options)]
@@ -58,8 +67,7 @@
     let standing = match args.verb.as_str() {
         "submit" => {
             let submission = read_submission(&args)?;
-            let call = cmd::call_host(host, "/patches", Some(&submission));
-            system.block_on(call)?
+            system.block_on(submit(host, &submission))?
         }
         "show" => {
             let path = format!("/patches/{}", args.subject);
@@ -74,6 +82,25 @@
     report(&args, standing)
 }
 
+// Waits a little for an accepted patch to be in force everywhere, so that its report says so.
+async fn submit(
+    host: net::SocketAddr,
+    submission: &operators::PatchSubmission,
+) -> Result<Option<controller::PatchStanding>, cmd::CommandError> {
+    let mut standing: Option<controller::PatchStanding> =
+        cmd::call_host(host, "/patches", Some(submission)).await?;
+    let path = format!("/patches/{}", submission.id);
+    for _ in 0..FORCE_LOOKS {
+        let spread = standing.as_ref().and_then(|s| s.spread.as_ref());
+        if spread.is_none_or(membership::VersionSpread::is_everywhere) {
+            break;
+        }
+        tokio::time::sleep(time::Duration::from_millis(FORCE_PAUSE_MS)).await;
+        standing = cmd::call_host::<(), _>(host, &path, None).await?;
+    }
+    Ok(standing)
+}
+
 fn read_submission(args: &PatchArgs) -> Result<operators::PatchSubmission, cmd::CommandError> {
     let usage = |message: String| cmd::CommandError::Usage { message };
     let base = args.base.ok_or_else(|| {
--- a/src/control.rs
+++ b/src/control.rs
@@ -253,8 +253,10 @@
     /// Returns where the current version stands among the hosts.
     #[must_use]
     pub fn spread(&self, version: u64, now: clock::MonoTime) -> membership::VersionSpread {
-        let configuration = &self.fold.state().configuration;
-        self.roster.spread(version, configuration, now)
+        let state = self.fold.state();
+        let mut spread = self.roster.spread(version, &state.configuration, now);
+        spread.note_in_force(self.host(), state.version);
+        spread
     }
 
     /// Lets time pass.
--- a/src/edge/controller.rs
+++ b/src/edge/controller.rs
@@ -19,6 +19,7 @@
 use crate::domain;
 use crate::edge::metrics;
 use crate::edge::ports;
+use crate::fence;
 use crate::fold;
 use crate::lifecycle;
 use crate::membership;
@@ -306,6 +307,11 @@
         names::RecordId,
         tokio::sync::oneshot::Sender<Option<PatchStanding>>,
     ),
+    /// The fence under which the log has a shard assigned.
+    Assigned(
+        names::ShardId,
+        tokio::sync::oneshot::Sender<Option<fence::GrantFence>>,
+    ),
     /// The host's status.
     Status(tokio::sync::oneshot::Sender<report::HostStatus>),
     /// Begin to stop.
@@ -347,6 +353,10 @@
             ControlRequest::Verdict(id, reply) => {
                 let _ = reply.send(self.standing(&id));
             }
+            ControlRequest::Assigned(shard, reply) => {
+                let assigned = self.state.fold().state().assignments.get(&shard);
+                let _ = reply.send(assigned.map(|assignment| assignment.fence.clone()));
+            }
             ControlRequest::Status(reply) => {
                 let _ = reply.send(report::HostStatus::new(&self.state, now));
             }
@@ -446,6 +456,12 @@
         known.flatten()
     }
 
+    /// Returns the fence under which the log has a shard assigned.
+    pub async fn assigned(&self, shard: names::ShardId) -> Option<fence::GrantFence> {
+        let known = self.ask(|sender| ControlRequest::Assigned(shard, sender));
+        known.await.flatten()
+    }
+
     /// Returns the host's status; none when it is stopping.
     pub async fn status(&self) -> Option<report::HostStatus> {
         self.ask(ControlRequest::Status).await
--- a/src/edge/operators.rs
+++ b/src/edge/operators.rs
@@ -38,6 +38,31 @@
     pub changes: Vec<configuration::ConfigurationChange>,
 }
 
+/// How firm an assignment is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum AssignmentStanding {
+    /// The shard has no owner that this host knows of.
+    None,
+    /// The owner holds the grant, and the log does not have it yet.
+    Provisional,
+    /// The owner holds the grant, and the log has it.
+    InPlace,
+}
+
+impl AssignmentStanding {
+    /// Returns the standing's name.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::None => "none",
+            Self::Provisional => "provisional",
+            Self::InPlace => "in place",
+        }
+    }
+}
+
 /// Where a key's requests go, and why.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(serde::Serialize, serde::Deserialize)]
@@ -55,6 +80,8 @@
     pub owner: Option<names::ServerName>,
     /// The fence of the owner's grant.
     pub fence: Option<String>,
+    /// Whether the assignment is in the log: until it is, it may not outlast its granter.
+    pub standing: AssignmentStanding,
     /// Whether this host may send to the owner now.
     pub may_send: bool,
     /// In words, how the owner came to have the shard.
@@ -117,6 +144,12 @@
     };
     let now = context.callers.clock.now();
     let route = lookup.route;
+    let logged = context.control.assigned(lookup.shard.clone()).await;
+    let standing = match route.map(|route| &route.fence) {
+        None => AssignmentStanding::None,
+        Some(fence) if logged.as_ref() == Some(fence) => AssignmentStanding::InPlace,
+        Some(_) => AssignmentStanding::Provisional,
+    };
     let homes = &lookup.service.homes;
     let home = homes[lookup.shard.index as usize % homes.len()].clone();
     let explanation = KeyExplanation {
@@ -125,6 +158,7 @@
         home: Some(route.map_or(home, |route| route.server.domain.clone())),
         owner: route.map(|route| route.server.name.clone()),
         fence: route.map(|route| route.fence.to_string()),
+        standing,
         may_send: route.is_some_and(|route| table.may_send(&route.server, now)),
         because: reason_of(lookup.route),
         shard: lookup.shard,
--- a/src/flow.rs
+++ b/src/flow.rs
@@ -86,12 +86,22 @@
     pub no_time_left: bool,
 }
 
+/// When a request may be sent again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum RepeatRule {
+    /// Never: its body is gone.
+    Never,
+    /// Once it is proved that no part of it ran.
+    IfUnsent,
+    /// Always: it is idempotent.
+    EvenIfRun,
+}
+
 /// The state of one request.
 pub struct RequestFlow {
     table: sync::Arc<chart::ChartTable<RequestVocabulary>>,
     state: RequestState,
-    idempotent: bool,
-    replayable: bool,
+    repeat: RepeatRule,
     retries: u32,
     may_have_run: bool,
     answered_by_gate: bool,
@@ -104,18 +114,23 @@
         Self {
             state: table.initial(),
             table,
-            idempotent,
-            replayable: true,
+            repeat: if idempotent {
+                RepeatRule::EvenIfRun
+            } else {
+                RepeatRule::IfUnsent
+            },
             retries: 0,
             may_have_run: false,
             answered_by_gate: false,
         }
     }
 
-    /// States whether the body can be sent a second time.
+    /// States whether the body can be sent a second time; by default it can.
     #[must_use]
     pub const fn with_replayable(mut self, replayable: bool) -> Self {
-        self.replayable = replayable;
+        if !replayable {
+            self.repeat = RepeatRule::Never;
+        }
         self
     }
 
@@ -168,12 +183,13 @@
     }
 
     fn holds(&self, guard: RequestGuard, facts: RequestFacts) -> bool {
-        let repeatable = self.replayable && self.retries < MAX_RETRIES && !facts.no_time_left;
+        let repeatable =
+            self.repeat != RepeatRule::Never && self.retries < MAX_RETRIES && !facts.no_time_left;
         match guard {
             RequestGuard::FeatureRetired => facts.feature_retired,
             RequestGuard::NoTimeLeft => facts.no_time_left,
             RequestGuard::MayRepeatUnsent => repeatable,
-            RequestGuard::MayRepeatUnknown => repeatable && self.idempotent,
+            RequestGuard::MayRepeatUnknown => repeatable && self.repeat == RepeatRule::EvenIfRun,
         }
     }
 }
--- a/src/membership.rs
+++ b/src/membership.rs
@@ -40,6 +40,24 @@
     pub unreachable: Vec<names::HostName>,
 }
 
+impl VersionSpread {
+    /// Counts a host whose version is known at first hand.
+    pub fn note_in_force(&mut self, host: &names::HostName, version: u64) {
+        let listed = self.behind.contains(host) || self.unreachable.contains(host);
+        if listed && version >= self.version {
+            self.behind.retain(|name| name != host);
+            self.unreachable.retain(|name| name != host);
+            self.in_force.push(host.clone());
+        }
+    }
+
+    /// Reports whether the version is in force at every host.
+    #[must_use]
+    pub fn is_everywhere(&self) -> bool {
+        self.behind.is_empty() && self.unreachable.is_empty()
+    }
+}
+
 /// The hosts that one host knows of.
 pub struct HostRoster {
     own: names::HostName,
