--- a/src/control.rs
+++ b/src/control.rs
@@ -138,34 +138,34 @@
 
 /// All control state of one host.
 pub struct ControlState {
-    settings: ControlSettings,
-    charts: domain::DomainCharts,
-    fold: fold::LogFold,
-    join: fold::CheckpointJoin,
-    domains: collections::BTreeMap<names::DomainName, domain::DomainControl>,
-    jitters: collections::BTreeMap<names::DomainName, time::Duration>,
-    journal: journal::AppendJournal,
-    lifecycle: lifecycle::HostLifecycle,
-    roster: membership::HostRoster,
-    routing: table::RoutingTable,
-    applied: collections::BTreeMap<names::DomainName, table::TableMark>,
-    tail: collections::VecDeque<peer::PassedRecord>,
-    leaving: collections::BTreeSet<names::ServerName>,
-    read_in_flight: bool,
-    read_at: clock::MonoTime,
-    scan_from: Option<u64>,
-    regressed_reads: u32,
-    exchange_at: clock::MonoTime,
-    checkpoint_seen: CheckpointSign,
-    granting: collections::BTreeSet<names::DomainName>,
-    usable: collections::BTreeSet<names::HostName>,
-    gates_version: u64,
+    pub(crate) settings: ControlSettings,
+    pub(crate) charts: domain::DomainCharts,
+    pub(crate) fold: fold::LogFold,
+    pub(crate) join: fold::CheckpointJoin,
+    pub(crate) domains: collections::BTreeMap<names::DomainName, domain::DomainControl>,
+    pub(crate) jitters: collections::BTreeMap<names::DomainName, time::Duration>,
+    pub(crate) journal: journal::AppendJournal,
+    pub(crate) lifecycle: lifecycle::HostLifecycle,
+    pub(crate) roster: membership::HostRoster,
+    pub(crate) routing: table::RoutingTable,
+    pub(crate) applied: collections::BTreeMap<names::DomainName, table::TableMark>,
+    pub(crate) tail: collections::VecDeque<peer::PassedRecord>,
+    pub(crate) leaving: collections::BTreeSet<names::ServerName>,
+    pub(crate) read_in_flight: bool,
+    pub(crate) read_at: clock::MonoTime,
+    pub(crate) scan_from: Option<u64>,
+    pub(crate) regressed_reads: u32,
+    pub(crate) exchange_at: clock::MonoTime,
+    pub(crate) checkpoint_seen: CheckpointSign,
+    pub(crate) granting: collections::BTreeSet<names::DomainName>,
+    pub(crate) usable: collections::BTreeSet<names::HostName>,
+    pub(crate) gates_version: u64,
 }
 
 #[derive(Clone, Copy, Debug, Default)]
-struct CheckpointSign {
-    count: u64,
-    at: clock::MonoTime,
+pub(crate) struct CheckpointSign {
+    pub(crate) count: u64,
+    pub(crate) at: clock::MonoTime,
 }
 
 impl ControlState {
@@ -284,7 +284,7 @@
         }
     }
 
-    fn with_domain(
+    pub(crate) fn with_domain(
         &mut self,
         name: &names::DomainName,
         now: clock::MonoTime,
@@ -391,269 +391,11 @@
         time::Duration::from_millis(base_ms) + jitter + step * place
     }
 
-    fn tick_checkpoint(&mut self, now: clock::MonoTime) {
-        let state = self.fold.state();
-        if self.checkpoint_seen.count != state.checkpoints {
-            let count = state.checkpoints;
-            self.checkpoint_seen = CheckpointSign { count, at: now };
-        }
-        let hosts = &state.configuration.host;
-        let place = hosts.iter().position(|h| h.name == *self.host());
-        let Some(place) = place else {
-            return;
-        };
-        let count = hosts.len() as u64;
-        let turn = (place as u64 + count - state.checkpoints % count) % count;
-        let wait = time::Duration::from_secs(CHECKPOINT_STEP_SECONDS * turn);
-        let many = state.next_offset - state.checkpoint_offset >= CHECKPOINT_RECORDS * (turn + 1);
-        let old = now.since(self.checkpoint_seen.at)
-            >= time::Duration::from_secs(CHECKPOINT_SECONDS) + wait;
-        if many || old {
-            self.append_checkpoint(now);
-        }
-    }
-
-    fn append_checkpoint(&mut self, now: clock::MonoTime) {
-        self.checkpoint_seen.at = now;
-        let state = self.fold.state();
-        let (version, covered) = (state.version, state.next_offset);
-        for body in self.fold.to_checkpoint() {
-            let id = format!(
-                "checkpoint-{version}-{covered}-{}-{}",
-                body.part,
-                self.host()
-            );
-            if let Ok(id) = names::RecordId::new(&id) {
-                let body = record::RecordBody::Checkpoint(body);
-                self.journal.push_record(record::LogRecord::new(id, body));
-            }
-        }
-    }
-
-    fn tick_log(&mut self, now: clock::MonoTime, actions: &mut Vec<ControlAction>) {
-        if !self.read_in_flight && now >= self.read_at {
-            self.read_in_flight = true;
-            let from = self.scan_from.unwrap_or(self.fold.state().next_offset);
-            actions.push(ControlAction::ReadLog { from });
-        }
-        actions.extend(self.journal.next_append(now).map(ControlAction::Append));
-    }
-
-    fn tick_exchange(&mut self, now: clock::MonoTime, actions: &mut Vec<ControlAction>) {
-        if now < self.exchange_at {
-            return;
-        }
-        self.exchange_at = now + time::Duration::from_millis(timing::EXCHANGE_INTERVAL_MS);
-        let named = self.granters_to_ask();
-        let configuration = sync::Arc::clone(&self.fold.state().configuration);
-        let request = self.exchange_request(now);
-        for peer in self.roster.choose(&configuration, &named) {
-            let request = request.clone();
-            actions.push(ControlAction::Exchange { peer, request });
-        }
-    }
-
-    // The granter of the own domain, and those of domains whose unchecked servers need a lease.
-    fn granters_to_ask(&self) -> collections::BTreeSet<names::HostName> {
-        let configuration = &self.fold.state().configuration;
-        let asked = self.domains.iter().filter(|(name, _)| {
-            let unchecked = configuration.servers_of(name).any(|s| !s.is_checked());
-            unchecked || **name == self.settings.domain
-        });
-        asked
-            .filter_map(|(_, control)| control.sign())
-            .map(|sign| sign.term.host.clone())
-            .collect()
-    }
-
-    fn exchange_request(&mut self, now: clock::MonoTime) -> peer::ExchangeRequest {
-        let tables = self.domains.iter().filter_map(|(name, control)| {
-            Some(peer::TableKnown {
-                domain: name.clone(),
-                mark: control.table()?.mark().clone(),
-            })
-        });
-        peer::ExchangeRequest {
-            from: self.host().clone(),
-            next_offset: self.fold.state().next_offset,
-            version: self.fold.state().version,
-            tables: tables.collect(),
-            hosts: self.roster.tell(now),
-            granters: self.granter_news(now),
-        }
-    }
-
-    fn granter_news(&self, now: clock::MonoTime) -> Vec<peer::GranterNews> {
-        let news = self.domains.iter().filter_map(|(name, control)| {
-            let sign = control.sign()?;
-            let age = now.since(sign.at).as_millis();
-            Some(peer::GranterNews {
-                domain: name.clone(),
-                term: sign.term.clone(),
-                age_ms: u64::try_from(age).unwrap_or(u64::MAX),
-            })
-        });
-        news.collect()
-    }
-
-    /// Takes a stretch of the log.
-    pub fn on_log_page(
-        &mut self,
-        page: &platform::LogPage,
-        now: clock::MonoTime,
-    ) -> Vec<ControlAction> {
-        let mut actions = Vec::new();
-        self.note_read(now);
-        let known = self.fold.state().next_offset;
-        if page.next < known {
-            self.on_regressed(page, known, &mut actions);
-            return actions;
-        }
-        self.regressed_reads = 0;
-        if page.earliest > known {
-            self.scan(page, now, &mut actions);
-            return actions;
-        }
-        self.scan_from = None;
-        self.fold_records(&page.records, now, &mut actions);
-        if self.fold.state().next_offset < page.next {
-            self.read_at = now;
-        }
-        actions
-    }
-
-    /// Notes that a read of the log failed.
-    pub fn on_log_failed(&mut self, now: clock::MonoTime) {
-        self.read_in_flight = false;
-        self.read_at = now + time::Duration::from_millis(timing::LOG_INTERVAL_MS);
-    }
-
-    fn note_read(&mut self, now: clock::MonoTime) {
-        self.read_in_flight = false;
-        self.read_at = now + time::Duration::from_millis(timing::LOG_INTERVAL_MS);
-        self.note_contact(now);
-    }
-
-    fn note_contact(&mut self, now: clock::MonoTime) {
+    pub(crate) fn note_contact(&mut self, now: clock::MonoTime) {
         self.routing.fresh_until = now + time::Duration::from_millis(timing::CONTACT_MS);
     }
 
-    // The log has lost its past. What was folded stays; the new log is read from its start, and a
-    // checkpoint makes it whole for hosts that start later.
-    fn on_regressed(
-        &mut self,
-        page: &platform::LogPage,
-        known: u64,
-        actions: &mut Vec<ControlAction>,
-    ) {
-        self.regressed_reads += 1;
-        if self.regressed_reads < REGRESSED_READS {
-            return;
-        }
-        self.regressed_reads = 0;
-        let next = page.next;
-        actions.push(ControlAction::Note(ControlNote::LogRegressed {
-            known,
-            next,
-        }));
-        let mut state = self.fold.state().clone();
-        state.next_offset = page.earliest;
-        state.checkpoint_offset = page.earliest;
-        self.fold.adopt(state);
-        self.tail.clear();
-        for body in self.fold.to_checkpoint() {
-            self.journal.push(record::RecordBody::Checkpoint(body));
-        }
-    }
-
-    // Records between the host's position and the log's start are gone, so a checkpoint is needed.
-    fn scan(
-        &mut self,
-        page: &platform::LogPage,
-        now: clock::MonoTime,
-        actions: &mut Vec<ControlAction>,
-    ) {
-        let mut from = self.scan_from.unwrap_or(page.earliest).max(page.earliest);
-        for passed in &page.records {
-            from = passed.offset + 1;
-            let Ok(record) = record::LogRecord::decode(&passed.text) else {
-                continue;
-            };
-            let record::RecordBody::Checkpoint(body) = record.body else {
-                continue;
-            };
-            let state = self.join.add(&body);
-            let usable = state.filter(|state| state.next_offset >= page.earliest);
-            if let Some(state) = usable {
-                self.scan_from = None;
-                self.adopt_state(state, now, actions);
-                self.read_at = now;
-                return;
-            }
-        }
-        self.scan_from = Some(from);
-        if from < page.next {
-            self.read_at = now;
-        }
-    }
-
-    fn adopt_state(
-        &mut self,
-        state: fold::FoldState,
-        now: clock::MonoTime,
-        actions: &mut Vec<ControlAction>,
-    ) {
-        if state.version < self.fold.state().version {
-            return;
-        }
-        let version = state.version;
-        self.fold.adopt(state);
-        self.tail.clear();
-        actions.push(ControlAction::Note(ControlNote::StateAdopted { version }));
-        self.follow_configuration(now);
-    }
-
-    fn fold_records(
-        &mut self,
-        records: &[peer::PassedRecord],
-        now: clock::MonoTime,
-        actions: &mut Vec<ControlAction>,
-    ) {
-        let version = self.fold.state().version;
-        for passed in records {
-            if passed.offset != self.fold.state().next_offset {
-                continue;
-            }
-            let effect = self.fold.apply(&passed.text);
-            self.note_effect(passed.offset, effect, actions);
-            self.tail.push_back(passed.clone());
-            if self.tail.len() > TAIL_RECORDS {
-                self.tail.pop_front();
-            }
-        }
-        if self.fold.state().version != version {
-            self.follow_configuration(now);
-        }
-    }
-
-    fn note_effect(
-        &mut self,
-        offset: u64,
-        effect: fold::FoldEffect,
-        actions: &mut Vec<ControlAction>,
-    ) {
-        let note = match effect {
-            fold::FoldEffect::Patched(entry) => {
-                self.journal.drop_record(&entry.id);
-                Some(ControlNote::PatchDecided(entry))
-            }
-            fold::FoldEffect::Skipped(error) => Some(ControlNote::RecordSkipped { offset, error }),
-            _ => None,
-        };
-        actions.extend(note.map(ControlAction::Note));
-    }
-
-    fn follow_configuration(&mut self, now: clock::MonoTime) {
+    pub(crate) fn follow_configuration(&mut self, now: clock::MonoTime) {
         let state = self.fold.state();
         let configuration = sync::Arc::clone(&state.configuration);
         let fresh_until = self.routing.fresh_until;
@@ -693,7 +435,11 @@
         self.routing.set_gates(sync::Arc::new(gates));
     }
 
-    fn refresh_routing(&mut self, now: clock::MonoTime, actions: &mut Vec<ControlAction>) {
+    pub(crate) fn refresh_routing(
+        &mut self,
+        now: clock::MonoTime,
+        actions: &mut Vec<ControlAction>,
+    ) {
         self.refresh_gates(now);
         for (name, control) in &self.domains {
             let Some(table) = control.table() else {
@@ -718,27 +464,6 @@
         }
     }
 
-    /// Notes that the log took a record.
-    pub fn on_appended(&mut self, id: &names::RecordId, now: clock::MonoTime) {
-        self.journal.on_appended(id);
-        self.read_at = now;
-    }
-
-    /// Notes that an append failed or that its answer was lost.
-    pub fn on_append_failed(&mut self, now: clock::MonoTime) {
-        self.journal.on_append_failed(now);
-    }
-
-    /// Takes an operator's patch; its verdict comes as a note once the log has it.
-    pub fn submit(&mut self, record: record::LogRecord) {
-        self.journal.push_record(record);
-    }
-
-    /// Gives up a patch that the log has not taken in time. It may still take effect.
-    pub fn abandon(&mut self, id: &names::RecordId) {
-        self.journal.drop_record(id);
-    }
-
     /// Takes a server's answer to a claim.
     pub fn on_claim_reply(
         &mut self,
@@ -777,135 +502,6 @@
         self.leaving = leaving.map(|s| s.name.clone()).collect();
     }
 
-    /// Answers a peer's question.
-    pub fn on_exchange(
-        &mut self,
-        request: &peer::ExchangeRequest,
-        now: clock::MonoTime,
-    ) -> peer::ExchangeReply {
-        self.note_news(&request.hosts, &request.granters, now);
-        let own = self.fold.state();
-        let lacks_version = request.version < own.version;
-        let records = self.records_since(request.next_offset);
-        let state = (lacks_version && records.is_none())
-            .then(|| serde_json::to_string(own).ok())
-            .flatten();
-        peer::ExchangeReply {
-            hosts: self.roster.tell(now),
-            granters: self.granter_news(now),
-            tables: self.updates_for(&request.tables),
-            records: records.unwrap_or_default(),
-            state,
-            leases: self.table_leases(now),
-        }
-    }
-
-    fn note_news(
-        &mut self,
-        hosts: &[peer::HostNews],
-        granters: &[peer::GranterNews],
-        now: clock::MonoTime,
-    ) -> Vec<ControlAction> {
-        let mut actions = Vec::new();
-        for news in hosts {
-            self.roster.note(news, now);
-        }
-        for news in granters {
-            self.with_domain(&news.domain, now, &mut actions, |control, view| {
-                control.on_granter_news(news, view)
-            });
-        }
-        actions
-    }
-
-    // None where the asked offset is not among the kept records, nor right behind them.
-    fn records_since(&self, offset: u64) -> Option<Vec<peer::PassedRecord>> {
-        if offset >= self.fold.state().next_offset {
-            return (offset == self.fold.state().next_offset).then(Vec::new);
-        }
-        let first = self.tail.front()?.offset;
-        let skip = usize::try_from(offset.checked_sub(first)?).ok()?;
-        let rest = self.tail.iter().skip(skip);
-        Some(rest.take(peer::MAX_RECORDS_PASSED).cloned().collect())
-    }
-
-    fn updates_for(&self, known: &[peer::TableKnown]) -> Vec<table::TableUpdate> {
-        let updates = self.domains.iter().filter_map(|(name, control)| {
-            let mark = known.iter().find(|k| k.domain == *name).map(|k| &k.mark);
-            control.table()?.update_since(name, mark)
-        });
-        updates.collect()
-    }
-
-    fn table_leases(&self, now: clock::MonoTime) -> Vec<peer::TableKnown> {
-        let leases = self.domains.iter().filter_map(|(name, control)| {
-            let view = self.quiet_view(now);
-            let table = control.table().filter(|_| control.is_granting(&view))?;
-            Some(peer::TableKnown {
-                domain: name.clone(),
-                mark: table.mark().clone(),
-            })
-        });
-        leases.collect()
-    }
-
-    // A view for steps that claim nothing.
-    fn quiet_view(&self, now: clock::MonoTime) -> domain::DomainView<'_> {
-        domain::DomainView {
-            now,
-            fold: self.fold.state(),
-            leaving: &self.leaving,
-            wall_ms: 0,
-            patience: time::Duration::ZERO,
-        }
-    }
-
-    /// Takes a peer's answer to a question that was sent at `sent_at`.
-    pub fn on_exchange_reply(
-        &mut self,
-        sent_at: clock::MonoTime,
-        reply: &peer::ExchangeReply,
-        now: clock::MonoTime,
-    ) -> Vec<ControlAction> {
-        self.note_contact(now);
-        let mut actions = self.note_news(&reply.hosts, &reply.granters, now);
-        self.take_state(reply.state.as_deref(), now, &mut actions);
-        self.fold_records(&reply.records, now, &mut actions);
-        for update in &reply.tables {
-            if let Some(control) = self.domains.get_mut(&update.domain) {
-                control.on_table_update(update);
-            }
-        }
-        for lease in &reply.leases {
-            self.take_table_lease(lease, sent_at);
-        }
-        self.refresh_routing(now, &mut actions);
-        actions
-    }
-
-    fn take_state(
-        &mut self,
-        text: Option<&str>,
-        now: clock::MonoTime,
-        actions: &mut Vec<ControlAction>,
-    ) {
-        let state = text.and_then(|t| serde_json::from_str::<fold::FoldState>(t).ok());
-        let newer = state.filter(|state| state.version > self.fold.state().version);
-        if let Some(state) = newer {
-            self.scan_from = None;
-            self.adopt_state(state, now, actions);
-        }
-    }
-
-    fn take_table_lease(&mut self, lease: &peer::TableKnown, sent_at: clock::MonoTime) {
-        let control = self.domains.get(&lease.domain);
-        let known = control.and_then(|control| control.table());
-        if known.is_some_and(|table| *table.mark() >= lease.mark) {
-            let until = sent_at + self.settings.timing.table_lease;
-            self.routing.set_table_lease(lease.domain.clone(), until);
-        }
-    }
-
     /// Begins to stop: gives up granting. Returns what the host's chart asks for.
     pub fn on_stop(&mut self, now: clock::MonoTime) -> Vec<lifecycle::HostAction> {
         let actions = self.lifecycle.handle(lifecycle::HostEvent::StopRequested);
--- /dev/null
+++ b/src/edge/journey.rs
@@ -0,0 +1,299 @@
+//! One request's journey: what the flow asks for is done, and what came of it told to the flow.
+
+use crate::clock;
+use crate::clock::MonoClock as _;
+use crate::contract;
+use crate::door;
+use crate::edge::callers;
+use crate::edge::dispatcher;
+use crate::edge::exchange;
+use crate::flow;
+use crate::limit;
+use crate::names;
+use crate::outcome;
+use actix_web::web;
+use std::sync;
+
+/// One request between the door and its answer.
+pub(crate) struct RequestJourney<'a> {
+    pub(crate) head: &'a actix_web::HttpRequest,
+    pub(crate) context: &'a callers::CallerContext,
+    pub(crate) client: &'a exchange::OwnerClient,
+    pub(crate) envelope: &'a door::RequestEnvelope,
+    pub(crate) arrived: clock::MonoTime,
+    pub(crate) deadline: clock::MonoTime,
+}
+
+/// What the flow's current state waits for.
+struct JourneyState {
+    flow: flow::RequestFlow,
+    permit: Option<dispatcher::SendPermit>,
+    body: Option<exchange::WorkBody>,
+    answer: Option<exchange::WorkAnswer>,
+    reason: outcome::RefusalReason,
+    peer: Option<names::ServerName>,
+    signal: limit::LimitSignal,
+}
+
+impl RequestJourney<'_> {
+    pub(crate) async fn run(
+        &self,
+        body: exchange::WorkBody,
+    ) -> Result<actix_web::HttpResponse, callers::RefusedRequest> {
+        let replayable = matches!(body, exchange::WorkBody::Whole(_));
+        let chart = sync::Arc::clone(&self.context.chart);
+        let flow =
+            flow::RequestFlow::new(chart, self.envelope.idempotent).with_replayable(replayable);
+        let mut state = JourneyState {
+            flow,
+            permit: None,
+            body: Some(body),
+            answer: None,
+            reason: outcome::RefusalReason::DeadlineQueued,
+            peer: None,
+            signal: limit::LimitSignal::Neutral,
+        };
+        let mut event = self.find_gate();
+        loop {
+            let facts = self.facts(&mut state, event);
+            let actions = state.flow.handle(event, facts);
+            let mut next = None;
+            for action in actions {
+                match action {
+                    flow::RequestAction::PassOn => {
+                        next = Some(self.pass_on(&mut state).await);
+                    }
+                    flow::RequestAction::Enqueue => {
+                        next = Some(self.wait_for_slot(&mut state).await);
+                    }
+                    flow::RequestAction::SendToOwner => {
+                        next = Some(self.exchange(&mut state).await);
+                    }
+                    flow::RequestAction::EnqueueAgain => {
+                        self.context.metrics.count_retry(state.reason);
+                        next = Some(self.wait_for_slot(&mut state).await);
+                    }
+                    other => settle(&mut state, other),
+                }
+            }
+            match next {
+                Some(following) => event = following,
+                None => return self.answer(state),
+            }
+        }
+    }
+
+    fn facts(&self, state: &mut JourneyState, event: flow::RequestEvent) -> flow::RequestFacts {
+        let now = self.context.clock.now();
+        let table = self.context.table.load();
+        let feature = door::check_feature(&table, self.envelope, now);
+        if event == flow::RequestEvent::Permitted
+            && let Err(reason) = feature
+        {
+            state.reason = reason;
+        }
+        flow::RequestFacts {
+            feature_retired: feature.is_err(),
+            no_time_left: now >= self.deadline,
+        }
+    }
+
+    fn find_gate(&self) -> flow::RequestEvent {
+        let table = self.context.table.load();
+        let key = self.envelope.key.as_str();
+        let lookup = table.lookup(&self.envelope.service, key);
+        let route = lookup.and_then(|lookup| lookup.route);
+        let gate = route.and_then(|route| table.gate_of(&route.server.name));
+        let passed_on = self.head.headers().contains_key(exchange::FORWARDED_HEADER);
+        if gate.is_some() && !passed_on {
+            flow::RequestEvent::GateElsewhere
+        } else {
+            flow::RequestEvent::GateHere
+        }
+    }
+
+    async fn pass_on(&self, state: &mut JourneyState) -> flow::RequestEvent {
+        let table = self.context.table.load_full();
+        let key = self.envelope.key.as_str();
+        let lookup = table.lookup(&self.envelope.service, key);
+        let route = lookup.and_then(|lookup| lookup.route);
+        let gate = route.and_then(|route| table.gate_of(&route.server.name));
+        let Some(gate) = gate else {
+            return flow::RequestEvent::ConnectFailed;
+        };
+        self.context.metrics.passed_on.inc();
+        let target = exchange::WorkTarget::Gate(gate);
+        self.send(state, target, table.hosts).await
+    }
+
+    async fn send(
+        &self,
+        state: &mut JourneyState,
+        target: exchange::WorkTarget<'_>,
+        hosts: usize,
+    ) -> flow::RequestEvent {
+        let order = exchange::WorkOrder {
+            target,
+            id: &self.envelope.id,
+            head: self.head,
+            left: self.deadline.since(self.context.clock.now()),
+        };
+        let body = take_body(state);
+        let sent = self.client.send(&order, hosts, body);
+        let waited = tokio::time::timeout(order.left, sent).await;
+        note_end(state, waited)
+    }
+
+    // The route is looked up afresh each time: after a refusal the owner may be another.
+    async fn wait_for_slot(&self, state: &mut JourneyState) -> flow::RequestEvent {
+        let table = self.context.table.load_full();
+        let now = self.context.clock.now();
+        let pass = match door::check(&table, self.envelope, self.arrived, now) {
+            Ok(pass) => pass,
+            Err(reason) => {
+                state.reason = reason;
+                return flow::RequestEvent::QueueRefused;
+            }
+        };
+        state.peer = Some(pass.route.server.name.clone());
+        let request = dispatcher::SlotRequest {
+            server: sync::Arc::clone(&pass.route.server),
+            hosts: match table.gate_of(&pass.route.server.name) {
+                None => 1,
+                Some(_) => table.hosts,
+            },
+            rank: pass.rank,
+            floors: table.floors(),
+            arrived: self.arrived,
+            deadline: self.deadline,
+            again: state.flow.retries() > 0,
+        };
+        let left = self.deadline.since(now);
+        let waited = tokio::time::timeout(left, self.context.dispatch.acquire(request)).await;
+        match waited {
+            Err(_) => flow::RequestEvent::DeadlinePassed,
+            Ok(Err(reason)) => {
+                state.reason = reason;
+                flow::RequestEvent::QueueRefused
+            }
+            Ok(Ok(permit)) => {
+                state.permit = Some(permit);
+                state.signal = limit::LimitSignal::Neutral;
+                flow::RequestEvent::Permitted
+            }
+        }
+    }
+
+    async fn exchange(&self, state: &mut JourneyState) -> flow::RequestEvent {
+        let table = self.context.table.load_full();
+        let now = self.context.clock.now();
+        let key = self.envelope.key.as_str();
+        let lookup = table.lookup(&self.envelope.service, key);
+        let route = lookup
+            .as_ref()
+            .ok_or(outcome::RefusalReason::UnknownService)
+            .and_then(|lookup| Ok((lookup, door::check_route(&table, lookup, now)?)));
+        let (lookup, route) = match route {
+            Ok(found) => found,
+            Err(reason) => {
+                state.reason = reason;
+                return flow::RequestEvent::RefusedNotRun;
+            }
+        };
+        if state.peer.as_ref() != Some(&route.server.name) {
+            state.reason = outcome::RefusalReason::WrongFence;
+            return flow::RequestEvent::RefusedNotRun;
+        }
+        let target = exchange::WorkTarget::Owner(route, &lookup.shard);
+        self.send(state, target, table.hosts).await
+    }
+
+    fn answer(
+        &self,
+        state: JourneyState,
+    ) -> Result<actix_web::HttpResponse, callers::RefusedRequest> {
+        if let Some(answer) = state.answer {
+            let passed = state.flow.was_passed_on();
+            return Ok(callers::owner_response(answer, &self.envelope.id, passed));
+        }
+        Err(callers::RefusedRequest {
+            reason: state.reason,
+            outcome: state.flow.outcome(),
+            step: match state.flow.outcome() {
+                outcome::RequestOutcome::Unknown => "exchange",
+                _ => "dispatch",
+            },
+            peer: state.peer,
+            id: Some(self.envelope.id.clone()),
+        })
+    }
+}
+
+fn settle(state: &mut JourneyState, action: flow::RequestAction) {
+    match action {
+        flow::RequestAction::ReleasePermit => {
+            let signal = state.signal;
+            if let Some(permit) = state.permit.take() {
+                permit.finish(signal);
+            }
+        }
+        flow::RequestAction::AnswerDeadlineNotRun => {
+            state.reason = outcome::RefusalReason::DeadlineQueued;
+        }
+        flow::RequestAction::AnswerDeadlineUnknown => {
+            state.reason = outcome::RefusalReason::DeadlineSent;
+        }
+        // The exchange is a future that ended with its timeout, and the ticket likewise; the
+        // reasons of the other answers were set by what led to them.
+        _ => {}
+    }
+}
+
+fn take_body(state: &mut JourneyState) -> exchange::WorkBody {
+    match state.body.take() {
+        Some(exchange::WorkBody::Whole(bytes)) => {
+            state.body = Some(exchange::WorkBody::Whole(bytes.clone()));
+            exchange::WorkBody::Whole(bytes)
+        }
+        Some(stream) => stream,
+        None => exchange::WorkBody::Whole(web::Bytes::new()),
+    }
+}
+
+type WaitedExchange =
+    Result<Result<exchange::WorkAnswer, exchange::WorkFailure>, tokio::time::error::Elapsed>;
+
+fn note_end(state: &mut JourneyState, waited: WaitedExchange) -> flow::RequestEvent {
+    match waited {
+        Err(_) => {
+            state.signal = limit::LimitSignal::Overloaded;
+            flow::RequestEvent::DeadlinePassed
+        }
+        Ok(Ok(answer)) => {
+            state.signal = limit::LimitSignal::Answered;
+            state.answer = Some(answer);
+            flow::RequestEvent::AnsweredWhole
+        }
+        Ok(Err(exchange::WorkFailure::NotConnected)) => {
+            state.reason = outcome::RefusalReason::Unreachable;
+            flow::RequestEvent::ConnectFailed
+        }
+        Ok(Err(exchange::WorkFailure::Refused(refusal))) => {
+            state.reason = refusal.into();
+            let overloaded = matches!(
+                refusal,
+                contract::ServerRefusal::Shed | contract::ServerRefusal::Late
+            );
+            if overloaded {
+                state.signal = limit::LimitSignal::Overloaded;
+            }
+            flow::RequestEvent::RefusedNotRun
+        }
+        Ok(Err(exchange::WorkFailure::Broken(fault))) => {
+            state.reason = outcome::RefusalReason::ExchangeBroken;
+            let peer = state.peer.as_ref().map(names::ServerName::as_str);
+            tracing::debug!(event = "exchange-broken", step = "exchange", peer, fault);
+            flow::RequestEvent::ExchangeBroken
+        }
+    }
+}
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -5,6 +5,7 @@
 pub mod dispatcher;
 pub mod exchange;
 pub mod host;
+mod journey;
 pub mod metrics;
 pub mod operators;
 pub mod peers;
--- a/src/grant.rs
+++ b/src/grant.rs
@@ -6,7 +6,6 @@
 
 use std::collections;
 use std::sync;
-use std::time;
 
 use crate::authority;
 use crate::chart;
@@ -17,7 +16,6 @@
 use crate::fold;
 use crate::lease;
 use crate::names;
-use crate::placement;
 use crate::record;
 use crate::table;
 use crate::timing;
@@ -108,20 +106,20 @@
     pub order: GrantOrder,
 }
 
-struct ShardRecord {
-    state: GrantState,
-    owner: Option<names::ServerName>,
-    fence: Option<fence::GrantFence>,
-    revision: u64,
-    free_at: clock::MonoTime,
-    load: f64,
+pub(crate) struct ShardRecord {
+    pub(crate) state: GrantState,
+    pub(crate) owner: Option<names::ServerName>,
+    pub(crate) fence: Option<fence::GrantFence>,
+    pub(crate) revision: u64,
+    pub(crate) free_at: clock::MonoTime,
+    pub(crate) load: f64,
 }
 
 // A server that reported a shard which the granter counts as another's: the shard is not placed
 // until the server has the grants of the revision, which are without it.
-struct ShardBlock {
-    server: names::ServerName,
-    revision: u64,
+pub(crate) struct ShardBlock {
+    pub(crate) server: names::ServerName,
+    pub(crate) revision: u64,
 }
 
 /// What a granter is started with.
@@ -140,27 +138,28 @@
 
 /// All that a granter knows of its domain.
 pub struct GrantBook {
-    charts: GrantCharts,
-    domain: names::DomainName,
-    timing: timing::LeaseTiming,
-    term: sync::Arc<fence::TermId>,
-    former_end: clock::MonoTime,
-    configuration: sync::Arc<configuration::Configuration>,
-    version: u64,
-    witness_set: u64,
-    former_routed: bool,
-    term_logged: bool,
-    sequence: u64,
-    servers: collections::BTreeMap<names::ServerName, lease::ServerLease>,
-    shards: collections::BTreeMap<names::ShardId, ShardRecord>,
-    owned: collections::BTreeMap<names::ServerName, collections::BTreeSet<names::ShardId>>,
-    vacant: collections::BTreeSet<names::ShardId>,
-    blocks: collections::BTreeMap<names::ShardId, Vec<ShardBlock>>,
-    routes: table::DomainTable,
-    unlogged: Vec<record::AssignmentEntry>,
-    versions_acked: collections::BTreeMap<names::ServerName, u64>,
-    witness_sets_acked: collections::BTreeMap<names::ServerName, u64>,
-    load_changed: bool,
+    pub(crate) charts: GrantCharts,
+    pub(crate) domain: names::DomainName,
+    pub(crate) timing: timing::LeaseTiming,
+    pub(crate) term: sync::Arc<fence::TermId>,
+    pub(crate) former_end: clock::MonoTime,
+    pub(crate) configuration: sync::Arc<configuration::Configuration>,
+    pub(crate) version: u64,
+    pub(crate) witness_set: u64,
+    pub(crate) former_routed: bool,
+    pub(crate) term_logged: bool,
+    pub(crate) sequence: u64,
+    pub(crate) servers: collections::BTreeMap<names::ServerName, lease::ServerLease>,
+    pub(crate) shards: collections::BTreeMap<names::ShardId, ShardRecord>,
+    pub(crate) owned:
+        collections::BTreeMap<names::ServerName, collections::BTreeSet<names::ShardId>>,
+    pub(crate) vacant: collections::BTreeSet<names::ShardId>,
+    pub(crate) blocks: collections::BTreeMap<names::ShardId, Vec<ShardBlock>>,
+    pub(crate) routes: table::DomainTable,
+    pub(crate) unlogged: Vec<record::AssignmentEntry>,
+    pub(crate) versions_acked: collections::BTreeMap<names::ServerName, u64>,
+    pub(crate) witness_sets_acked: collections::BTreeMap<names::ServerName, u64>,
+    pub(crate) load_changed: bool,
 }
 
 impl GrantBook {
@@ -235,7 +234,7 @@
         self.follow_shards();
     }
 
-    fn follow_servers(&mut self) {
+    pub(crate) fn follow_servers(&mut self) {
         let configuration = sync::Arc::clone(&self.configuration);
         for spec in configuration.servers_of(&self.domain) {
             if let Some(lease) = self.servers.get_mut(&spec.name) {
@@ -252,7 +251,7 @@
     }
 
     // A server that an operator removed is forgotten once nothing of it can be in force.
-    fn forget_removed(&mut self) {
+    pub(crate) fn forget_removed(&mut self) {
         let configuration = sync::Arc::clone(&self.configuration);
         let owned = &self.owned;
         self.servers.retain(|name, lease| {
@@ -262,7 +261,7 @@
         });
     }
 
-    fn follow_shards(&mut self) {
+    pub(crate) fn follow_shards(&mut self) {
         let configuration = sync::Arc::clone(&self.configuration);
         for shard in configuration.shards_of(&self.domain) {
             if self.shards.contains_key(&shard) {
@@ -281,125 +280,14 @@
         }
     }
 
-    // What the log or the former granter's table says holds until the owner itself has reported.
-    fn adopt_known(&mut self, setup: &GrantSetup<'_>) {
-        let logged = setup.fold.assignments.iter();
-        let logged = logged.map(|(shard, a)| (shard, &a.server, &a.fence));
-        let published = setup.former.iter().flat_map(|table| table.routes());
-        let published = published.map(|(shard, route)| (shard, &route.server, &route.fence));
-        for (shard, server, fence) in logged.chain(published) {
-            let unchecked = self.servers.get(server).map(|l| !l.spec.is_checked());
-            if unchecked.is_none() {
-                continue;
-            }
-            self.adopt(shard, server, fence);
-            // An unchecked server would run what a stale route sends, so its word comes first.
-            if unchecked == Some(true) {
-                self.publish(shard, false);
-            }
-        }
-    }
-
-    fn adopt(
-        &mut self,
-        shard: &names::ShardId,
-        server: &names::ServerName,
-        fence: &fence::GrantFence,
-    ) {
-        let Some(record) = self.shards.get_mut(shard) else {
-            return;
-        };
-        let newer = record.fence.as_ref().is_none_or(|old| old < fence);
-        let same = record.owner.as_ref() == Some(server);
-        if !newer && !same {
-            return;
-        }
-        if newer {
-            record.fence = Some(fence.clone());
-        }
-        let former = self.set_owner(shard, Some(server.clone()));
-        if let Some(former) = former.filter(|former| former != server) {
-            self.touch(&former);
-        }
-        self.handle_shard(shard, GrantEvent::Reported);
-    }
-
-    /// Takes a server's answer to a claim under this term.
-    pub fn on_report(&mut self, answer: &authority::ClaimAnswer, now: clock::MonoTime) {
-        let left = time::Duration::from_millis(answer.reply.lease_left_ms);
-        let Some(lease) = self.servers.get_mut(&answer.server) else {
-            return;
-        };
-        if lease.state() == lease::LeaseState::Held || !answer.reply.accepted {
-            return;
-        }
-        // While the former granter may still act, it could take a lease that ends before it does
-        // for lapsed; such a server is asked again once that time has passed.
-        let outlasts = left.is_zero() || answer.sent_at + left >= self.former_end;
-        if !outlasts {
-            return;
-        }
-        lease.note_status(&answer.reply.status, now);
-        self.note_told(&answer.server, &answer.reply.status);
-        let actions = self.step_lease(&answer.server, lease::LeaseEvent::Reported);
-        if actions.contains(&lease::LeaseAction::AdoptReport) {
-            let held = if left.is_zero() {
-                &[][..]
-            } else {
-                &answer.reply.held[..]
-            };
-            self.adopt_report(&answer.server, held);
-        }
-    }
-
-    fn adopt_report(&mut self, server: &names::ServerName, held: &[contract::ShardGrant]) {
-        self.touch(server);
-        for grant in held {
-            self.adopt(&grant.shard, server, &grant.fence);
-            self.block_unless_owner(&grant.shard, server);
-        }
-        let reported: collections::BTreeSet<_> = held.iter().map(|g| &g.shard).collect();
-        let lost: Vec<_> = self
-            .owned_by(server)
-            .filter(|shard| !reported.contains(shard))
-            .cloned()
-            .collect();
-        for shard in &lost {
-            self.handle_shard(shard, GrantEvent::OwnerLost);
-        }
-    }
-
-    fn block_unless_owner(&mut self, shard: &names::ShardId, server: &names::ServerName) {
-        let Some(record) = self.shards.get(shard) else {
-            return;
-        };
-        if record.owner.as_ref() == Some(server) {
-            return;
-        }
-        let revision = self
-            .servers
-            .get(server)
-            .map_or(0, lease::ServerLease::revision);
-        let server = server.clone();
-        let block = ShardBlock { server, revision };
-        self.blocks.entry(shard.clone()).or_default().push(block);
-    }
-
-    fn unblock(&mut self, server: &names::ServerName, revision: u64) {
-        for blocks in self.blocks.values_mut() {
-            blocks.retain(|block| block.server != *server || block.revision > revision);
-        }
-        self.blocks.retain(|_, blocks| !blocks.is_empty());
-    }
-
-    fn owned_by<'a>(
+    pub(crate) fn owned_by<'a>(
         &'a self,
         server: &'a names::ServerName,
     ) -> impl Iterator<Item = &'a names::ShardId> + 'a {
         self.owned.get(server).into_iter().flatten()
     }
 
-    fn set_owner(
+    pub(crate) fn set_owner(
         &mut self,
         shard: &names::ShardId,
         owner: Option<names::ServerName>,
@@ -416,78 +304,6 @@
         former
     }
 
-    /// Takes a server's answer to a renewal.
-    pub fn on_lease_reply(
-        &mut self,
-        server: &names::ServerName,
-        order: &contract::LeaseOrder,
-        reply: &contract::LeaseReply,
-        now: clock::MonoTime,
-    ) {
-        let Some(lease) = self.servers.get_mut(server) else {
-            return;
-        };
-        if !lease.take_answer(order) || reply.verdict == contract::LeaseVerdict::Refused {
-            return;
-        }
-        let restarted = lease.is_other_process(&reply.status);
-        lease.note_status(&reply.status, now);
-        self.note_told(server, &reply.status);
-        if restarted {
-            self.run_lease_event(server, lease::LeaseEvent::Restarted, now);
-            if let Some(lease) = self.servers.get_mut(server) {
-                lease.forget_acked();
-            }
-            return;
-        }
-        self.run_lease_event(server, lease::LeaseEvent::Renewed, now);
-        match reply.verdict {
-            contract::LeaseVerdict::Renewed => self.on_acked(server, order.revision),
-            contract::LeaseVerdict::NeedGrants => self.touch(server),
-            contract::LeaseVerdict::NeedToken | contract::LeaseVerdict::Refused => {}
-        }
-    }
-
-    fn on_acked(&mut self, server: &names::ServerName, revision: u64) {
-        let Some(lease) = self.servers.get_mut(server) else {
-            return;
-        };
-        lease.note_acked(revision);
-        self.unblock(server, revision);
-        let shards: Vec<_> = self.owned_by(server).cloned().collect();
-        for shard in shards {
-            let record = &self.shards[&shard];
-            if record.revision > revision {
-                continue;
-            }
-            let busy = self.servers[server].is_releasing(&shard);
-            match record.state {
-                GrantState::Offered => self.handle_shard(&shard, GrantEvent::Acknowledged),
-                GrantState::Releasing if !busy => {
-                    self.handle_shard(&shard, GrantEvent::Released);
-                }
-                _ => {}
-            }
-        }
-    }
-
-    fn note_told(&mut self, server: &names::ServerName, status: &contract::ServerStatus) {
-        let version = self.versions_acked.entry(server.clone()).or_default();
-        *version = (*version).max(status.version);
-        let set = self.witness_sets_acked.entry(server.clone()).or_default();
-        *set = (*set).max(status.witness_set);
-    }
-
-    /// Reports whether a majority of the witnesses knows the newest witness set.
-    #[must_use]
-    pub fn may_settle(&self, witnesses: &fold::WitnessView) -> bool {
-        let told = |name: &names::ServerName| {
-            let set = self.witness_sets_acked.get(name).copied();
-            set.unwrap_or(0) >= witnesses.number
-        };
-        witnesses.pending.is_some() && witnesses.has_majority(told)
-    }
-
     /// Takes over which servers the platform lists as leaving.
     pub fn follow_listing(&mut self, leaving: &collections::BTreeSet<names::ServerName>) {
         for (name, lease) in &mut self.servers {
@@ -520,24 +336,7 @@
         }
     }
 
-    fn expire(&mut self, now: clock::MonoTime) {
-        let silent_until = self.former_end + self.timing.lease + self.timing.margin;
-        let expired: Vec<_> = self
-            .servers
-            .iter()
-            .filter(|(_, lease)| match lease.state() {
-                lease::LeaseState::Unknown => now >= silent_until,
-                lease::LeaseState::Held => lease.has_expired(now, &self.timing),
-                lease::LeaseState::Lapsed => false,
-            })
-            .map(|(name, _)| name.clone())
-            .collect();
-        for server in &expired {
-            self.run_lease_event(server, lease::LeaseEvent::Expired, now);
-        }
-    }
-
-    fn run_lease_event(
+    pub(crate) fn run_lease_event(
         &mut self,
         server: &names::ServerName,
         event: lease::LeaseEvent,
@@ -549,7 +348,7 @@
         }
     }
 
-    fn step_lease(
+    pub(crate) fn step_lease(
         &mut self,
         server: &names::ServerName,
         event: lease::LeaseEvent,
@@ -558,169 +357,7 @@
         lease.map(|lease| lease.handle(event)).unwrap_or_default()
     }
 
-    fn free_shards(&mut self, server: &names::ServerName, now: clock::MonoTime) {
-        self.unblock(server, u64::MAX);
-        let shards: Vec<_> = self.owned_by(server).cloned().collect();
-        for shard in &shards {
-            self.wait_for_stale_sends(shard, now);
-            self.handle_shard(shard, GrantEvent::OwnerLost);
-        }
-    }
-
-    // An unchecked owner's shard stays free for as long as a stale host may still send to it.
-    fn wait_for_stale_sends(&mut self, shard: &names::ShardId, now: clock::MonoTime) {
-        let owner = self.shards[shard].owner.as_ref();
-        let lease = owner.and_then(|name| self.servers.get(name));
-        if lease.is_none_or(|lease| lease.spec.is_checked()) {
-            return;
-        }
-        let free_at = self.stale_sends_end(&shard.service, now);
-        if let Some(record) = self.shards.get_mut(shard) {
-            record.free_at = record.free_at.max(free_at);
-        }
-    }
-
-    // From here on no host sends, and no server still runs, what a route withdrawn at `now` let
-    // through, nor one of the former granter.
-    fn stale_sends_end(
-        &self,
-        service: &names::ServiceName,
-        now: clock::MonoTime,
-    ) -> clock::MonoTime {
-        let spec = self.configuration.find_service(service);
-        let deadline = time::Duration::from_millis(spec.map_or(0, |spec| spec.deadline_ms));
-        let latest_route = now.max(self.former_end);
-        latest_route + self.timing.table_lease + self.timing.margin + deadline
-    }
-
-    fn drain(&mut self, now: clock::MonoTime) {
-        let leaving: Vec<_> = self
-            .servers
-            .iter()
-            .filter(|(_, lease)| lease.is_leaving() && lease.state() == lease::LeaseState::Held)
-            .map(|(name, _)| name.clone())
-            .collect();
-        for server in leaving {
-            let owned: Vec<_> = self.owned_by(&server).cloned().collect();
-            let moving = |shard: &&names::ShardId| self.shards[*shard].state != GrantState::Held;
-            let under_way = owned.iter().filter(moving).count();
-            let at_once = MIN_MOVES_AT_ONCE.max(owned.len() / MOVE_FRACTION);
-            let held = owned
-                .iter()
-                .filter(|shard| self.shards[*shard].state == GrantState::Held);
-            let chosen: Vec<_> = held
-                .take(at_once.saturating_sub(under_way))
-                .cloned()
-                .collect();
-            self.move_away(&chosen, now);
-        }
-    }
-
-    fn move_away(&mut self, shards: &[names::ShardId], now: clock::MonoTime) {
-        for shard in shards {
-            self.wait_for_stale_sends(shard, now);
-            self.handle_shard(shard, GrantEvent::MoveChosen);
-        }
-    }
-
-    fn balance(&mut self, now: clock::MonoTime) {
-        if !self.vacant.is_empty() || !self.load_changed {
-            return;
-        }
-        self.load_changed = false;
-        let services: Vec<_> = self.configuration.service.clone();
-        for service in &services {
-            let targets = self.targets(&service.name);
-            let owners = targets.iter().map(|target| &target.server);
-            let placed: Vec<_> = owners.flat_map(|server| self.placed_on(server)).collect();
-            let moves = placement::choose_moves(&targets, &placed, MIN_MOVES_AT_ONCE);
-            self.move_away(&moves, now);
-        }
-    }
-
-    fn placed_on(&self, server: &names::ServerName) -> Vec<placement::PlacedShard> {
-        let held = self
-            .owned_by(server)
-            .filter(|shard| self.shards[*shard].state == GrantState::Held);
-        held.map(|shard| placement::PlacedShard {
-            shard: shard.clone(),
-            server: server.clone(),
-            load: self.shards[shard].load,
-        })
-        .collect()
-    }
-
-    fn targets(&self, service: &names::ServiceName) -> Vec<placement::PlacementTarget> {
-        let leases = self.servers.values();
-        let usable = leases
-            .filter(|lease| lease.spec.service == *service && !lease.is_leaving())
-            .filter(|lease| lease.state() == lease::LeaseState::Held);
-        usable.map(|lease| self.target_of(&lease.spec)).collect()
-    }
-
-    fn target_of(&self, spec: &configuration::ServerSpec) -> placement::PlacementTarget {
-        let mut target = placement::PlacementTarget::new(spec.name.clone(), spec.slots);
-        for shard in self.owned_by(&spec.name) {
-            target.add(self.shards[shard].load);
-        }
-        target
-    }
-
-    fn place(&mut self, now: clock::MonoTime) {
-        if self.vacant.is_empty() {
-            return;
-        }
-        let services: Vec<_> = self.configuration.service.clone();
-        for service in &services {
-            if !self.may_place(&service.name, now) {
-                continue;
-            }
-            let vacant: Vec<_> = self
-                .vacant
-                .iter()
-                .filter(|shard| shard.service == service.name)
-                .filter(|shard| now >= self.shards[*shard].free_at)
-                .filter(|shard| !self.blocks.contains_key(*shard))
-                .cloned()
-                .collect();
-            if vacant.is_empty() {
-                continue;
-            }
-            let mut targets = self.targets(&service.name);
-            for shard in &vacant {
-                let Some(chosen) = placement::choose_target(&targets) else {
-                    break;
-                };
-                let load = self.shards[shard].load;
-                targets[chosen].add(load);
-                let server = targets[chosen].server.clone();
-                self.offer(shard, server);
-            }
-        }
-    }
-
-    // A server that has not reported may hold a shard that the former granter gave it without the
-    // log knowing; and an unchecked one may still be sent to by that granter's routes. The log
-    // knows a domain's first term before any route to its unchecked servers is made, so where it
-    // knew none there are no such routes.
-    fn may_place(&self, service: &names::ServiceName, now: clock::MonoTime) -> bool {
-        let of_service = || {
-            let leases = self.servers.values();
-            leases.filter(|lease| lease.spec.service == *service)
-        };
-        let known = of_service().all(|lease| lease.state() != lease::LeaseState::Unknown);
-        let unchecked = of_service().any(|lease| !lease.spec.is_checked());
-        let routes_end = self.stale_sends_end(service, self.former_end);
-        let routes_ended = !self.former_routed || now >= routes_end;
-        known && (!unchecked || (self.term_logged && routes_ended))
-    }
-
-    fn offer(&mut self, shard: &names::ShardId, server: names::ServerName) {
-        self.set_owner(shard, Some(server));
-        self.handle_shard(shard, GrantEvent::Placed);
-    }
-
-    fn handle_shard(&mut self, shard: &names::ShardId, event: GrantEvent) {
+    pub(crate) fn handle_shard(&mut self, shard: &names::ShardId, event: GrantEvent) {
         let charts = self.charts.clone();
         let Some(record) = self.shards.get_mut(shard) else {
             return;
@@ -742,7 +379,7 @@
         }
     }
 
-    fn perform(&mut self, shard: &names::ShardId, action: GrantAction) {
+    pub(crate) fn perform(&mut self, shard: &names::ShardId, action: GrantAction) {
         match action {
             GrantAction::RaiseFence => self.raise_fence(shard),
             GrantAction::RecordAssignment => self.record_assignment(shard),
@@ -752,7 +389,7 @@
         }
     }
 
-    fn raise_fence(&mut self, shard: &names::ShardId) {
+    pub(crate) fn raise_fence(&mut self, shard: &names::ShardId) {
         self.sequence += 1;
         let fence = fence::GrantFence::new(sync::Arc::clone(&self.term), self.sequence);
         if let Some(record) = self.shards.get_mut(shard) {
@@ -760,7 +397,7 @@
         }
     }
 
-    fn record_assignment(&mut self, shard: &names::ShardId) {
+    pub(crate) fn record_assignment(&mut self, shard: &names::ShardId) {
         let record = &self.shards[shard];
         if let (Some(server), Some(fence)) = (&record.owner, &record.fence) {
             self.unlogged.push(record::AssignmentEntry {
@@ -771,7 +408,7 @@
         }
     }
 
-    fn send_grants(&mut self, shard: &names::ShardId) {
+    pub(crate) fn send_grants(&mut self, shard: &names::ShardId) {
         let Some(owner) = self.shards[shard].owner.clone() else {
             return;
         };
@@ -782,13 +419,13 @@
         }
     }
 
-    fn touch(&mut self, server: &names::ServerName) {
+    pub(crate) fn touch(&mut self, server: &names::ServerName) {
         if let Some(lease) = self.servers.get_mut(server) {
             lease.raise_revision();
         }
     }
 
-    fn publish(&mut self, shard: &names::ShardId, present: bool) {
+    pub(crate) fn publish(&mut self, shard: &names::ShardId, present: bool) {
         let record = &self.shards[shard];
         let entry = match (&record.owner, &record.fence) {
             (Some(server), Some(fence)) if present => Some(table::RouteEntry {
@@ -802,73 +439,4 @@
             route: entry,
         });
     }
-
-    /// Returns the messages that are due.
-    pub fn due_orders(&mut self, now: clock::MonoTime) -> Vec<AddressedOrder> {
-        let due: Vec<_> = self
-            .servers
-            .iter()
-            .filter(|(_, lease)| lease.is_due(now, self.timing.renew))
-            .map(|(name, _)| name.clone())
-            .collect();
-        due.iter()
-            .filter_map(|name| self.make_order(name, now))
-            .collect()
-    }
-
-    fn make_order(
-        &mut self,
-        server: &names::ServerName,
-        now: clock::MonoTime,
-    ) -> Option<AddressedOrder> {
-        let claim = self.claim_order();
-        let base = self.base_order();
-        let needed = self.servers.get(server)?.needs_grants();
-        let grants = needed.then(|| self.grants_of(server));
-        let lease = self.servers.get_mut(server)?;
-        lease.note_sent(now);
-        let unknown = lease.state() == lease::LeaseState::Unknown;
-        let order = if unknown {
-            GrantOrder::Claim(claim)
-        } else {
-            GrantOrder::Lease(lease.next_order(&base, grants))
-        };
-        Some(AddressedOrder {
-            server: lease.spec.clone(),
-            order,
-        })
-    }
-
-    fn claim_order(&self) -> contract::ClaimOrder {
-        contract::ClaimOrder {
-            term: (*self.term).clone(),
-            witness_set: self.witness_set,
-            version: self.version,
-            probe: false,
-        }
-    }
-
-    fn base_order(&self) -> contract::LeaseOrder {
-        contract::LeaseOrder {
-            term: (*self.term).clone(),
-            witness_set: self.witness_set,
-            version: self.version,
-            sequence: 0,
-            token: None,
-            lease_ms: self.timing.lease_ms(),
-            revision: 0,
-            grants: None,
-        }
-    }
-
-    fn grants_of(&self, server: &names::ServerName) -> Vec<contract::ShardGrant> {
-        let grant = |shard: &names::ShardId| {
-            let record = &self.shards[shard];
-            let granted = matches!(record.state, GrantState::Offered | GrantState::Held);
-            let fence = record.fence.clone().filter(|_| granted)?;
-            let shard = shard.clone();
-            Some(contract::ShardGrant { shard, fence })
-        };
-        self.owned_by(server).filter_map(grant).collect()
-    }
 }
