--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -1,6 +1,5 @@
 //! The program `zinnia-lab`: stand-ins, a trial site and measurements. It is never shipped.
 
-use std::env;
 use std::process;
 
 use zinniastack::cmd;
@@ -22,15 +21,7 @@
 zinnia-lab COMMAND --help shows a command's arguments.";
 
 fn main() -> process::ExitCode {
-    let arguments: Vec<String> = env::args().skip(1).collect();
-    let code = match run(&arguments) {
-        Ok(code) => code,
-        Err(error) => {
-            eprintln!("{error}");
-            error.exit_code()
-        }
-    };
-    process::ExitCode::from(code)
+    cmd::run_program(run)
 }
 
 fn run(arguments: &[String]) -> Result<u8, cmd::CommandError> {
--- a/src/bin/zinnia.rs
+++ b/src/bin/zinnia.rs
@@ -22,15 +22,7 @@
 
 fn main() -> process::ExitCode {
     start_logs();
-    let arguments: Vec<String> = env::args().skip(1).collect();
-    let code = match run(&arguments) {
-        Ok(code) => code,
-        Err(error) => {
-            eprintln!("{error}");
-            error.exit_code()
-        }
-    };
-    process::ExitCode::from(code)
+    cmd::run_program(run)
 }
 
 fn run(arguments: &[String]) -> Result<u8, cmd::CommandError> {
--- a/src/cmd/explain.rs
+++ b/src/cmd/explain.rs
@@ -2,7 +2,6 @@
 
 use crate::cmd;
 use crate::edge::operators;
-use crate::settings;
 
 /// The usage text.
 pub const USAGE: &str = "\
@@ -40,19 +39,13 @@
     let Some(args) = cmd::parse_args::<ExplainArgs>(USAGE, arguments)? else {
         return Ok(cmd::EXIT_OK);
     };
-    let flag = args.operators.as_deref();
-    let host = settings::SettingSource::new("operators", flag, cmd::OPERATORS_TAKES).required()?;
+    let host = cmd::find_host(args.operators.as_deref())?;
     let path = format!("/explain/{}/{}", args.service, args.key);
-    let call = cmd::call_host::<(), operators::KeyExplanation>(host, &path, None);
-    let answer = actix::System::new().block_on(call)?;
+    let answer: Option<operators::KeyExplanation> = cmd::ask_host(host, &path)?;
     let explanation = answer.ok_or_else(|| cmd::CommandError::Failed {
         message: format!("no service is named '{}'", args.service),
     })?;
-    if args.json {
-        cmd::print_json(&explanation)?;
-    } else {
-        print_table(&explanation);
-    }
+    cmd::print_answer(&explanation, args.json, print_table)?;
     Ok(cmd::EXIT_OK)
 }
 
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -7,8 +7,10 @@
 pub mod patch;
 pub mod status;
 
+use std::env;
 use std::fmt;
 use std::net;
+use std::process;
 use std::time;
 
 use crate::settings;
@@ -132,6 +134,53 @@
     answer.await.map(Some).map_err(|e| fail(e.to_string()))
 }
 
+/// Reads the setting `--operators` of a client command.
+///
+/// # Errors
+/// Fails when it is missing or faulty.
+pub fn find_host(flag: Option<&str>) -> Result<net::SocketAddr, CommandError> {
+    let source = settings::SettingSource::new("operators", flag, OPERATORS_TAKES);
+    Ok(source.required()?)
+}
+
+/// Asks a host for what stands at a path; none where there is nothing.
+///
+/// # Errors
+/// Fails like [`call_host`].
+pub fn ask_host<A: serde::de::DeserializeOwned>(
+    host: net::SocketAddr,
+    path: &str,
+) -> Result<Option<A>, CommandError> {
+    actix::System::new().block_on(call_host::<(), A>(host, path, None))
+}
+
+/// Prints an answer as JSON or as a table for people.
+///
+/// # Errors
+/// Fails when the answer has no JSON form.
+pub fn print_answer<A: serde::Serialize>(
+    answer: &A,
+    json: bool,
+    print_table: impl FnOnce(&A),
+) -> Result<(), CommandError> {
+    if json {
+        return print_json(answer);
+    }
+    print_table(answer);
+    Ok(())
+}
+
+/// Runs a program: hands its arguments on, prints an error, and returns the exit code.
+#[must_use]
+pub fn run_program(run: impl FnOnce(&[String]) -> Result<u8, CommandError>) -> process::ExitCode {
+    let arguments: Vec<String> = env::args().skip(1).collect();
+    let code = run(&arguments).unwrap_or_else(|error| {
+        eprintln!("{error}");
+        error.exit_code()
+    });
+    process::ExitCode::from(code)
+}
+
 /// Prints a value as JSON.
 ///
 /// # Errors
--- a/src/cmd/patch.rs
+++ b/src/cmd/patch.rs
@@ -10,7 +10,6 @@
 use crate::fold;
 use crate::membership;
 use crate::names;
-use crate::settings;
 
 /// The usage text.
 pub const USAGE: &str = "\
@@ -61,17 +60,15 @@
     let Some(args) = cmd::parse_args::<PatchArgs>(USAGE, arguments)? else {
         return Ok(cmd::EXIT_OK);
     };
-    let flag = args.operators.as_deref();
-    let host = settings::SettingSource::new("operators", flag, cmd::OPERATORS_TAKES).required()?;
-    let system = actix::System::new();
+    let host = cmd::find_host(args.operators.as_deref())?;
     let standing = match args.verb.as_str() {
         "submit" => {
             let submission = read_submission(&args)?;
-            system.block_on(submit(host, &submission))?
+            actix::System::new().block_on(submit(host, &submission))?
         }
         "show" => {
             let path = format!("/patches/{}", args.subject);
-            system.block_on(cmd::call_host::<(), _>(host, &path, None))?
+            cmd::ask_host(host, &path)?
         }
         other => {
             return Err(cmd::CommandError::Usage {
@@ -127,11 +124,7 @@
         println!("unknown: this host has seen no patch of that id");
         return Ok(cmd::EXIT_UNKNOWN);
     };
-    if args.json {
-        cmd::print_json(&standing)?;
-    } else {
-        print_lines(&standing);
-    }
+    cmd::print_answer(&standing, args.json, print_lines)?;
     Ok(match standing.verdict {
         Some(fold::PatchVerdict::Accepted { .. }) => cmd::EXIT_OK,
         Some(fold::PatchVerdict::Stale { .. }) => cmd::EXIT_STALE,
--- a/src/cmd/status.rs
+++ b/src/cmd/status.rs
@@ -3,7 +3,6 @@
 use crate::cmd;
 use crate::names;
 use crate::report;
-use crate::settings;
 
 /// The usage text.
 pub const USAGE: &str = "\
@@ -34,18 +33,12 @@
     let Some(args) = cmd::parse_args::<StatusArgs>(USAGE, arguments)? else {
         return Ok(cmd::EXIT_OK);
     };
-    let flag = args.operators.as_deref();
-    let host = settings::SettingSource::new("operators", flag, cmd::OPERATORS_TAKES).required()?;
-    let call = cmd::call_host::<(), report::HostStatus>(host, "/status", None);
-    let answer = actix::System::new().block_on(call)?;
+    let host = cmd::find_host(args.operators.as_deref())?;
+    let answer: Option<report::HostStatus> = cmd::ask_host(host, "/status")?;
     let status = answer.ok_or_else(|| cmd::CommandError::Failed {
         message: "the host has no status".into(),
     })?;
-    if args.json {
-        cmd::print_json(&status)?;
-    } else {
-        print_table(&status);
-    }
+    cmd::print_answer(&status, args.json, print_table)?;
     Ok(cmd::EXIT_OK)
 }
 
