--- a/src/edge/journey.rs
+++ b/src/edge/journey.rs
@@ -99,6 +99,9 @@
     }
 
     fn find_gate(&self) -> flow::RequestEvent {
+        if self.context.clock.now() >= self.deadline {
+            return flow::RequestEvent::DeadlinePassed;
+        }
         let table = self.context.table.load();
         let key = self.envelope.key.as_str();
         let lookup = table.lookup(&self.envelope.service, key);
--- a/src/queue.rs
+++ b/src/queue.rs
@@ -159,8 +159,8 @@
         let by_rank = self.policy == QueuePolicy::ByRank;
         let reason = if by_rank && self.ranks[index].len() >= MAX_WAITING {
             Some(outcome::RefusalReason::QueueFull)
-        } else if by_rank && self.is_hopeless(&request, now) {
-            Some(outcome::RefusalReason::QueueHopeless)
+        } else if by_rank {
+            self.refusal_by_time(&request, now)
         } else {
             None
         };
@@ -172,24 +172,27 @@
         Ok(())
     }
 
-    // The wait behind all requests that go before, or behind those of the same rank at the rank's
-    // floor, whichever is shorter.
-    fn is_hopeless(&self, request: &WaitingRequest<T>, now: clock::MonoTime) -> bool {
-        let Some(estimate) = self.estimate else {
-            return false;
-        };
+    // A request that had no time left when it came is late; one that would wait too long, behind all
+    // that go before it or behind its own rank at the rank's floor, whichever is shorter, is hopeless.
+    fn refusal_by_time(
+        &self,
+        request: &WaitingRequest<T>,
+        now: clock::MonoTime,
+    ) -> Option<outcome::RefusalReason> {
+        let left = request.deadline.since(now);
+        let estimate = self.estimate.unwrap_or_default();
+        if left.is_zero() || estimate > left {
+            return Some(outcome::RefusalReason::DeadlineQueued);
+        }
         let index = request.rank.index();
-        let before: usize = self.ranks[..=index]
-            .iter()
-            .map(std::collections::VecDeque::len)
-            .sum();
+        let before: usize = self.ranks[..=index].iter().map(collections::VecDeque::len).sum();
         let slots = self.limit.value();
         let in_turn = rounds(before, slots);
         let floor = f64::from(self.floors[index]) / f64::from(FLOOR_CREDIT);
         let by_floor = rounds(self.ranks[index].len(), slots * floor);
         let wait = in_turn.min(by_floor) + 1.0;
-        let left = request.deadline.since(now);
-        estimate.as_secs_f64() * wait > left.as_secs_f64()
+        let hopeless = estimate.as_secs_f64() * wait > left.as_secs_f64();
+        hopeless.then_some(outcome::RefusalReason::QueueHopeless)
     }
 
     /// Takes requests out of the queue as long as the limit allows.
--- /dev/null
+++ b/tests/decoders.rs
@@ -0,0 +1,48 @@
+//! Every reader of text from outside: no input makes it panic, and what it accepts it writes alike.
+
+use zinniastack::contract;
+use zinniastack::fence;
+use zinniastack::names;
+use zinniastack::peer;
+use zinniastack::platform;
+
+fn expect_same_again<T: std::str::FromStr + std::fmt::Display>() {
+    bolero::check!().with_type::<String>().for_each(|text| {
+        if let Ok(value) = text.parse::<T>() {
+            let written = value.to_string();
+            let again = written.parse::<T>().map(|value| value.to_string());
+            assert_eq!(again.ok(), Some(written));
+        }
+    });
+}
+
+fn expect_no_panic<T: serde::de::DeserializeOwned>() {
+    bolero::check!().for_each(|bytes| {
+        let _ = serde_json::from_slice::<T>(bytes);
+    });
+}
+
+macro_rules! decoder_cases {
+    ($($name:ident: $check:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            $check;
+        }
+    )*};
+}
+
+decoder_cases! {
+    term: expect_same_again::<fence::TermId>();
+    grant_fence: expect_same_again::<fence::GrantFence>();
+    shard: expect_same_again::<names::ShardId>();
+    label: expect_same_again::<names::ServerName>();
+    token: expect_same_again::<names::RequestId>();
+    claim: expect_no_panic::<contract::ClaimOrder>();
+    claim_reply: expect_no_panic::<contract::ClaimReply>();
+    lease: expect_no_panic::<contract::LeaseOrder>();
+    lease_reply: expect_no_panic::<contract::LeaseReply>();
+    question: expect_no_panic::<peer::ExchangeRequest>();
+    answer: expect_no_panic::<peer::ExchangeReply>();
+    log_page: expect_no_panic::<platform::LogPage>();
+    listing: expect_no_panic::<platform::HostListing>();
+}
