--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -18,3 +18,5 @@
 pub mod site;
 pub mod walk;
 pub mod world;
+mod world_faults;
+mod world_layout;
--- a/lab/src/world.rs
+++ b/lab/src/world.rs
@@ -53,12 +53,12 @@
 /// A clock with an origin and a rate of its own.
 #[derive(Clone, Copy, Debug)]
 pub struct WorldClock {
-    offset_us: u64,
-    rate_ppm: u64,
+    pub(crate) offset_us: u64,
+    pub(crate) rate_ppm: u64,
 }
 
 impl WorldClock {
-    fn read(self, now: clock::MonoTime) -> clock::MonoTime {
+    pub(crate) fn read(self, now: clock::MonoTime) -> clock::MonoTime {
         let micros = u128::from(now.as_micros()) * u128::from(self.rate_ppm) / 1_000_000;
         let micros = u64::try_from(micros).unwrap_or(u64::MAX);
         clock::MonoTime::from_micros(self.offset_us + micros)
@@ -73,9 +73,9 @@
     pub state: Option<control::ControlState>,
     /// Whether the process is paused.
     pub paused: bool,
-    clock: WorldClock,
-    life: u64,
-    held: Vec<WorldEvent>,
+    pub(crate) clock: WorldClock,
+    pub(crate) life: u64,
+    pub(crate) held: Vec<WorldEvent>,
 }
 
 /// A server of the world.
@@ -86,8 +86,8 @@
     pub state: Option<server_state::ServerState>,
     /// Whether the process is frozen.
     pub frozen: bool,
-    clock: WorldClock,
-    held: Vec<WorldEvent>,
+    pub(crate) clock: WorldClock,
+    pub(crate) held: Vec<WorldEvent>,
 }
 
 impl WorldServer {
@@ -113,7 +113,7 @@
 }
 
 #[derive(Clone, Debug)]
-enum HostCall {
+pub(crate) enum HostCall {
     Tick,
     LogPage(platform::LogPage),
     LogFailed,
@@ -130,19 +130,19 @@
 }
 
 #[derive(Clone, Debug)]
-enum ServerCall {
+pub(crate) enum ServerCall {
     Claim(names::DomainName, contract::ClaimOrder),
     Lease(names::DomainName, contract::LeaseOrder),
 }
 
 #[derive(Clone, Debug)]
-enum LogCall {
+pub(crate) enum LogCall {
     Read(u64),
     Append(record::LogRecord),
 }
 
 #[derive(Clone, Debug)]
-enum WorldEvent {
+pub(crate) enum WorldEvent {
     Host {
         host: names::HostName,
         life: u64,
@@ -196,20 +196,20 @@
 
 /// The world.
 pub struct LabWorld {
-    now: clock::MonoTime,
-    generator: rand::rngs::StdRng,
-    queue: collections::BTreeMap<(clock::MonoTime, u64), WorldEvent>,
-    counter: u64,
-    plan: WorldPlan,
+    pub(crate) now: clock::MonoTime,
+    pub(crate) generator: rand::rngs::StdRng,
+    pub(crate) queue: collections::BTreeMap<(clock::MonoTime, u64), WorldEvent>,
+    pub(crate) counter: u64,
+    pub(crate) plan: WorldPlan,
     /// The hosts.
     pub hosts: collections::BTreeMap<names::HostName, WorldHost>,
     /// The servers.
     pub servers: collections::BTreeMap<names::ServerName, WorldServer>,
     /// The log.
     pub log: log_state::LogState,
-    cuts: collections::BTreeSet<(WorldNode, WorldNode)>,
-    sent: MessageCounts,
-    shards: Vec<names::ShardId>,
+    pub(crate) cuts: collections::BTreeSet<(WorldNode, WorldNode)>,
+    pub(crate) sent: MessageCounts,
+    pub(crate) shards: Vec<names::ShardId>,
 }
 
 /// How many messages the world has carried.
@@ -254,138 +254,6 @@
         world
     }
 
-    fn lay_out(&mut self) {
-        let plan = self.plan.clone();
-        let mut port = 1;
-        let mut next_port = || {
-            port += 1;
-            net::SocketAddr::from((net::Ipv4Addr::LOCALHOST, port))
-        };
-        for domain in &plan.domains {
-            let name = names::DomainName::new(&domain.name).expect("a name");
-            for number in 1..=domain.hosts {
-                let host = format!("{}-h{number}", domain.name);
-                let spec = configuration::HostSpec {
-                    name: names::HostName::new(&host).expect("a name"),
-                    domain: name.clone(),
-                    peer: next_port(),
-                    callers: next_port(),
-                };
-                self.add_host(spec);
-            }
-            for number in 1..=domain.checked {
-                let server = format!("{}-s{number}", domain.name);
-                self.add_server(&server, &name, next_port(), true);
-            }
-            for number in 1..=domain.unchecked {
-                let server = format!("{}-u{number}", domain.name);
-                self.add_server(&server, &name, next_port(), false);
-            }
-        }
-        let configuration = self.configuration();
-        self.shards = owned_shards(&configuration);
-        self.append_patch("first", 0, configuration.to_changes());
-        let hosts: Vec<_> = self.hosts.keys().cloned().collect();
-        for host in &hosts {
-            self.start_host(host);
-        }
-    }
-
-    fn add_host(&mut self, spec: configuration::HostSpec) {
-        let clock = self.random_clock(self.plan.fast_hosts_ppm);
-        let host = WorldHost {
-            spec: spec.clone(),
-            state: None,
-            paused: false,
-            clock,
-            life: 0,
-            held: Vec::new(),
-        };
-        self.hosts.insert(spec.name, host);
-    }
-
-    fn add_server(
-        &mut self,
-        name: &str,
-        domain: &names::DomainName,
-        address: net::SocketAddr,
-        checked: bool,
-    ) {
-        let (service, fences) = if checked {
-            (CHECKED_SERVICE, configuration::FenceMode::Checked)
-        } else {
-            (UNCHECKED_SERVICE, configuration::FenceMode::Unchecked)
-        };
-        let spec = configuration::ServerSpec {
-            name: names::ServerName::new(name).expect("a name"),
-            service: names::ServiceName::new(service).expect("a name"),
-            domain: domain.clone(),
-            address,
-            fences,
-            slots: 6,
-            connections: 130,
-            withdrawn: None,
-        };
-        let clock = self.random_clock(0);
-        let server = WorldServer {
-            spec: spec.clone(),
-            state: None,
-            frozen: false,
-            clock,
-            held: Vec::new(),
-        };
-        self.servers.insert(spec.name.clone(), server);
-        self.restart_server(&spec.name);
-    }
-
-    fn random_clock(&mut self, faster_ppm: u64) -> WorldClock {
-        WorldClock {
-            offset_us: self.generator.random_range(0..1_000_000_000),
-            rate_ppm: 1_000_000 + faster_ppm + self.generator.random_range(0..=CLOCK_DRIFT_PPM),
-        }
-    }
-
-    /// Returns the configuration that the world starts from.
-    ///
-    /// # Panics
-    /// When the plan's names are no names.
-    #[must_use]
-    pub fn configuration(&self) -> configuration::Configuration {
-        let domains: Vec<_> = self
-            .plan
-            .domains
-            .iter()
-            .map(|plan| configuration::DomainSpec {
-                name: names::DomainName::new(&plan.name).expect("a name"),
-                gone: None,
-            })
-            .collect();
-        let homes: Vec<_> = domains.iter().map(|d| d.name.clone()).collect();
-        let service = |name: &str, rank: u8| configuration::ServiceSpec {
-            name: names::ServiceName::new(name).expect("a name"),
-            rank: configuration::WorkRank::new(rank).expect("a rank"),
-            shards: self.plan.shards,
-            deadline_ms: DEADLINE_MS,
-            floor_percent: 10,
-            max_body_bytes: 1_024,
-            homes: homes.clone(),
-        };
-        let feature = configuration::FeatureSpec {
-            name: names::FeatureName::new("digest").expect("a name"),
-            service: names::ServiceName::new(CHECKED_SERVICE).expect("a name"),
-            rank: None,
-            status: configuration::FeatureStatus::Live,
-            when_stale: configuration::StalePolicy::Hold,
-        };
-        configuration::Configuration {
-            domain: domains,
-            host: self.hosts.values().map(|host| host.spec.clone()).collect(),
-            service: vec![service(CHECKED_SERVICE, 1), service(UNCHECKED_SERVICE, 3)],
-            server: self.servers.values().map(|s| s.spec.clone()).collect(),
-            feature: vec![feature],
-        }
-    }
-
     /// Returns the time.
     #[must_use]
     pub const fn now(&self) -> clock::MonoTime {
@@ -409,196 +277,12 @@
         self.generator.random_range(0..limit)
     }
 
-    /// Puts a patch into the log, as an operator does who publishes there.
-    ///
-    /// # Panics
-    /// When the id is no id.
-    pub fn append_patch(
-        &mut self,
-        id: &str,
-        base: u64,
-        changes: Vec<configuration::ConfigurationChange>,
-    ) {
-        let id = names::RecordId::new(id).expect("an id");
-        let body = record::RecordBody::Patch(record::PatchBody { base, changes });
-        let record = record::LogRecord::new(id, body);
-        self.log.append(record.encode());
-    }
-
-    /// Submits a patch through a host.
-    ///
-    /// # Panics
-    /// When the id is no id.
-    pub fn submit(
-        &mut self,
-        host: &names::HostName,
-        id: &str,
-        base: u64,
-        changes: Vec<configuration::ConfigurationChange>,
-    ) {
-        let id = names::RecordId::new(id).expect("an id");
-        let body = record::RecordBody::Patch(record::PatchBody { base, changes });
-        let entry = self.hosts.get_mut(host).and_then(|h| h.state.as_mut());
-        if let Some(state) = entry {
-            state.submit(record::LogRecord::new(id, body));
-        }
-    }
-
-    /// Starts a host's process, with a fresh incarnation.
-    ///
-    /// # Panics
-    /// When a chart is faulty.
-    pub fn start_host(&mut self, name: &names::HostName) {
-        let incarnation = self.generator.random();
-        let seed = self.generator.random();
-        let skew = self.generator.random_range(0..WALL_SKEW_MS);
-        let timing = self.plan.timing;
-        let bootstrap = self.hosts.values().map(|h| h.spec.peer).collect();
-        let Some(host) = self.hosts.get_mut(name) else {
-            return;
-        };
-        let settings = control::ControlSettings {
-            identity: peer::HostIdentity {
-                host: name.clone(),
-                incarnation,
-            },
-            domain: host.spec.domain.clone(),
-            bootstrap,
-            timing,
-            wall_origin_ms: WALL_ORIGIN_MS + skew - host.clock.offset_us / 1_000,
-            seed,
-        };
-        host.state = Some(control::ControlState::new(settings).expect("charts are sound"));
-        host.paused = false;
-        host.held.clear();
-        host.life += 1;
-        let life = host.life;
-        self.push_host(name, life, HostCall::Tick, time::Duration::from_millis(1));
-    }
-
-    /// Ends a host's process.
-    pub fn kill_host(&mut self, name: &names::HostName) {
-        if let Some(host) = self.hosts.get_mut(name) {
-            host.state = None;
-            host.held.clear();
-            host.life += 1;
-        }
-    }
-
-    /// Pauses a host's process.
-    pub fn pause_host(&mut self, name: &names::HostName) {
-        if let Some(host) = self.hosts.get_mut(name) {
-            host.paused = true;
-        }
-    }
-
-    /// Lets a paused host go on as if nothing had happened.
-    pub fn resume_host(&mut self, name: &names::HostName) {
-        if let Some(host) = self.hosts.get_mut(name) {
-            host.paused = false;
-            let held = std::mem::take(&mut host.held);
-            for event in held {
-                self.deliver(event);
-            }
-        }
-    }
-
-    /// Ends a server's process.
-    pub fn kill_server(&mut self, name: &names::ServerName) {
-        if let Some(server) = self.servers.get_mut(name) {
-            server.state = None;
-            server.frozen = false;
-            server.held.clear();
-        }
-    }
-
-    /// Starts a server's process, which has forgotten everything.
-    pub fn restart_server(&mut self, name: &names::ServerName) {
-        let incarnation = self.generator.random();
-        let flaw = self.plan.flaw;
-        let now = self.now;
-        if let Some(server) = self.servers.get_mut(name) {
-            let setup = server_state::ServerSetup {
-                fences: server.spec.fences,
-                slots: server.spec.slots,
-                incarnation,
-            };
-            let time = server.clock.read(now);
-            let state = server_state::ServerState::new(setup, time).with_flaw(flaw);
-            server.state = Some(state);
-            server.frozen = false;
-            server.held.clear();
-        }
-    }
-
-    /// Freezes a server's process.
-    pub fn freeze_server(&mut self, name: &names::ServerName) {
-        if let Some(server) = self.servers.get_mut(name) {
-            server.frozen = true;
-        }
-    }
-
-    /// Lets a frozen server go on as if nothing had happened.
-    pub fn thaw_server(&mut self, name: &names::ServerName) {
-        if let Some(server) = self.servers.get_mut(name) {
-            server.frozen = false;
-            let held = std::mem::take(&mut server.held);
-            for event in held {
-                self.deliver(event);
-            }
-        }
-    }
-
-    /// Cuts two parties off from each other.
-    pub fn cut(&mut self, left: &WorldNode, right: &WorldNode) {
-        self.cuts.insert((left.clone(), right.clone()));
-        self.cuts.insert((right.clone(), left.clone()));
-    }
-
-    /// Cuts a failure domain off from all others, and from the log.
-    pub fn cut_domain(&mut self, domain: &names::DomainName) {
-        let (inside, outside): (Vec<_>, Vec<_>) = self
-            .nodes()
-            .into_iter()
-            .partition(|node| self.domain_of(node) == Some(domain));
-        for left in &inside {
-            for right in &outside {
-                self.cut(left, right);
-            }
-        }
-    }
-
-    fn nodes(&self) -> Vec<WorldNode> {
-        let hosts = self.hosts.keys().cloned().map(WorldNode::Host);
-        let servers = self.servers.keys().cloned().map(WorldNode::Server);
-        hosts.chain(servers).chain([WorldNode::Log]).collect()
-    }
-
-    fn domain_of(&self, node: &WorldNode) -> Option<&names::DomainName> {
-        match node {
-            WorldNode::Host(name) => self.hosts.get(name).map(|host| &host.spec.domain),
-            WorldNode::Server(name) => self.servers.get(name).map(|s| &s.spec.domain),
-            WorldNode::Log => None,
-        }
-    }
-
-    /// Ends all cuts.
-    pub fn heal(&mut self) {
-        self.cuts.clear();
-    }
-
-    /// Reports whether two parties reach each other.
-    #[must_use]
-    pub fn connected(&self, left: &WorldNode, right: &WorldNode) -> bool {
-        !self.cuts.contains(&(left.clone(), right.clone()))
-    }
-
-    fn push(&mut self, event: WorldEvent, delay: time::Duration) {
+    pub(crate) fn push(&mut self, event: WorldEvent, delay: time::Duration) {
         self.counter += 1;
         self.queue.insert((self.now + delay, self.counter), event);
     }
 
-    fn push_host(
+    pub(crate) fn push_host(
         &mut self,
         host: &names::HostName,
         life: u64,
@@ -645,7 +329,7 @@
         true
     }
 
-    fn deliver(&mut self, event: WorldEvent) {
+    pub(crate) fn deliver(&mut self, event: WorldEvent) {
         match event {
             WorldEvent::Host { host, life, call } => self.deliver_host(&host, life, call),
             WorldEvent::Server {
@@ -913,7 +597,7 @@
 }
 
 // A shard whose home has no server of its service can have no owner.
-fn owned_shards(configuration: &configuration::Configuration) -> Vec<names::ShardId> {
+pub(crate) fn owned_shards(configuration: &configuration::Configuration) -> Vec<names::ShardId> {
     let mut shards = Vec::new();
     for service in &configuration.service {
         for index in 0..service.shards {
--- /dev/null
+++ b/lab/src/world_faults.rs
@@ -0,0 +1,207 @@
+//! What befalls a world: processes end, pause and start afresh, and connections are cut.
+
+use std::time;
+
+use rand::RngExt as _;
+use zinniastack::configuration;
+use zinniastack::control;
+use zinniastack::names;
+use zinniastack::peer;
+use zinniastack::record;
+
+use crate::server_state;
+use crate::world;
+
+impl world::LabWorld {
+    /// Puts a patch into the log, as an operator does who publishes there.
+    ///
+    /// # Panics
+    /// When the id is no id.
+    pub fn append_patch(
+        &mut self,
+        id: &str,
+        base: u64,
+        changes: Vec<configuration::ConfigurationChange>,
+    ) {
+        let id = names::RecordId::new(id).expect("an id");
+        let body = record::RecordBody::Patch(record::PatchBody { base, changes });
+        let record = record::LogRecord::new(id, body);
+        self.log.append(record.encode());
+    }
+
+    /// Submits a patch through a host.
+    ///
+    /// # Panics
+    /// When the id is no id.
+    pub fn submit(
+        &mut self,
+        host: &names::HostName,
+        id: &str,
+        base: u64,
+        changes: Vec<configuration::ConfigurationChange>,
+    ) {
+        let id = names::RecordId::new(id).expect("an id");
+        let body = record::RecordBody::Patch(record::PatchBody { base, changes });
+        let entry = self.hosts.get_mut(host).and_then(|h| h.state.as_mut());
+        if let Some(state) = entry {
+            state.submit(record::LogRecord::new(id, body));
+        }
+    }
+
+    /// Starts a host's process, with a fresh incarnation.
+    ///
+    /// # Panics
+    /// When a chart is faulty.
+    pub fn start_host(&mut self, name: &names::HostName) {
+        let incarnation = self.generator.random();
+        let seed = self.generator.random();
+        let skew = self.generator.random_range(0..world::WALL_SKEW_MS);
+        let timing = self.plan.timing;
+        let bootstrap = self.hosts.values().map(|h| h.spec.peer).collect();
+        let Some(host) = self.hosts.get_mut(name) else {
+            return;
+        };
+        let settings = control::ControlSettings {
+            identity: peer::HostIdentity {
+                host: name.clone(),
+                incarnation,
+            },
+            domain: host.spec.domain.clone(),
+            bootstrap,
+            timing,
+            wall_origin_ms: world::WALL_ORIGIN_MS + skew - host.clock.offset_us / 1_000,
+            seed,
+        };
+        host.state = Some(control::ControlState::new(settings).expect("charts are sound"));
+        host.paused = false;
+        host.held.clear();
+        host.life += 1;
+        let life = host.life;
+        self.push_host(
+            name,
+            life,
+            world::HostCall::Tick,
+            time::Duration::from_millis(1),
+        );
+    }
+
+    /// Ends a host's process.
+    pub fn kill_host(&mut self, name: &names::HostName) {
+        if let Some(host) = self.hosts.get_mut(name) {
+            host.state = None;
+            host.held.clear();
+            host.life += 1;
+        }
+    }
+
+    /// Pauses a host's process.
+    pub fn pause_host(&mut self, name: &names::HostName) {
+        if let Some(host) = self.hosts.get_mut(name) {
+            host.paused = true;
+        }
+    }
+
+    /// Lets a paused host go on as if nothing had happened.
+    pub fn resume_host(&mut self, name: &names::HostName) {
+        if let Some(host) = self.hosts.get_mut(name) {
+            host.paused = false;
+            let held = std::mem::take(&mut host.held);
+            for event in held {
+                self.deliver(event);
+            }
+        }
+    }
+
+    /// Ends a server's process.
+    pub fn kill_server(&mut self, name: &names::ServerName) {
+        if let Some(server) = self.servers.get_mut(name) {
+            server.state = None;
+            server.frozen = false;
+            server.held.clear();
+        }
+    }
+
+    /// Starts a server's process, which has forgotten everything.
+    pub fn restart_server(&mut self, name: &names::ServerName) {
+        let incarnation = self.generator.random();
+        let flaw = self.plan.flaw;
+        let now = self.now;
+        if let Some(server) = self.servers.get_mut(name) {
+            let setup = server_state::ServerSetup {
+                fences: server.spec.fences,
+                slots: server.spec.slots,
+                incarnation,
+            };
+            let time = server.clock.read(now);
+            let state = server_state::ServerState::new(setup, time).with_flaw(flaw);
+            server.state = Some(state);
+            server.frozen = false;
+            server.held.clear();
+        }
+    }
+
+    /// Freezes a server's process.
+    pub fn freeze_server(&mut self, name: &names::ServerName) {
+        if let Some(server) = self.servers.get_mut(name) {
+            server.frozen = true;
+        }
+    }
+
+    /// Lets a frozen server go on as if nothing had happened.
+    pub fn thaw_server(&mut self, name: &names::ServerName) {
+        if let Some(server) = self.servers.get_mut(name) {
+            server.frozen = false;
+            let held = std::mem::take(&mut server.held);
+            for event in held {
+                self.deliver(event);
+            }
+        }
+    }
+
+    /// Cuts two parties off from each other.
+    pub fn cut(&mut self, left: &world::WorldNode, right: &world::WorldNode) {
+        self.cuts.insert((left.clone(), right.clone()));
+        self.cuts.insert((right.clone(), left.clone()));
+    }
+
+    /// Cuts a failure domain off from all others, and from the log.
+    pub fn cut_domain(&mut self, domain: &names::DomainName) {
+        let (inside, outside): (Vec<_>, Vec<_>) = self
+            .nodes()
+            .into_iter()
+            .partition(|node| self.domain_of(node) == Some(domain));
+        for left in &inside {
+            for right in &outside {
+                self.cut(left, right);
+            }
+        }
+    }
+
+    pub(crate) fn nodes(&self) -> Vec<world::WorldNode> {
+        let hosts = self.hosts.keys().cloned().map(world::WorldNode::Host);
+        let servers = self.servers.keys().cloned().map(world::WorldNode::Server);
+        hosts
+            .chain(servers)
+            .chain([world::WorldNode::Log])
+            .collect()
+    }
+
+    pub(crate) fn domain_of(&self, node: &world::WorldNode) -> Option<&names::DomainName> {
+        match node {
+            world::WorldNode::Host(name) => self.hosts.get(name).map(|host| &host.spec.domain),
+            world::WorldNode::Server(name) => self.servers.get(name).map(|s| &s.spec.domain),
+            world::WorldNode::Log => None,
+        }
+    }
+
+    /// Ends all cuts.
+    pub fn heal(&mut self) {
+        self.cuts.clear();
+    }
+
+    /// Reports whether two parties reach each other.
+    #[must_use]
+    pub fn connected(&self, left: &world::WorldNode, right: &world::WorldNode) -> bool {
+        !self.cuts.contains(&(left.clone(), right.clone()))
+    }
+}
--- /dev/null
+++ b/lab/src/world_layout.rs
@@ -0,0 +1,151 @@
+//! How a world is laid out: its hosts, servers and clocks, and the configuration in its log.
+
+use std::net;
+
+use rand::RngExt as _;
+use zinniastack::configuration;
+use zinniastack::names;
+
+use crate::world;
+
+impl world::LabWorld {
+    pub(crate) fn lay_out(&mut self) {
+        let plan = self.plan.clone();
+        let mut port = 1;
+        let mut next_port = || {
+            port += 1;
+            net::SocketAddr::from((net::Ipv4Addr::LOCALHOST, port))
+        };
+        for domain in &plan.domains {
+            let name = names::DomainName::new(&domain.name).expect("a name");
+            for number in 1..=domain.hosts {
+                let host = format!("{}-h{number}", domain.name);
+                let spec = configuration::HostSpec {
+                    name: names::HostName::new(&host).expect("a name"),
+                    domain: name.clone(),
+                    peer: next_port(),
+                    callers: next_port(),
+                };
+                self.add_host(spec);
+            }
+            for number in 1..=domain.checked {
+                let server = format!("{}-s{number}", domain.name);
+                self.add_server(&server, &name, next_port(), true);
+            }
+            for number in 1..=domain.unchecked {
+                let server = format!("{}-u{number}", domain.name);
+                self.add_server(&server, &name, next_port(), false);
+            }
+        }
+        let configuration = self.configuration();
+        self.shards = world::owned_shards(&configuration);
+        self.append_patch("first", 0, configuration.to_changes());
+        let hosts: Vec<_> = self.hosts.keys().cloned().collect();
+        for host in &hosts {
+            self.start_host(host);
+        }
+    }
+
+    pub(crate) fn add_host(&mut self, spec: configuration::HostSpec) {
+        let clock = self.random_clock(self.plan.fast_hosts_ppm);
+        let host = world::WorldHost {
+            spec: spec.clone(),
+            state: None,
+            paused: false,
+            clock,
+            life: 0,
+            held: Vec::new(),
+        };
+        self.hosts.insert(spec.name, host);
+    }
+
+    pub(crate) fn add_server(
+        &mut self,
+        name: &str,
+        domain: &names::DomainName,
+        address: net::SocketAddr,
+        checked: bool,
+    ) {
+        let (service, fences) = if checked {
+            (world::CHECKED_SERVICE, configuration::FenceMode::Checked)
+        } else {
+            (
+                world::UNCHECKED_SERVICE,
+                configuration::FenceMode::Unchecked,
+            )
+        };
+        let spec = configuration::ServerSpec {
+            name: names::ServerName::new(name).expect("a name"),
+            service: names::ServiceName::new(service).expect("a name"),
+            domain: domain.clone(),
+            address,
+            fences,
+            slots: 6,
+            connections: 130,
+            withdrawn: None,
+        };
+        let clock = self.random_clock(0);
+        let server = world::WorldServer {
+            spec: spec.clone(),
+            state: None,
+            frozen: false,
+            clock,
+            held: Vec::new(),
+        };
+        self.servers.insert(spec.name.clone(), server);
+        self.restart_server(&spec.name);
+    }
+
+    pub(crate) fn random_clock(&mut self, faster_ppm: u64) -> world::WorldClock {
+        world::WorldClock {
+            offset_us: self.generator.random_range(0..1_000_000_000),
+            rate_ppm: 1_000_000
+                + faster_ppm
+                + self.generator.random_range(0..=world::CLOCK_DRIFT_PPM),
+        }
+    }
+
+    /// Returns the configuration that the world starts from.
+    ///
+    /// # Panics
+    /// When the plan's names are no names.
+    #[must_use]
+    pub fn configuration(&self) -> configuration::Configuration {
+        let domains: Vec<_> = self
+            .plan
+            .domains
+            .iter()
+            .map(|plan| configuration::DomainSpec {
+                name: names::DomainName::new(&plan.name).expect("a name"),
+                gone: None,
+            })
+            .collect();
+        let homes: Vec<_> = domains.iter().map(|d| d.name.clone()).collect();
+        let service = |name: &str, rank: u8| configuration::ServiceSpec {
+            name: names::ServiceName::new(name).expect("a name"),
+            rank: configuration::WorkRank::new(rank).expect("a rank"),
+            shards: self.plan.shards,
+            deadline_ms: world::DEADLINE_MS,
+            floor_percent: 10,
+            max_body_bytes: 1_024,
+            homes: homes.clone(),
+        };
+        let feature = configuration::FeatureSpec {
+            name: names::FeatureName::new("digest").expect("a name"),
+            service: names::ServiceName::new(world::CHECKED_SERVICE).expect("a name"),
+            rank: None,
+            status: configuration::FeatureStatus::Live,
+            when_stale: configuration::StalePolicy::Hold,
+        };
+        configuration::Configuration {
+            domain: domains,
+            host: self.hosts.values().map(|host| host.spec.clone()).collect(),
+            service: vec![
+                service(world::CHECKED_SERVICE, 1),
+                service(world::UNCHECKED_SERVICE, 3),
+            ],
+            server: self.servers.values().map(|s| s.spec.clone()).collect(),
+            feature: vec![feature],
+        }
+    }
+}
--- a/src/configuration_check.rs
+++ b/src/configuration_check.rs
@@ -1,8 +1,9 @@
 //! The changes that a patch may make, and the checks that every configuration must pass.
 
+use std::collections;
+
 use crate::configuration;
 use crate::names;
-use std::collections;
 
 impl configuration::Configuration {
     /// Applies changes in their order and checks the result as a whole.
--- a/src/control_log.rs
+++ b/src/control_log.rs
@@ -1,5 +1,7 @@
 //! How a host follows the log: reads, the fold, checkpoints, and logs that lost their past.
 
+use std::time;
+
 use crate::clock;
 use crate::control;
 use crate::fold;
@@ -8,7 +10,6 @@
 use crate::platform;
 use crate::record;
 use crate::timing;
-use std::time;
 
 impl control::ControlState {
     pub(crate) fn tick_checkpoint(&mut self, now: clock::MonoTime) {
--- a/src/control_peers.rs
+++ b/src/control_peers.rs
@@ -1,5 +1,9 @@
 //! What a host asks its peers, and what it answers them.
 
+use std::collections;
+use std::sync;
+use std::time;
+
 use crate::clock;
 use crate::control;
 use crate::domain;
@@ -8,9 +12,6 @@
 use crate::peer;
 use crate::table;
 use crate::timing;
-use std::collections;
-use std::sync;
-use std::time;
 
 impl control::ControlState {
     pub(crate) fn tick_exchange(
--- a/src/edge/journey.rs
+++ b/src/edge/journey.rs
@@ -1,5 +1,9 @@
 //! One request's journey: what the flow asks for is done, and what came of it told to the flow.
 
+use std::sync;
+
+use actix_web::web;
+
 use crate::clock;
 use crate::clock::MonoClock as _;
 use crate::contract;
@@ -11,8 +15,6 @@
 use crate::limit;
 use crate::names;
 use crate::outcome;
-use actix_web::web;
-use std::sync;
 
 /// One request between the door and its answer.
 pub(crate) struct RequestJourney<'a> {
--- a/src/grant_moves.rs
+++ b/src/grant_moves.rs
@@ -1,12 +1,13 @@
 //! Which shards a granter takes from their owners, and where it places those without one.
 
+use std::time;
+
 use crate::clock;
 use crate::configuration;
 use crate::grant;
 use crate::lease;
 use crate::names;
 use crate::placement;
-use std::time;
 
 impl grant::GrantBook {
     pub(crate) fn drain(&mut self, now: clock::MonoTime) {
--- a/src/grant_reports.rs
+++ b/src/grant_reports.rs
@@ -1,5 +1,8 @@
 //! What a granter takes from its servers: reports at the start of a term, and answers to renewals.
 
+use std::collections;
+use std::time;
+
 use crate::authority;
 use crate::clock;
 use crate::contract;
@@ -8,8 +11,6 @@
 use crate::grant;
 use crate::lease;
 use crate::names;
-use std::collections;
-use std::time;
 
 impl grant::GrantBook {
     // What the log or the former granter's table says holds until the owner itself has reported.
--- a/src/queue.rs
+++ b/src/queue.rs
@@ -185,7 +185,10 @@
             return Some(outcome::RefusalReason::DeadlineQueued);
         }
         let index = request.rank.index();
-        let before: usize = self.ranks[..=index].iter().map(collections::VecDeque::len).sum();
+        let before: usize = self.ranks[..=index]
+            .iter()
+            .map(collections::VecDeque::len)
+            .sum();
         let slots = self.limit.value();
         let in_turn = rounds(before, slots);
         let floor = f64::from(self.floors[index]) / f64::from(FLOOR_CREDIT);
