Tell of a version only once the traffic threads have its table

Cause: a host reported a new version up to one tick (20 ms) before it published the table, and zinnia-lab try took 410 at every host for 'in force everywhere', although a host that is behind answers 410 too where it passes the job on to a gate that is not. Seen once, under load: a server ran a retired feature's job after that. Change: the table is published before the verdict is told; the trial waits for the version at each host as well.

--- a/lab/src/cmd/try_site.rs
+++ b/lab/src/cmd/try_site.rs
@@ -336,6 +336,8 @@
             return Err(format!("{standing:?}"));
         }
         let started = time::Instant::now();
+        // A host that is behind answers 410 as well where it passes the job on to one that is not.
+        self.wait_for_version(3).await?;
         while self
             .fire(&feature)
             .await?
--- a/src/control_log.rs
+++ b/src/control_log.rs
@@ -75,24 +75,40 @@
         page: &platform::LogPage,
         now: clock::MonoTime,
     ) -> Vec<control::ControlAction> {
+        let mut notes = Vec::new();
         let mut actions = Vec::new();
+        let version = self.fold.state().version;
+        self.take_page(page, now, &mut notes);
+        // Nobody is told of a version before the traffic threads have its table.
+        if self.fold.state().version != version {
+            self.refresh_routing(now, &mut actions);
+        }
+        actions.extend(notes);
+        actions
+    }
+
+    fn take_page(
+        &mut self,
+        page: &platform::LogPage,
+        now: clock::MonoTime,
+        actions: &mut Vec<control::ControlAction>,
+    ) {
         self.note_read(now);
         let known = self.fold.state().next_offset;
         if page.next < known {
-            self.on_regressed(page, known, &mut actions);
-            return actions;
+            self.on_regressed(page, known, actions);
+            return;
         }
         self.regressed_reads = 0;
         if page.earliest > known {
-            self.scan(page, now, &mut actions);
-            return actions;
+            self.scan(page, now, actions);
+            return;
         }
         self.scan_from = None;
-        self.fold_records(&page.records, now, &mut actions);
+        self.fold_records(&page.records, now, actions);
         if self.fold.state().next_offset < page.next {
             self.read_at = now;
         }
-        actions
     }
 
     /// Notes that a read of the log failed.
