--- a/tests/requests.rs
+++ b/tests/requests.rs
@@ -250,6 +250,8 @@
         &["answer-passed"], Outcome::NotRun);
     gate_gone: expect_flow(PLAIN, &["gate-elsewhere", "connect-failed"],
         &["enqueue"], Outcome::NotRun);
+    gate_gone_with_a_stream: expect_flow(STREAMED, &["gate-elsewhere", "connect-failed"],
+        &["answer-unreachable"], Outcome::NotRun);
     gate_broke: expect_flow(PLAIN, &["gate-elsewhere", "exchange-broken"],
         &["answer-unknown"], Outcome::Unknown);
     gate_broke_idempotent: expect_flow(IDEMPOTENT, &["gate-elsewhere", "exchange-broken"],
