--- a/lab/src/checker.rs
+++ b/lab/src/checker.rs
@@ -4,6 +4,7 @@
 use std::time;
 
 use zinniastack::clock;
+use zinniastack::configuration;
 use zinniastack::fence;
 use zinniastack::names;
 
@@ -287,15 +288,16 @@
     }
 }
 
+// A shard whose first home was given up is placed afresh.
 fn given_up(world: &world::LabWorld, host: &names::HostName, shard: &names::ShardId) -> bool {
     let state = world.hosts.get(host).and_then(|host| host.state.as_ref());
-    let gone = state.map(|state| &state.fold().state().configuration.domain);
-    let any_gone = gone.is_some_and(|domains| {
-        domains
-            .iter()
-            .any(zinniastack::configuration::DomainSpec::is_gone)
-    });
-    any_gone && !shard.service.as_str().is_empty()
+    let configuration = state.map(|state| &state.fold().state().configuration);
+    configuration.is_some_and(|configuration| {
+        let service = configuration.find_service(&shard.service);
+        let home = service.map(|spec| &spec.homes[shard.index as usize % spec.homes.len()]);
+        let domain = home.and_then(|home| configuration.find_domain(home));
+        domain.is_some_and(configuration::DomainSpec::is_gone)
+    })
 }
 
 fn accepts(
--- a/src/control.rs
+++ b/src/control.rs
@@ -254,8 +254,19 @@
     }
 
     /// Takes the shards' loads of the last interval.
-    pub fn note_loads(&mut self, loads: &[peer::ShardLoad]) {
+    pub fn note_loads(&mut self, loads: &[peer::ShardLoad], now: clock::MonoTime) {
         self.loads.note(loads);
+        let smoothed: Vec<_> = self.loads.loads().collect();
+        self.tell_books(&smoothed, now);
+    }
+
+    pub(crate) fn tell_books(&mut self, loads: &[peer::ShardLoad], now: clock::MonoTime) {
+        let books = self.domains.values_mut().filter_map(|d| d.book_mut());
+        for book in books {
+            for load in loads {
+                book.note_load(load, now);
+            }
+        }
     }
 
     /// Returns where the current version stands among the hosts.
@@ -284,11 +295,8 @@
     fn tick_domains(&mut self, now: clock::MonoTime, actions: &mut Vec<ControlAction>) {
         let names: Vec<_> = self.domains.keys().cloned().collect();
         for name in names {
-            self.with_domain(&name, now, actions, super::domain::DomainControl::tick);
+            self.with_domain(&name, now, actions, domain::DomainControl::tick);
             if let Some(book) = self.domains.get_mut(&name).and_then(|d| d.book_mut()) {
-                for load in self.loads.loads() {
-                    book.note_load(&load, now);
-                }
                 let unlogged = book.take_unlogged();
                 self.journal.push_assignments(&unlogged);
             }
--- a/src/control_peers.rs
+++ b/src/control_peers.rs
@@ -83,13 +83,7 @@
         now: clock::MonoTime,
     ) -> peer::ExchangeReply {
         self.note_news(&request.hosts, &request.granters, now);
-        for control in self.domains.values_mut() {
-            if let Some(book) = control.book_mut() {
-                for load in &request.loads {
-                    book.note_load(load, now);
-                }
-            }
-        }
+        self.tell_books(&request.loads, now);
         let own = self.fold.state();
         let lacks_version = request.version < own.version;
         let records = self.records_since(request.next_offset);
--- a/src/edge/controller.rs
+++ b/src/edge/controller.rs
@@ -359,7 +359,7 @@
                 let assigned = self.state.fold().state().assignments.get(&shard);
                 let _ = reply.send(assigned.map(|assignment| assignment.fence.clone()));
             }
-            ControlRequest::Loads(loads) => self.state.note_loads(&loads),
+            ControlRequest::Loads(loads) => self.state.note_loads(&loads, now),
             ControlRequest::Status(reply) => {
                 let _ = reply.send(report::HostStatus::new(&self.state, now));
             }
--- a/src/edge/journey.rs
+++ b/src/edge/journey.rs
@@ -12,9 +12,11 @@
 use crate::edge::dispatcher;
 use crate::edge::exchange;
 use crate::flow;
+use crate::gate;
 use crate::limit;
 use crate::names;
 use crate::outcome;
+use crate::table;
 
 /// One request between the door and its answer.
 pub(crate) struct RequestJourney<'a> {
@@ -100,17 +102,19 @@
         }
     }
 
+    fn gate<'t>(&self, table: &'t table::RoutingTable) -> Option<&'t gate::GateHost> {
+        let key = self.envelope.key.as_str();
+        let route = table.lookup(&self.envelope.service, key)?.route?;
+        table.gate_of(&route.server.name)
+    }
+
     fn find_gate(&self) -> flow::RequestEvent {
         if self.context.clock.now() >= self.deadline {
             return flow::RequestEvent::DeadlinePassed;
         }
         let table = self.context.table.load();
-        let key = self.envelope.key.as_str();
-        let lookup = table.lookup(&self.envelope.service, key);
-        let route = lookup.and_then(|lookup| lookup.route);
-        let gate = route.and_then(|route| table.gate_of(&route.server.name));
         let passed_on = self.head.headers().contains_key(exchange::FORWARDED_HEADER);
-        if gate.is_some() && !passed_on {
+        if self.gate(&table).is_some() && !passed_on {
             flow::RequestEvent::GateElsewhere
         } else {
             flow::RequestEvent::GateHere
@@ -119,11 +123,7 @@
 
     async fn pass_on(&self, state: &mut JourneyState) -> flow::RequestEvent {
         let table = self.context.table.load_full();
-        let key = self.envelope.key.as_str();
-        let lookup = table.lookup(&self.envelope.service, key);
-        let route = lookup.and_then(|lookup| lookup.route);
-        let gate = route.and_then(|route| table.gate_of(&route.server.name));
-        let Some(gate) = gate else {
+        let Some(gate) = self.gate(&table) else {
             return flow::RequestEvent::ConnectFailed;
         };
         self.context.metrics.passed_on.inc();
--- a/src/grant.rs
+++ b/src/grant.rs
@@ -223,12 +223,6 @@
         std::mem::take(&mut self.unlogged)
     }
 
-    /// Returns the number of shards without an owner.
-    #[must_use]
-    pub fn vacant_count(&self) -> usize {
-        self.vacant.len()
-    }
-
     /// Takes over a new version of the configuration.
     pub fn follow(&mut self, fold: &fold::FoldState) {
         let witness_set = fold.witnesses.get(&self.domain).map_or(0, |w| w.number);
