--- /dev/null
+++ b/lab/src/cmd/mod.rs
@@ -0,0 +1,6 @@
+//! The commands of the program `zinnia-lab`, one file each.
+
+pub mod hosts;
+pub mod log;
+pub mod server;
+pub mod try_site;
--- /dev/null
+++ b/lab/src/cmd/try_site.rs
@@ -0,0 +1,424 @@
+//! `zinnia-lab try`: a whole site in one process, and a line for each promise that it keeps.
+
+use std::collections;
+use std::net;
+use std::time;
+
+use zinniastack::cmd;
+use zinniastack::cmd::check;
+use zinniastack::configuration;
+use zinniastack::edge::controller;
+use zinniastack::edge::operators;
+use zinniastack::fold;
+use zinniastack::names;
+use zinniastack::report;
+
+use crate::caller;
+use crate::http;
+use crate::site;
+
+/// The usage text.
+pub const USAGE: &str = "\
+Brings up a whole site on free loopback ports, tries its promises, and prints a line for each.
+
+Usage: zinnia-lab try
+Exit codes: 0 all promises kept, 1 one was not";
+
+/// How long a promise may take to be kept before it counts as broken, in milliseconds.
+pub const PROMISE_WAIT_MS: u64 = 8_000;
+/// How many keys of each service are tried.
+pub const KEYS_TRIED: usize = 24;
+
+const BASE: &str = include_str!("../../../examples/manizales.toml");
+
+/// The arguments.
+#[derive(Debug)]
+#[derive(gumdrop::Options)]
+pub struct TryArgs {
+    /// Whether help is asked for.
+    #[options(help = "print this help")]
+    pub help: bool,
+}
+
+/// Runs the command.
+///
+/// # Errors
+/// Fails when the site cannot be started.
+pub fn run(arguments: &[String]) -> Result<u8, cmd::CommandError> {
+    if cmd::parse_args::<TryArgs>(USAGE, arguments)?.is_none() {
+        return Ok(cmd::EXIT_OK);
+    }
+    actix::System::new().block_on(async {
+        let site = start_site().await.map_err(cmd::CommandError::failed)?;
+        let mut trial = SiteTrial::new(site);
+        trial.run().await;
+        println!("{} passed, {} failed", trial.passed, trial.failed);
+        Ok(if trial.failed == 0 {
+            cmd::EXIT_OK
+        } else {
+            cmd::EXIT_FAILED
+        })
+    })
+}
+
+async fn start_site() -> Result<site::LabSite, Box<dyn std::error::Error>> {
+    let file = check::check_text(BASE)?;
+    let check::CheckedFile::Configuration(base) = file else {
+        return Err("the example is no configuration".into());
+    };
+    let plan = site::SitePlan {
+        base,
+        domains: vec![
+            names::DomainName::new("chipre")?,
+            names::DomainName::new("palermo")?,
+        ],
+        hosts_each: 2,
+        servers_each: 2,
+        unchecked: Some(names::ServiceName::new("site-files")?),
+    };
+    site::LabSite::start(&plan).await
+}
+
+type Checked = Result<String, String>;
+
+struct SiteTrial {
+    site: site::LabSite,
+    client: caller::CallerClient,
+    passed: u32,
+    failed: u32,
+    counter: u64,
+}
+
+impl SiteTrial {
+    fn new(site: site::LabSite) -> Self {
+        Self {
+            site,
+            client: caller::CallerClient::new(),
+            passed: 0,
+            failed: 0,
+            counter: 0,
+        }
+    }
+
+    async fn run(&mut self) {
+        let result = self.try_configuration().await;
+        self.note(
+            "a configuration is accepted and in force at every host",
+            result,
+        );
+        let result = self.try_ranks().await;
+        self.note("a request of each rank is served at every host", result);
+        let result = self.try_one_owner().await;
+        self.note("each key has one owner, whichever host is asked", result);
+        let result = self.try_operators().await;
+        self.note(
+            "of two patches against one version, one is refused as stale",
+            result,
+        );
+        let result = self.try_bad_record().await;
+        self.note(
+            "a malformed record is skipped and counted by every host",
+            result,
+        );
+        let result = self.try_retirement().await;
+        self.note("a retired feature's job reaches no server", result);
+        let result = self.try_lost_server().await;
+        self.note("a lost server's keys are served again", result);
+        let result = self.try_stopped_host().await;
+        self.note("a stopping host cuts nothing, and granting goes on", result);
+    }
+
+    fn note(&mut self, promise: &str, result: Checked) {
+        match result {
+            Ok(detail) => {
+                self.passed += 1;
+                println!("passed  {promise}: {detail}");
+            }
+            Err(fault) => {
+                self.failed += 1;
+                println!("FAILED  {promise}: {fault}");
+            }
+        }
+    }
+
+    fn next_id(&mut self) -> String {
+        self.counter += 1;
+        format!("try-{}", self.counter)
+    }
+
+    fn operators(&self, host: usize) -> net::SocketAddr {
+        self.site.hosts[host].settings.operators
+    }
+
+    fn callers(&self, host: usize) -> net::SocketAddr {
+        self.site.hosts[host].settings.callers
+    }
+
+    async fn submit(
+        &self,
+        host: usize,
+        id: &str,
+        base: u64,
+        changes: Vec<configuration::ConfigurationChange>,
+    ) -> Result<controller::PatchStanding, String> {
+        let id = names::RecordId::new(id).map_err(|e| e.to_string())?;
+        let submission = operators::PatchSubmission { id, base, changes };
+        let address = self.operators(host);
+        let answer = cmd::call_host(address, "/patches", Some(&submission)).await;
+        let answer = answer.map_err(|e| e.to_string())?;
+        answer.ok_or_else(|| "no answer".into())
+    }
+
+    async fn status(&self, host: usize) -> Result<report::HostStatus, String> {
+        let address = self.operators(host);
+        let answer = cmd::call_host::<(), _>(address, "/status", None).await;
+        let answer = answer.map_err(|e| e.to_string())?;
+        answer.ok_or_else(|| "no status".into())
+    }
+
+    async fn wait_for_version(&self, version: u64) -> Checked {
+        let started = time::Instant::now();
+        for host in 0..self.site.hosts.len() {
+            while self.status(host).await?.version < version {
+                pause(started)?;
+                tick().await;
+            }
+        }
+        Ok(format!("{} ms", started.elapsed().as_millis()))
+    }
+
+    async fn try_configuration(&mut self) -> Checked {
+        let changes = self.site.configuration.to_changes();
+        let standing = self.submit(0, "first", 0, changes).await?;
+        if standing.verdict != Some(fold::PatchVerdict::Accepted { version: 1 }) {
+            return Err(format!("{standing:?}"));
+        }
+        let waited = self.wait_for_version(1).await?;
+        Ok(format!("version 1 after {waited}"))
+    }
+
+    fn services(&self) -> Vec<String> {
+        let services = self.site.configuration.service.iter();
+        services.map(|spec| spec.name.to_string()).collect()
+    }
+
+    async fn send_until_ran(
+        &mut self,
+        host: usize,
+        service: &str,
+        key: &str,
+    ) -> Result<caller::CallerAnswer, String> {
+        let started = time::Instant::now();
+        loop {
+            let id = self.next_id();
+            let request = caller::CallerRequest::new(service, key, &id);
+            let answer = self.client.send(self.callers(host), &request).await?;
+            if answer.ran() {
+                return Ok(answer);
+            }
+            pause(started).map_err(|e| format!("{e}: {service}/{key} {answer:?}"))?;
+            tick().await;
+        }
+    }
+
+    async fn try_ranks(&mut self) -> Checked {
+        let started = time::Instant::now();
+        let mut served = 0;
+        for host in 0..self.site.hosts.len() {
+            for service in self.services() {
+                self.send_until_ran(host, &service, "yard-7").await?;
+                served += 1;
+            }
+        }
+        Ok(format!(
+            "{served} served, {} ms",
+            started.elapsed().as_millis()
+        ))
+    }
+
+    async fn try_one_owner(&mut self) -> Checked {
+        for service in self.services() {
+            for key in 0..KEYS_TRIED {
+                for host in 0..self.site.hosts.len() {
+                    self.send_until_ran(host, &service, &format!("key-{key}"))
+                        .await?;
+                }
+            }
+        }
+        let mut owners = collections::BTreeMap::new();
+        for (name, server) in &self.site.servers {
+            for entry in http::lock(server.service.state()).journal() {
+                let owner = owners.entry(entry.shard.clone()).or_insert(name.clone());
+                if owner != name {
+                    return Err(format!("{} ran at {owner} and at {name}", entry.shard));
+                }
+            }
+        }
+        Ok(format!("{} shards seen, each at one server", owners.len()))
+    }
+
+    async fn try_operators(&mut self) -> Checked {
+        let put = |name: &str| {
+            let name = names::FeatureName::new(name).map_err(|e| e.to_string())?;
+            let service = self.site.configuration.service[0].name.clone();
+            Ok::<_, String>(configuration::ConfigurationChange::PutFeature(
+                configuration::FeatureSpec {
+                    name,
+                    service,
+                    status: configuration::FeatureStatus::Live,
+                    when_stale: configuration::StalePolicy::Serve,
+                },
+            ))
+        };
+        let (left, right) = (vec![put("left")?], vec![put("right")?]);
+        let left = self.submit(0, "left", 1, left);
+        let right = self.submit(1, "right", 1, right);
+        let (left, right) = futures_util::future::join(left, right).await;
+        let verdicts = [left?.verdict, right?.verdict];
+        let accepted = Some(fold::PatchVerdict::Accepted { version: 2 });
+        let stale = Some(fold::PatchVerdict::Stale { current: 2 });
+        if !verdicts.contains(&accepted) || !verdicts.contains(&stale) {
+            return Err(format!("{verdicts:?}"));
+        }
+        self.wait_for_version(2).await?;
+        Ok("accepted 2 and refused stale (current 2)".into())
+    }
+
+    async fn try_bad_record(&mut self) -> Checked {
+        http::lock(&self.site.log).append("{\"id\": 7, \"body\":".into());
+        let started = time::Instant::now();
+        for host in 0..self.site.hosts.len() {
+            while self.status(host).await?.skipped < 1 {
+                pause(started)?;
+                tick().await;
+            }
+        }
+        self.send_until_ran(0, "stock", "after-bad-record").await?;
+        Ok(format!("{} hosts skipped it", self.site.hosts.len()))
+    }
+
+    fn ran_for(&self, feature: &names::FeatureName) -> usize {
+        let servers = self.site.servers.values();
+        let runs = servers.map(|server| {
+            let state = http::lock(server.service.state());
+            let entries = state.journal().iter();
+            entries
+                .filter(|entry| entry.feature.as_ref() == Some(feature))
+                .count()
+        });
+        runs.sum()
+    }
+
+    async fn fire(&mut self, feature: &names::FeatureName) -> Result<Vec<u16>, String> {
+        let mut statuses = Vec::new();
+        for host in 0..self.site.hosts.len() {
+            let id = self.next_id();
+            let request = caller::CallerRequest::new("stock", &id, &id);
+            let request = request.with_feature(feature.clone());
+            let answer = self.client.send(self.callers(host), &request).await?;
+            statuses.push(answer.status);
+        }
+        Ok(statuses)
+    }
+
+    async fn try_retirement(&mut self) -> Checked {
+        let feature = names::FeatureName::new("nightly-stock-digest").map_err(|e| e.to_string())?;
+        let before = self.fire(&feature).await?;
+        if before.iter().any(|status| *status != 200) || self.ran_for(&feature) != before.len() {
+            return Err(format!("not served before: {before:?}"));
+        }
+        let change = configuration::ConfigurationChange::RetireFeature {
+            name: feature.clone(),
+        };
+        let standing = self.submit(2, "retire", 2, vec![change]).await?;
+        if standing.verdict != Some(fold::PatchVerdict::Accepted { version: 3 }) {
+            return Err(format!("{standing:?}"));
+        }
+        let started = time::Instant::now();
+        while self
+            .fire(&feature)
+            .await?
+            .iter()
+            .any(|status| *status != 410)
+        {
+            pause(started)?;
+        }
+        let in_force = started.elapsed().as_millis();
+        let ran = self.ran_for(&feature);
+        for _ in 0..25 {
+            self.fire(&feature).await?;
+            tick().await;
+        }
+        if self.ran_for(&feature) != ran {
+            return Err("a server ran it after the retirement".into());
+        }
+        Ok(format!(
+            "410 at every host within {in_force} ms of the verdict, 100 later jobs stopped"
+        ))
+    }
+
+    async fn try_lost_server(&mut self) -> Checked {
+        let owner = |site: &site::LabSite, id: &str| {
+            let servers = site.servers.iter();
+            let mut ran = servers.filter(|(_, server)| {
+                let state = http::lock(server.service.state());
+                state.journal().iter().any(|entry| entry.id.as_str() == id)
+            });
+            ran.next().map(|(name, _)| name.clone())
+        };
+        let answer = self.send_until_ran(0, "orders", "contractor-9").await?;
+        let lost = owner(&self.site, &answer.id).ok_or("no journal has the request")?;
+        self.site.servers[&lost].handle.stop(false).await;
+        http::lock(self.site.servers[&lost].service.faults()).frozen = true;
+        let started = time::Instant::now();
+        let answer = self.send_until_ran(1, "orders", "contractor-9").await?;
+        let waited = started.elapsed().as_millis();
+        let next = owner(&self.site, &answer.id).ok_or("no journal has the request")?;
+        if next == lost {
+            return Err(format!("{lost} still ran it"));
+        }
+        Ok(format!("moved from {lost} to {next} after {waited} ms"))
+    }
+
+    async fn try_stopped_host(&mut self) -> Checked {
+        let status = self.status(0).await?;
+        let granters: Vec<_> = status
+            .domains
+            .iter()
+            .filter_map(|d| d.granter.clone())
+            .collect();
+        let stopped = self
+            .site
+            .hosts
+            .iter()
+            .position(|host| granters.contains(&host.settings.name))
+            .ok_or("no host grants")?;
+        let client = self.client.clone();
+        let request = caller::CallerRequest::new("orders", "in-flight", "in-flight");
+        let address = self.callers(stopped);
+        let in_flight = async move { client.send(address, &request).await };
+        let stopping = self.site.hosts[stopped].entry.stop();
+        let (answer, ()) = futures_util::future::join(in_flight, stopping).await;
+        let answer = answer?;
+        if !answer.ran() {
+            return Err(format!("the request in flight got {answer:?}"));
+        }
+        let other = (stopped + 1) % self.site.hosts.len();
+        self.send_until_ran(other, "stock", "after-stop").await?;
+        let name = &self.site.hosts[stopped].settings.name;
+        Ok(format!(
+            "{name} stopped, its request in flight was answered"
+        ))
+    }
+}
+
+fn pause(started: time::Instant) -> Result<(), String> {
+    if started.elapsed() < time::Duration::from_millis(PROMISE_WAIT_MS) {
+        return Ok(());
+    }
+    Err(format!("not within {PROMISE_WAIT_MS} ms"))
+}
+
+async fn tick() {
+    tokio::time::sleep(time::Duration::from_millis(20)).await;
+}
--- /dev/null
+++ b/lab/src/http.rs
@@ -0,0 +1,345 @@
+//! The stand-ins over HTTP with JSON, on loopback.
+
+use std::net;
+use std::sync;
+use std::time;
+
+use actix_web::web;
+
+use zinniastack::clock;
+use zinniastack::clock::MonoClock as _;
+use zinniastack::contract;
+use zinniastack::names;
+use zinniastack::platform;
+
+use crate::host_list;
+use crate::log_state;
+use crate::server_state;
+
+/// The largest body that a stand-in takes, in bytes.
+pub const MAX_BODY_BYTES: usize = 64 << 20;
+
+/// A state that HTTP handlers share.
+pub type Shared<T> = sync::Arc<sync::Mutex<T>>;
+
+/// Creates a shared state.
+pub fn shared<T>(state: T) -> Shared<T> {
+    sync::Arc::new(sync::Mutex::new(state))
+}
+
+/// Locks a shared state, whatever became of other holders.
+pub fn lock<T>(state: &Shared<T>) -> sync::MutexGuard<'_, T> {
+    state.lock().unwrap_or_else(sync::PoisonError::into_inner)
+}
+
+fn run(server: actix_web::dev::Server) -> actix_web::dev::ServerHandle {
+    let handle = server.handle();
+    actix::spawn(server);
+    handle
+}
+
+/// A read of the log.
+#[derive(Clone, Debug)]
+#[derive(serde::Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct ReadQuery {
+    /// The first offset.
+    pub from: u64,
+}
+
+/// Serves the log.
+///
+/// # Errors
+/// Fails when the listener cannot be used.
+pub fn serve_log(
+    listener: net::TcpListener,
+    state: Shared<log_state::LogState>,
+) -> std::io::Result<actix_web::dev::ServerHandle> {
+    let state = web::Data::new(state);
+    let server = actix_web::HttpServer::new(move || {
+        actix_web::App::new()
+            .app_data(state.clone())
+            .app_data(web::PayloadConfig::new(MAX_BODY_BYTES))
+            .route("/records", web::get().to(read_records))
+            .route("/records", web::post().to(append_record))
+            .route("/faults", web::post().to(set_log_faults))
+            .route("/trim/{keep}", web::post().to(trim_log))
+    });
+    Ok(run(server
+        .workers(1)
+        .disable_signals()
+        .listen(listener)?
+        .run()))
+}
+
+async fn pause_log(state: &Shared<log_state::LogState>) {
+    let slow = lock(state).faults.slow_ms;
+    if slow > 0 {
+        tokio::time::sleep(time::Duration::from_millis(slow)).await;
+    }
+}
+
+async fn read_records(
+    query: web::Query<ReadQuery>,
+    state: web::Data<Shared<log_state::LogState>>,
+) -> actix_web::HttpResponse {
+    pause_log(&state).await;
+    let page = lock(&state).read(query.from);
+    page.map_or_else(unavailable, |page| actix_web::HttpResponse::Ok().json(page))
+}
+
+async fn append_record(
+    text: String,
+    state: web::Data<Shared<log_state::LogState>>,
+) -> actix_web::HttpResponse {
+    pause_log(&state).await;
+    let reply = lock(&state).append(text);
+    reply.map_or_else(unavailable, |reply| {
+        actix_web::HttpResponse::Ok().json(reply)
+    })
+}
+
+async fn set_log_faults(
+    faults: web::Json<log_state::LogFaults>,
+    state: web::Data<Shared<log_state::LogState>>,
+) -> actix_web::HttpResponse {
+    lock(&state).faults = faults.into_inner();
+    actix_web::HttpResponse::NoContent().finish()
+}
+
+async fn trim_log(
+    keep: web::Path<usize>,
+    state: web::Data<Shared<log_state::LogState>>,
+) -> actix_web::HttpResponse {
+    lock(&state).trim(keep.into_inner());
+    actix_web::HttpResponse::NoContent().finish()
+}
+
+fn unavailable() -> actix_web::HttpResponse {
+    actix_web::HttpResponse::ServiceUnavailable().finish()
+}
+
+/// The host list and its clock.
+pub struct HostListService {
+    state: Shared<host_list::HostListState>,
+    clock: clock::SystemClock,
+}
+
+/// Serves the host list.
+///
+/// # Errors
+/// Fails when the listener cannot be used.
+pub fn serve_hosts(
+    listener: net::TcpListener,
+    state: Shared<host_list::HostListState>,
+) -> std::io::Result<actix_web::dev::ServerHandle> {
+    let service = web::Data::new(HostListService {
+        state,
+        clock: clock::SystemClock::new(),
+    });
+    let server = actix_web::HttpServer::new(move || {
+        actix_web::App::new()
+            .app_data(service.clone())
+            .route("/hosts", web::get().to(list_hosts))
+            .route("/hosts", web::post().to(set_host))
+    });
+    Ok(run(server
+        .workers(1)
+        .disable_signals()
+        .listen(listener)?
+        .run()))
+}
+
+async fn list_hosts(service: web::Data<HostListService>) -> actix_web::HttpResponse {
+    let listing = lock(&service.state).list(service.clock.now());
+    actix_web::HttpResponse::Ok().json(listing)
+}
+
+async fn set_host(
+    entry: web::Json<platform::ListedServer>,
+    service: web::Data<HostListService>,
+) -> actix_web::HttpResponse {
+    let entry = entry.into_inner();
+    lock(&service.state).set(entry.name, entry.state, service.clock.now());
+    actix_web::HttpResponse::NoContent().finish()
+}
+
+/// How a server's answers go wrong.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
+#[serde(default, deny_unknown_fields, rename_all = "kebab-case")]
+pub struct ServerFaults {
+    /// Whether nothing is answered until this ends.
+    pub frozen: bool,
+    /// Whether the server asks to be relieved of its shards.
+    pub draining: bool,
+    /// Whether answers carry another request's id.
+    pub crossed: bool,
+    /// How much longer each request takes, in milliseconds.
+    pub slow_ms: u64,
+}
+
+/// A backend server, its clock and its faults.
+pub struct ServerService {
+    state: Shared<server_state::ServerState>,
+    faults: Shared<ServerFaults>,
+    clock: clock::SystemClock,
+    service_time: time::Duration,
+}
+
+impl ServerService {
+    /// Creates a server whose requests take `service_time`.
+    #[must_use]
+    pub fn new(setup: server_state::ServerSetup, service_time: time::Duration) -> Self {
+        let clock = clock::SystemClock::new();
+        Self {
+            state: shared(server_state::ServerState::new(setup, clock.now())),
+            faults: shared(ServerFaults::default()),
+            clock,
+            service_time,
+        }
+    }
+
+    /// Returns the server's state.
+    #[must_use]
+    pub const fn state(&self) -> &Shared<server_state::ServerState> {
+        &self.state
+    }
+
+    /// Returns the server's faults.
+    #[must_use]
+    pub const fn faults(&self) -> &Shared<ServerFaults> {
+        &self.faults
+    }
+
+    async fn thaw(&self) {
+        while lock(&self.faults).frozen {
+            tokio::time::sleep(time::Duration::from_millis(10)).await;
+        }
+    }
+}
+
+/// Serves a backend server.
+///
+/// # Errors
+/// Fails when the listener cannot be used.
+pub fn serve_server(
+    listener: net::TcpListener,
+    service: web::Data<ServerService>,
+) -> std::io::Result<actix_web::dev::ServerHandle> {
+    let server = actix_web::HttpServer::new(move || {
+        actix_web::App::new()
+            .app_data(service.clone())
+            .app_data(web::PayloadConfig::new(MAX_BODY_BYTES))
+            .app_data(web::JsonConfig::default().limit(MAX_BODY_BYTES))
+            .route("/claim", web::post().to(claim))
+            .route("/lease", web::post().to(lease))
+            .route("/journal", web::get().to(journal))
+            .route("/faults", web::post().to(set_server_faults))
+            .route("/work/{path:.*}", web::to(work))
+    });
+    Ok(run(server
+        .workers(1)
+        .disable_signals()
+        .listen(listener)?
+        .run()))
+}
+
+async fn claim(
+    order: web::Json<contract::ClaimOrder>,
+    service: web::Data<ServerService>,
+) -> actix_web::HttpResponse {
+    service.thaw().await;
+    let reply = lock(&service.state).claim(&order, service.clock.now());
+    actix_web::HttpResponse::Ok().json(reply)
+}
+
+async fn lease(
+    order: web::Json<contract::LeaseOrder>,
+    service: web::Data<ServerService>,
+) -> actix_web::HttpResponse {
+    service.thaw().await;
+    let reply = lock(&service.state).lease(&order, service.clock.now());
+    actix_web::HttpResponse::Ok().json(reply)
+}
+
+async fn journal(service: web::Data<ServerService>) -> actix_web::HttpResponse {
+    let entries = lock(&service.state).journal().to_vec();
+    actix_web::HttpResponse::Ok().json(entries)
+}
+
+async fn set_server_faults(
+    faults: web::Json<ServerFaults>,
+    service: web::Data<ServerService>,
+) -> actix_web::HttpResponse {
+    let faults = faults.into_inner();
+    lock(&service.state).draining = faults.draining;
+    *lock(&service.faults) = faults;
+    actix_web::HttpResponse::NoContent().finish()
+}
+
+/// What a server answers to a request that it ran.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct WorkReceipt {
+    /// The request's id.
+    pub id: names::RequestId,
+    /// The shard.
+    pub shard: names::ShardId,
+    /// The size of the body that came, in bytes.
+    pub bytes: usize,
+}
+
+async fn work(
+    head: actix_web::HttpRequest,
+    body: web::Bytes,
+    service: web::Data<ServerService>,
+) -> actix_web::HttpResponse {
+    service.thaw().await;
+    let Some(work) = read_work(&head) else {
+        return actix_web::HttpResponse::BadRequest().finish();
+    };
+    let began = lock(&service.state).begin(&work, service.clock.now());
+    if let Err(refusal) = began {
+        return actix_web::HttpResponse::ServiceUnavailable()
+            .insert_header((contract::REQUEST_ID_HEADER, work.entry.id.as_str()))
+            .insert_header((contract::OUTCOME_HEADER, "not-run"))
+            .insert_header((contract::REASON_HEADER, refusal.as_str()))
+            .finish();
+    }
+    let faults = lock(&service.faults).clone();
+    let slow = time::Duration::from_millis(faults.slow_ms);
+    tokio::time::sleep(service.service_time + slow).await;
+    service.thaw().await;
+    let may_answer = lock(&service.state).finish(&work.entry.shard, service.clock.now());
+    if !may_answer {
+        return actix_web::HttpResponse::InternalServerError().finish();
+    }
+    let echo = if faults.crossed {
+        "another-request"
+    } else {
+        work.entry.id.as_str()
+    };
+    actix_web::HttpResponse::Ok()
+        .insert_header((contract::REQUEST_ID_HEADER, echo))
+        .json(WorkReceipt {
+            id: work.entry.id.clone(),
+            shard: work.entry.shard,
+            bytes: body.len(),
+        })
+}
+
+fn read_work(head: &actix_web::HttpRequest) -> Option<server_state::ServerWork> {
+    let text = |name: &str| head.headers().get(name)?.to_str().ok();
+    let feature = text(contract::FEATURE_HEADER).map(names::FeatureName::new);
+    Some(server_state::ServerWork {
+        entry: server_state::JournalEntry {
+            id: text(contract::REQUEST_ID_HEADER)?.parse().ok()?,
+            shard: text(contract::SHARD_HEADER)?.parse().ok()?,
+            feature: feature.transpose().ok()?,
+        },
+        fence: text(contract::FENCE_HEADER)?.parse().ok()?,
+        left_ms: text(contract::DEADLINE_HEADER)?.parse().ok()?,
+    })
+}
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -1,1 +1,12 @@
-//! x
+//! Stand-ins for what surrounds zinniastack: the platform's log and host list, and backend servers.
+//!
+//! The states are pure, so that scripted scenarios use them on virtual time; [`http`] serves the
+//! same states on loopback.
+
+pub mod caller;
+pub mod cmd;
+pub mod host_list;
+pub mod http;
+pub mod log_state;
+pub mod server_state;
+pub mod site;
--- /dev/null
+++ b/lab/src/server_state.rs
@@ -0,0 +1,291 @@
+//! The state of a backend server: its promises, lease, grants, slots and journal.
+
+use std::collections;
+use std::time;
+
+use zinniastack::clock;
+use zinniastack::configuration;
+use zinniastack::contract;
+use zinniastack::fence;
+use zinniastack::names;
+
+/// How a server is set up.
+#[derive(Clone, Debug)]
+pub struct ServerSetup {
+    /// Whether it checks terms, leases and fences.
+    pub fences: configuration::FenceMode,
+    /// How many requests it runs at once.
+    pub slots: u32,
+    /// The process's random number.
+    pub incarnation: u64,
+}
+
+/// One request that the server ran.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct JournalEntry {
+    /// The request's id.
+    pub id: names::RequestId,
+    /// The shard that it was sent for.
+    pub shard: names::ShardId,
+    /// The feature whose work it was.
+    pub feature: Option<names::FeatureName>,
+}
+
+/// A request as a server gets it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ServerWork {
+    /// The journal's entry for it.
+    pub entry: JournalEntry,
+    /// The fence under which it was routed.
+    pub fence: fence::GrantFence,
+    /// The time left when it was sent, in milliseconds.
+    pub left_ms: u64,
+}
+
+/// The server's state.
+#[derive(Clone, Debug)]
+pub struct ServerState {
+    setup: ServerSetup,
+    started: clock::MonoTime,
+    promised: Option<fence::TermId>,
+    acked_at: Option<clock::MonoTime>,
+    former_ack_at: Option<clock::MonoTime>,
+    sequence: u64,
+    witness_set: u64,
+    version: u64,
+    lease_until: clock::MonoTime,
+    revision: Option<u64>,
+    held: collections::BTreeMap<names::ShardId, fence::GrantFence>,
+    running: collections::BTreeMap<names::ShardId, u32>,
+    finished: u64,
+    journal: Vec<JournalEntry>,
+    /// Whether the server asks to be relieved of its shards.
+    pub draining: bool,
+}
+
+impl ServerState {
+    /// Creates a server that has just started.
+    #[must_use]
+    pub const fn new(setup: ServerSetup, now: clock::MonoTime) -> Self {
+        Self {
+            setup,
+            started: now,
+            promised: None,
+            acked_at: None,
+            former_ack_at: None,
+            sequence: 0,
+            witness_set: 0,
+            version: 0,
+            lease_until: clock::MonoTime::from_micros(0),
+            revision: None,
+            held: collections::BTreeMap::new(),
+            running: collections::BTreeMap::new(),
+            finished: 0,
+            journal: Vec::new(),
+            draining: false,
+        }
+    }
+
+    /// Returns what the server ran, in order.
+    #[must_use]
+    pub fn journal(&self) -> &[JournalEntry] {
+        &self.journal
+    }
+
+    /// Reports whether the server checks fences.
+    #[must_use]
+    pub fn is_checked(&self) -> bool {
+        self.setup.fences == configuration::FenceMode::Checked
+    }
+
+    /// Reports whether the server's lease is live.
+    #[must_use]
+    pub fn has_lease(&self, now: clock::MonoTime) -> bool {
+        now < self.lease_until
+    }
+
+    /// Returns the shards for which the server would answer now.
+    pub fn owned(&self, now: clock::MonoTime) -> impl Iterator<Item = &names::ShardId> {
+        let live = self.has_lease(now);
+        self.held.keys().filter(move |_| live)
+    }
+
+    /// Returns the fence under which the server holds a shard.
+    #[must_use]
+    pub fn fence_of(&self, shard: &names::ShardId) -> Option<&fence::GrantFence> {
+        self.held.get(shard)
+    }
+
+    /// Answers a claim.
+    pub fn claim(
+        &mut self,
+        order: &contract::ClaimOrder,
+        now: clock::MonoTime,
+    ) -> contract::ClaimReply {
+        let accepted = self.accepts(&order.term, order.witness_set);
+        let same = self.promised.as_ref() == Some(&order.term);
+        let other_ack = if same {
+            self.former_ack_at
+        } else {
+            self.acked_at
+        };
+        let ack_age_ms = other_ack.map(|at| millis(now.since(at)));
+        let lease_left_ms = millis(self.lease_until.since(now));
+        if accepted && !order.probe {
+            self.promise(&order.term, now);
+            self.note_told(order.witness_set, order.version);
+        }
+        contract::ClaimReply {
+            accepted,
+            ack_age_ms,
+            lease_left_ms,
+            held: self.grants(),
+            status: self.status(now),
+        }
+    }
+
+    fn accepts(&self, term: &fence::TermId, witness_set: u64) -> bool {
+        let higher = self.promised.as_ref().is_none_or(|known| term >= known);
+        !self.is_checked() || (higher && witness_set >= self.witness_set)
+    }
+
+    fn promise(&mut self, term: &fence::TermId, now: clock::MonoTime) {
+        if self.promised.as_ref() != Some(term) {
+            self.former_ack_at = self.acked_at;
+            self.promised = Some(term.clone());
+            self.sequence = 0;
+            self.revision = None;
+        }
+        self.acked_at = Some(now);
+    }
+
+    fn note_told(&mut self, witness_set: u64, version: u64) {
+        self.witness_set = self.witness_set.max(witness_set);
+        self.version = self.version.max(version);
+    }
+
+    /// Answers a renewal.
+    pub fn lease(
+        &mut self,
+        order: &contract::LeaseOrder,
+        now: clock::MonoTime,
+    ) -> contract::LeaseReply {
+        let verdict = self.take_order(order, now);
+        contract::LeaseReply {
+            verdict,
+            status: self.status(now),
+        }
+    }
+
+    fn take_order(
+        &mut self,
+        order: &contract::LeaseOrder,
+        now: clock::MonoTime,
+    ) -> contract::LeaseVerdict {
+        if !self.accepts(&order.term, order.witness_set) {
+            return contract::LeaseVerdict::Refused;
+        }
+        let same = self.promised.as_ref() == Some(&order.term);
+        if self.is_checked() && same && order.sequence <= self.sequence {
+            return contract::LeaseVerdict::Refused;
+        }
+        self.promise(&order.term, now);
+        self.note_told(order.witness_set, order.version);
+        self.sequence = order.sequence;
+        let current = order
+            .token
+            .filter(|token| token.incarnation == self.setup.incarnation);
+        let Some(token) = current else {
+            return contract::LeaseVerdict::NeedToken;
+        };
+        let issued = clock::MonoTime::from_micros(token.clock_us);
+        let until = issued + time::Duration::from_millis(order.lease_ms);
+        if until <= now {
+            return contract::LeaseVerdict::NeedToken;
+        }
+        if let Some(grants) = &order.grants {
+            let pairs = grants.iter().map(|g| (g.shard.clone(), g.fence.clone()));
+            self.held = pairs.collect();
+            self.revision = Some(order.revision);
+        }
+        if self.revision != Some(order.revision) {
+            return contract::LeaseVerdict::NeedGrants;
+        }
+        self.lease_until = self.lease_until.max(until);
+        contract::LeaseVerdict::Renewed
+    }
+
+    fn grants(&self) -> Vec<contract::ShardGrant> {
+        let pairs = self.held.iter();
+        let grants = pairs.map(|(shard, fence)| contract::ShardGrant {
+            shard: shard.clone(),
+            fence: fence.clone(),
+        });
+        grants.collect()
+    }
+
+    fn status(&self, now: clock::MonoTime) -> contract::ServerStatus {
+        let running = self.running.iter().filter(|(_, count)| **count > 0);
+        let lost = running.filter(|(shard, _)| !self.held.contains_key(*shard));
+        contract::ServerStatus {
+            token: contract::LeaseToken {
+                incarnation: self.setup.incarnation,
+                clock_us: now.as_micros(),
+            },
+            up_ms: millis(now.since(self.started)),
+            promised: self.promised.clone(),
+            witness_set: self.witness_set,
+            version: self.version,
+            releasing: lost.map(|(shard, _)| shard.clone()).collect(),
+            draining: self.draining,
+            load: contract::LoadReport {
+                running: self.running.values().sum(),
+                finished: self.finished,
+            },
+        }
+    }
+
+    /// Takes a request to run.
+    ///
+    /// # Errors
+    /// Fails when the server refuses it; nothing of it has run then.
+    pub fn begin(
+        &mut self,
+        work: &ServerWork,
+        now: clock::MonoTime,
+    ) -> Result<(), contract::ServerRefusal> {
+        if self.is_checked() {
+            if !self.has_lease(now) {
+                return Err(contract::ServerRefusal::LeaseLapsed);
+            }
+            if self.held.get(&work.entry.shard) != Some(&work.fence) {
+                return Err(contract::ServerRefusal::WrongFence);
+            }
+        }
+        if work.left_ms == 0 {
+            return Err(contract::ServerRefusal::Late);
+        }
+        if self.running.values().sum::<u32>() >= self.setup.slots {
+            return Err(contract::ServerRefusal::Shed);
+        }
+        *self.running.entry(work.entry.shard.clone()).or_default() += 1;
+        self.journal.push(work.entry.clone());
+        Ok(())
+    }
+
+    /// Ends a request; reports whether the server may still answer it.
+    pub fn finish(&mut self, shard: &names::ShardId, now: clock::MonoTime) -> bool {
+        if let Some(count) = self.running.get_mut(shard) {
+            *count = count.saturating_sub(1);
+        }
+        self.running.retain(|_, count| *count > 0);
+        self.finished += 1;
+        !self.is_checked() || self.has_lease(now)
+    }
+}
+
+fn millis(span: time::Duration) -> u64 {
+    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/lab/src/site.rs
@@ -0,0 +1,223 @@
+//! A whole site in one process on free loopback ports: the platform, servers and entry hosts.
+
+use std::collections;
+use std::io;
+use std::net;
+use std::time;
+
+use actix_web::web;
+
+use zinniastack::configuration;
+use zinniastack::edge::host;
+use zinniastack::names;
+
+use crate::host_list;
+use crate::http;
+use crate::log_state;
+use crate::server_state;
+
+/// How long a stand-in server takes for a request, in milliseconds.
+pub const SERVICE_TIME_MS: u64 = 2;
+/// How far the stand-in host list lags, in milliseconds.
+pub const LIST_LAG_MS: u64 = 500;
+
+/// Opens a listener on a free loopback port.
+///
+/// # Errors
+/// Fails when no port is free.
+pub fn free_listener() -> io::Result<net::TcpListener> {
+    net::TcpListener::bind((net::Ipv4Addr::LOCALHOST, 0))
+}
+
+/// Returns a loopback address whose port was free a moment ago.
+///
+/// # Errors
+/// Fails when no port is free.
+pub fn free_address() -> io::Result<net::SocketAddr> {
+    free_listener()?.local_addr()
+}
+
+/// One entry host and its addresses.
+pub struct SiteHost {
+    /// The host's settings.
+    pub settings: host::HostSettings,
+    /// The running host.
+    pub entry: host::EntryHost,
+}
+
+/// One stand-in server.
+pub struct SiteServer {
+    /// The server as configured.
+    pub spec: configuration::ServerSpec,
+    /// Its service.
+    pub service: web::Data<http::ServerService>,
+    /// Its listener.
+    pub handle: actix_web::dev::ServerHandle,
+}
+
+/// A running site.
+pub struct LabSite {
+    /// The configuration that the site starts from.
+    pub configuration: configuration::Configuration,
+    /// The log's state.
+    pub log: http::Shared<log_state::LogState>,
+    /// The host list's state.
+    pub list: http::Shared<host_list::HostListState>,
+    /// The entry hosts.
+    pub hosts: Vec<SiteHost>,
+    /// The servers.
+    pub servers: collections::BTreeMap<names::ServerName, SiteServer>,
+}
+
+/// What a site is made of.
+pub struct SitePlan {
+    /// The configuration whose services and features the site takes over.
+    pub base: configuration::Configuration,
+    /// The failure domains.
+    pub domains: Vec<names::DomainName>,
+    /// How many entry hosts each domain has.
+    pub hosts_each: usize,
+    /// How many servers each service has in each domain.
+    pub servers_each: usize,
+    /// The service whose servers check no fences.
+    pub unchecked: Option<names::ServiceName>,
+}
+
+impl LabSite {
+    /// Starts a site.
+    ///
+    /// # Errors
+    /// Fails when a listener cannot be opened or a name is faulty.
+    pub async fn start(plan: &SitePlan) -> Result<Self, Box<dyn std::error::Error>> {
+        let mut configuration = plan.base.clone();
+        configuration.domain = plan
+            .domains
+            .iter()
+            .map(|name| configuration::DomainSpec {
+                name: name.clone(),
+                gone: None,
+            })
+            .collect();
+        configuration.host.clear();
+        configuration.server.clear();
+        for service in &mut configuration.service {
+            service.homes.clone_from(&plan.domains);
+        }
+        let log = http::shared(log_state::LogState::new());
+        let lag = time::Duration::from_millis(LIST_LAG_MS);
+        let list = http::shared(host_list::HostListState::new(lag));
+        let log_listener = free_listener()?;
+        let log_address = log_listener.local_addr()?;
+        http::serve_log(log_listener, log.clone())?;
+        let list_listener = free_listener()?;
+        let list_address = list_listener.local_addr()?;
+        http::serve_hosts(list_listener, list.clone())?;
+        let servers = start_servers(plan, &mut configuration)?;
+        let hosts = start_hosts(plan, &mut configuration, log_address, list_address).await?;
+        Ok(Self {
+            configuration,
+            log,
+            list,
+            hosts,
+            servers,
+        })
+    }
+}
+
+fn start_servers(
+    plan: &SitePlan,
+    configuration: &mut configuration::Configuration,
+) -> Result<collections::BTreeMap<names::ServerName, SiteServer>, Box<dyn std::error::Error>> {
+    let mut servers = collections::BTreeMap::new();
+    let services: Vec<_> = configuration
+        .service
+        .iter()
+        .map(|s| s.name.clone())
+        .collect();
+    for domain in &plan.domains {
+        for service in &services {
+            for number in 1..=plan.servers_each {
+                let listener = free_listener()?;
+                let unchecked = plan.unchecked.as_ref() == Some(service);
+                let spec = configuration::ServerSpec {
+                    name: names::ServerName::new(&format!("{service}-{domain}-{number}"))?,
+                    service: service.clone(),
+                    domain: domain.clone(),
+                    address: listener.local_addr()?,
+                    fences: if unchecked {
+                        configuration::FenceMode::Unchecked
+                    } else {
+                        configuration::FenceMode::Checked
+                    },
+                    slots: 6,
+                    connections: 130,
+                    withdrawn: None,
+                };
+                let server = start_server(listener, spec)?;
+                configuration.server.push(server.spec.clone());
+                servers.insert(server.spec.name.clone(), server);
+            }
+        }
+    }
+    Ok(servers)
+}
+
+/// Starts one server.
+///
+/// # Errors
+/// Fails when the listener cannot be used.
+pub fn start_server(
+    listener: net::TcpListener,
+    spec: configuration::ServerSpec,
+) -> io::Result<SiteServer> {
+    let setup = server_state::ServerSetup {
+        fences: spec.fences,
+        slots: spec.slots,
+        incarnation: rand::random(),
+    };
+    let time = time::Duration::from_millis(SERVICE_TIME_MS);
+    let service = web::Data::new(http::ServerService::new(setup, time));
+    let handle = http::serve_server(listener, service.clone())?;
+    Ok(SiteServer {
+        spec,
+        service,
+        handle,
+    })
+}
+
+async fn start_hosts(
+    plan: &SitePlan,
+    configuration: &mut configuration::Configuration,
+    log: net::SocketAddr,
+    list: net::SocketAddr,
+) -> Result<Vec<SiteHost>, Box<dyn std::error::Error>> {
+    let mut all = Vec::new();
+    for domain in &plan.domains {
+        for number in 1..=plan.hosts_each {
+            all.push(host::HostSettings {
+                name: names::HostName::new(&format!("entry-{domain}-{number}"))?,
+                domain: domain.clone(),
+                callers: free_address()?,
+                operators: free_address()?,
+                peers: free_address()?,
+                log,
+                host_list: Some(list),
+                bootstrap: Vec::new(),
+                threads: 1,
+            });
+        }
+    }
+    let addresses: Vec<_> = all.iter().map(|settings| settings.peers).collect();
+    let mut hosts = Vec::new();
+    for mut settings in all {
+        settings.bootstrap.clone_from(&addresses);
+        configuration.host.push(configuration::HostSpec {
+            name: settings.name.clone(),
+            domain: settings.domain.clone(),
+            peer: settings.peers,
+        });
+        let entry = host::EntryHost::start(settings.clone()).await?;
+        hosts.push(SiteHost { settings, entry });
+    }
+    Ok(hosts)
+}
--- a/src/chart.rs
+++ b/src/chart.rs
@@ -44,6 +44,22 @@
     };
 }
 
+/// The guards of a chart that has none.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NoGuard {}
+
+impl ChartWord for NoGuard {
+    const ALL: &'static [Self] = &[];
+
+    fn word(self) -> &'static str {
+        match self {}
+    }
+
+    fn index(self) -> usize {
+        match self {}
+    }
+}
+
 /// The words of one chart and its file.
 pub trait ChartVocabulary: 'static {
     /// The states.
--- /dev/null
+++ b/src/cmd/check.rs
@@ -0,0 +1,126 @@
+//! `zinnia check`: lints a configuration or a patch file.
+
+use std::fs;
+
+use crate::cmd;
+use crate::configuration;
+
+/// The usage text.
+pub const USAGE: &str = "\
+Checks a configuration or a patch file, and points at the line and field of the first fault.
+
+Usage: zinnia check FILE
+Exit codes: 0 no fault, 4 a fault";
+
+/// The arguments.
+#[derive(Debug)]
+#[derive(gumdrop::Options)]
+pub struct CheckArgs {
+    /// Whether help is asked for.
+    #[options(help = "print this help")]
+    pub help: bool,
+    /// The file.
+    #[options(free, required, help = "the file to check")]
+    pub file: String,
+}
+
+/// What a file holds.
+#[derive(Clone, Debug, PartialEq)]
+pub enum CheckedFile {
+    /// A whole configuration.
+    Configuration(configuration::Configuration),
+    /// Changes, which fit or not according to the version they are applied to.
+    Patch(configuration::PatchFile),
+}
+
+impl CheckedFile {
+    /// Returns the changes that the file stands for.
+    #[must_use]
+    pub fn into_changes(self) -> Vec<configuration::ConfigurationChange> {
+        match self {
+            Self::Configuration(whole) => whole.to_changes(),
+            Self::Patch(file) => file.change,
+        }
+    }
+}
+
+/// Runs the command.
+///
+/// # Errors
+/// Fails when the file cannot be read.
+pub fn run(arguments: &[String]) -> Result<u8, cmd::CommandError> {
+    let Some(args) = cmd::parse_args::<CheckArgs>(USAGE, arguments)? else {
+        return Ok(cmd::EXIT_OK);
+    };
+    let text = read_file(&args.file)?;
+    match check_text(&text) {
+        Ok(CheckedFile::Configuration(whole)) => {
+            println!(
+                "{}: a configuration without fault ({} services, {} servers, {} features)",
+                args.file,
+                whole.service.len(),
+                whole.server.len(),
+                whole.feature.len()
+            );
+            Ok(cmd::EXIT_OK)
+        }
+        Ok(CheckedFile::Patch(file)) => {
+            println!("{}: a patch of {} changes", args.file, file.change.len());
+            Ok(cmd::EXIT_OK)
+        }
+        Err(fault) => {
+            println!("{}: {fault}", args.file);
+            Ok(cmd::EXIT_INVALID)
+        }
+    }
+}
+
+/// Reads a file as text.
+///
+/// # Errors
+/// Fails when it cannot be read.
+pub fn read_file(path: &str) -> Result<String, cmd::CommandError> {
+    fs::read_to_string(path).map_err(|e| cmd::CommandError::Failed {
+        message: format!("step=read-file peer={path} fault=\"{e}\""),
+    })
+}
+
+/// Reads and checks a configuration or a patch.
+///
+/// # Errors
+/// Fails with the first fault, with its line where that is known.
+pub fn check_text(text: &str) -> Result<CheckedFile, String> {
+    let value: toml::Table = toml::from_str(text).map_err(|e| e.to_string())?;
+    if value.contains_key("change") {
+        let file = toml::from_str(text).map_err(|e| e.to_string())?;
+        return Ok(CheckedFile::Patch(file));
+    }
+    let whole: configuration::Configuration = toml::from_str(text).map_err(|e| e.to_string())?;
+    whole.check().map_err(|fault| {
+        let line = line_of(text, &fault.field);
+        line.map_or_else(|| fault.to_string(), |line| format!("line {line}: {fault}"))
+    })?;
+    Ok(CheckedFile::Configuration(whole))
+}
+
+/// Returns the line, from 1, of a field such as `server.w1.domain`.
+fn line_of(text: &str, field: &str) -> Option<usize> {
+    let mut parts = field.splitn(3, '.');
+    let list = format!("[[{}]]", parts.next()?);
+    let name = format!("\"{}\"", parts.next()?);
+    let key = parts.next();
+    let lines: Vec<&str> = text.lines().collect();
+    let starts = (0..lines.len()).filter(|i| lines[*i].trim() == list);
+    let section = starts.rev().find(|start| {
+        let body = lines[start + 1..].iter();
+        let mut body = body.take_while(|line| !line.trim_start().starts_with("[["));
+        body.any(|line| line.trim_start().starts_with("name") && line.contains(&name))
+    })?;
+    let Some(key) = key else {
+        return Some(section + 1);
+    };
+    let body = lines[section + 1..].iter();
+    let mut body = body.take_while(|line| !line.trim_start().starts_with("[["));
+    let offset = body.position(|line| line.trim_start().starts_with(key));
+    Some(offset.map_or(section + 1, |offset| section + 2 + offset))
+}
--- /dev/null
+++ b/src/cmd/status.rs
@@ -0,0 +1,107 @@
+//! `zinnia status`: what one entry host knows of the whole.
+
+use crate::cmd;
+use crate::names;
+use crate::report;
+use crate::settings;
+
+/// The usage text.
+pub const USAGE: &str = "\
+Shows the hosts, domains, granters, servers, shards and the version in force, as one host sees them.
+
+Usage: zinnia status --operators IP:PORT [--json]";
+
+/// The arguments.
+#[derive(Debug)]
+#[derive(gumdrop::Options)]
+pub struct StatusArgs {
+    /// Whether help is asked for.
+    #[options(help = "print this help")]
+    pub help: bool,
+    /// Whether JSON is asked for.
+    #[options(no_short, help = "print JSON")]
+    pub json: bool,
+    /// The host to ask.
+    #[options(no_short, help = "an entry host's operator listener")]
+    pub operators: Option<String>,
+}
+
+/// Runs the command.
+///
+/// # Errors
+/// Fails when the host cannot be asked.
+pub fn run(arguments: &[String]) -> Result<u8, cmd::CommandError> {
+    let Some(args) = cmd::parse_args::<StatusArgs>(USAGE, arguments)? else {
+        return Ok(cmd::EXIT_OK);
+    };
+    let flag = args.operators.as_deref();
+    let host = settings::SettingSource::new("operators", flag, cmd::OPERATORS_TAKES).required()?;
+    let call = cmd::call_host::<(), report::HostStatus>(host, "/status", None);
+    let answer = actix::System::new().block_on(call)?;
+    let status = answer.ok_or_else(|| cmd::CommandError::Failed {
+        message: "the host has no status".into(),
+    })?;
+    if args.json {
+        cmd::print_json(&status)?;
+    } else {
+        print_table(&status);
+    }
+    Ok(cmd::EXIT_OK)
+}
+
+fn print_table(status: &report::HostStatus) {
+    println!("host           {} ({})", status.host, status.life);
+    println!("version        {}", status.version);
+    println!("log offset     {}", status.next_offset);
+    println!("skipped        {}", status.skipped);
+    println!("to append      {}", status.waiting_appends);
+    let spread = &status.spread;
+    let total = spread.in_force.len() + spread.behind.len() + spread.unreachable.len();
+    println!(
+        "in force       at {} of {total} hosts",
+        spread.in_force.len()
+    );
+    print_hosts("behind", &spread.behind);
+    print_hosts("unreachable", &spread.unreachable);
+    println!();
+    println!(
+        "{:<16} {:<16} {:>8} {:>10} {:>10}  TERM",
+        "DOMAIN", "GRANTER", "HEARD", "OWNED", "WITNESSES"
+    );
+    for line in &status.domains {
+        let granter = line.granter.as_ref().map(ToString::to_string);
+        let heard = line.heard_ms.map(|ms| format!("{ms} ms"));
+        println!(
+            "{:<16} {:<16} {:>8} {:>10} {:>10}  {}",
+            line.domain.to_string(),
+            granter.unwrap_or_else(|| "none".into()),
+            heard.unwrap_or_else(|| "never".into()),
+            format!("{}/{}", line.owned, line.shards),
+            line.witnesses,
+            line.term.clone().unwrap_or_default()
+        );
+    }
+    println!();
+    println!(
+        "{:<20} {:<16} {:<16} {:>7}  STATE",
+        "SERVER", "SERVICE", "DOMAIN", "SHARDS"
+    );
+    for line in &status.servers {
+        println!(
+            "{:<20} {:<16} {:<16} {:>7}  {}",
+            line.server.to_string(),
+            line.service.to_string(),
+            line.domain.to_string(),
+            line.shards,
+            if line.withdrawn { "withdrawn" } else { "" }
+        );
+    }
+}
+
+fn print_hosts(title: &str, hosts: &[names::HostName]) {
+    if hosts.is_empty() {
+        return;
+    }
+    let list: Vec<_> = hosts.iter().map(ToString::to_string).collect();
+    println!("{title:<14} {}", list.join(", "));
+}
--- /dev/null
+++ b/src/control.rs
@@ -0,0 +1,884 @@
+//! All control state of one entry host: events and the time in, typed actions out.
+
+use std::collections;
+use std::net;
+use std::sync;
+use std::time;
+
+use crate::authority;
+use crate::chart;
+use crate::clock;
+use crate::configuration;
+use crate::contract;
+use crate::domain;
+use crate::fence;
+use crate::fold;
+use crate::grant;
+use crate::journal;
+use crate::lifecycle;
+use crate::membership;
+use crate::names;
+use crate::peer;
+use crate::platform;
+use crate::record;
+use crate::table;
+use crate::timing;
+
+/// How many records a host keeps to pass on to peers.
+pub const TAIL_RECORDS: usize = 4_096;
+/// After how many records a checkpoint is due.
+pub const CHECKPOINT_RECORDS: u64 = 1_000;
+/// After what time a checkpoint is due, in seconds.
+pub const CHECKPOINT_SECONDS: u64 = 600;
+/// How much longer each host waits than the one whose turn a checkpoint is, in seconds.
+pub const CHECKPOINT_STEP_SECONDS: u64 = 5;
+/// How many reads in a row must show a log that ends before what the host has folded.
+pub const REGRESSED_READS: u32 = 3;
+/// The greatest jitter in a candidate's patience, in milliseconds.
+pub const JITTER_MS: u64 = 20;
+
+/// What one host is set to.
+#[derive(Clone, Debug)]
+pub struct ControlSettings {
+    /// The host's name and incarnation.
+    pub identity: peer::HostIdentity,
+    /// The host's failure domain.
+    pub domain: names::DomainName,
+    /// Peers to ask before a configuration is known.
+    pub bootstrap: Vec<net::SocketAddr>,
+    /// The spans that leases rest on.
+    pub timing: timing::LeaseTiming,
+    /// The seed of the host's random choices.
+    pub seed: u64,
+}
+
+/// Something worth a log line and a count.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ControlNote {
+    /// A patch was decided.
+    PatchDecided(fold::VerdictEntry),
+    /// A text in the log was no record.
+    RecordSkipped {
+        /// Its offset.
+        offset: u64,
+        /// What is wrong with it.
+        error: record::RecordError,
+    },
+    /// This host began to grant.
+    TermStarted {
+        /// The domain.
+        domain: names::DomainName,
+        /// The term.
+        term: fence::TermId,
+    },
+    /// This host ceased to grant.
+    TermEnded {
+        /// The domain.
+        domain: names::DomainName,
+    },
+    /// The log ended before what this host has folded.
+    LogRegressed {
+        /// The offset that the host had reached.
+        known: u64,
+        /// The offset at which the log ends.
+        next: u64,
+    },
+    /// The state was taken from a checkpoint or from a peer.
+    StateAdopted {
+        /// The state's version.
+        version: u64,
+    },
+}
+
+/// What the caller has to do.
+#[derive(Clone, Debug)]
+pub enum ControlAction {
+    /// Read the log from an offset.
+    ReadLog {
+        /// The offset.
+        from: u64,
+    },
+    /// Append a record.
+    Append(record::LogRecord),
+    /// Send a claim to a server.
+    Claim {
+        /// The domain.
+        domain: names::DomainName,
+        /// The server.
+        server: configuration::ServerSpec,
+        /// The message.
+        order: contract::ClaimOrder,
+    },
+    /// Send a renewal to a server.
+    Lease {
+        /// The domain.
+        domain: names::DomainName,
+        /// The server.
+        server: configuration::ServerSpec,
+        /// The message.
+        order: contract::LeaseOrder,
+    },
+    /// Ask a peer.
+    Exchange {
+        /// Where it listens.
+        peer: net::SocketAddr,
+        /// The question.
+        request: peer::ExchangeRequest,
+    },
+    /// Hand the traffic threads a new table.
+    Publish(sync::Arc<table::RoutingTable>),
+    /// Write a log line and count it.
+    Note(ControlNote),
+}
+
+/// All control state of one host.
+pub struct ControlState {
+    settings: ControlSettings,
+    charts: domain::DomainCharts,
+    fold: fold::LogFold,
+    join: fold::CheckpointJoin,
+    domains: collections::BTreeMap<names::DomainName, domain::DomainControl>,
+    jitters: collections::BTreeMap<names::DomainName, time::Duration>,
+    journal: journal::AppendJournal,
+    lifecycle: lifecycle::HostLifecycle,
+    roster: membership::HostRoster,
+    routing: table::RoutingTable,
+    applied: collections::BTreeMap<names::DomainName, table::TableMark>,
+    tail: collections::VecDeque<peer::PassedRecord>,
+    leaving: collections::BTreeSet<names::ServerName>,
+    read_in_flight: bool,
+    read_at: clock::MonoTime,
+    scan_from: Option<u64>,
+    regressed_reads: u32,
+    exchange_at: clock::MonoTime,
+    checkpoint_seen: CheckpointSign,
+    granting: collections::BTreeSet<names::DomainName>,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct CheckpointSign {
+    count: u64,
+    at: clock::MonoTime,
+}
+
+impl ControlState {
+    /// Creates the state of a host that has just started.
+    ///
+    /// # Errors
+    /// Fails when a chart is faulty.
+    pub fn new(settings: ControlSettings) -> Result<Self, chart::ChartError> {
+        let host = settings.identity.host.clone();
+        let incarnation = settings.identity.incarnation;
+        let bootstrap = settings.bootstrap.clone();
+        Ok(Self {
+            charts: domain::DomainCharts::new()?,
+            fold: fold::LogFold::new()?,
+            join: fold::CheckpointJoin::new(),
+            domains: collections::BTreeMap::new(),
+            jitters: collections::BTreeMap::new(),
+            journal: journal::AppendJournal::new(host.clone(), incarnation),
+            lifecycle: lifecycle::HostLifecycle::new()?,
+            roster: membership::HostRoster::new(host, bootstrap, settings.seed),
+            routing: table::RoutingTable::default(),
+            applied: collections::BTreeMap::new(),
+            tail: collections::VecDeque::new(),
+            leaving: collections::BTreeSet::new(),
+            read_in_flight: false,
+            read_at: clock::MonoTime::default(),
+            scan_from: None,
+            regressed_reads: 0,
+            exchange_at: clock::MonoTime::default(),
+            checkpoint_seen: CheckpointSign::default(),
+            granting: collections::BTreeSet::new(),
+            settings,
+        })
+    }
+
+    /// Returns the host's name.
+    #[must_use]
+    pub const fn host(&self) -> &names::HostName {
+        &self.settings.identity.host
+    }
+
+    /// Returns the fold of the log.
+    #[must_use]
+    pub const fn fold(&self) -> &fold::LogFold {
+        &self.fold
+    }
+
+    /// Returns the host's part in a domain.
+    #[must_use]
+    pub fn domain(&self, name: &names::DomainName) -> Option<&domain::DomainControl> {
+        self.domains.get(name)
+    }
+
+    /// Returns the host's part in each domain.
+    pub fn domains(&self) -> impl Iterator<Item = (&names::DomainName, &domain::DomainControl)> {
+        self.domains.iter()
+    }
+
+    /// Returns the current routing table.
+    #[must_use]
+    pub const fn routing(&self) -> &table::RoutingTable {
+        &self.routing
+    }
+
+    /// Returns the state of the host's life.
+    #[must_use]
+    pub const fn life(&self) -> lifecycle::HostState {
+        self.lifecycle.state()
+    }
+
+    /// Returns the number of records that wait to be appended.
+    #[must_use]
+    pub fn waiting_appends(&self) -> usize {
+        self.journal.len()
+    }
+
+    /// Returns the domains that this host grants in.
+    #[must_use]
+    pub const fn granting(&self) -> &collections::BTreeSet<names::DomainName> {
+        &self.granting
+    }
+
+    /// Returns where the current version stands among the hosts.
+    #[must_use]
+    pub fn spread(&self, version: u64, now: clock::MonoTime) -> membership::VersionSpread {
+        let configuration = &self.fold.state().configuration;
+        self.roster.spread(version, configuration, now)
+    }
+
+    /// Lets time pass.
+    pub fn tick(&mut self, now: clock::MonoTime) -> Vec<ControlAction> {
+        let mut actions = Vec::new();
+        self.roster.note_own(self.fold.state().version, now);
+        self.tick_domains(now, &mut actions);
+        self.tick_checkpoint(now);
+        self.tick_log(now, &mut actions);
+        self.tick_exchange(now, &mut actions);
+        self.refresh_routing(now, &mut actions);
+        actions
+    }
+
+    fn tick_domains(&mut self, now: clock::MonoTime, actions: &mut Vec<ControlAction>) {
+        let names: Vec<_> = self.domains.keys().cloned().collect();
+        for name in names {
+            self.with_domain(&name, now, actions, |control, view| control.tick(view));
+            if let Some(book) = self.domains.get_mut(&name).and_then(|d| d.book_mut()) {
+                let unlogged = book.take_unlogged();
+                self.journal.push_assignments(&unlogged);
+            }
+        }
+    }
+
+    fn with_domain(
+        &mut self,
+        name: &names::DomainName,
+        now: clock::MonoTime,
+        actions: &mut Vec<ControlAction>,
+        step: impl FnOnce(
+            &mut domain::DomainControl,
+            &domain::DomainView<'_>,
+        ) -> Vec<domain::DomainOrder>,
+    ) {
+        let patience = self.patience(name);
+        let Some(control) = self.domains.get_mut(name) else {
+            return;
+        };
+        let view = domain::DomainView {
+            now,
+            fold: self.fold.state(),
+            patience,
+        };
+        let orders = step(control, &view);
+        let granting = control.is_granting(&view);
+        let term = control.book().map(|book| (**book.term()).clone());
+        self.note_granting(name, term.filter(|_| granting), actions);
+        for order in orders {
+            self.translate(name, order, actions);
+        }
+    }
+
+    fn note_granting(
+        &mut self,
+        name: &names::DomainName,
+        term: Option<fence::TermId>,
+        actions: &mut Vec<ControlAction>,
+    ) {
+        let domain = name.clone();
+        let note = match term {
+            Some(term) if self.granting.insert(domain.clone()) => {
+                Some(ControlNote::TermStarted { domain, term })
+            }
+            None if self.granting.remove(name) => Some(ControlNote::TermEnded { domain }),
+            _ => None,
+        };
+        actions.extend(note.map(ControlAction::Note));
+    }
+
+    fn translate(
+        &mut self,
+        name: &names::DomainName,
+        order: domain::DomainOrder,
+        actions: &mut Vec<ControlAction>,
+    ) {
+        let domain = name.clone();
+        match order {
+            domain::DomainOrder::Record(body) => self.journal.push(body),
+            domain::DomainOrder::RecordOnce(record) => self.journal.push_record(record),
+            domain::DomainOrder::Grant(addressed) => {
+                let server = addressed.server;
+                actions.push(match addressed.order {
+                    grant::GrantOrder::Claim(order) => ControlAction::Claim {
+                        domain,
+                        server,
+                        order,
+                    },
+                    grant::GrantOrder::Lease(order) => ControlAction::Lease {
+                        domain,
+                        server,
+                        order,
+                    },
+                });
+            }
+            domain::DomainOrder::Claim(servers, order) => {
+                let configuration = &self.fold.state().configuration;
+                let known = servers.iter().filter_map(|n| configuration.find_server(n));
+                actions.extend(known.map(|server| ControlAction::Claim {
+                    domain: domain.clone(),
+                    server: server.clone(),
+                    order: order.clone(),
+                }));
+            }
+        }
+    }
+
+    // Hosts of the domain claim first, in order of name; then the others.
+    fn patience(&self, domain: &names::DomainName) -> time::Duration {
+        let hosts = &self.fold.state().configuration.host;
+        let inside = self.settings.domain == *domain;
+        let before = hosts
+            .iter()
+            .filter(|h| (h.domain == *domain) == inside && h.name < *self.host())
+            .count();
+        let step = time::Duration::from_millis(timing::CANDIDATE_STEP_MS);
+        let jitter = self.jitters.get(domain).copied().unwrap_or_default();
+        let outside = time::Duration::from_millis(timing::OUTSIDE_STEP_MS);
+        let base = if inside { jitter } else { jitter + outside };
+        base + step * u32::try_from(before.min(8)).unwrap_or(8)
+    }
+
+    fn tick_checkpoint(&mut self, now: clock::MonoTime) {
+        let state = self.fold.state();
+        if self.checkpoint_seen.count != state.checkpoints {
+            let count = state.checkpoints;
+            self.checkpoint_seen = CheckpointSign { count, at: now };
+        }
+        let hosts = &state.configuration.host;
+        let place = hosts.iter().position(|h| h.name == *self.host());
+        let Some(place) = place else {
+            return;
+        };
+        let count = hosts.len() as u64;
+        let turn = (place as u64 + count - state.checkpoints % count) % count;
+        let wait = time::Duration::from_secs(CHECKPOINT_STEP_SECONDS * turn);
+        let many = state.next_offset - state.checkpoint_offset >= CHECKPOINT_RECORDS * (turn + 1);
+        let old = now.since(self.checkpoint_seen.at)
+            >= time::Duration::from_secs(CHECKPOINT_SECONDS) + wait;
+        if many || old {
+            self.append_checkpoint(now);
+        }
+    }
+
+    fn append_checkpoint(&mut self, now: clock::MonoTime) {
+        self.checkpoint_seen.at = now;
+        let state = self.fold.state();
+        let (version, covered) = (state.version, state.next_offset);
+        for body in self.fold.to_checkpoint() {
+            let id = format!(
+                "checkpoint-{version}-{covered}-{}-{}",
+                body.part,
+                self.host()
+            );
+            if let Ok(id) = names::RecordId::new(&id) {
+                let body = record::RecordBody::Checkpoint(body);
+                self.journal.push_record(record::LogRecord::new(id, body));
+            }
+        }
+    }
+
+    fn tick_log(&mut self, now: clock::MonoTime, actions: &mut Vec<ControlAction>) {
+        if !self.read_in_flight && now >= self.read_at {
+            self.read_in_flight = true;
+            let from = self.scan_from.unwrap_or(self.fold.state().next_offset);
+            actions.push(ControlAction::ReadLog { from });
+        }
+        actions.extend(self.journal.next_append(now).map(ControlAction::Append));
+    }
+
+    fn tick_exchange(&mut self, now: clock::MonoTime, actions: &mut Vec<ControlAction>) {
+        if now < self.exchange_at {
+            return;
+        }
+        self.exchange_at = now + time::Duration::from_millis(timing::EXCHANGE_INTERVAL_MS);
+        let named = self.granters_to_ask();
+        let configuration = sync::Arc::clone(&self.fold.state().configuration);
+        let request = self.exchange_request(now);
+        for peer in self.roster.choose(&configuration, &named) {
+            let request = request.clone();
+            actions.push(ControlAction::Exchange { peer, request });
+        }
+    }
+
+    // The granter of the own domain, and those of domains whose unchecked servers need a lease.
+    fn granters_to_ask(&self) -> collections::BTreeSet<names::HostName> {
+        let configuration = &self.fold.state().configuration;
+        let asked = self.domains.iter().filter(|(name, _)| {
+            let unchecked = configuration.servers_of(name).any(|s| !s.is_checked());
+            unchecked || **name == self.settings.domain
+        });
+        asked
+            .filter_map(|(_, control)| control.sign())
+            .map(|sign| sign.term.host.clone())
+            .collect()
+    }
+
+    fn exchange_request(&mut self, now: clock::MonoTime) -> peer::ExchangeRequest {
+        let tables = self.domains.iter().filter_map(|(name, control)| {
+            Some(peer::TableKnown {
+                domain: name.clone(),
+                mark: control.table()?.mark().clone(),
+            })
+        });
+        peer::ExchangeRequest {
+            from: self.host().clone(),
+            next_offset: self.fold.state().next_offset,
+            version: self.fold.state().version,
+            tables: tables.collect(),
+            hosts: self.roster.tell(now),
+            granters: self.granter_news(now),
+        }
+    }
+
+    fn granter_news(&self, now: clock::MonoTime) -> Vec<peer::GranterNews> {
+        let news = self.domains.iter().filter_map(|(name, control)| {
+            let sign = control.sign()?;
+            let age = now.since(sign.at).as_millis();
+            Some(peer::GranterNews {
+                domain: name.clone(),
+                term: sign.term.clone(),
+                age_ms: u64::try_from(age).unwrap_or(u64::MAX),
+            })
+        });
+        news.collect()
+    }
+
+    /// Takes a stretch of the log.
+    pub fn on_log_page(
+        &mut self,
+        page: &platform::LogPage,
+        now: clock::MonoTime,
+    ) -> Vec<ControlAction> {
+        let mut actions = Vec::new();
+        self.note_read(now);
+        let known = self.fold.state().next_offset;
+        if page.next < known {
+            self.on_regressed(page, known, &mut actions);
+            return actions;
+        }
+        self.regressed_reads = 0;
+        if page.earliest > known {
+            self.scan(page, now, &mut actions);
+            return actions;
+        }
+        self.scan_from = None;
+        self.fold_records(&page.records, now, &mut actions);
+        if self.fold.state().next_offset < page.next {
+            self.read_at = now;
+        }
+        actions
+    }
+
+    /// Notes that a read of the log failed.
+    pub fn on_log_failed(&mut self, now: clock::MonoTime) {
+        self.read_in_flight = false;
+        self.read_at = now + time::Duration::from_millis(timing::LOG_INTERVAL_MS);
+    }
+
+    fn note_read(&mut self, now: clock::MonoTime) {
+        self.read_in_flight = false;
+        self.read_at = now + time::Duration::from_millis(timing::LOG_INTERVAL_MS);
+        self.note_contact(now);
+    }
+
+    fn note_contact(&mut self, now: clock::MonoTime) {
+        self.routing.fresh_until = now + time::Duration::from_millis(timing::CONTACT_MS);
+    }
+
+    // The log has lost its past. What was folded stays; the new log is read from its start, and a
+    // checkpoint makes it whole for hosts that start later.
+    fn on_regressed(
+        &mut self,
+        page: &platform::LogPage,
+        known: u64,
+        actions: &mut Vec<ControlAction>,
+    ) {
+        self.regressed_reads += 1;
+        if self.regressed_reads < REGRESSED_READS {
+            return;
+        }
+        self.regressed_reads = 0;
+        let next = page.next;
+        actions.push(ControlAction::Note(ControlNote::LogRegressed {
+            known,
+            next,
+        }));
+        let mut state = self.fold.state().clone();
+        state.next_offset = page.earliest;
+        state.checkpoint_offset = page.earliest;
+        self.fold.adopt(state);
+        self.tail.clear();
+        for body in self.fold.to_checkpoint() {
+            self.journal.push(record::RecordBody::Checkpoint(body));
+        }
+    }
+
+    // Records between the host's position and the log's start are gone, so a checkpoint is needed.
+    fn scan(
+        &mut self,
+        page: &platform::LogPage,
+        now: clock::MonoTime,
+        actions: &mut Vec<ControlAction>,
+    ) {
+        let mut from = self.scan_from.unwrap_or(page.earliest).max(page.earliest);
+        for passed in &page.records {
+            from = passed.offset + 1;
+            let Ok(record) = record::LogRecord::decode(&passed.text) else {
+                continue;
+            };
+            let record::RecordBody::Checkpoint(body) = record.body else {
+                continue;
+            };
+            let state = self.join.add(&body);
+            let usable = state.filter(|state| state.next_offset >= page.earliest);
+            if let Some(state) = usable {
+                self.scan_from = None;
+                self.adopt_state(state, now, actions);
+                self.read_at = now;
+                return;
+            }
+        }
+        self.scan_from = Some(from);
+        if from < page.next {
+            self.read_at = now;
+        }
+    }
+
+    fn adopt_state(
+        &mut self,
+        state: fold::FoldState,
+        now: clock::MonoTime,
+        actions: &mut Vec<ControlAction>,
+    ) {
+        if state.version < self.fold.state().version {
+            return;
+        }
+        let version = state.version;
+        self.fold.adopt(state);
+        self.tail.clear();
+        actions.push(ControlAction::Note(ControlNote::StateAdopted { version }));
+        self.follow_configuration(now);
+    }
+
+    fn fold_records(
+        &mut self,
+        records: &[peer::PassedRecord],
+        now: clock::MonoTime,
+        actions: &mut Vec<ControlAction>,
+    ) {
+        let version = self.fold.state().version;
+        for passed in records {
+            if passed.offset != self.fold.state().next_offset {
+                continue;
+            }
+            let effect = self.fold.apply(&passed.text);
+            self.note_effect(passed.offset, effect, actions);
+            self.tail.push_back(passed.clone());
+            if self.tail.len() > TAIL_RECORDS {
+                self.tail.pop_front();
+            }
+        }
+        if self.fold.state().version != version {
+            self.follow_configuration(now);
+        }
+    }
+
+    fn note_effect(
+        &mut self,
+        offset: u64,
+        effect: fold::FoldEffect,
+        actions: &mut Vec<ControlAction>,
+    ) {
+        let note = match effect {
+            fold::FoldEffect::Patched(entry) => {
+                self.journal.drop_record(&entry.id);
+                Some(ControlNote::PatchDecided(entry))
+            }
+            fold::FoldEffect::Skipped(error) => Some(ControlNote::RecordSkipped { offset, error }),
+            _ => None,
+        };
+        actions.extend(note.map(ControlAction::Note));
+    }
+
+    fn follow_configuration(&mut self, now: clock::MonoTime) {
+        let state = self.fold.state();
+        let configuration = sync::Arc::clone(&state.configuration);
+        let fresh_until = self.routing.fresh_until;
+        self.routing = table::RoutingTable::new(state.version, &configuration);
+        self.routing.fresh_until = fresh_until;
+        self.applied.clear();
+        for spec in &configuration.domain {
+            if self.domains.contains_key(&spec.name) {
+                continue;
+            }
+            let control = domain::DomainControl::new(
+                spec.name.clone(),
+                self.charts.clone(),
+                &self.settings.identity,
+                self.settings.timing,
+                now,
+            );
+            let limit = time::Duration::from_millis(JITTER_MS);
+            self.jitters
+                .insert(spec.name.clone(), self.roster.jitter(limit));
+            self.domains.insert(spec.name.clone(), control);
+        }
+        self.lifecycle
+            .handle(lifecycle::HostEvent::ConfigurationKnown);
+    }
+
+    fn refresh_routing(&mut self, now: clock::MonoTime, actions: &mut Vec<ControlAction>) {
+        for (name, control) in &self.domains {
+            let Some(table) = control.table() else {
+                continue;
+            };
+            let applied = self.applied.get(name);
+            if let Some(update) = table.update_since(name, applied) {
+                if update.base.is_none() {
+                    self.routing.clear_domain(name);
+                }
+                self.routing.set_routes(&update.changes);
+                self.applied.insert(name.clone(), update.mark);
+            }
+            if self.granting.contains(name) {
+                let until = now + self.settings.timing.table_lease;
+                self.routing.set_table_lease(name.clone(), until);
+            }
+        }
+        if self.fold.state().version > 0 {
+            let table = sync::Arc::new(self.routing.clone());
+            actions.push(ControlAction::Publish(table));
+        }
+    }
+
+    /// Notes that the log took a record.
+    pub fn on_appended(&mut self, id: &names::RecordId, now: clock::MonoTime) {
+        self.journal.on_appended(id);
+        self.read_at = now;
+    }
+
+    /// Notes that an append failed or that its answer was lost.
+    pub fn on_append_failed(&mut self, now: clock::MonoTime) {
+        self.journal.on_append_failed(now);
+    }
+
+    /// Takes an operator's patch; its verdict comes as a note once the log has it.
+    pub fn submit(&mut self, record: record::LogRecord) {
+        self.journal.push_record(record);
+    }
+
+    /// Gives up a patch that the log has not taken in time. It may still take effect.
+    pub fn abandon(&mut self, id: &names::RecordId) {
+        self.journal.drop_record(id);
+    }
+
+    /// Takes a server's answer to a claim.
+    pub fn on_claim_reply(
+        &mut self,
+        domain: &names::DomainName,
+        order: &contract::ClaimOrder,
+        answer: &authority::ClaimAnswer,
+        now: clock::MonoTime,
+    ) -> Vec<ControlAction> {
+        let mut actions = Vec::new();
+        self.with_domain(domain, now, &mut actions, |control, view| {
+            control.on_claim_reply(order, answer, view)
+        });
+        actions
+    }
+
+    /// Takes a server's answer to a renewal.
+    pub fn on_lease_reply(
+        &mut self,
+        domain: &names::DomainName,
+        answer: &domain::LeaseAnswer,
+        now: clock::MonoTime,
+    ) -> Vec<ControlAction> {
+        let mut actions = Vec::new();
+        self.with_domain(domain, now, &mut actions, |control, view| {
+            control.on_lease_reply(answer, view)
+        });
+        actions
+    }
+
+    /// Takes the platform's list.
+    pub fn on_host_listing(&mut self, listing: &platform::HostListing) {
+        let leaving = listing
+            .servers
+            .iter()
+            .filter(|s| s.state == platform::ListedState::Leaving);
+        self.leaving = leaving.map(|s| s.name.clone()).collect();
+        for control in self.domains.values_mut() {
+            if let Some(book) = control.book_mut() {
+                self.leaving.iter().for_each(|name| book.note_leaving(name));
+            }
+        }
+    }
+
+    /// Answers a peer's question.
+    pub fn on_exchange(
+        &mut self,
+        request: &peer::ExchangeRequest,
+        now: clock::MonoTime,
+    ) -> peer::ExchangeReply {
+        self.note_news(&request.hosts, &request.granters, now);
+        let own = self.fold.state();
+        let lacks_version = request.version < own.version;
+        let records = self.records_since(request.next_offset);
+        let state = (lacks_version && records.is_none())
+            .then(|| serde_json::to_string(own).ok())
+            .flatten();
+        peer::ExchangeReply {
+            hosts: self.roster.tell(now),
+            granters: self.granter_news(now),
+            tables: self.updates_for(&request.tables),
+            records: records.unwrap_or_default(),
+            state,
+            leases: self.table_leases(now),
+        }
+    }
+
+    fn note_news(
+        &mut self,
+        hosts: &[peer::HostNews],
+        granters: &[peer::GranterNews],
+        now: clock::MonoTime,
+    ) -> Vec<ControlAction> {
+        let mut actions = Vec::new();
+        hosts.iter().for_each(|news| self.roster.note(news, now));
+        for news in granters {
+            self.with_domain(&news.domain, now, &mut actions, |control, view| {
+                control.on_granter_news(news, view)
+            });
+        }
+        actions
+    }
+
+    // None where the asked offset is not among the kept records, nor right behind them.
+    fn records_since(&self, offset: u64) -> Option<Vec<peer::PassedRecord>> {
+        if offset >= self.fold.state().next_offset {
+            return (offset == self.fold.state().next_offset).then(Vec::new);
+        }
+        let first = self.tail.front()?.offset;
+        let skip = usize::try_from(offset.checked_sub(first)?).ok()?;
+        let rest = self.tail.iter().skip(skip);
+        Some(rest.take(peer::MAX_RECORDS_PASSED).cloned().collect())
+    }
+
+    fn updates_for(&self, known: &[peer::TableKnown]) -> Vec<table::TableUpdate> {
+        let updates = self.domains.iter().filter_map(|(name, control)| {
+            let mark = known.iter().find(|k| k.domain == *name).map(|k| &k.mark);
+            control.table()?.update_since(name, mark)
+        });
+        updates.collect()
+    }
+
+    fn table_leases(&self, now: clock::MonoTime) -> Vec<peer::TableKnown> {
+        let leases = self.domains.iter().filter_map(|(name, control)| {
+            let view = domain::DomainView {
+                now,
+                fold: self.fold.state(),
+                patience: time::Duration::ZERO,
+            };
+            let table = control.table().filter(|_| control.is_granting(&view))?;
+            Some(peer::TableKnown {
+                domain: name.clone(),
+                mark: table.mark().clone(),
+            })
+        });
+        leases.collect()
+    }
+
+    /// Takes a peer's answer to a question that was sent at `sent_at`.
+    pub fn on_exchange_reply(
+        &mut self,
+        sent_at: clock::MonoTime,
+        reply: &peer::ExchangeReply,
+        now: clock::MonoTime,
+    ) -> Vec<ControlAction> {
+        self.note_contact(now);
+        let mut actions = self.note_news(&reply.hosts, &reply.granters, now);
+        self.take_state(reply.state.as_deref(), now, &mut actions);
+        self.fold_records(&reply.records, now, &mut actions);
+        for update in &reply.tables {
+            if let Some(control) = self.domains.get_mut(&update.domain) {
+                control.on_table_update(update);
+            }
+        }
+        for lease in &reply.leases {
+            self.take_table_lease(lease, sent_at);
+        }
+        self.refresh_routing(now, &mut actions);
+        actions
+    }
+
+    fn take_state(
+        &mut self,
+        text: Option<&str>,
+        now: clock::MonoTime,
+        actions: &mut Vec<ControlAction>,
+    ) {
+        let state = text.and_then(|t| serde_json::from_str::<fold::FoldState>(t).ok());
+        let newer = state.filter(|state| state.version > self.fold.state().version);
+        if let Some(state) = newer {
+            self.scan_from = None;
+            self.adopt_state(state, now, actions);
+        }
+    }
+
+    fn take_table_lease(&mut self, lease: &peer::TableKnown, sent_at: clock::MonoTime) {
+        let control = self.domains.get(&lease.domain);
+        let known = control.and_then(|control| control.table());
+        if known.is_some_and(|table| *table.mark() >= lease.mark) {
+            let until = sent_at + self.settings.timing.table_lease;
+            self.routing.set_table_lease(lease.domain.clone(), until);
+        }
+    }
+
+    /// Begins to stop: gives up granting. Returns what the host's chart asks for.
+    pub fn on_stop(&mut self, now: clock::MonoTime) -> Vec<lifecycle::HostAction> {
+        let actions = self.lifecycle.handle(lifecycle::HostEvent::StopRequested);
+        if actions.contains(&lifecycle::HostAction::HandOverGranting) {
+            let view = domain::DomainView {
+                now,
+                fold: self.fold.state(),
+                patience: time::Duration::ZERO,
+            };
+            for control in self.domains.values_mut() {
+                control.on_stop(&view);
+            }
+            self.granting.clear();
+        }
+        actions
+    }
+}
--- /dev/null
+++ b/src/edge/controller.rs
@@ -0,0 +1,458 @@
+//! The control thread: one actix arbiter that owns [`control::ControlState`] and performs what it
+//! asks for.
+
+use std::collections;
+use std::sync;
+use std::time;
+
+use actix::ActorContext as _;
+use actix::ActorFutureExt as _;
+use actix::AsyncContext as _;
+use actix::WrapFuture as _;
+
+use crate::authority;
+use crate::clock;
+use crate::clock::MonoClock as _;
+use crate::configuration;
+use crate::contract;
+use crate::control;
+use crate::domain;
+use crate::edge::metrics;
+use crate::edge::ports;
+use crate::fold;
+use crate::lifecycle;
+use crate::membership;
+use crate::names;
+use crate::peer;
+use crate::record;
+use crate::report;
+use crate::table;
+
+/// The interval between two looks at the clock, in milliseconds.
+pub const TICK_MS: u64 = 20;
+/// The interval between two reads of the platform's host list, in milliseconds.
+pub const HOST_LIST_MS: u64 = 1_000;
+/// How long an operator waits for the verdict on a patch, in milliseconds.
+pub const VERDICT_WAIT_MS: u64 = 5_000;
+
+/// The snapshot that traffic threads read.
+pub type SharedTable = sync::Arc<arc_swap::ArcSwap<table::RoutingTable>>;
+
+/// The ports of a host.
+#[derive(Clone)]
+pub struct ControlPorts<L, S, P> {
+    /// The platform.
+    pub platform: L,
+    /// The backend servers.
+    pub servers: S,
+    /// The other hosts.
+    pub peers: P,
+}
+
+/// The actor on the control thread.
+pub struct ControlActor<L, S, P> {
+    state: control::ControlState,
+    clock: clock::SystemClock,
+    ports: ControlPorts<L, S, P>,
+    table: SharedTable,
+    metrics: sync::Arc<metrics::HostMetrics>,
+    waiting: collections::HashMap<names::RecordId, Vec<VerdictSender>>,
+}
+
+type VerdictSender = tokio::sync::oneshot::Sender<fold::PatchVerdict>;
+
+/// What the control actor is made of besides its state.
+pub struct ControlParts<L, S, P> {
+    /// The clock that traffic threads read as well.
+    pub clock: clock::SystemClock,
+    /// The ports.
+    pub ports: ControlPorts<L, S, P>,
+    /// Where the table is published.
+    pub table: SharedTable,
+    /// The host's metrics.
+    pub metrics: sync::Arc<metrics::HostMetrics>,
+}
+
+impl<L, S, P> ControlActor<L, S, P>
+where
+    L: ports::PlatformLog + ports::HostList + Unpin,
+    S: ports::ServerPort + Unpin,
+    P: ports::PeerPort + Unpin,
+{
+    /// Creates the actor.
+    #[must_use]
+    pub fn new(state: control::ControlState, parts: ControlParts<L, S, P>) -> Self {
+        Self {
+            state,
+            clock: parts.clock,
+            ports: parts.ports,
+            table: parts.table,
+            metrics: parts.metrics,
+            waiting: collections::HashMap::new(),
+        }
+    }
+
+    fn tick(&mut self, ctx: &mut actix::Context<Self>) {
+        let actions = self.state.tick(self.clock.now());
+        self.perform_all(actions, ctx);
+    }
+
+    fn perform_all(
+        &mut self,
+        actions: Vec<control::ControlAction>,
+        ctx: &mut actix::Context<Self>,
+    ) {
+        for action in actions {
+            self.perform(action, ctx);
+        }
+    }
+
+    fn perform(&mut self, action: control::ControlAction, ctx: &mut actix::Context<Self>) {
+        match action {
+            control::ControlAction::ReadLog { from } => self.read_log(from, ctx),
+            control::ControlAction::Append(record) => self.append(record, ctx),
+            control::ControlAction::Claim {
+                domain,
+                server,
+                order,
+            } => self.claim(domain, server, order, ctx),
+            control::ControlAction::Lease {
+                domain,
+                server,
+                order,
+            } => self.lease(domain, server, order, ctx),
+            control::ControlAction::Exchange { peer, request } => {
+                self.exchange(peer, request, ctx);
+            }
+            control::ControlAction::Publish(table) => self.publish(table),
+            control::ControlAction::Note(note) => self.note(note),
+        }
+    }
+
+    fn publish(&self, table: sync::Arc<table::RoutingTable>) {
+        let version = i64::try_from(table.version).unwrap_or(i64::MAX);
+        self.metrics.configuration_version.set(version);
+        let terms = i64::try_from(self.state.granting().len()).unwrap_or(i64::MAX);
+        self.metrics.domains_granted.set(terms);
+        self.table.store(table);
+    }
+
+    fn note(&mut self, note: control::ControlNote) {
+        self.metrics.count_note(&note);
+        report::log_note(&note);
+        if let control::ControlNote::PatchDecided(entry) = note {
+            let waiting = self.waiting.remove(&entry.id).unwrap_or_default();
+            for sender in waiting {
+                let _ = sender.send(entry.verdict.clone());
+            }
+        }
+    }
+
+    fn read_log(&self, from: u64, ctx: &mut actix::Context<Self>) {
+        let platform = self.ports.platform.clone();
+        let call = async move { platform.read(from).await };
+        let step = call.into_actor(self).map(|result, actor, ctx| {
+            let now = actor.clock.now();
+            match result {
+                Ok(page) => {
+                    let actions = actor.state.on_log_page(&page, now);
+                    actor.perform_all(actions, ctx);
+                }
+                Err(error) => {
+                    actor.metrics.count_port_error(&error);
+                    actor.state.on_log_failed(now);
+                }
+            }
+        });
+        ctx.spawn(step);
+    }
+
+    fn append(&self, record: record::LogRecord, ctx: &mut actix::Context<Self>) {
+        let platform = self.ports.platform.clone();
+        let id = record.id.clone();
+        let call = async move { platform.append(&record).await };
+        let step = call.into_actor(self).map(move |result, actor, _| {
+            let now = actor.clock.now();
+            match result {
+                Ok(_) => actor.state.on_appended(&id, now),
+                Err(error) => {
+                    actor.metrics.count_port_error(&error);
+                    actor.state.on_append_failed(now);
+                }
+            }
+        });
+        ctx.spawn(step);
+    }
+
+    fn claim(
+        &self,
+        domain: names::DomainName,
+        server: configuration::ServerSpec,
+        order: contract::ClaimOrder,
+        ctx: &mut actix::Context<Self>,
+    ) {
+        let servers = self.ports.servers.clone();
+        let sent_at = self.clock.now();
+        let name = server.name.clone();
+        let sent = order.clone();
+        let call = async move { servers.claim(&server, &order).await };
+        let step = call.into_actor(self).map(move |result, actor, ctx| {
+            let reply = match result {
+                Ok(reply) => reply,
+                Err(error) => return actor.metrics.count_port_error(&error),
+            };
+            let answer = authority::ClaimAnswer {
+                server: name,
+                sent_at,
+                reply,
+            };
+            let now = actor.clock.now();
+            let actions = actor.state.on_claim_reply(&domain, &sent, &answer, now);
+            actor.perform_all(actions, ctx);
+        });
+        ctx.spawn(step);
+    }
+
+    fn lease(
+        &self,
+        domain: names::DomainName,
+        server: configuration::ServerSpec,
+        order: contract::LeaseOrder,
+        ctx: &mut actix::Context<Self>,
+    ) {
+        let servers = self.ports.servers.clone();
+        let sent_at = self.clock.now();
+        let name = server.name.clone();
+        let sent = order.clone();
+        let call = async move { servers.lease(&server, &sent).await };
+        let step = call.into_actor(self).map(move |result, actor, ctx| {
+            let reply = match result {
+                Ok(reply) => reply,
+                Err(error) => return actor.metrics.count_port_error(&error),
+            };
+            let answer = domain::LeaseAnswer {
+                server: name,
+                order,
+                sent_at,
+                reply,
+            };
+            let now = actor.clock.now();
+            let actions = actor.state.on_lease_reply(&domain, &answer, now);
+            actor.perform_all(actions, ctx);
+        });
+        ctx.spawn(step);
+    }
+
+    fn exchange(
+        &self,
+        peer: std::net::SocketAddr,
+        request: peer::ExchangeRequest,
+        ctx: &mut actix::Context<Self>,
+    ) {
+        let peers = self.ports.peers.clone();
+        let sent_at = self.clock.now();
+        let call = async move { peers.exchange(peer, &request).await };
+        let step = call
+            .into_actor(self)
+            .map(move |result, actor, ctx| match result {
+                Ok(reply) => {
+                    let now = actor.clock.now();
+                    let actions = actor.state.on_exchange_reply(sent_at, &reply, now);
+                    actor.perform_all(actions, ctx);
+                }
+                Err(error) => actor.metrics.count_port_error(&error),
+            });
+        ctx.spawn(step);
+    }
+
+    fn read_hosts(&self, ctx: &mut actix::Context<Self>) {
+        let platform = self.ports.platform.clone();
+        let call = async move { platform.list().await };
+        let step = call.into_actor(self).map(|result, actor, _| match result {
+            Ok(listing) => actor.state.on_host_listing(&listing),
+            Err(error) => actor.metrics.count_port_error(&error),
+        });
+        ctx.spawn(step);
+    }
+}
+
+impl<L, S, P> actix::Actor for ControlActor<L, S, P>
+where
+    L: ports::PlatformLog + ports::HostList + Unpin,
+    S: ports::ServerPort + Unpin,
+    P: ports::PeerPort + Unpin,
+{
+    type Context = actix::Context<Self>;
+
+    fn started(&mut self, ctx: &mut Self::Context) {
+        ctx.set_mailbox_capacity(1_024);
+        ctx.run_interval(time::Duration::from_millis(TICK_MS), Self::tick);
+        let interval = time::Duration::from_millis(HOST_LIST_MS);
+        ctx.run_interval(interval, |actor, ctx| actor.read_hosts(ctx));
+    }
+}
+
+/// What other threads ask of the control thread.
+pub enum ControlRequest {
+    /// A peer's question.
+    Exchange(
+        Box<peer::ExchangeRequest>,
+        tokio::sync::oneshot::Sender<peer::ExchangeReply>,
+    ),
+    /// An operator's patch.
+    Submit(record::LogRecord, VerdictSender),
+    /// The verdict on a patch.
+    Verdict(
+        names::RecordId,
+        tokio::sync::oneshot::Sender<Option<PatchStanding>>,
+    ),
+    /// The host's status.
+    Status(tokio::sync::oneshot::Sender<report::HostStatus>),
+    /// Begin to stop.
+    Stop(tokio::sync::oneshot::Sender<Vec<lifecycle::HostAction>>),
+}
+
+impl actix::Message for ControlRequest {
+    type Result = ();
+}
+
+/// A patch's verdict and where its version is in force.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct PatchStanding {
+    /// The patch.
+    pub id: names::RecordId,
+    /// The verdict, none while it is not known.
+    pub verdict: Option<fold::PatchVerdict>,
+    /// Where the version is in force, for an accepted patch.
+    pub spread: Option<membership::VersionSpread>,
+}
+
+impl<L, S, P> actix::Handler<ControlRequest> for ControlActor<L, S, P>
+where
+    L: ports::PlatformLog + ports::HostList + Unpin,
+    S: ports::ServerPort + Unpin,
+    P: ports::PeerPort + Unpin,
+{
+    type Result = ();
+
+    fn handle(&mut self, request: ControlRequest, ctx: &mut Self::Context) {
+        let now = self.clock.now();
+        match request {
+            ControlRequest::Exchange(request, reply) => {
+                let _ = reply.send(self.state.on_exchange(&request, now));
+            }
+            ControlRequest::Submit(record, sender) => self.submit(record, sender, ctx),
+            ControlRequest::Verdict(id, reply) => {
+                let _ = reply.send(self.standing(&id));
+            }
+            ControlRequest::Status(reply) => {
+                let _ = reply.send(report::HostStatus::new(&self.state, now));
+            }
+            ControlRequest::Stop(reply) => {
+                let actions = self.state.on_stop(now);
+                let stopped = self.state.life() == lifecycle::HostState::Stopped;
+                let _ = reply.send(actions);
+                if stopped {
+                    ctx.stop();
+                }
+            }
+        }
+    }
+}
+
+impl<L, S, P> ControlActor<L, S, P>
+where
+    L: ports::PlatformLog + ports::HostList + Unpin,
+    S: ports::ServerPort + Unpin,
+    P: ports::PeerPort + Unpin,
+{
+    fn submit(
+        &mut self,
+        record: record::LogRecord,
+        sender: VerdictSender,
+        ctx: &mut actix::Context<Self>,
+    ) {
+        if let Some(verdict) = self.state.fold().verdict(&record.id) {
+            let _ = sender.send(verdict.clone());
+            return;
+        }
+        let id = record.id.clone();
+        self.waiting.entry(id.clone()).or_default().push(sender);
+        self.state.submit(record);
+        let wait = time::Duration::from_millis(VERDICT_WAIT_MS);
+        ctx.run_later(wait, move |actor, _| {
+            if actor.waiting.remove(&id).is_some() {
+                actor.state.abandon(&id);
+            }
+        });
+    }
+
+    fn standing(&self, id: &names::RecordId) -> Option<PatchStanding> {
+        let verdict = self.state.fold().verdict(id)?.clone();
+        let spread = match verdict {
+            fold::PatchVerdict::Accepted { version } => {
+                Some(self.state.spread(version, self.clock.now()))
+            }
+            _ => None,
+        };
+        Some(PatchStanding {
+            id: id.clone(),
+            verdict: Some(verdict),
+            spread,
+        })
+    }
+}
+
+/// The way to the control thread.
+#[derive(Clone)]
+pub struct ControlHandle {
+    recipient: actix::Recipient<ControlRequest>,
+}
+
+impl ControlHandle {
+    /// Creates a handle.
+    #[must_use]
+    pub const fn new(recipient: actix::Recipient<ControlRequest>) -> Self {
+        Self { recipient }
+    }
+
+    async fn ask<A>(
+        &self,
+        request: impl FnOnce(tokio::sync::oneshot::Sender<A>) -> ControlRequest,
+    ) -> Option<A> {
+        let (sender, receiver) = tokio::sync::oneshot::channel();
+        self.recipient.do_send(request(sender));
+        receiver.await.ok()
+    }
+
+    /// Answers a peer; none when the host is stopping.
+    pub async fn exchange(&self, request: peer::ExchangeRequest) -> Option<peer::ExchangeReply> {
+        let request = Box::new(request);
+        self.ask(|sender| ControlRequest::Exchange(request, sender))
+            .await
+    }
+
+    /// Submits a patch and waits for its verdict; none where it is not known in time.
+    pub async fn submit(&self, record: record::LogRecord) -> Option<fold::PatchVerdict> {
+        self.ask(|sender| ControlRequest::Submit(record, sender))
+            .await
+    }
+
+    /// Returns where a patch stands; none where the host does not know it.
+    pub async fn standing(&self, id: names::RecordId) -> Option<PatchStanding> {
+        let known = self.ask(|sender| ControlRequest::Verdict(id, sender)).await;
+        known.flatten()
+    }
+
+    /// Returns the host's status; none when it is stopping.
+    pub async fn status(&self) -> Option<report::HostStatus> {
+        self.ask(ControlRequest::Status).await
+    }
+
+    /// Begins to stop; returns what the host's chart asks for.
+    pub async fn stop(&self) -> Vec<lifecycle::HostAction> {
+        self.ask(ControlRequest::Stop).await.unwrap_or_default()
+    }
+}
--- /dev/null
+++ b/src/edge/dispatcher.rs
@@ -0,0 +1,209 @@
+//! The dispatch thread: one arbiter that owns the queue of every server, so that traffic threads
+//! share no lock. A traffic thread asks for a permit and gives it back when its exchange has ended.
+
+use std::collections;
+use std::sync;
+use std::time;
+
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+
+use crate::clock;
+use crate::clock::MonoClock as _;
+use crate::configuration;
+use crate::limit;
+use crate::names;
+use crate::outcome;
+use crate::queue;
+
+/// How many requests may be on their way to the dispatch thread.
+pub const MAX_MESSAGES: usize = 65_536;
+/// The interval between two looks for requests that wait in vain, in milliseconds.
+pub const SWEEP_MS: u64 = 20;
+
+type PermitAnswer = Result<SendPermit, outcome::RefusalReason>;
+
+/// A request for a slot at a server.
+pub struct SlotRequest {
+    /// The server.
+    pub server: sync::Arc<configuration::ServerSpec>,
+    /// The number of hosts that share it.
+    pub hosts: usize,
+    /// The request's rank.
+    pub rank: configuration::WorkRank,
+    /// The rank's floor at the server, in percent.
+    pub floor_percent: u8,
+    /// When the request came.
+    pub arrived: clock::MonoTime,
+    /// When it must be answered.
+    pub deadline: clock::MonoTime,
+    /// Whether it was sent before.
+    pub again: bool,
+}
+
+struct SlotTicket {
+    answer: oneshot::Sender<PermitAnswer>,
+    server: names::ServerName,
+}
+
+struct FinishedSlot {
+    server: names::ServerName,
+    signal: limit::LimitSignal,
+    elapsed: time::Duration,
+}
+
+/// The right to run one request at a server. It ends when it is finished or dropped.
+pub struct SendPermit {
+    server: names::ServerName,
+    finished: mpsc::UnboundedSender<FinishedSlot>,
+    started: time::Instant,
+    signal: limit::LimitSignal,
+}
+
+impl SendPermit {
+    /// Ends the exchange.
+    pub fn finish(mut self, signal: limit::LimitSignal) {
+        self.signal = signal;
+    }
+}
+
+impl Drop for SendPermit {
+    fn drop(&mut self) {
+        let slot = FinishedSlot {
+            server: self.server.clone(),
+            signal: self.signal,
+            elapsed: self.started.elapsed(),
+        };
+        // The dispatch thread may have ended before this one.
+        let _ = self.finished.send(slot);
+    }
+}
+
+/// The way to the dispatch thread.
+#[derive(Clone)]
+pub struct DispatchHandle {
+    requests: mpsc::Sender<(SlotRequest, SlotTicket)>,
+}
+
+impl DispatchHandle {
+    /// Waits for a slot.
+    ///
+    /// # Errors
+    /// Fails with the reason for which the queue refused or dropped the request.
+    pub async fn acquire(&self, request: SlotRequest) -> PermitAnswer {
+        let (answer, permit) = oneshot::channel();
+        let server = request.server.name.clone();
+        let ticket = SlotTicket { answer, server };
+        if self.requests.try_send((request, ticket)).is_err() {
+            return Err(outcome::RefusalReason::QueueFull);
+        }
+        let stopping = Err(outcome::RefusalReason::Stopping);
+        permit.await.unwrap_or(stopping)
+    }
+}
+
+struct Dispatcher {
+    clock: clock::SystemClock,
+    queues: collections::HashMap<names::ServerName, queue::ServerQueue<SlotTicket>>,
+    finished: mpsc::UnboundedSender<FinishedSlot>,
+}
+
+/// Starts the dispatch loop on an arbiter.
+#[must_use]
+pub fn start(arbiter: &actix::ArbiterHandle, clock: clock::SystemClock) -> DispatchHandle {
+    let (requests, mut incoming) = mpsc::channel(MAX_MESSAGES);
+    let (finished, mut ended) = mpsc::unbounded_channel();
+    let mut dispatcher = Dispatcher {
+        clock,
+        queues: collections::HashMap::new(),
+        finished,
+    };
+    arbiter.spawn(async move {
+        let mut sweep = tokio::time::interval(time::Duration::from_millis(SWEEP_MS));
+        loop {
+            tokio::select! {
+                Some(slot) = ended.recv() => dispatcher.finish(&slot),
+                message = incoming.recv() => match message {
+                    Some((request, ticket)) => dispatcher.enqueue(&request, ticket),
+                    None => break,
+                },
+                _ = sweep.tick() => dispatcher.sweep(),
+            }
+        }
+    });
+    DispatchHandle { requests }
+}
+
+impl Dispatcher {
+    fn enqueue(&mut self, request: &SlotRequest, ticket: SlotTicket) {
+        let now = self.clock.now();
+        let name = request.server.name.clone();
+        let queue = self.queues.entry(name.clone()).or_insert_with(|| {
+            queue::ServerQueue::new(request.server.slots, request.hosts)
+                .with_floor(request.rank, request.floor_percent)
+        });
+        let waiting = queue::WaitingRequest {
+            ticket,
+            rank: request.rank,
+            arrived: request.arrived,
+            deadline: request.deadline,
+        };
+        let pushed = if request.again {
+            queue.push_again(waiting, now)
+        } else {
+            queue.push(waiting, now)
+        };
+        if let Err(dropped) = pushed {
+            refuse(dropped);
+        }
+        self.pump(&name);
+    }
+
+    fn finish(&mut self, slot: &FinishedSlot) {
+        if let Some(queue) = self.queues.get_mut(&slot.server) {
+            queue.finish(slot.signal, slot.elapsed);
+        }
+        self.pump(&slot.server);
+    }
+
+    fn sweep(&mut self) {
+        let names: Vec<_> = self
+            .queues
+            .iter()
+            .filter(|(_, queue)| queue.waiting() > 0)
+            .map(|(name, _)| name.clone())
+            .collect();
+        for name in names {
+            if let Some(queue) = self.queues.get_mut(&name) {
+                queue.retain(|ticket| !ticket.answer.is_closed());
+            }
+            self.pump(&name);
+        }
+    }
+
+    fn pump(&mut self, name: &names::ServerName) {
+        let Some(queue) = self.queues.get_mut(name) else {
+            return;
+        };
+        let result = queue.pump(self.clock.now());
+        result.dropped.into_iter().for_each(refuse);
+        for ticket in result.permitted {
+            self.permit(ticket);
+        }
+    }
+
+    // A permit that its caller no longer waits for comes back by being dropped.
+    fn permit(&self, ticket: SlotTicket) {
+        let permit = SendPermit {
+            server: ticket.server,
+            finished: self.finished.clone(),
+            started: time::Instant::now(),
+            signal: limit::LimitSignal::Neutral,
+        };
+        let _ = ticket.answer.send(Ok(permit));
+    }
+}
+
+fn refuse(dropped: queue::DroppedRequest<SlotTicket>) {
+    let _ = dropped.ticket.answer.send(Err(dropped.reason));
+}
--- /dev/null
+++ b/src/edge/exchange.rs
@@ -0,0 +1,240 @@
+//! One exchange with a key's owner over HTTP.
+
+use std::cell;
+use std::collections;
+use std::io;
+use std::net;
+use std::rc;
+use std::sync;
+use std::time;
+
+use actix_web::body;
+use actix_web::http;
+use actix_web::web;
+
+use crate::configuration;
+use crate::contract;
+use crate::names;
+use crate::table;
+
+/// The largest answer that a host passes on, in bytes.
+pub const MAX_ANSWER_BYTES: usize = 32 << 20;
+/// How long a connection to a server may take, in milliseconds.
+pub const CONNECT_TIMEOUT_MS: u64 = 250;
+/// How long an unused connection is kept, in seconds.
+pub const KEEP_ALIVE_S: u64 = 10;
+
+/// The body of a request on its way to the owner.
+pub enum WorkBody {
+    /// A body that can be sent again.
+    Whole(web::Bytes),
+    /// A body that is passed on as it comes.
+    Stream(u64, web::Payload),
+}
+
+/// What is sent to an owner.
+pub struct WorkOrder<'a> {
+    /// The owner's route.
+    pub route: &'a table::ShardRoute,
+    /// The shard.
+    pub shard: &'a names::ShardId,
+    /// The request's id.
+    pub id: &'a names::RequestId,
+    /// The caller's method, path and headers.
+    pub head: &'a actix_web::HttpRequest,
+    /// The time left.
+    pub left: time::Duration,
+}
+
+/// An owner's whole answer.
+pub struct WorkAnswer {
+    /// The status.
+    pub status: http::StatusCode,
+    /// The headers that concern the caller.
+    pub headers: Vec<(http::header::HeaderName, http::header::HeaderValue)>,
+    /// The whole body.
+    pub body: web::Bytes,
+}
+
+/// Why there is no whole answer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum WorkFailure {
+    /// No connection was made, so nothing was sent.
+    NotConnected,
+    /// The owner says that it did not run the request.
+    Refused(contract::ServerRefusal),
+    /// Something was sent, and no whole answer to it came.
+    Broken(String),
+}
+
+/// The connections of one traffic thread to the servers.
+#[derive(Clone)]
+pub struct OwnerClient {
+    clients: rc::Rc<cell::RefCell<collections::HashMap<net::SocketAddr, awc::Client>>>,
+    threads: usize,
+}
+
+impl OwnerClient {
+    /// Creates the client of one of `threads` traffic threads.
+    #[must_use]
+    pub fn new(threads: usize) -> Self {
+        Self {
+            clients: rc::Rc::default(),
+            threads: threads.max(1),
+        }
+    }
+
+    fn client(&self, server: &configuration::ServerSpec, hosts: usize) -> awc::Client {
+        let mut clients = self.clients.borrow_mut();
+        let client = clients.entry(server.address).or_insert_with(|| {
+            let shared = server.connections as usize / hosts.max(1) / self.threads;
+            let connector = awc::Connector::new()
+                .limit(shared.max(1))
+                .timeout(time::Duration::from_millis(CONNECT_TIMEOUT_MS))
+                .conn_keep_alive(time::Duration::from_secs(KEEP_ALIVE_S));
+            awc::Client::builder()
+                .connector(connector)
+                .disable_redirects()
+                .disable_timeout()
+                .no_default_headers()
+                .finish()
+        });
+        client.clone()
+    }
+
+    // Connections on which an answer went astray must not serve another request.
+    fn forget(&self, server: &configuration::ServerSpec) {
+        self.clients.borrow_mut().remove(&server.address);
+    }
+
+    /// Sends a request and waits for the whole answer.
+    ///
+    /// # Errors
+    /// Fails when no whole answer to this very request came.
+    pub async fn send(
+        &self,
+        order: &WorkOrder<'_>,
+        hosts: usize,
+        content: WorkBody,
+    ) -> Result<WorkAnswer, WorkFailure> {
+        let server = sync::Arc::clone(&order.route.server);
+        let client = self.client(&server, hosts);
+        let request = build_request(&client, &server, order);
+        let sent = match content {
+            WorkBody::Whole(bytes) => request.send_body(bytes).await,
+            WorkBody::Stream(length, payload) => {
+                request
+                    .send_body(body::SizedStream::new(length, payload))
+                    .await
+            }
+        };
+        let mut response = sent.map_err(|e| classify(&e))?;
+        if !echoes(response.headers(), order.id) {
+            self.forget(&server);
+            return Err(WorkFailure::Broken("answer to another request".into()));
+        }
+        if let Some(refusal) = refusal_of(response.headers()) {
+            return Err(WorkFailure::Refused(refusal));
+        }
+        let status = response.status();
+        let headers = pass_back(response.headers());
+        let whole = response.body().limit(MAX_ANSWER_BYTES).await;
+        let whole = whole.map_err(|e| WorkFailure::Broken(e.to_string()))?;
+        Ok(WorkAnswer {
+            status,
+            headers,
+            body: whole,
+        })
+    }
+}
+
+fn build_request(
+    client: &awc::Client,
+    server: &configuration::ServerSpec,
+    order: &WorkOrder<'_>,
+) -> awc::ClientRequest {
+    let head = order.head;
+    let target = head.uri().path_and_query();
+    let target = target.map_or("/", http::uri::PathAndQuery::as_str);
+    let address = server.address;
+    let mut request = client.request(
+        head.method().clone(),
+        format!("http://{address}/work{target}"),
+    );
+    for (name, value) in head.headers() {
+        if passes(name) {
+            request = request.append_header((name.clone(), value.clone()));
+        }
+    }
+    let left_ms = order.left.as_millis().to_string();
+    request
+        .insert_header((contract::FENCE_HEADER, order.route.fence.to_string()))
+        .insert_header((contract::SHARD_HEADER, order.shard.to_string()))
+        .insert_header((contract::REQUEST_ID_HEADER, order.id.as_str()))
+        .insert_header((contract::DEADLINE_HEADER, left_ms))
+}
+
+// Headers that concern one connection only, and those that this host sets itself, stay behind.
+fn passes(name: &http::header::HeaderName) -> bool {
+    let own = [
+        contract::FENCE_HEADER,
+        contract::SHARD_HEADER,
+        contract::REQUEST_ID_HEADER,
+        contract::DEADLINE_HEADER,
+    ];
+    let hop = [
+        http::header::CONNECTION,
+        http::header::HOST,
+        http::header::CONTENT_LENGTH,
+        http::header::TRANSFER_ENCODING,
+        http::header::TE,
+        http::header::TRAILER,
+        http::header::UPGRADE,
+        http::header::EXPECT,
+    ];
+    !own.contains(&name.as_str()) && !hop.contains(name) && name.as_str() != "keep-alive"
+}
+
+fn pass_back(
+    headers: &http::header::HeaderMap,
+) -> Vec<(http::header::HeaderName, http::header::HeaderValue)> {
+    let passed = headers.iter().filter(|(name, _)| passes(name));
+    passed.map(|(n, v)| (n.clone(), v.clone())).collect()
+}
+
+fn echoes(headers: &http::header::HeaderMap, id: &names::RequestId) -> bool {
+    let echo = headers.get(contract::REQUEST_ID_HEADER);
+    echo.is_some_and(|value| value.as_bytes() == id.as_str().as_bytes())
+}
+
+fn refusal_of(headers: &http::header::HeaderMap) -> Option<contract::ServerRefusal> {
+    let outcome = headers.get(contract::OUTCOME_HEADER)?;
+    if outcome.as_bytes() != b"not-run" {
+        return None;
+    }
+    let reason = headers.get(contract::REASON_HEADER)?.to_str().ok()?;
+    let mut known = contract::ServerRefusal::ALL.into_iter();
+    known.find(|refusal| refusal.as_str() == reason)
+}
+
+// Only a connection that was never made proves that nothing was sent: the library also reports a
+// connection that closed before its answer as a failure to connect.
+fn classify(error: &awc::error::SendRequestError) -> WorkFailure {
+    let awc::error::SendRequestError::Connect(connect) = error else {
+        return WorkFailure::Broken(error.to_string());
+    };
+    let unsent = match connect {
+        awc::error::ConnectError::Timeout => true,
+        awc::error::ConnectError::Io(e) => matches!(
+            e.kind(),
+            io::ErrorKind::ConnectionRefused
+                | io::ErrorKind::HostUnreachable
+                | io::ErrorKind::NetworkUnreachable
+        ),
+        _ => false,
+    };
+    if unsent {
+        return WorkFailure::NotConnected;
+    }
+    WorkFailure::Broken(error.to_string())
+}
--- /dev/null
+++ b/src/edge/host.rs
@@ -0,0 +1,279 @@
+//! One entry host: its threads and listeners, and its clean stop.
+
+use std::net;
+use std::sync;
+use std::sync::atomic;
+use std::time;
+
+use actix::Actor as _;
+use actix_web::web;
+
+use crate::chart;
+use crate::clock;
+use crate::configuration;
+use crate::control;
+use crate::edge::callers;
+use crate::edge::controller;
+use crate::edge::dispatcher;
+use crate::edge::exchange;
+use crate::edge::metrics;
+use crate::edge::operators;
+use crate::edge::peers;
+use crate::edge::platform;
+use crate::edge::ports;
+use crate::edge::servers;
+use crate::lifecycle;
+use crate::names;
+use crate::peer;
+use crate::timing;
+
+/// How many connections a listener lets wait.
+pub const LISTEN_BACKLOG: u32 = 1_024;
+
+/// What one entry host is set to.
+#[derive(Clone, Debug)]
+pub struct HostSettings {
+    /// The host's name.
+    pub name: names::HostName,
+    /// The host's failure domain.
+    pub domain: names::DomainName,
+    /// Where callers connect.
+    pub callers: net::SocketAddr,
+    /// Where operators connect.
+    pub operators: net::SocketAddr,
+    /// Where other hosts connect.
+    pub peers: net::SocketAddr,
+    /// Where the platform's log is.
+    pub log: net::SocketAddr,
+    /// Where the platform's list of hosts is, if anywhere.
+    pub host_list: Option<net::SocketAddr>,
+    /// Hosts to ask before a configuration is known.
+    pub bootstrap: Vec<net::SocketAddr>,
+    /// The number of traffic threads.
+    pub threads: usize,
+}
+
+/// A host could not start.
+#[derive(Debug)]
+#[derive(snafu::Snafu)]
+pub enum HostError {
+    /// A chart is faulty.
+    #[snafu(display("step=read-charts fault=\"{source}\""))]
+    Chart {
+        /// The fault.
+        source: chart::ChartError,
+    },
+    /// A listener could not be opened.
+    #[snafu(display("step=listen peer={address} fault=\"{source}\""))]
+    Listen {
+        /// The address.
+        address: net::SocketAddr,
+        /// The fault.
+        source: std::io::Error,
+    },
+    /// The peers' listener could not be opened.
+    #[snafu(display("{source}"))]
+    Peers {
+        /// The fault.
+        source: ports::PortError,
+    },
+}
+
+/// A running entry host.
+pub struct EntryHost {
+    control: controller::ControlHandle,
+    control_arbiter: actix::Arbiter,
+    dispatch_arbiter: actix::Arbiter,
+    callers: web::Data<callers::CallerContext>,
+    caller_server: actix_web::dev::ServerHandle,
+    operator_server: actix_web::dev::ServerHandle,
+    metrics: sync::Arc<metrics::HostMetrics>,
+}
+
+impl EntryHost {
+    /// Starts a host.
+    ///
+    /// # Errors
+    /// Fails when a chart is faulty or a listener cannot be opened.
+    pub async fn start(settings: HostSettings) -> Result<Self, HostError> {
+        let clock = clock::SystemClock::new();
+        let metrics = sync::Arc::new(metrics::HostMetrics::new());
+        let table = callers::empty_table();
+        let control_arbiter = actix::Arbiter::new();
+        let dispatch_arbiter = actix::Arbiter::new();
+        let state = control::ControlState::new(control_settings(&settings))
+            .map_err(|source| HostError::Chart { source })?;
+        let shared = SharedParts {
+            clock,
+            table: sync::Arc::clone(&table),
+            metrics: sync::Arc::clone(&metrics),
+        };
+        let control = start_control(&control_arbiter, state, &settings, shared);
+        listen_peers(&control_arbiter, &control, settings.peers).await?;
+        let chart = chart::ChartTable::new().map_err(|source| HostError::Chart { source })?;
+        let callers = web::Data::new(callers::CallerContext {
+            clock,
+            table,
+            dispatch: dispatcher::start(&dispatch_arbiter.handle(), clock),
+            chart: sync::Arc::new(chart),
+            metrics: sync::Arc::clone(&metrics),
+            stopping: atomic::AtomicBool::new(false),
+        });
+        let operators = web::Data::new(operators::OperatorContext {
+            control: control.clone(),
+            callers: callers.clone(),
+            metrics: sync::Arc::clone(&metrics),
+        });
+        let caller_server = listen_callers(&settings, &callers)?;
+        let operator_server = listen_operators(&settings, &operators)?;
+        tracing::info!(
+            event = "host-started",
+            host = %settings.name,
+            domain = %settings.domain,
+            callers = %settings.callers,
+            operators = %settings.operators,
+            peers = %settings.peers
+        );
+        Ok(Self {
+            control,
+            control_arbiter,
+            dispatch_arbiter,
+            callers,
+            caller_server,
+            operator_server,
+            metrics,
+        })
+    }
+
+    /// Returns the number of requests that are not yet answered.
+    #[must_use]
+    pub fn in_flight(&self) -> i64 {
+        self.metrics.in_flight_count()
+    }
+
+    /// Stops cleanly: reports itself unready, hands over granting, and finishes what is in flight.
+    pub async fn stop(&self) {
+        let actions = self.control.stop().await;
+        self.callers.stopping.store(true, atomic::Ordering::Relaxed);
+        tracing::info!(event = "host-draining", in_flight = self.in_flight());
+        if actions.contains(&lifecycle::HostAction::CloseConnections) {
+            tokio::time::sleep(callers::lame_duck()).await;
+        }
+        self.caller_server.stop(true).await;
+        self.operator_server.stop(false).await;
+        self.control_arbiter.stop();
+        self.dispatch_arbiter.stop();
+        tracing::info!(event = "host-stopped", cut = 0);
+    }
+}
+
+struct SharedParts {
+    clock: clock::SystemClock,
+    table: controller::SharedTable,
+    metrics: sync::Arc<metrics::HostMetrics>,
+}
+
+fn control_settings(settings: &HostSettings) -> control::ControlSettings {
+    control::ControlSettings {
+        identity: peer::HostIdentity {
+            host: settings.name.clone(),
+            incarnation: rand::random(),
+        },
+        domain: settings.domain.clone(),
+        bootstrap: settings.bootstrap.clone(),
+        timing: timing::LeaseTiming::new(),
+        seed: rand::random(),
+    }
+}
+
+fn start_control(
+    arbiter: &actix::Arbiter,
+    state: control::ControlState,
+    settings: &HostSettings,
+    shared: SharedParts,
+) -> controller::ControlHandle {
+    let log = settings.log;
+    let host_list = settings.host_list;
+    let start = move |_: &mut actix::Context<_>| {
+        let ports = controller::ControlPorts {
+            platform: platform::PlatformClient::new(log).with_hosts(host_list),
+            servers: servers::ServerClient::new(),
+            peers: peers::PeerClient::new(),
+        };
+        let parts = controller::ControlParts {
+            clock: shared.clock,
+            ports,
+            table: shared.table,
+            metrics: shared.metrics,
+        };
+        controller::ControlActor::new(state, parts)
+    };
+    let address = controller::ControlActor::start_in_arbiter(&arbiter.handle(), start);
+    controller::ControlHandle::new(address.recipient())
+}
+
+async fn listen_peers(
+    arbiter: &actix::Arbiter,
+    control: &controller::ControlHandle,
+    address: net::SocketAddr,
+) -> Result<(), HostError> {
+    let (sender, receiver) = tokio::sync::oneshot::channel();
+    let responder = peers::PeerResponder::new(control.clone());
+    arbiter.spawn(async move {
+        let _ = sender.send(responder.listen(address).await);
+    });
+    let lost = ports::PortError {
+        step: "listen-peers",
+        peer: address.to_string(),
+        fault: "the control thread ended".into(),
+    };
+    let listened = receiver.await.unwrap_or(Err(lost));
+    listened.map_err(|source| HostError::Peers { source })
+}
+
+fn listen_callers(
+    settings: &HostSettings,
+    context: &web::Data<callers::CallerContext>,
+) -> Result<actix_web::dev::ServerHandle, HostError> {
+    let threads = settings.threads;
+    let context = context.clone();
+    let address = settings.callers;
+    let longest = time::Duration::from_millis(configuration::MAX_DEADLINE_MS).as_secs();
+    let server = actix_web::HttpServer::new(move || {
+        actix_web::App::new()
+            .app_data(context.clone())
+            .app_data(exchange::OwnerClient::new(threads))
+            .configure(callers::configure)
+    })
+    .workers(threads)
+    .backlog(LISTEN_BACKLOG)
+    .disable_signals()
+    .shutdown_timeout(longest)
+    .bind(address)
+    .map_err(|source| HostError::Listen { address, source })?
+    .run();
+    let handle = server.handle();
+    actix::spawn(server);
+    Ok(handle)
+}
+
+fn listen_operators(
+    settings: &HostSettings,
+    context: &web::Data<operators::OperatorContext>,
+) -> Result<actix_web::dev::ServerHandle, HostError> {
+    let context = context.clone();
+    let address = settings.operators;
+    let server = actix_web::HttpServer::new(move || {
+        actix_web::App::new()
+            .app_data(context.clone())
+            .configure(operators::configure)
+    })
+    .workers(1)
+    .disable_signals()
+    .bind(address)
+    .map_err(|source| HostError::Listen { address, source })?
+    .run();
+    let handle = server.handle();
+    actix::spawn(server);
+    Ok(handle)
+}
--- /dev/null
+++ b/src/edge/metrics.rs
@@ -0,0 +1,240 @@
+//! The host's counters, gauges and histograms, in the Prometheus format.
+
+use prometheus_client::encoding::text;
+use prometheus_client::metrics::counter;
+use prometheus_client::metrics::family;
+use prometheus_client::metrics::gauge;
+use prometheus_client::metrics::histogram;
+use prometheus_client::registry;
+
+use crate::control;
+use crate::edge::ports;
+use crate::fold;
+use crate::outcome;
+
+/// The bounds of the latency histogram, in seconds.
+pub const LATENCY_BOUNDS_S: [f64; 12] = [
+    0.000_5, 0.001, 0.002, 0.005, 0.010, 0.014, 0.025, 0.050, 0.1, 0.25, 1.0, 5.0,
+];
+
+/// The label of a refusal or a retry.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+#[derive(prometheus_client::encoding::EncodeLabelSet)]
+pub struct ReasonLabel {
+    /// The reason.
+    pub reason: &'static str,
+}
+
+/// The label of a failed call.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+#[derive(prometheus_client::encoding::EncodeLabelSet)]
+pub struct StepLabel {
+    /// The step that failed.
+    pub step: &'static str,
+}
+
+/// The label of a decided patch.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+#[derive(prometheus_client::encoding::EncodeLabelSet)]
+pub struct VerdictLabel {
+    /// The verdict.
+    pub verdict: &'static str,
+}
+
+/// One counter for each reason, kept at hand so that counting takes no lock.
+struct ReasonCounters {
+    family: family::Family<ReasonLabel, counter::Counter>,
+    counters: Vec<counter::Counter>,
+}
+
+impl ReasonCounters {
+    fn new() -> Self {
+        let family = family::Family::<ReasonLabel, counter::Counter>::default();
+        let reasons = outcome::RefusalReason::ALL.iter();
+        let counters = reasons
+            .map(|reason| {
+                let reason = reason.as_str();
+                family.get_or_create(&ReasonLabel { reason }).clone()
+            })
+            .collect();
+        Self { family, counters }
+    }
+
+    fn count(&self, reason: outcome::RefusalReason) {
+        self.counters[reason as usize].inc();
+    }
+}
+
+/// All metrics of one host.
+pub struct HostMetrics {
+    registry: registry::Registry,
+    /// Requests answered by their owner.
+    pub answered: counter::Counter,
+    refused: ReasonCounters,
+    retried: ReasonCounters,
+    /// The time from a request's arrival to its answer.
+    pub latency: histogram::Histogram,
+    /// Requests between arrival and answer.
+    pub in_flight: gauge::Gauge,
+    /// Patches decided, by verdict.
+    pub patches: family::Family<VerdictLabel, counter::Counter>,
+    /// Texts in the log that were no records.
+    pub records_skipped: counter::Counter,
+    /// Calls to the outside that failed, by step.
+    pub calls_failed: family::Family<StepLabel, counter::Counter>,
+    /// Terms begun.
+    pub terms_started: counter::Counter,
+    /// Terms ended.
+    pub terms_ended: counter::Counter,
+    /// The version of the configuration in force.
+    pub configuration_version: gauge::Gauge,
+    /// The domains that this host grants in.
+    pub domains_granted: gauge::Gauge,
+}
+
+impl HostMetrics {
+    /// Creates the metrics, all zero, with every reason present.
+    #[must_use]
+    pub fn new() -> Self {
+        let mut metrics = Self {
+            registry: registry::Registry::with_prefix("zinnia"),
+            answered: counter::Counter::default(),
+            refused: ReasonCounters::new(),
+            retried: ReasonCounters::new(),
+            latency: histogram::Histogram::new(LATENCY_BOUNDS_S),
+            in_flight: gauge::Gauge::default(),
+            patches: family::Family::default(),
+            records_skipped: counter::Counter::default(),
+            calls_failed: family::Family::default(),
+            terms_started: counter::Counter::default(),
+            terms_ended: counter::Counter::default(),
+            configuration_version: gauge::Gauge::default(),
+            domains_granted: gauge::Gauge::default(),
+        };
+        metrics.register();
+        metrics
+    }
+
+    fn register(&mut self) {
+        let registry = &mut self.registry;
+        registry.register(
+            "answered",
+            "Requests answered by their owner",
+            self.answered.clone(),
+        );
+        registry.register(
+            "refused",
+            "Requests refused, by reason",
+            self.refused.family.clone(),
+        );
+        registry.register(
+            "retried",
+            "Requests sent again, by reason",
+            self.retried.family.clone(),
+        );
+        registry.register(
+            "latency_seconds",
+            "Time from arrival to answer",
+            self.latency.clone(),
+        );
+        registry.register(
+            "in_flight",
+            "Requests not yet answered",
+            self.in_flight.clone(),
+        );
+        registry.register(
+            "patches",
+            "Patches decided, by verdict",
+            self.patches.clone(),
+        );
+        let help = "Texts in the log that were no records";
+        registry.register("records_skipped", help, self.records_skipped.clone());
+        let help = "Calls to the outside that failed, by step";
+        registry.register("calls_failed", help, self.calls_failed.clone());
+        registry.register("terms_started", "Terms begun", self.terms_started.clone());
+        registry.register("terms_ended", "Terms ended", self.terms_ended.clone());
+        let help = "Version of the configuration in force";
+        registry.register(
+            "configuration_version",
+            help,
+            self.configuration_version.clone(),
+        );
+        let help = "Domains that this host grants in";
+        registry.register("domains_granted", help, self.domains_granted.clone());
+    }
+
+    /// Writes all metrics as text.
+    #[must_use]
+    pub fn encode(&self) -> String {
+        let mut buffer = String::new();
+        // Writing to a string does not fail.
+        let _ = text::encode(&mut buffer, &self.registry);
+        buffer
+    }
+
+    /// Counts a refused request.
+    pub fn count_refusal(&self, reason: outcome::RefusalReason) {
+        self.refused.count(reason);
+    }
+
+    /// Counts a request that is sent again.
+    pub fn count_retry(&self, reason: outcome::RefusalReason) {
+        self.retried.count(reason);
+    }
+
+    /// Counts a failed call.
+    pub fn count_port_error(&self, error: &ports::PortError) {
+        let step = StepLabel { step: error.step };
+        self.calls_failed.get_or_create(&step).inc();
+    }
+
+    /// Counts what the control thread noted.
+    pub fn count_note(&self, note: &control::ControlNote) {
+        match note {
+            control::ControlNote::PatchDecided(entry) => {
+                let verdict = match entry.verdict {
+                    fold::PatchVerdict::Accepted { .. } => "accepted",
+                    fold::PatchVerdict::Stale { .. } => "stale",
+                    fold::PatchVerdict::Invalid(_) => "invalid",
+                };
+                self.patches.get_or_create(&VerdictLabel { verdict }).inc();
+            }
+            control::ControlNote::RecordSkipped { .. } => {
+                self.records_skipped.inc();
+            }
+            control::ControlNote::TermStarted { .. } => {
+                self.terms_started.inc();
+            }
+            control::ControlNote::TermEnded { .. } => {
+                self.terms_ended.inc();
+            }
+            control::ControlNote::LogRegressed { .. }
+            | control::ControlNote::StateAdopted { .. } => {}
+        }
+    }
+
+    /// Counts a request's arrival.
+    pub fn begin_request(&self) {
+        self.in_flight.inc();
+    }
+
+    /// Counts a request's end.
+    pub fn end_request(&self) {
+        self.in_flight.dec();
+    }
+
+    /// Returns the number of requests that are not yet answered.
+    #[must_use]
+    pub fn in_flight_count(&self) -> i64 {
+        self.in_flight.get()
+    }
+}
+
+impl Default for HostMetrics {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+/// The content type of [`HostMetrics::encode`].
+pub const CONTENT_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
--- /dev/null
+++ b/src/edge/mod.rs
@@ -0,0 +1,13 @@
+//! Everything that performs I/O: it encodes, decodes and waits, and leaves decisions to the rest.
+
+pub mod callers;
+pub mod controller;
+pub mod dispatcher;
+pub mod exchange;
+pub mod host;
+pub mod metrics;
+pub mod operators;
+pub mod peers;
+pub mod platform;
+pub mod ports;
+pub mod servers;
--- /dev/null
+++ b/src/edge/operators.rs
@@ -0,0 +1,180 @@
+//! The operators' listener: patches, status, explanations, metrics and health.
+
+use std::sync;
+
+use actix_web::web;
+
+use crate::configuration;
+use crate::edge::callers;
+use crate::edge::controller;
+use crate::edge::metrics;
+use crate::fold;
+use crate::names;
+use crate::record;
+
+/// The largest patch that is taken, in bytes.
+pub const MAX_PATCH_BYTES: usize = record::MAX_RECORD_BYTES;
+
+/// What the operators' listener works with.
+pub struct OperatorContext {
+    /// The way to the control thread.
+    pub control: controller::ControlHandle,
+    /// What the traffic threads share.
+    pub callers: web::Data<callers::CallerContext>,
+    /// The host's metrics.
+    pub metrics: sync::Arc<metrics::HostMetrics>,
+}
+
+/// A patch as it is submitted.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case")]
+pub struct PatchSubmission {
+    /// The patch's id, by which its verdict can be asked for.
+    pub id: names::RecordId,
+    /// The version that the changes start from.
+    pub base: u64,
+    /// The changes.
+    pub changes: Vec<configuration::ConfigurationChange>,
+}
+
+/// Where a key's requests go, and why.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct KeyExplanation {
+    /// The service.
+    pub service: names::ServiceName,
+    /// The key.
+    pub key: String,
+    /// The key's shard.
+    pub shard: names::ShardId,
+    /// The failure domain whose granter assigns the shard.
+    pub home: Option<names::DomainName>,
+    /// The owner.
+    pub owner: Option<names::ServerName>,
+    /// The fence of the owner's grant.
+    pub fence: Option<String>,
+    /// Whether this host may send to the owner now.
+    pub may_send: bool,
+    /// In words, how the owner came to have the shard.
+    pub because: String,
+}
+
+async fn submit(
+    submission: web::Json<PatchSubmission>,
+    context: web::Data<OperatorContext>,
+) -> actix_web::HttpResponse {
+    let submission = submission.into_inner();
+    let id = submission.id.clone();
+    let body = record::PatchBody {
+        base: submission.base,
+        changes: submission.changes,
+    };
+    let record = record::LogRecord::new(id.clone(), record::RecordBody::Patch(body));
+    let verdict = context.control.submit(record).await;
+    let spread = context.control.standing(id.clone()).await;
+    let standing = controller::PatchStanding {
+        spread: spread.and_then(|standing| standing.spread),
+        id,
+        verdict,
+    };
+    let mut builder = match &standing.verdict {
+        Some(fold::PatchVerdict::Accepted { .. }) => actix_web::HttpResponse::Ok(),
+        Some(fold::PatchVerdict::Stale { .. }) => actix_web::HttpResponse::Conflict(),
+        Some(fold::PatchVerdict::Invalid(_)) => actix_web::HttpResponse::UnprocessableEntity(),
+        None => actix_web::HttpResponse::Accepted(),
+    };
+    builder.json(standing)
+}
+
+async fn show(
+    id: web::Path<names::RecordId>,
+    context: web::Data<OperatorContext>,
+) -> actix_web::HttpResponse {
+    match context.control.standing(id.into_inner()).await {
+        Some(standing) => actix_web::HttpResponse::Ok().json(standing),
+        None => actix_web::HttpResponse::NotFound().finish(),
+    }
+}
+
+async fn status(context: web::Data<OperatorContext>) -> actix_web::HttpResponse {
+    match context.control.status().await {
+        Some(status) => actix_web::HttpResponse::Ok().json(status),
+        None => actix_web::HttpResponse::ServiceUnavailable().finish(),
+    }
+}
+
+async fn explain(
+    path: web::Path<(String, String)>,
+    context: web::Data<OperatorContext>,
+) -> actix_web::HttpResponse {
+    use crate::clock::MonoClock as _;
+    let (service, key) = path.into_inner();
+    let table = context.callers.table.load_full();
+    let Some(lookup) = table.lookup(&service, &key) else {
+        return actix_web::HttpResponse::NotFound().finish();
+    };
+    let now = context.callers.clock.now();
+    let route = lookup.route;
+    let homes = &lookup.service.homes;
+    let home = homes[lookup.shard.index as usize % homes.len()].clone();
+    let explanation = KeyExplanation {
+        service: lookup.service.name.clone(),
+        key,
+        home: Some(route.map_or(home, |route| route.server.domain.clone())),
+        owner: route.map(|route| route.server.name.clone()),
+        fence: route.map(|route| route.fence.to_string()),
+        may_send: route.is_some_and(|route| table.may_send(&route.server, now)),
+        because: reason_of(lookup.route),
+        shard: lookup.shard,
+    };
+    actix_web::HttpResponse::Ok().json(explanation)
+}
+
+fn reason_of(route: Option<&crate::table::ShardRoute>) -> String {
+    match route {
+        None => "no server holds the shard, or this host has no table of its domain yet".into(),
+        Some(route) => format!(
+            "granted by host {} as grant {} of its term {}",
+            route.fence.term.host, route.fence.sequence, route.fence.term.number
+        ),
+    }
+}
+
+async fn metrics_page(context: web::Data<OperatorContext>) -> actix_web::HttpResponse {
+    actix_web::HttpResponse::Ok()
+        .content_type(metrics::CONTENT_TYPE)
+        .body(context.metrics.encode())
+}
+
+async fn health() -> actix_web::HttpResponse {
+    actix_web::HttpResponse::Ok().body("ok\n")
+}
+
+async fn ready(context: web::Data<OperatorContext>) -> actix_web::HttpResponse {
+    let stopping = context
+        .callers
+        .stopping
+        .load(sync::atomic::Ordering::Relaxed);
+    if stopping {
+        return actix_web::HttpResponse::ServiceUnavailable().body("stopping\n");
+    }
+    if context.callers.table.load().version == 0 {
+        return actix_web::HttpResponse::ServiceUnavailable().body("no configuration yet\n");
+    }
+    actix_web::HttpResponse::Ok().body("ready\n")
+}
+
+/// Adds the operators' routes.
+pub fn configure(config: &mut web::ServiceConfig) {
+    config
+        .app_data(web::JsonConfig::default().limit(MAX_PATCH_BYTES))
+        .route("/patches", web::post().to(submit))
+        .route("/patches/{id}", web::get().to(show))
+        .route("/status", web::get().to(status))
+        .route("/explain/{service}/{key}", web::get().to(explain))
+        .route("/metrics", web::get().to(metrics_page))
+        .route("/healthz", web::get().to(health))
+        .route("/readyz", web::get().to(ready));
+}
--- /dev/null
+++ b/src/edge/peers.rs
@@ -0,0 +1,146 @@
+//! The exchange between entry hosts over `tarpc`.
+
+use std::cell;
+use std::collections;
+use std::net;
+use std::rc;
+use std::time;
+
+use futures_util::StreamExt as _;
+use tarpc::server::Channel as _;
+
+use crate::edge::controller;
+use crate::edge::ports;
+use crate::peer;
+
+/// How long a peer may take to answer, in milliseconds.
+pub const EXCHANGE_TIMEOUT_MS: u64 = 500;
+/// The largest message between hosts, in bytes.
+pub const MAX_FRAME_BYTES: usize = 64 << 20;
+
+/// What an entry host answers to its peers.
+#[tarpc::service]
+pub trait PeerService {
+    /// Tells the asking host what it lacks.
+    async fn exchange(request: peer::ExchangeRequest) -> Option<peer::ExchangeReply>;
+}
+
+/// Answers peers from the control thread.
+#[derive(Clone)]
+pub struct PeerResponder {
+    control: controller::ControlHandle,
+}
+
+impl PeerResponder {
+    /// Creates a responder.
+    #[must_use]
+    pub const fn new(control: controller::ControlHandle) -> Self {
+        Self { control }
+    }
+
+    /// Takes peers' connections until the process ends.
+    ///
+    /// # Errors
+    /// Fails when the address cannot be listened on.
+    pub async fn listen(self, address: net::SocketAddr) -> Result<(), ports::PortError> {
+        let format = tarpc::tokio_serde::formats::Json::default;
+        let bound = tarpc::serde_transport::tcp::listen(address, format).await;
+        let mut listener = bound.map_err(|e| ports::PortError {
+            step: "listen-peers",
+            peer: address.to_string(),
+            fault: e.to_string(),
+        })?;
+        listener.config_mut().max_frame_length(MAX_FRAME_BYTES);
+        actix::spawn(async move {
+            while let Some(accepted) = listener.next().await {
+                let Ok(transport) = accepted else {
+                    continue;
+                };
+                let channel = tarpc::server::BaseChannel::with_defaults(transport);
+                let responder = self.clone();
+                actix::spawn(async move {
+                    let requests = channel.execute(responder.serve());
+                    requests.for_each_concurrent(None, |answer| answer).await;
+                });
+            }
+        });
+        Ok(())
+    }
+}
+
+impl PeerService for PeerResponder {
+    async fn exchange(
+        self,
+        _: tarpc::context::Context,
+        request: peer::ExchangeRequest,
+    ) -> Option<peer::ExchangeReply> {
+        self.control.exchange(request).await
+    }
+}
+
+/// Asks peers, over one kept connection each.
+#[derive(Clone, Default)]
+pub struct PeerClient {
+    connections: rc::Rc<cell::RefCell<collections::HashMap<net::SocketAddr, PeerServiceClient>>>,
+}
+
+impl PeerClient {
+    /// Creates a client without connections.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    async fn connect(&self, peer: net::SocketAddr) -> Result<PeerServiceClient, ports::PortError> {
+        let known = self.connections.borrow().get(&peer).cloned();
+        if let Some(client) = known {
+            return Ok(client);
+        }
+        let format = tarpc::tokio_serde::formats::Json::default;
+        let mut connecting = tarpc::serde_transport::tcp::connect(peer, format);
+        connecting.config_mut().max_frame_length(MAX_FRAME_BYTES);
+        let limit = time::Duration::from_millis(EXCHANGE_TIMEOUT_MS);
+        let transport = match tokio::time::timeout(limit, connecting).await {
+            Ok(Ok(transport)) => transport,
+            Ok(Err(e)) => return Err(connect_error(peer, &e.to_string())),
+            Err(_) => return Err(connect_error(peer, "timeout")),
+        };
+        let config = tarpc::client::Config::default();
+        let client = PeerServiceClient::new(config, transport).spawn();
+        self.connections.borrow_mut().insert(peer, client.clone());
+        Ok(client)
+    }
+}
+
+fn connect_error(peer: net::SocketAddr, fault: &str) -> ports::PortError {
+    ports::PortError {
+        step: "connect-peer",
+        peer: peer.to_string(),
+        fault: fault.into(),
+    }
+}
+
+impl ports::PeerPort for PeerClient {
+    async fn exchange(
+        &self,
+        peer: net::SocketAddr,
+        request: &peer::ExchangeRequest,
+    ) -> Result<peer::ExchangeReply, ports::PortError> {
+        let client = self.connect(peer).await?;
+        let mut context = tarpc::context::current();
+        let limit = time::Duration::from_millis(EXCHANGE_TIMEOUT_MS);
+        context.deadline = time::Instant::now() + limit;
+        let answer = client.exchange(context, request.clone()).await;
+        let fault = match answer {
+            Ok(Some(reply)) => return Ok(reply),
+            Ok(None) => "the peer is stopping".to_owned(),
+            Err(e) => e.to_string(),
+        };
+        self.connections.borrow_mut().remove(&peer);
+        Err(ports::PortError {
+            step: "ask-peer",
+            peer: peer.to_string(),
+            fault,
+        })
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,13 +3,35 @@
 //! Modules at this level decide: they take events and the time, and return typed actions.
 //! Everything that performs I/O lives under [`edge`]; [`cmd`] holds the command line.
 
+pub mod authority;
 pub mod chart;
 pub mod clock;
+pub mod cmd;
 pub mod configuration;
 pub mod contract;
+pub mod control;
+pub mod domain;
+pub mod door;
+pub mod edge;
 pub mod fence;
+pub mod flow;
 pub mod fold;
+pub mod grant;
+pub mod journal;
+pub mod lease;
+pub mod lifecycle;
+pub mod limit;
+pub mod membership;
 pub mod names;
+pub mod outcome;
+pub mod peer;
+pub mod placement;
+pub mod platform;
+pub mod queue;
 pub mod record;
+pub mod report;
+pub mod retry;
+pub mod settings;
 pub mod shard;
 pub mod table;
+pub mod timing;
--- /dev/null
+++ b/src/placement.rs
@@ -0,0 +1,141 @@
+//! Which server a shard goes to: the fewest moves that keep the load even.
+
+use crate::names;
+
+/// The ratio of the greatest load to the mean above which shards are moved.
+pub const MOVE_ABOVE: f64 = 1.20;
+/// The ratio below which no further shard is moved.
+pub const MOVE_UNTIL: f64 = 1.10;
+
+/// A server that shards may go to.
+#[derive(Clone, Debug, PartialEq)]
+pub struct PlacementTarget {
+    /// The server.
+    pub server: names::ServerName,
+    /// Its capacity, in slots.
+    pub capacity: f64,
+    /// The load of the shards that it has, in any unit shared by all.
+    pub load: f64,
+    /// The number of shards that it has.
+    pub shards: usize,
+}
+
+impl PlacementTarget {
+    /// Creates a target that has no shard.
+    #[must_use]
+    pub fn new(server: names::ServerName, slots: u32) -> Self {
+        Self {
+            server,
+            capacity: f64::from(slots.max(1)),
+            load: 0.0,
+            shards: 0,
+        }
+    }
+
+    /// Counts one more shard.
+    pub fn add(&mut self, load: f64) {
+        self.load += load;
+        self.shards += 1;
+    }
+
+    fn remove(&mut self, load: f64) {
+        self.load -= load;
+        self.shards -= 1;
+    }
+
+    fn fullness(&self) -> f64 {
+        self.load / self.capacity
+    }
+}
+
+/// A shard with its owner and load.
+#[derive(Clone, Debug, PartialEq)]
+pub struct PlacedShard {
+    /// The shard.
+    pub shard: names::ShardId,
+    /// Its owner.
+    pub server: names::ServerName,
+    /// Its load.
+    pub load: f64,
+}
+
+/// Returns the target that a shard without an owner goes to: the least full one.
+#[must_use]
+pub fn choose_target(targets: &[PlacementTarget]) -> Option<usize> {
+    let by_fullness = |a: &usize, b: &usize| {
+        let (a, b) = (&targets[*a], &targets[*b]);
+        a.fullness()
+            .total_cmp(&b.fullness())
+            .then(a.shards.cmp(&b.shards))
+            .then(a.server.cmp(&b.server))
+    };
+    (0..targets.len()).min_by(by_fullness)
+}
+
+/// Returns the shards to take from their owners so that the greatest load comes near the mean, at
+/// most `budget` of them. A shard that alone fills its server stays; its neighbours move.
+#[must_use]
+pub fn choose_moves(
+    targets: &[PlacementTarget],
+    shards: &[PlacedShard],
+    budget: usize,
+) -> Vec<names::ShardId> {
+    let mut targets = targets.to_vec();
+    let mut moves = Vec::new();
+    if peak_ratio(&targets) <= MOVE_ABOVE {
+        return moves;
+    }
+    let mut shards: Vec<&PlacedShard> = shards.iter().collect();
+    while moves.len() < budget && peak_ratio(&targets) > MOVE_UNTIL {
+        let Some(position) = best_move(&targets, &shards) else {
+            break;
+        };
+        let moved = shards.swap_remove(position);
+        shift(&mut targets, moved);
+        moves.push(moved.shard.clone());
+    }
+    moves
+}
+
+fn peak_ratio(targets: &[PlacementTarget]) -> f64 {
+    let capacity: f64 = targets.iter().map(|t| t.capacity).sum();
+    let load: f64 = targets.iter().map(|t| t.load).sum();
+    let peak = targets.iter().map(PlacementTarget::fullness);
+    let peak = peak.fold(0.0, f64::max);
+    if load <= 0.0 {
+        return 1.0;
+    }
+    peak / (load / capacity)
+}
+
+// The best shard of the fullest server is the one that leaves the higher of the two servers lowest.
+fn best_move(targets: &[PlacementTarget], shards: &[&PlacedShard]) -> Option<usize> {
+    let fullest = (0..targets.len())
+        .max_by(|a, b| targets[*a].fullness().total_cmp(&targets[*b].fullness()))?;
+    let emptiest = choose_target(targets)?;
+    let (from, to) = (&targets[fullest], &targets[emptiest]);
+    let peak_after = |shard: &PlacedShard| {
+        let left = (from.load - shard.load) / from.capacity;
+        let gained = (to.load + shard.load) / to.capacity;
+        left.max(gained)
+    };
+    let candidates = (0..shards.len()).filter(|i| shards[*i].server == from.server);
+    let best = candidates.min_by(|a, b| {
+        let (a, b) = (shards[*a], shards[*b]);
+        peak_after(a)
+            .total_cmp(&peak_after(b))
+            .then(a.shard.cmp(&b.shard))
+    })?;
+    let gain = from.fullness() - peak_after(shards[best]);
+    (gain > 0.0).then_some(best)
+}
+
+fn shift(targets: &mut [PlacementTarget], moved: &PlacedShard) {
+    let emptiest = choose_target(targets);
+    if let Some(from) = targets.iter_mut().find(|t| t.server == moved.server) {
+        from.remove(moved.load);
+    }
+    if let Some(to) = emptiest {
+        targets[to].add(moved.load);
+    }
+}
--- /dev/null
+++ b/src/report.rs
@@ -0,0 +1,172 @@
+//! What a host says of itself: its status for operators, and its log lines.
+
+use crate::clock;
+use crate::control;
+use crate::fold;
+use crate::lifecycle;
+use crate::membership;
+use crate::names;
+
+/// A domain as one host sees it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct DomainStatus {
+    /// The domain.
+    pub domain: names::DomainName,
+    /// The granter's host, where one is known.
+    pub granter: Option<names::HostName>,
+    /// The granter's term.
+    pub term: Option<String>,
+    /// The milliseconds since the granter last showed authority.
+    pub heard_ms: Option<u64>,
+    /// The number of shards that have an owner.
+    pub owned: usize,
+    /// The number of shards whose home the domain is.
+    pub shards: usize,
+    /// The number of checked servers whose promises decide who grants.
+    pub witnesses: usize,
+}
+
+/// A server as one host sees it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct ServerLine {
+    /// The server.
+    pub server: names::ServerName,
+    /// Its service.
+    pub service: names::ServiceName,
+    /// Its domain.
+    pub domain: names::DomainName,
+    /// The number of shards that are routed to it.
+    pub shards: usize,
+    /// Whether an operator withdrew it.
+    pub withdrawn: bool,
+}
+
+/// One host's view of the whole.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct HostStatus {
+    /// The host.
+    pub host: names::HostName,
+    /// Whether it is starting, serving, draining or stopped.
+    pub life: String,
+    /// The configuration's version.
+    pub version: u64,
+    /// The offset of the next record in the log.
+    pub next_offset: u64,
+    /// The number of texts in the log that were no records.
+    pub skipped: u64,
+    /// The records that wait to be appended.
+    pub waiting_appends: usize,
+    /// Where the version is in force.
+    pub spread: membership::VersionSpread,
+    /// The domains.
+    pub domains: Vec<DomainStatus>,
+    /// The servers.
+    pub servers: Vec<ServerLine>,
+}
+
+impl HostStatus {
+    /// Reads a host's status.
+    #[must_use]
+    pub fn new(state: &control::ControlState, now: clock::MonoTime) -> Self {
+        let fold = state.fold().state();
+        let domains = state.domains();
+        Self {
+            host: state.host().clone(),
+            life: chart_word(state.life()),
+            version: fold.version,
+            next_offset: fold.next_offset,
+            skipped: fold.skipped,
+            waiting_appends: state.waiting_appends(),
+            spread: state.spread(fold.version, now),
+            domains: domains
+                .map(|(name, _)| domain_status(state, name, now))
+                .collect(),
+            servers: fold
+                .configuration
+                .server
+                .iter()
+                .map(|spec| server_line(state, spec))
+                .collect(),
+        }
+    }
+}
+
+fn chart_word(state: lifecycle::HostState) -> String {
+    use crate::chart::ChartWord as _;
+    state.word().into()
+}
+
+fn domain_status(
+    state: &control::ControlState,
+    name: &names::DomainName,
+    now: clock::MonoTime,
+) -> DomainStatus {
+    let fold = state.fold().state();
+    let control = state.domain(name);
+    let sign = control.and_then(|control| control.sign());
+    let table = control.and_then(|control| control.table());
+    let heard = sign.map(|sign| now.since(sign.at).as_millis());
+    DomainStatus {
+        domain: name.clone(),
+        granter: sign.map(|sign| sign.term.host.clone()),
+        term: sign.map(|sign| sign.term.to_string()),
+        heard_ms: heard.and_then(|ms| u64::try_from(ms).ok()),
+        owned: table.map_or(0, |table| table.routes().len()),
+        shards: fold.configuration.shards_of(name).count(),
+        witnesses: fold.witnesses.get(name).map_or(0, |w| w.settled.len()),
+    }
+}
+
+fn server_line(
+    state: &control::ControlState,
+    spec: &crate::configuration::ServerSpec,
+) -> ServerLine {
+    let table = state.domain(&spec.domain).and_then(|d| d.table());
+    let routes = table.map(|table| table.routes().values());
+    let owned = routes.map(|routes| routes.filter(|r| r.server == spec.name).count());
+    ServerLine {
+        server: spec.name.clone(),
+        service: spec.service.clone(),
+        domain: spec.domain.clone(),
+        shards: owned.unwrap_or(0),
+        withdrawn: spec.is_withdrawn(),
+    }
+}
+
+/// Writes a note as one log line.
+pub fn log_note(note: &control::ControlNote) {
+    match note {
+        control::ControlNote::PatchDecided(entry) => match &entry.verdict {
+            fold::PatchVerdict::Accepted { version } => {
+                tracing::info!(event = "patch-accepted", id = %entry.id, version);
+            }
+            fold::PatchVerdict::Stale { current } => {
+                tracing::info!(event = "patch-stale", id = %entry.id, current);
+            }
+            fold::PatchVerdict::Invalid(error) => {
+                tracing::info!(event = "patch-invalid", id = %entry.id, %error);
+            }
+        },
+        control::ControlNote::RecordSkipped { offset, error } => {
+            tracing::warn!(event = "record-skipped", offset, %error);
+        }
+        control::ControlNote::TermStarted { domain, term } => {
+            tracing::info!(event = "term-started", %domain, %term);
+        }
+        control::ControlNote::TermEnded { domain } => {
+            tracing::info!(event = "term-ended", %domain);
+        }
+        control::ControlNote::LogRegressed { known, next } => {
+            tracing::warn!(event = "log-regressed", known, next);
+        }
+        control::ControlNote::StateAdopted { version } => {
+            tracing::info!(event = "state-adopted", version);
+        }
+    }
+}
--- /dev/null
+++ b/src/retry.rs
@@ -0,0 +1,44 @@
+//! The retry budget: repeats as a fraction of fresh requests.
+
+/// How much of a repeat each fresh request pays for.
+pub const REPEATS_PER_REQUEST: f64 = 0.1;
+/// How many repeats may be saved up.
+pub const MAX_SAVED_REPEATS: f64 = 10.0;
+
+/// A budget that fresh requests fill and repeats draw from.
+#[derive(Clone, Debug)]
+pub struct RetryBudget {
+    saved: f64,
+}
+
+impl RetryBudget {
+    /// Creates a full budget.
+    #[must_use]
+    pub const fn new() -> Self {
+        Self {
+            saved: MAX_SAVED_REPEATS,
+        }
+    }
+
+    /// Counts a fresh request.
+    pub fn note_fresh(&mut self) {
+        self.saved = (self.saved + REPEATS_PER_REQUEST).min(MAX_SAVED_REPEATS);
+    }
+
+    /// Reports whether a repeat is allowed.
+    #[must_use]
+    pub fn allows(&self) -> bool {
+        self.saved >= 1.0
+    }
+
+    /// Draws one repeat.
+    pub fn draw(&mut self) {
+        self.saved -= 1.0;
+    }
+}
+
+impl Default for RetryBudget {
+    fn default() -> Self {
+        Self::new()
+    }
+}
--- a/src/table.rs
+++ b/src/table.rs
@@ -229,6 +229,8 @@
 pub struct RoutingTable {
     /// The configuration's version.
     pub version: u64,
+    /// The number of entry hosts.
+    pub hosts: usize,
     /// Until when the host counts as in contact; later, `when-stale` decides on features' work.
     pub fresh_until: clock::MonoTime,
     services: imbl::HashMap<names::ServiceName, ServiceRoutes>,
@@ -251,6 +253,7 @@
         };
         Self {
             version,
+            hosts: configuration.host.len(),
             fresh_until: clock::MonoTime::default(),
             services: configuration.service.iter().map(service).collect(),
             features: configuration
@@ -285,6 +288,16 @@
         }
     }
 
+    /// Removes the routes to a domain's servers.
+    pub fn clear_domain(&mut self, domain: &names::DomainName) {
+        let names: Vec<_> = self.services.keys().cloned().collect();
+        for name in names {
+            if let Some(service) = self.services.get_mut(&name) {
+                service.clear_domain(domain);
+            }
+        }
+    }
+
     /// Notes until when requests may go to the unchecked servers of a domain.
     pub fn set_table_lease(&mut self, domain: names::DomainName, until: clock::MonoTime) {
         self.table_leases.insert(domain, until);
@@ -329,6 +342,16 @@
 }
 
 impl ServiceRoutes {
+    fn clear_domain(&mut self, domain: &names::DomainName) {
+        let stands_there = |route: &Option<ShardRoute>| {
+            let server = route.as_ref().map(|route| &route.server);
+            server.is_some_and(|server| server.domain == *domain)
+        };
+        for route in self.routes.iter_mut().filter(|route| stands_there(route)) {
+            *route = None;
+        }
+    }
+
     /// Returns the route of each shard, in order of number.
     pub fn routes(&self) -> impl Iterator<Item = Option<&ShardRoute>> {
         self.routes.iter().map(Option::as_ref)
