--- a/lab/src/cmd/server.rs
+++ b/lab/src/cmd/server.rs
@@ -17,8 +17,10 @@
 Serves a backend server on loopback until it is ended.
 
 Usage: zinnia-lab server --listen IP:PORT [--unchecked] [--slots N] [--service-ms N]
+                         [--cold-start-ms N]
 POST /claim and /lease take a granter's orders, /work/... takes requests, GET /journal tells what
-ran; POST /faults takes {\"frozen\": true, \"draining\": false, \"crossed\": false, \"slow-ms\": 0}.";
+ran; POST /faults takes {\"frozen\": true, \"draining\": false, \"crossed\": false, \"slow-ms\": 0,
+\"reported-percent\": 50}.";
 
 /// The slots unless told otherwise.
 pub const DEFAULT_SLOTS: u32 = 6;
@@ -41,6 +43,12 @@
     /// How many requests it runs at once.
     #[options(no_short, help = "how many requests it runs at once")]
     pub slots: Option<u32>,
+    /// How much longer the first request of each shard takes.
+    #[options(
+        no_short,
+        help = "how much longer a shard's first request takes, in ms"
+    )]
+    pub cold_start_ms: Option<u64>,
     /// How long a request takes.
     #[options(no_short, help = "how long a request takes, in milliseconds")]
     pub service_ms: Option<u64>,
@@ -67,9 +75,11 @@
         incarnation: rand::random(),
     };
     let time = time::Duration::from_millis(args.service_ms.unwrap_or(DEFAULT_SERVICE_MS));
+    let cold_start = time::Duration::from_millis(args.cold_start_ms.unwrap_or(0));
     actix::System::new().block_on(async {
         let listener = net::TcpListener::bind(address).map_err(cmd::CommandError::failed)?;
-        let service = web::Data::new(http::ServerService::new(setup, time));
+        let service =
+            web::Data::new(http::ServerService::new(setup, time).with_cold_start(cold_start));
         http::serve_server(listener, service).map_err(cmd::CommandError::failed)?;
         std::future::pending::<()>().await;
         Ok(cmd::EXIT_OK)
--- a/lab/src/server_state.rs
+++ b/lab/src/server_state.rs
@@ -310,13 +310,18 @@
         Ok(())
     }
 
-    /// Ends a request; reports whether the server may still answer it.
-    pub fn finish(&mut self, shard: &names::ShardId, now: clock::MonoTime) -> bool {
+    /// Ends a request.
+    pub fn finish(&mut self, shard: &names::ShardId) {
         if let Some(count) = self.running.get_mut(shard) {
             *count = count.saturating_sub(1);
         }
         self.running.retain(|_, count| *count > 0);
         self.finished += 1;
+    }
+
+    /// Reports whether the server may still answer: one that checks its lease needs a live one.
+    #[must_use]
+    pub fn may_answer(&self, now: clock::MonoTime) -> bool {
         !self.is_checked() || self.has_lease(now)
     }
 }
