--- a/src/clock.rs
+++ b/src/clock.rs
@@ -65,10 +65,10 @@
     fn now(&self) -> MonoTime;
 }
 
-/// The process's own monotonic clock, which goes on while the process is paused.
+/// The machine's clock since boot, which goes on while the machine is suspended.
 #[derive(Clone, Copy, Debug)]
 pub struct SystemClock {
-    origin: time::Instant,
+    origin: time::Duration,
 }
 
 impl SystemClock {
@@ -76,7 +76,7 @@
     #[must_use]
     pub fn new() -> Self {
         Self {
-            origin: time::Instant::now(),
+            origin: since_boot(),
         }
     }
 }
@@ -89,6 +89,14 @@
 
 impl MonoClock for SystemClock {
     fn now(&self) -> MonoTime {
-        MonoTime(micros(self.origin.elapsed()))
+        MonoTime(micros(since_boot().saturating_sub(self.origin)))
     }
 }
+
+// The steady clock stops while a machine is suspended; a lease at a server does not.
+fn since_boot() -> time::Duration {
+    let read = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
+    let seconds = u64::try_from(read.tv_sec).unwrap_or(0);
+    let nanos = u32::try_from(read.tv_nsec).unwrap_or(0);
+    time::Duration::new(seconds, nanos)
+}
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -11,4 +11,5 @@
 pub mod peers;
 pub mod platform;
 pub mod ports;
+pub mod router;
 pub mod servers;
--- /dev/null
+++ b/src/edge/router/exchange.rs
@@ -0,0 +1,220 @@
+//! One attempt of a request at one server: what is sent, and what the answer is worth.
+
+use std::net;
+
+use crate::edge::router::body;
+use crate::edge::router::ports;
+use crate::edge::router::wire;
+use crate::names;
+use crate::serving::measure;
+use crate::serving::verdict;
+
+/// Answers up to this size are read whole before the caller sees any of them, in bytes, so that one
+/// that breaks off can be replaced.
+pub const HELD_ANSWER_BYTES: usize = 64 * 1_024;
+
+/// Headers that concern one connection.
+pub const CONNECTION_HEADERS: [&str; 8] = [
+    "connection",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+];
+
+/// A server's answer, on its way to the caller.
+pub struct ServerAnswer {
+    /// The head.
+    pub head: hyper::http::response::Parts,
+    /// What was read of the body.
+    pub first: bytes::Bytes,
+    /// The rest, where there is more.
+    pub rest: Option<wire::WireAnswer>,
+}
+
+/// How an attempt ended.
+pub enum AttemptEnd {
+    /// The server answered.
+    Answered(ServerAnswer),
+    /// The server answered with a failure of its own.
+    Failed(ServerAnswer),
+    /// The server did not run the request.
+    NotRun {
+        /// Its status.
+        status: u16,
+    },
+    /// The exchange broke off, or the answer was none.
+    Broken(String),
+    /// Nothing was sent.
+    Unsent(String),
+}
+
+impl AttemptEnd {
+    /// Returns the chart's event.
+    #[must_use]
+    pub const fn event(&self) -> verdict::DeliveryEvent {
+        match self {
+            Self::Answered(_) => verdict::DeliveryEvent::Answered,
+            Self::Failed(_) => verdict::DeliveryEvent::Failed,
+            Self::NotRun { .. } => verdict::DeliveryEvent::NotRun,
+            Self::Broken(_) => verdict::DeliveryEvent::Broken,
+            Self::Unsent(_) => verdict::DeliveryEvent::Unsent,
+        }
+    }
+
+    /// Returns what it says of the server.
+    #[must_use]
+    pub const fn measure(&self) -> measure::ExchangeEnd {
+        match self {
+            Self::Answered(_) => measure::ExchangeEnd::Answered,
+            Self::Failed(_) => measure::ExchangeEnd::Failed,
+            Self::NotRun { status: 421 } => measure::ExchangeEnd::Misplaced,
+            Self::NotRun { .. } => measure::ExchangeEnd::Full,
+            Self::Broken(_) => measure::ExchangeEnd::Broken,
+            Self::Unsent(_) => measure::ExchangeEnd::Unsent,
+        }
+    }
+
+    /// Returns what went wrong, for logs.
+    #[must_use]
+    pub fn fault(&self) -> String {
+        match self {
+            Self::Answered(answer) | Self::Failed(answer) => answer.head.status.to_string(),
+            Self::NotRun { status } => format!("not run, status {status}"),
+            Self::Broken(fault) | Self::Unsent(fault) => fault.clone(),
+        }
+    }
+}
+
+/// Sends a request to a server and judges the answer.
+pub async fn attempt<C: ports::HeaderCodec>(
+    codec: &C,
+    client: &wire::WireClient,
+    peer: net::SocketAddr,
+    request: hyper::Request<body::RequestBody>,
+    id: Option<&str>,
+) -> AttemptEnd {
+    let mut answer = match client.send(peer, request).await {
+        Ok(answer) => answer,
+        Err(fault) if fault.is_unsent() => return AttemptEnd::Unsent(fault.to_string()),
+        Err(fault) => return AttemptEnd::Broken(fault.to_string()),
+    };
+    let facts = codec.read_answer(&answer.head.headers, id);
+    let status = answer.head.status;
+    if facts.not_run {
+        drain(client, answer).await;
+        return AttemptEnd::NotRun {
+            status: status.as_u16(),
+        };
+    }
+    if !facts.is_ours {
+        return AttemptEnd::Broken(format!("step=judge peer={peer} fault=\"another request's answer\""));
+    }
+    if status.is_success() && !facts.is_signed {
+        return AttemptEnd::Broken(format!("step=judge peer={peer} fault=\"no signature\""));
+    }
+    if answer.head.headers.contains_key(hyper::header::CONTENT_ENCODING) {
+        return AttemptEnd::Broken(format!("step=judge peer={peer} fault=\"an encoded body\""));
+    }
+    let first = match read_first(&mut answer).await {
+        Ok(first) => first,
+        Err(fault) => return AttemptEnd::Broken(fault.to_string()),
+    };
+    let head = clone_head(&answer.head);
+    let rest = if first.1 {
+        client.keep(answer);
+        None
+    } else {
+        Some(answer)
+    };
+    let passed = ServerAnswer {
+        head,
+        first: first.0,
+        rest,
+    };
+    if status.is_server_error() {
+        return AttemptEnd::Failed(passed);
+    }
+    AttemptEnd::Answered(passed)
+}
+
+// Reads a body up to the size that is held; tells whether that was all of it.
+async fn read_first(
+    answer: &mut wire::WireAnswer,
+) -> Result<(bytes::Bytes, bool), wire::WireFault> {
+    let mut first = bytes::BytesMut::new();
+    while first.len() < HELD_ANSWER_BYTES {
+        let Some(part) = answer.next_part().await? else {
+            return Ok((first.freeze(), true));
+        };
+        first.extend_from_slice(&part);
+    }
+    Ok((first.freeze(), false))
+}
+
+// Reads what is left of a short answer, so that its connection can be used again.
+async fn drain(client: &wire::WireClient, answer: wire::WireAnswer) {
+    let mut answer = answer;
+    if read_first(&mut answer).await.is_ok_and(|(_, whole)| whole) {
+        client.keep(answer);
+    }
+}
+
+fn clone_head(head: &hyper::http::response::Parts) -> hyper::http::response::Parts {
+    let (mut copy, ()) = hyper::Response::new(()).into_parts();
+    copy.status = head.status;
+    copy.headers.clone_from(&head.headers);
+    copy
+}
+
+/// Builds the request that a server gets.
+///
+/// # Errors
+/// Fails when the caller's method, target or headers cannot be passed on.
+pub fn build_request<C: ports::HeaderCodec>(
+    codec: &C,
+    caller: &actix_web::HttpRequest,
+    left: std::time::Duration,
+    server: &names::ServerName,
+    body: body::RequestBody,
+) -> Result<hyper::Request<body::RequestBody>, String> {
+    let fail = |e: hyper::http::Error| e.to_string();
+    let target = caller.uri().path_and_query().map_or("/", |target| target.as_str());
+    let builder = hyper::Request::builder().method(caller.method().as_str()).uri(target);
+    let mut request = builder.body(body).map_err(fail)?;
+    let headers = request.headers_mut();
+    let named = connection_names(caller.headers());
+    for (name, value) in caller.headers() {
+        let name = name.as_str();
+        let dropped = CONNECTION_HEADERS.contains(&name) || named.iter().any(|n| n == name);
+        if dropped || codec.is_replaced(name) || name == "content-length" || name == "expect" {
+            continue;
+        }
+        let name = hyper::header::HeaderName::from_bytes(name.as_bytes()).map_err(|e| e.to_string())?;
+        let value = hyper::header::HeaderValue::from_bytes(value.as_bytes());
+        headers.append(name, value.map_err(|e| e.to_string())?);
+    }
+    codec.write_request(headers, left, server);
+    if let Some(length) = stated_length(caller) {
+        headers.insert(hyper::header::CONTENT_LENGTH, hyper::header::HeaderValue::from(length));
+    }
+    Ok(request)
+}
+
+/// Returns the length that a caller states of its body.
+#[must_use]
+pub fn stated_length(caller: &actix_web::HttpRequest) -> Option<u64> {
+    let value = caller.headers().get("content-length")?;
+    value.to_str().ok()?.parse().ok()
+}
+
+// The headers that a message's own `Connection` header names.
+fn connection_names(headers: &actix_web::http::header::HeaderMap) -> Vec<String> {
+    let values = headers.get_all("connection");
+    let texts = values.filter_map(|value| value.to_str().ok());
+    let names = texts.flat_map(|text| text.split(','));
+    names.map(|name| name.trim().to_ascii_lowercase()).collect()
+}
--- /dev/null
+++ b/src/edge/router/front.rs
@@ -0,0 +1,757 @@
+//! Callers' requests: from the route to the one answer.
+
+use std::cell;
+use std::collections;
+use std::rc;
+use std::sync;
+use std::sync::atomic;
+use std::time;
+
+use actix_web::web;
+use futures_util::StreamExt as _;
+
+use crate::chart;
+use crate::clock;
+use crate::clock::MonoClock as _;
+use crate::edge::router::body;
+use crate::edge::router::exchange;
+use crate::edge::router::ports;
+use crate::edge::router::wire;
+use crate::names;
+use crate::ownership::book;
+use crate::ownership::heat;
+use crate::routing::specification;
+use crate::routing::split;
+use crate::serving::desk;
+use crate::serving::directory;
+use crate::serving::measure;
+use crate::serving::verdict;
+use crate::serving::view;
+
+/// Bodies up to this size are held whole, in bytes, so that they can be sent again.
+pub const HELD_BODY_BYTES: usize = 1 << 20;
+/// How often waiting requests are looked at where nothing else happens, in milliseconds.
+pub const SWEEP_MS: u64 = 20;
+/// The shortest time after which a refused caller is told to come back, in milliseconds.
+pub const MIN_RETURN_MS: f64 = 40.0;
+/// The part of a caller's time left that it may be told to wait.
+pub const MAX_RETURN_PART: f64 = 0.32;
+/// The interval between two reports to the control thread, in milliseconds.
+pub const REPORT_MS: u64 = 250;
+
+/// The view that the control thread keeps.
+pub type SharedView = sync::Arc<arc_swap::ArcSwap<view::ServingView>>;
+
+/// What one traffic thread tells the control thread.
+#[derive(Debug, Default)]
+pub struct TrafficReport {
+    /// What this host has at each server.
+    pub demand: view::ServerDemand,
+    /// The work of the keys of each service.
+    pub heat: Vec<(names::ServiceName, Vec<heat::StretchHeat>)>,
+}
+
+/// What a traffic thread is made of.
+#[derive(Clone)]
+pub struct TrafficParts<C: ports::HeaderCodec> {
+    /// The headers.
+    pub codec: C,
+    /// The view.
+    pub view: SharedView,
+    /// The desk's settings.
+    pub desk: desk::DeskSettings,
+    /// The chart of a request.
+    pub chart: sync::Arc<chart::ChartTable<verdict::DeliveryVocabulary>>,
+    /// Whether the host is stopping.
+    pub stopping: sync::Arc<atomic::AtomicBool>,
+    /// The number of requests under way.
+    pub in_flight: sync::Arc<atomic::AtomicI64>,
+    /// Where reports go.
+    pub reports: tokio::sync::mpsc::UnboundedSender<TrafficReport>,
+    /// The clock.
+    pub clock: clock::SystemClock,
+}
+
+type DeskAnswer = Result<sync::Arc<directory::ServerRecord>, desk::DeskRefusal>;
+type DeskWaiters =
+    collections::HashMap<desk::WaitTicket, tokio::sync::oneshot::Sender<DeskAnswer>>;
+
+/// One traffic thread.
+pub struct TrafficThread<C: ports::HeaderCodec> {
+    parts: TrafficParts<C>,
+    desk: cell::RefCell<desk::ServiceDesk>,
+    waiters: cell::RefCell<DeskWaiters>,
+    split: cell::RefCell<split::SplitCounter>,
+    patience: cell::RefCell<collections::HashMap<names::RouteName, time::Duration>>,
+    heat: cell::RefCell<collections::HashMap<(names::ServiceName, u16), f64>>,
+    client: wire::WireClient,
+    waiting: tokio::sync::Notify,
+}
+
+impl<C: ports::HeaderCodec> TrafficThread<C> {
+    /// Creates a traffic thread's state and starts its timers.
+    #[must_use]
+    pub fn start(parts: TrafficParts<C>) -> rc::Rc<Self> {
+        let thread = rc::Rc::new(Self {
+            desk: cell::RefCell::new(desk::ServiceDesk::new(parts.desk.clone())),
+            waiters: cell::RefCell::default(),
+            split: cell::RefCell::default(),
+            patience: cell::RefCell::default(),
+            heat: cell::RefCell::default(),
+            client: wire::WireClient::new(),
+            waiting: tokio::sync::Notify::new(),
+            parts,
+        });
+        actix::spawn(rc::Rc::clone(&thread).sweep());
+        actix::spawn(rc::Rc::clone(&thread).report());
+        thread
+    }
+
+    async fn sweep(self: rc::Rc<Self>) {
+        loop {
+            self.waiting.notified().await;
+            while self.desk.borrow().has_waiting() {
+                tokio::time::sleep(time::Duration::from_millis(SWEEP_MS)).await;
+                self.pump();
+            }
+        }
+    }
+
+    async fn report(self: rc::Rc<Self>) {
+        loop {
+            tokio::time::sleep(time::Duration::from_millis(REPORT_MS)).await;
+            self.client.sweep();
+            let report = TrafficReport {
+                demand: self.desk.borrow().demand(),
+                heat: self.take_heat(),
+            };
+            // The control thread may have ended before this one.
+            let _ = self.parts.reports.send(report);
+        }
+    }
+
+    fn take_heat(&self) -> Vec<(names::ServiceName, Vec<heat::StretchHeat>)> {
+        let counted = std::mem::take(&mut *self.heat.borrow_mut());
+        let mut services = collections::BTreeMap::<_, Vec<_>>::new();
+        let interval = f64::from(u32::try_from(REPORT_MS).unwrap_or(u32::MAX));
+        for ((service, stretch), busy_ms) in counted {
+            #[expect(clippy::cast_possible_truncation, reason = "an estimate")]
+            let busy = (busy_ms / interval) as f32;
+            let heat = heat::StretchHeat { stretch, busy };
+            services.entry(service).or_default().push(heat);
+        }
+        services.into_iter().collect()
+    }
+
+    // Lets the desk decide and tells the waiting requests.
+    fn pump(&self) {
+        let now = self.parts.clock.now();
+        let view = self.parts.view.load_full();
+        let events = {
+            let mut desk = self.desk.borrow_mut();
+            desk.sync(&view);
+            desk.pump(now)
+        };
+        for event in events {
+            let (ticket, answer) = match event {
+                desk::DeskEvent::Assigned(ticket, record) => (ticket, Ok(record)),
+                desk::DeskEvent::GivenUp(ticket, refusal) => (ticket, Err(refusal)),
+            };
+            let waiter = self.waiters.borrow_mut().remove(&ticket);
+            let Some(waiter) = waiter else {
+                continue;
+            };
+            if let Err(Ok(record)) = waiter.send(answer) {
+                self.finish(&record.life, measure::ExchangeEnd::CutShort, time::Duration::ZERO);
+            }
+        }
+        if self.desk.borrow().has_waiting() {
+            self.waiting.notify_one();
+        }
+    }
+
+    fn finish(&self, life: &book::ServerLife, end: measure::ExchangeEnd, elapsed: time::Duration) {
+        let now = self.parts.clock.now();
+        self.desk.borrow_mut().finish(life, end, elapsed, now);
+    }
+
+    // The time by which an answer counts in full. A caller that comes back has used a part of it:
+    // it states less time than the longest that its route's callers have stated.
+    fn objective(
+        &self,
+        route: &specification::RouteSpec,
+        patience: time::Duration,
+        arrived: clock::MonoTime,
+    ) -> clock::MonoTime {
+        let mut longest = self.patience.borrow_mut();
+        let longest = longest.entry(route.name.clone()).or_insert(patience);
+        *longest = (*longest).max(patience);
+        let used = longest.saturating_sub(patience);
+        arrived + route.objective.saturating_sub(used)
+    }
+}
+
+// A slot at a server, given back when it ends.
+struct ServerSlot<C: ports::HeaderCodec> {
+    thread: rc::Rc<TrafficThread<C>>,
+    record: sync::Arc<directory::ServerRecord>,
+    stretch: Option<(names::ServiceName, u16)>,
+    started: clock::MonoTime,
+    end: measure::ExchangeEnd,
+}
+
+impl<C: ports::HeaderCodec> Drop for ServerSlot<C> {
+    fn drop(&mut self) {
+        let elapsed = self.thread.parts.clock.now().since(self.started);
+        if let Some(stretch) = self.stretch.take() {
+            let mut heat = self.thread.heat.borrow_mut();
+            *heat.entry(stretch).or_default() += elapsed.as_secs_f64() * 1_000.0;
+        }
+        self.thread.finish(&self.record.life, self.end, elapsed);
+        self.thread.pump();
+    }
+}
+
+// A request that waits, forgotten by the desk when its caller leaves.
+struct DeskWait<C: ports::HeaderCodec> {
+    thread: rc::Rc<TrafficThread<C>>,
+    service: names::ServiceName,
+    priority: u32,
+    ticket: desk::WaitTicket,
+}
+
+impl<C: ports::HeaderCodec> Drop for DeskWait<C> {
+    fn drop(&mut self) {
+        let waiter = self.thread.waiters.borrow_mut().remove(&self.ticket);
+        if waiter.is_some() {
+            let mut desk = self.thread.desk.borrow_mut();
+            desk.forget(&self.service, self.priority, self.ticket);
+        }
+    }
+}
+
+/// Why a request is answered by this host itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OwnAnswer {
+    /// No route fits.
+    NoRoute,
+    /// No set of routes is known yet.
+    Starting,
+    /// A header is missing or malformed.
+    Malformed,
+    /// The head is too large.
+    HeadTooLarge,
+    /// The body is too large.
+    BodyTooLarge,
+    /// The body did not come in time.
+    BodyTimeout,
+    /// No server can take it; it did not run.
+    Refused(desk::DeskRefusal),
+    /// No server took it; it did not run.
+    NotRun,
+    /// Its end is not known.
+    Broken,
+    /// The time is over.
+    Timeout,
+}
+
+impl OwnAnswer {
+    /// Returns the status.
+    #[must_use]
+    pub const fn status(self) -> u16 {
+        match self {
+            Self::NoRoute => 404,
+            Self::Malformed => 400,
+            Self::HeadTooLarge => 431,
+            Self::BodyTooLarge => 413,
+            Self::BodyTimeout => 408,
+            Self::Starting | Self::Refused(_) | Self::NotRun => 503,
+            Self::Broken => 502,
+            Self::Timeout => 504,
+        }
+    }
+
+    /// Returns the cause's name in logs and metrics.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::NoRoute => "no-route",
+            Self::Starting => "starting",
+            Self::Malformed => "malformed",
+            Self::HeadTooLarge => "head-too-large",
+            Self::BodyTooLarge => "body-too-large",
+            Self::BodyTimeout => "body-timeout",
+            Self::Refused(desk::DeskRefusal::Crowded) => "crowded",
+            Self::Refused(desk::DeskRefusal::NoServer) => "no-server",
+            Self::Refused(desk::DeskRefusal::TooLate) => "too-late",
+            Self::Refused(desk::DeskRefusal::Budget) => "retry-budget",
+            Self::NotRun => "not-run",
+            Self::Broken => "broken",
+            Self::Timeout => "timeout",
+        }
+    }
+}
+
+struct InFlight(sync::Arc<atomic::AtomicI64>);
+
+impl InFlight {
+    fn new(count: &sync::Arc<atomic::AtomicI64>) -> Self {
+        count.fetch_add(1, atomic::Ordering::Relaxed);
+        Self(sync::Arc::clone(count))
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, atomic::Ordering::Relaxed);
+    }
+}
+
+// One caller's request on its way.
+struct CallerRequest<C: ports::HeaderCodec> {
+    thread: rc::Rc<TrafficThread<C>>,
+    caller: actix_web::HttpRequest,
+    facts: ports::CallerFacts,
+    arrived: clock::MonoTime,
+    deadline: clock::MonoTime,
+    objective: clock::MonoTime,
+    route: sync::Arc<specification::RouteSpec>,
+    service: names::ServiceName,
+    key: Option<u16>,
+    version: u64,
+}
+
+/// Answers a caller's request.
+pub async fn handle<C: ports::HeaderCodec>(
+    caller: actix_web::HttpRequest,
+    payload: web::Payload,
+) -> actix_web::HttpResponse {
+    let Some(thread) = caller.app_data::<rc::Rc<TrafficThread<C>>>() else {
+        return actix_web::HttpResponse::InternalServerError().finish();
+    };
+    let thread = rc::Rc::clone(thread);
+    let _in_flight = InFlight::new(&thread.parts.in_flight);
+    let stopping = rc::Rc::clone(&thread);
+    let mut response = match CallerRequest::new(thread, caller) {
+        Ok(request) => request.serve(payload).await,
+        Err((own, id)) => {
+            note_own(own, id.as_deref(), None);
+            own_response(own, None)
+        }
+    };
+    if stopping.parts.stopping.load(atomic::Ordering::Relaxed) {
+        let close = actix_web::http::header::HeaderValue::from_static("close");
+        response
+            .headers_mut()
+            .insert(actix_web::http::header::CONNECTION, close);
+        response.head_mut().set_connection_type(actix_web::http::ConnectionType::Close);
+    }
+    response
+}
+
+type EarlyAnswer = (OwnAnswer, Option<sync::Arc<str>>);
+
+impl<C: ports::HeaderCodec> CallerRequest<C> {
+    // Finds the request's route and service.
+    fn new(
+        thread: rc::Rc<TrafficThread<C>>,
+        caller: actix_web::HttpRequest,
+    ) -> Result<Self, EarlyAnswer> {
+        let arrived = thread.parts.clock.now();
+        let facts = thread.parts.codec.read_request(caller.headers());
+        let early = |own| (own, facts.id.clone());
+        let view = thread.parts.view.load();
+        let routes = view.routes.as_ref().ok_or_else(|| early(OwnAnswer::Starting))?;
+        check_limits(&caller, &routes.limits).map_err(early)?;
+        let host = host_of(&caller).ok_or_else(|| early(OwnAnswer::Malformed))?;
+        let route = routes.find(&host, caller.uri().path());
+        let route = sync::Arc::clone(route.ok_or_else(|| early(OwnAnswer::NoRoute))?);
+        let part = thread.split.borrow_mut().choose(&route);
+        let service = route.parts[part].service.clone();
+        let sharded = routes.services.get(&service).is_some_and(|spec| spec.sharded);
+        if sharded && facts.key.is_none() {
+            return Err(early(OwnAnswer::Malformed));
+        }
+        let patience = facts.patience.unwrap_or(route.timeout);
+        let objective = thread.objective(&route, patience, arrived);
+        let version = routes.version;
+        drop(view);
+        Ok(Self {
+            key: facts.key.filter(|_| sharded),
+            deadline: arrived + patience.min(route.timeout),
+            objective,
+            thread,
+            caller,
+            facts,
+            arrived,
+            route,
+            service,
+            version,
+        })
+    }
+
+    async fn serve(self, payload: web::Payload) -> actix_web::HttpResponse {
+        let held = match self.read_body(payload).await {
+            Ok(held) => held,
+            Err(own) => return self.answer_own(own, None),
+        };
+        self.deliver(held).await
+    }
+
+    // Reads a body that is small enough to be held; a longer one is passed on as it comes.
+    async fn read_body(&self, payload: web::Payload) -> Result<HeldBody, OwnAnswer> {
+        let mut payload = payload;
+        let mut head = bytes::BytesMut::new();
+        let left = self.deadline.since(self.thread.parts.clock.now());
+        let read = async {
+            while head.len() <= HELD_BODY_BYTES {
+                match payload.next().await {
+                    None => return Ok(true),
+                    Some(Ok(part)) => head.extend_from_slice(&part),
+                    Some(Err(_)) => return Err(OwnAnswer::Malformed),
+                }
+            }
+            Ok(false)
+        };
+        let whole = tokio::time::timeout(left, read).await;
+        let whole = whole.unwrap_or(Err(OwnAnswer::BodyTimeout))?;
+        let head = head.freeze();
+        if whole {
+            let rest = None;
+            return Ok(HeldBody { head, rest, passed_on: false });
+        }
+        let rest = Some(payload);
+        Ok(HeldBody { head, rest, passed_on: false })
+    }
+
+    async fn deliver(&self, held: HeldBody) -> actix_web::HttpResponse {
+        let mut held = held;
+        let table = sync::Arc::clone(&self.thread.parts.chart);
+        let mut course = verdict::DeliveryCourse::new(&table, &self.route);
+        let mut avoid = None;
+        let mut again = false;
+        loop {
+            let waited = self.wait_for_server(again, avoid.clone(), held.size()).await;
+            let record = match waited {
+                Ok(record) => record,
+                Err(refusal) => {
+                    let action = course.handle(verdict::DeliveryEvent::GivenUp, false);
+                    return self.answer_end(action, OwnAnswer::Refused(refusal), None);
+                }
+            };
+            course.handle(verdict::DeliveryEvent::Assigned, true);
+            let (end, mut slot) = self.attempt(&record, &mut held).await;
+            let Some(end) = end else {
+                let action = course.handle(verdict::DeliveryEvent::TimeOver, false);
+                return self.answer_end(action, OwnAnswer::Timeout, Some(&record));
+            };
+            slot.end = end.measure();
+            let may_again = held.can_repeat() && self.has_time();
+            let action = course.handle(end.event(), may_again);
+            if action != Some(verdict::DeliveryAction::PassAnswer) {
+                self.note_attempt(&record, &end, action);
+            }
+            match (action, end) {
+                (
+                    Some(verdict::DeliveryAction::PassAnswer),
+                    exchange::AttemptEnd::Answered(answer) | exchange::AttemptEnd::Failed(answer),
+                ) => return self.pass_answer(answer, slot),
+                (Some(verdict::DeliveryAction::Enqueue), _) => {
+                    again = true;
+                    avoid = Some(record.life.server.clone());
+                }
+                (action, _) => return self.answer_end(action, OwnAnswer::NotRun, Some(&record)),
+            }
+        }
+    }
+
+    fn has_time(&self) -> bool {
+        self.thread.parts.clock.now() < self.deadline
+    }
+
+    // Waits at the desk.
+    async fn wait_for_server(
+        &self,
+        again: bool,
+        avoid: Option<names::ServerName>,
+        body_bytes: u64,
+    ) -> DeskAnswer {
+        let now = self.thread.parts.clock.now();
+        let wish = self.wish(again, avoid, body_bytes);
+        let view = self.thread.parts.view.load_full();
+        let (sender, receiver) = tokio::sync::oneshot::channel();
+        let ticket = {
+            let mut desk = self.thread.desk.borrow_mut();
+            desk.sync(&view);
+            desk.enqueue(wish, now)?
+        };
+        self.thread.waiters.borrow_mut().insert(ticket, sender);
+        let _wait = DeskWait {
+            thread: rc::Rc::clone(&self.thread),
+            service: self.service.clone(),
+            priority: self.route.priority,
+            ticket,
+        };
+        self.thread.pump();
+        receiver.await.unwrap_or(Err(desk::DeskRefusal::NoServer))
+    }
+
+    fn wish(
+        &self,
+        again: bool,
+        avoid: Option<names::ServerName>,
+        body_bytes: u64,
+    ) -> desk::ServerWish {
+        desk::ServerWish {
+            service: self.service.clone(),
+            key: self.key,
+            priority: self.route.priority,
+            objective: self.objective,
+            deadline: self.deadline,
+            body_bytes,
+            again,
+            avoid,
+        }
+    }
+
+    // Sends the request to a server; no end where the time was over first.
+    async fn attempt(
+        &self,
+        record: &sync::Arc<directory::ServerRecord>,
+        held: &mut HeldBody,
+    ) -> (Option<exchange::AttemptEnd>, ServerSlot<C>) {
+        let now = self.thread.parts.clock.now();
+        let slot = ServerSlot {
+            thread: rc::Rc::clone(&self.thread),
+            record: sync::Arc::clone(record),
+            stretch: self.key.map(|key| (self.service.clone(), heat::stretch_of(key))),
+            started: now,
+            end: measure::ExchangeEnd::CutShort,
+        };
+        let codec = &self.thread.parts.codec;
+        let left = self.deadline.since(now);
+        let body = held.take();
+        let server = &record.life.server;
+        let built = exchange::build_request(codec, &self.caller, left, server, body);
+        let request = match built {
+            Ok(request) => request,
+            Err(fault) => return (Some(exchange::AttemptEnd::Unsent(fault)), slot),
+        };
+        let id = self.facts.id.as_deref();
+        let client = &self.thread.client;
+        let sent = exchange::attempt(codec, client, record.address, request, id);
+        let end = tokio::time::timeout(left, sent).await.ok();
+        (end, slot)
+    }
+
+    fn pass_answer(
+        &self,
+        answer: exchange::ServerAnswer,
+        slot: ServerSlot<C>,
+    ) -> actix_web::HttpResponse {
+        let status = actix_web::http::StatusCode::from_u16(answer.head.status.as_u16());
+        let status = status.unwrap_or(actix_web::http::StatusCode::BAD_GATEWAY);
+        let mut response = actix_web::HttpResponse::build(status);
+        for (name, value) in &answer.head.headers {
+            let name = name.as_str();
+            if exchange::CONNECTION_HEADERS.contains(&name) || name == "content-length" {
+                continue;
+            }
+            response.append_header((name, value.as_bytes()));
+        }
+        tracing::debug!(
+            event = "request-answered",
+            id = self.facts.id.as_deref().unwrap_or(""),
+            server = %slot.record.life.server,
+            status = status.as_u16()
+        );
+        let Some(rest) = answer.rest else {
+            drop(slot);
+            return response.body(answer.first);
+        };
+        let length = answer.head.headers.get(hyper::header::CONTENT_LENGTH);
+        let length = length.and_then(|value| value.to_str().ok()?.parse::<u64>().ok());
+        let parts = stream_rest(answer.first, rest, slot);
+        match length {
+            Some(length) => response.body(actix_web::body::SizedStream::new(length, parts)),
+            None => response.body(actix_web::body::BodyStream::new(parts)),
+        }
+    }
+
+    fn answer_end(
+        &self,
+        action: Option<verdict::DeliveryAction>,
+        refused: OwnAnswer,
+        record: Option<&directory::ServerRecord>,
+    ) -> actix_web::HttpResponse {
+        let own = match action {
+            Some(verdict::DeliveryAction::Refuse) => match refused {
+                OwnAnswer::Timeout => OwnAnswer::NotRun,
+                other => other,
+            },
+            Some(verdict::DeliveryAction::TellTimeout) => OwnAnswer::Timeout,
+            _ => OwnAnswer::Broken,
+        };
+        self.answer_own(own, record)
+    }
+
+    fn answer_own(
+        &self,
+        own: OwnAnswer,
+        record: Option<&directory::ServerRecord>,
+    ) -> actix_web::HttpResponse {
+        let server = record.map_or("", |record| record.life.server.as_str());
+        let now = self.thread.parts.clock.now();
+        let id = self.facts.id.as_deref().unwrap_or("");
+        tracing::info!(
+            event = "request-ended",
+            id,
+            route = %self.route.name,
+            service = %self.service,
+            key = self.key,
+            version = self.version,
+            status = own.status(),
+            cause = own.as_str(),
+            server,
+            after_ms = now.since(self.arrived).as_millis()
+        );
+        self.note_unserved(own);
+        let back = (own.status() == 503).then(|| self.return_after(now));
+        own_response(own, back)
+    }
+
+    // Work that was refused for want of room counts as work of its keys, so that they move.
+    fn note_unserved(&self, own: OwnAnswer) {
+        let (Some(key), OwnAnswer::Refused(desk::DeskRefusal::Crowded)) = (self.key, own) else {
+            return;
+        };
+        let service_ms = self.thread.desk.borrow().service_ms(&self.service);
+        let stretch = (self.service.clone(), heat::stretch_of(key));
+        *self.thread.heat.borrow_mut().entry(stretch).or_default() += service_ms;
+    }
+
+    // When a refused caller may come back: when room is likely, spread out, and in time.
+    fn return_after(&self, now: clock::MonoTime) -> time::Duration {
+        let patience = self.facts.patience.unwrap_or(self.route.timeout);
+        let left = (self.arrived + patience).since(now).as_secs_f64() * 1_000.0;
+        let wish = self.wish(false, None, 0);
+        let wait = self.thread.desk.borrow().expected_wait(&wish, now);
+        let wait = wait.as_secs_f64() * 1_000.0 + MIN_RETURN_MS;
+        let spread = wait * rand::random_range(0.8..1.6);
+        let most = (left * MAX_RETURN_PART).max(0.0);
+        time::Duration::from_secs_f64(spread.min(most * rand::random_range(0.7..1.0)) / 1_000.0)
+    }
+
+    fn note_attempt(
+        &self,
+        record: &directory::ServerRecord,
+        end: &exchange::AttemptEnd,
+        action: Option<verdict::DeliveryAction>,
+    ) {
+        tracing::info!(
+            event = "attempt-ended",
+            id = self.facts.id.as_deref().unwrap_or(""),
+            route = %self.route.name,
+            server = %record.life.server,
+            key = self.key,
+            then = ?action,
+            fault = end.fault()
+        );
+    }
+}
+
+fn note_own(own: OwnAnswer, id: Option<&str>, server: Option<&str>) {
+    let (id, server) = (id.unwrap_or(""), server.unwrap_or(""));
+    tracing::info!(event = "request-ended", id, status = own.status(), cause = own.as_str(), server);
+}
+
+fn own_response(own: OwnAnswer, back: Option<time::Duration>) -> actix_web::HttpResponse {
+    let status = actix_web::http::StatusCode::from_u16(own.status());
+    let status = status.unwrap_or(actix_web::http::StatusCode::BAD_GATEWAY);
+    let mut response = actix_web::HttpResponse::build(status);
+    if let Some(back) = back {
+        response.insert_header(("retry-after", format!("{:.3}", back.as_secs_f64())));
+    }
+    response.body(own.as_str())
+}
+
+// A body that is held, or begun.
+struct HeldBody {
+    head: bytes::Bytes,
+    rest: Option<web::Payload>,
+    passed_on: bool,
+}
+
+impl HeldBody {
+    fn size(&self) -> u64 {
+        u64::try_from(self.head.len()).unwrap_or(u64::MAX)
+    }
+
+    fn take(&mut self) -> body::RequestBody {
+        match self.rest.take() {
+            Some(rest) => {
+                self.passed_on = true;
+                let head = Some(std::mem::take(&mut self.head));
+                body::RequestBody::Passing { head, rest }
+            }
+            None => body::RequestBody::new(self.head.clone()),
+        }
+    }
+
+    // A long body is gone once it was passed on.
+    const fn can_repeat(&self) -> bool {
+        !self.passed_on
+    }
+}
+
+type BodyPart = Result<bytes::Bytes, std::io::Error>;
+
+// Passes the rest of an answer on as it comes; the slot ends with it.
+fn stream_rest<C: ports::HeaderCodec>(
+    first: bytes::Bytes,
+    rest: wire::WireAnswer,
+    slot: ServerSlot<C>,
+) -> impl futures_util::Stream<Item = BodyPart> {
+    let head = futures_util::stream::once(async move { Ok(first) });
+    let state = Some((rest, slot));
+    let tail = futures_util::stream::unfold(state, |state| async move {
+        let (mut rest, mut slot) = state?;
+        match rest.next_part().await {
+            Ok(Some(part)) => Some((Ok(part), Some((rest, slot)))),
+            Ok(None) => {
+                slot.end = measure::ExchangeEnd::Answered;
+                slot.thread.client.keep(rest);
+                None
+            }
+            Err(fault) => {
+                tracing::info!(event = "answer-cut", fault = %fault);
+                slot.end = measure::ExchangeEnd::Broken;
+                Some((Err(std::io::Error::other(fault.to_string())), None))
+            }
+        }
+    });
+    head.chain(tail)
+}
+
+fn host_of(caller: &actix_web::HttpRequest) -> Option<String> {
+    let value = caller.headers().get(actix_web::http::header::HOST)?;
+    let text = value.to_str().ok()?;
+    let name = text.rsplit_once(':').map_or(text, |(name, _)| name);
+    Some(name.to_ascii_lowercase())
+}
+
+fn check_limits(
+    caller: &actix_web::HttpRequest,
+    limits: &specification::CallerLimits,
+) -> Result<(), OwnAnswer> {
+    let target = caller.uri().path_and_query().map_or(0, |target| target.as_str().len());
+    let headers = caller.headers().iter();
+    let headers: usize = headers.map(|(name, value)| name.as_str().len() + value.len() + 4).sum();
+    if target + headers > limits.head_bytes {
+        return Err(OwnAnswer::HeadTooLarge);
+    }
+    if exchange::stated_length(caller).is_some_and(|length| length > limits.body_bytes) {
+        return Err(OwnAnswer::BodyTooLarge);
+    }
+    Ok(())
+}
--- /dev/null
+++ b/src/edge/router/gossip.rs
@@ -0,0 +1,156 @@
+//! The exchange of news between entry hosts over `tarpc`.
+
+use std::cell;
+use std::collections;
+use std::net;
+use std::rc;
+use std::time;
+
+use futures_util::StreamExt as _;
+use tarpc::server::Channel as _;
+
+use crate::edge::ports;
+use crate::serving::news;
+
+/// How long a host may take to answer, in milliseconds.
+pub const GOSSIP_TIMEOUT_MS: u64 = 400;
+/// The largest message between hosts, in bytes.
+pub const MAX_FRAME_BYTES: usize = 16 << 20;
+
+/// What an entry host answers to others.
+#[tarpc::service]
+pub trait GossipService {
+    /// Takes a host's news and returns this host's.
+    async fn exchange(news: news::HostNews) -> Option<news::HostNews>;
+}
+
+/// A question of another host, for the control thread.
+#[derive(Debug)]
+pub struct GossipQuestion {
+    /// The other host's news.
+    pub news: news::HostNews,
+    /// Where this host's news go.
+    pub reply: tokio::sync::oneshot::Sender<news::HostNews>,
+}
+
+/// Passes questions on to the control thread.
+#[derive(Clone)]
+pub struct GossipResponder {
+    questions: tokio::sync::mpsc::UnboundedSender<GossipQuestion>,
+}
+
+impl GossipResponder {
+    /// Creates a responder.
+    #[must_use]
+    pub const fn new(questions: tokio::sync::mpsc::UnboundedSender<GossipQuestion>) -> Self {
+        Self { questions }
+    }
+
+    /// Takes other hosts' connections until the process ends.
+    ///
+    /// # Errors
+    /// Fails when the address cannot be listened on.
+    pub async fn listen(self, address: net::SocketAddr) -> Result<(), ports::PortError> {
+        let format = tarpc::tokio_serde::formats::Json::default;
+        let bound = tarpc::serde_transport::tcp::listen(address, format).await;
+        let mut listener = bound.map_err(|e| ports::PortError {
+            step: "listen-peers",
+            peer: address.to_string(),
+            fault: e.to_string(),
+        })?;
+        listener.config_mut().max_frame_length(MAX_FRAME_BYTES);
+        actix::spawn(async move {
+            while let Some(accepted) = listener.next().await {
+                let Ok(transport) = accepted else {
+                    continue;
+                };
+                let channel = tarpc::server::BaseChannel::with_defaults(transport);
+                let responder = self.clone();
+                actix::spawn(async move {
+                    let requests = channel.execute(responder.serve());
+                    requests.for_each_concurrent(None, |answer| answer).await;
+                });
+            }
+        });
+        Ok(())
+    }
+}
+
+impl GossipService for GossipResponder {
+    async fn exchange(
+        self,
+        _: tarpc::context::Context,
+        news: news::HostNews,
+    ) -> Option<news::HostNews> {
+        let (reply, answer) = tokio::sync::oneshot::channel();
+        let question = GossipQuestion { news, reply };
+        self.questions.send(question).ok()?;
+        answer.await.ok()
+    }
+}
+
+/// Asks other hosts, over one kept connection each.
+#[derive(Clone, Default)]
+pub struct GossipClient {
+    connections: rc::Rc<cell::RefCell<collections::HashMap<net::SocketAddr, GossipServiceClient>>>,
+}
+
+impl GossipClient {
+    /// Creates a client without connections.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Exchanges news with a host.
+    ///
+    /// # Errors
+    /// Fails when it cannot be reached or does not answer in time.
+    pub async fn exchange(
+        &self,
+        peer: net::SocketAddr,
+        news: news::HostNews,
+    ) -> Result<news::HostNews, ports::PortError> {
+        let client = self.connect(peer).await?;
+        let limit = time::Duration::from_millis(GOSSIP_TIMEOUT_MS);
+        let mut context = tarpc::context::current();
+        context.deadline = time::Instant::now() + limit;
+        let answer = tokio::time::timeout(limit, client.exchange(context, news)).await;
+        let fault = match answer {
+            Ok(Ok(Some(news))) => return Ok(news),
+            Ok(Ok(None)) => "the host is stopping".to_owned(),
+            Ok(Err(e)) => e.to_string(),
+            Err(_) => "timeout".to_owned(),
+        };
+        self.connections.borrow_mut().remove(&peer);
+        Err(port_error("ask-peer", peer, fault))
+    }
+
+    async fn connect(&self, peer: net::SocketAddr) -> Result<GossipServiceClient, ports::PortError> {
+        let known = self.connections.borrow().get(&peer).cloned();
+        if let Some(client) = known {
+            return Ok(client);
+        }
+        let format = tarpc::tokio_serde::formats::Json::default;
+        let mut connecting = tarpc::serde_transport::tcp::connect(peer, format);
+        connecting.config_mut().max_frame_length(MAX_FRAME_BYTES);
+        let limit = time::Duration::from_millis(GOSSIP_TIMEOUT_MS);
+        let transport = match tokio::time::timeout(limit, connecting).await {
+            Ok(Ok(transport)) => transport,
+            Ok(Err(e)) => return Err(port_error("connect-peer", peer, e.to_string())),
+            Err(_) => return Err(port_error("connect-peer", peer, "timeout".to_owned())),
+        };
+        let config = tarpc::client::Config::default();
+        let client = GossipServiceClient::new(config, transport).spawn();
+        self.connections.borrow_mut().insert(peer, client.clone());
+        Ok(client)
+    }
+}
+
+fn port_error(step: &'static str, peer: net::SocketAddr, fault: String) -> ports::PortError {
+    ports::PortError {
+        step,
+        peer: peer.to_string(),
+        fault,
+    }
+}
--- /dev/null
+++ b/src/edge/router/host.rs
@@ -0,0 +1,311 @@
+//! One entry host on a platform: its threads and listeners, and its clean stop.
+
+use std::net;
+use std::sync;
+use std::sync::atomic;
+use std::time;
+
+use actix_web::web;
+
+use crate::chart;
+use crate::clock;
+use crate::edge::router::control;
+use crate::edge::router::front;
+use crate::edge::router::gossip;
+use crate::edge::router::ports;
+use crate::serving::desk;
+use crate::serving::news;
+use crate::serving::view;
+
+/// How many connections a listener lets wait.
+pub const LISTEN_BACKLOG: u32 = 2_048;
+/// How long an idle connection of a caller is kept, in seconds; longer than callers use one.
+pub const IDLE_TIMEOUT_S: u64 = 120;
+/// How long a caller may take to send a head, in seconds.
+pub const HEAD_TIMEOUT_S: u64 = 10;
+/// How long a stopping host goes on taking requests, in milliseconds: the platform learns by two
+/// questions, a second apart, that it is not ready.
+pub const LAME_DUCK_MS: u64 = 2_600;
+/// How long before its end a stopping host gives up waiting for requests, in milliseconds.
+pub const STOP_MARGIN_MS: u64 = 400;
+/// How long a stopping host waits between two looks, in milliseconds.
+pub const STOP_POLL_MS: u64 = 50;
+
+/// What one host is set to.
+#[derive(Clone, Debug)]
+pub struct RouterSettings {
+    /// Who it is.
+    pub own: news::HostRecord,
+    /// Where callers connect.
+    pub front: net::SocketAddr,
+    /// Where the platform asks whether it is ready.
+    pub ready: net::SocketAddr,
+    /// The desk's settings.
+    pub desk: desk::DeskSettings,
+    /// The interval between two joins of the hosts that may grant.
+    pub join_interval: time::Duration,
+    /// The longest hold that servers allow.
+    pub max_hold: time::Duration,
+    /// The time from a request to stop to the end.
+    pub grace: time::Duration,
+}
+
+/// Makes the parts of an adapter, each on the thread that uses it.
+pub trait PlatformAdapter: Clone + Send + 'static {
+    /// The store.
+    type Store: ports::StorePort;
+    /// The way to servers.
+    type Orders: ports::OrderPort;
+    /// The decoder of records.
+    type Decoder: ports::RecordDecoder;
+    /// The headers.
+    type Codec: ports::HeaderCodec + Send;
+
+    /// Creates the store's client.
+    fn new_store(&self) -> Self::Store;
+
+    /// Creates the client for orders.
+    fn new_orders(&self) -> Self::Orders;
+
+    /// Creates the decoder.
+    fn new_decoder(&self) -> Self::Decoder;
+
+    /// Creates the codec.
+    fn new_codec(&self) -> Self::Codec;
+}
+
+/// A host could not start.
+#[derive(Debug)]
+#[derive(snafu::Snafu)]
+pub enum RouterError {
+    /// A chart is faulty.
+    #[snafu(display("step=read-charts fault=\"{source}\""))]
+    Chart {
+        /// The fault.
+        source: chart::ChartError,
+    },
+    /// A listener could not be opened.
+    #[snafu(display("step=listen peer={address} fault=\"{fault}\""))]
+    Listen {
+        /// The address.
+        address: net::SocketAddr,
+        /// The fault.
+        fault: String,
+    },
+}
+
+/// A running host.
+pub struct RouterHost {
+    settings: RouterSettings,
+    stopping: sync::Arc<atomic::AtomicBool>,
+    stop: tokio::sync::watch::Sender<bool>,
+    in_flight: sync::Arc<atomic::AtomicI64>,
+    front: actix_web::dev::ServerHandle,
+    control: actix::Arbiter,
+}
+
+impl RouterHost {
+    /// Starts a host.
+    ///
+    /// # Errors
+    /// Fails when a chart is faulty or a listener cannot be opened.
+    pub async fn start<A: PlatformAdapter>(
+        settings: RouterSettings,
+        adapter: A,
+    ) -> Result<Self, RouterError> {
+        let clock = clock::SystemClock::new();
+        let view: front::SharedView = sync::Arc::new(arc_swap::ArcSwap::from_pointee(view::ServingView::new()));
+        let ready = sync::Arc::new(atomic::AtomicBool::new(false));
+        let stopping = sync::Arc::new(atomic::AtomicBool::new(false));
+        let in_flight = sync::Arc::new(atomic::AtomicI64::new(0));
+        let (stop, stop_seen) = tokio::sync::watch::channel(false);
+        let (reports, reports_in) = tokio::sync::mpsc::unbounded_channel();
+        let chart = chart::ChartTable::new().map_err(|source| RouterError::Chart { source })?;
+        let control = actix::Arbiter::new();
+        let shared = ControlShared {
+            clock,
+            view: sync::Arc::clone(&view),
+            ready: sync::Arc::clone(&ready),
+            reports: reports_in,
+            stopping: stop_seen,
+        };
+        start_control(&control, &settings, adapter.clone(), shared).await?;
+        let traffic = front::TrafficParts {
+            codec: adapter.new_codec(),
+            view,
+            desk: settings.desk.clone(),
+            chart: sync::Arc::new(chart),
+            stopping: sync::Arc::clone(&stopping),
+            in_flight: sync::Arc::clone(&in_flight),
+            reports,
+            clock,
+        };
+        listen_ready(&settings, &traffic, ready)?;
+        let front = listen_callers(&settings, traffic)?;
+        tracing::info!(
+            event = "host-started",
+            host = %settings.own.host,
+            incarnation = settings.own.incarnation,
+            domain = %settings.own.domain,
+            front = %settings.front
+        );
+        Ok(Self {
+            settings,
+            stopping,
+            stop,
+            in_flight,
+            front,
+            control,
+        })
+    }
+
+    /// Stops cleanly: says that it is not ready, leaves its duty, and finishes what is under way.
+    pub async fn stop(&self) {
+        self.stopping.store(true, atomic::Ordering::Relaxed);
+        // Nobody may listen any longer.
+        let _ = self.stop.send(true);
+        tracing::info!(event = "host-draining", in_flight = self.in_flight());
+        let started = time::Instant::now();
+        let longest = self.settings.grace.saturating_sub(time::Duration::from_millis(STOP_MARGIN_MS));
+        let shortest = time::Duration::from_millis(LAME_DUCK_MS).min(longest);
+        loop {
+            tokio::time::sleep(time::Duration::from_millis(STOP_POLL_MS)).await;
+            let elapsed = started.elapsed();
+            if elapsed >= longest || (elapsed >= shortest && self.in_flight() == 0) {
+                break;
+            }
+        }
+        let cut = self.in_flight();
+        // Connections without a request end with the process.
+        drop(self.front.stop(false));
+        self.control.stop();
+        tracing::info!(event = "host-stopped", cut);
+    }
+
+    /// Returns the number of requests that are not yet answered.
+    #[must_use]
+    pub fn in_flight(&self) -> i64 {
+        self.in_flight.load(atomic::Ordering::Relaxed)
+    }
+}
+
+struct ControlShared {
+    clock: clock::SystemClock,
+    view: front::SharedView,
+    ready: sync::Arc<atomic::AtomicBool>,
+    reports: tokio::sync::mpsc::UnboundedReceiver<front::TrafficReport>,
+    stopping: tokio::sync::watch::Receiver<bool>,
+}
+
+// Starts the control thread and waits until it listens to the other hosts.
+async fn start_control<A: PlatformAdapter>(
+    arbiter: &actix::Arbiter,
+    settings: &RouterSettings,
+    adapter: A,
+    shared: ControlShared,
+) -> Result<(), RouterError> {
+    let (started, outcome) = tokio::sync::oneshot::channel();
+    let settings = settings.clone();
+    let address = settings.own.peers;
+    arbiter.spawn(async move {
+        let result = run_control(settings, adapter, shared).await;
+        // The starting thread may have ended.
+        let _ = started.send(result);
+    });
+    let lost = || RouterError::Listen {
+        address,
+        fault: "the control thread ended".to_owned(),
+    };
+    outcome.await.unwrap_or_else(|_| Err(lost()))
+}
+
+async fn run_control<A: PlatformAdapter>(
+    settings: RouterSettings,
+    adapter: A,
+    shared: ControlShared,
+) -> Result<(), RouterError> {
+    let (questions, questions_in) = tokio::sync::mpsc::unbounded_channel();
+    let address = settings.own.peers;
+    let responder = gossip::GossipResponder::new(questions);
+    let listened = responder.listen(address).await;
+    listened.map_err(|e| RouterError::Listen { address, fault: e.to_string() })?;
+    let parts = control::ControlParts {
+        store: adapter.new_store(),
+        orders: adapter.new_orders(),
+        decoder: adapter.new_decoder(),
+        clock: shared.clock,
+        view: shared.view,
+        ready: shared.ready,
+        reports: shared.reports,
+        questions: questions_in,
+        join_interval: settings.join_interval,
+        max_hold: settings.max_hold,
+        own: settings.own,
+        stopping: shared.stopping,
+    };
+    let started = control::ControlThread::start(parts);
+    started.map(drop).map_err(|source| RouterError::Chart { source })
+}
+
+struct ReadyState {
+    ready: sync::Arc<atomic::AtomicBool>,
+    stopping: sync::Arc<atomic::AtomicBool>,
+}
+
+fn listen_ready<C: ports::HeaderCodec>(
+    settings: &RouterSettings,
+    traffic: &front::TrafficParts<C>,
+    ready: sync::Arc<atomic::AtomicBool>,
+) -> Result<(), RouterError> {
+    let path = traffic.codec.ready_path();
+    let state = web::Data::new(ReadyState {
+        ready,
+        stopping: sync::Arc::clone(&traffic.stopping),
+    });
+    let address = settings.ready;
+    let server = actix_web::HttpServer::new(move || {
+        actix_web::App::new()
+            .app_data(state.clone())
+            .route(path, web::get().to(answer_ready))
+    })
+    .workers(1)
+    .disable_signals()
+    .bind(address)
+    .map_err(|e| RouterError::Listen { address, fault: e.to_string() })?
+    .run();
+    actix::spawn(server);
+    Ok(())
+}
+
+async fn answer_ready(state: web::Data<ReadyState>) -> actix_web::HttpResponse {
+    let ready = state.ready.load(atomic::Ordering::Relaxed);
+    if ready && !state.stopping.load(atomic::Ordering::Relaxed) {
+        return actix_web::HttpResponse::Ok().finish();
+    }
+    actix_web::HttpResponse::ServiceUnavailable().finish()
+}
+
+fn listen_callers<C: ports::HeaderCodec + Send>(
+    settings: &RouterSettings,
+    traffic: front::TrafficParts<C>,
+) -> Result<actix_web::dev::ServerHandle, RouterError> {
+    let address = settings.front;
+    let server = actix_web::HttpServer::new(move || {
+        let thread = front::TrafficThread::start(traffic.clone());
+        actix_web::App::new()
+            .app_data(thread)
+            .default_service(web::to(front::handle::<C>))
+    })
+    .workers(1)
+    .backlog(LISTEN_BACKLOG)
+    .keep_alive(time::Duration::from_secs(IDLE_TIMEOUT_S))
+    .client_request_timeout(time::Duration::from_secs(HEAD_TIMEOUT_S))
+    .h1_allow_half_closed(false)
+    .disable_signals()
+    .bind(address)
+    .map_err(|e| RouterError::Listen { address, fault: e.to_string() })?
+    .run();
+    let handle = server.handle();
+    actix::spawn(server);
+    Ok(handle)
+}
--- /dev/null
+++ b/src/edge/router/mod.rs
@@ -0,0 +1,11 @@
+//! The front end for platforms: HTTP to callers and servers, the store, and the other hosts.
+
+pub mod body;
+pub mod control;
+pub mod exchange;
+pub mod front;
+pub mod gossip;
+pub mod host;
+pub mod ports;
+pub mod store_reader;
+pub mod wire;
--- a/src/names.rs
+++ b/src/names.rs
@@ -132,6 +132,8 @@
     ServerName,
     check_label /// The name of a feature.
     FeatureName,
+    check_token /// The name of a route.
+    RouteName,
     check_token /// A key that one server owns at a time.
     KeyName,
     check_token /// The unique id of a record in the log.
--- /dev/null
+++ b/src/ownership/granter.rs
@@ -0,0 +1,741 @@
+//! The granter: takes what the log, the servers and the clock say, and returns what to append and
+//! which orders to send.
+
+use std::collections;
+use std::net;
+use std::sync;
+use std::time;
+
+use crate::chart;
+use crate::clock;
+use crate::names;
+use crate::ownership::arrival;
+use crate::ownership::book;
+use crate::ownership::duty;
+use crate::ownership::heat;
+use crate::ownership::plan;
+use crate::serving::directory;
+
+/// The longest hold of one order, in milliseconds, where the servers allow as much.
+pub const HOLD_MS: u64 = 3_000;
+/// How many orders a hold is renewed by.
+pub const RENEWALS_PER_HOLD: u32 = 3;
+/// How long an order may take, in milliseconds.
+pub const ORDER_TIMEOUT_MS: u64 = 500;
+/// How long after an order without an answer the next one is sent, in milliseconds.
+pub const ORDER_RETRY_MS: u64 = 150;
+/// How long after an append without success the next one is sent, in milliseconds.
+pub const APPEND_RETRY_MS: u64 = 250;
+/// How long an append may take, in milliseconds.
+pub const APPEND_TIMEOUT_MS: u64 = 2_000;
+/// How long a release may take, in milliseconds: it waits for the work under way.
+pub const RELEASE_TIMEOUT_MS: u64 = 1_500;
+/// How long a plan waits after the last one, in milliseconds, where no server was lost.
+pub const PLAN_INTERVAL_MS: u64 = 400;
+/// How long a new granter waits for servers to register before it places keys for the first time,
+/// in milliseconds.
+pub const FIRST_PLACE_MS: u64 = 400;
+/// By how much a claimant's wait exceeds the former granter's right, in milliseconds: an order that
+/// was sent at its last moment is answered or reset by then.
+pub const FOREIGN_ORDER_MS: u64 = 700;
+/// How long orders to most servers go unanswered until the granter takes itself for cut off, in
+/// milliseconds.
+pub const ISOLATION_MS: u64 = 300;
+/// How long a silent server gets no keys, in milliseconds, at first; doubled each time.
+pub const SILENCE_MS: u64 = 3_000;
+/// The longest such time, in milliseconds.
+pub const MAX_SILENCE_MS: u64 = 24_000;
+
+crate::chart_words!(
+    /// The states of one range at the granter.
+    RangeState {
+        Vacating = "vacating",
+        Ordered = "ordered",
+        Held = "held",
+        Refused = "refused",
+    }
+);
+crate::chart_words!(
+    /// The events of one range.
+    RangeEvent {
+        Vacated = "vacated",
+        Accepted = "accepted",
+        Refused = "refused",
+    }
+);
+crate::chart_words!(
+    /// The actions of one range.
+    RangeAction {
+        Order = "order",
+        NoteHeld = "note-held",
+        RaiseFence = "raise-fence",
+    }
+);
+
+/// The words of the chart `key-range`.
+#[derive(Debug)]
+pub struct RangeVocabulary;
+
+impl chart::ChartVocabulary for RangeVocabulary {
+    type State = RangeState;
+    type Event = RangeEvent;
+    type Guard = chart::NoGuard;
+    type Action = RangeAction;
+    const SOURCE: &'static str = include_str!("../../charts/key-range.toml");
+}
+
+/// Which range an order is about.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct RangeId {
+    /// The service.
+    pub service: names::ServiceName,
+    /// The first key.
+    pub first: u16,
+    /// The last key.
+    pub last: u16,
+    /// The fence.
+    pub fence: u64,
+}
+
+/// An order to a server to hold keys.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct GrantOrder {
+    /// The range.
+    pub range: RangeId,
+    /// The server's life.
+    pub life: book::ServerLife,
+    /// Where it is.
+    pub address: net::SocketAddr,
+    /// How long it holds them, from the order's arrival.
+    pub hold: time::Duration,
+    /// What the last holder handed over.
+    pub handover: Option<sync::Arc<str>>,
+}
+
+/// An order to a server to let keys go.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ReleaseOrder {
+    /// The range.
+    pub range: RangeId,
+    /// The server's life.
+    pub life: book::ServerLife,
+    /// Where it is.
+    pub address: net::SocketAddr,
+}
+
+/// What the granter wants done.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum GranterAction {
+    /// Append a book where the log ends at `at`.
+    Append {
+        /// The book.
+        book: book::GrantBook,
+        /// Where the log must end.
+        at: u64,
+    },
+    /// Send an order.
+    Grant(GrantOrder),
+    /// Send a release.
+    Release(ReleaseOrder),
+    /// Leave the duty to another host for a while.
+    Yield,
+}
+
+/// How an append ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AppendOutcome {
+    /// It is in the log, which ends at `end` with it.
+    Appended {
+        /// The end.
+        end: u64,
+    },
+    /// The log ended elsewhere; nothing was appended.
+    Conflict,
+    /// Nothing was appended.
+    Refused,
+    /// It may be in the log, or get there later.
+    Unknown,
+}
+
+/// How an order ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum OrderOutcome {
+    /// The server did it; a release may yield a token for the next holder.
+    Done(Option<sync::Arc<str>>),
+    /// The server has seen a higher fence.
+    Refused,
+    /// No answer came; the connection was reset.
+    Unanswered,
+    /// No connection was made.
+    Unsent,
+}
+
+impl OrderOutcome {
+    const fn arrival(&self) -> arrival::OrderArrival {
+        match self {
+            Self::Done(_) | Self::Refused => arrival::OrderArrival::Answered,
+            Self::Unanswered => arrival::OrderArrival::Possible,
+            Self::Unsent => arrival::OrderArrival::Unsent,
+        }
+    }
+}
+
+struct FormerState {
+    holder: book::KeyHolder,
+    open: bool,
+    next_call: clock::MonoTime,
+}
+
+// A server whose orders went unanswered until its hold had lapsed.
+struct Silence {
+    until: clock::MonoTime,
+    span: time::Duration,
+}
+
+struct RangeRun {
+    state: RangeState,
+    holder: book::KeyHolder,
+    formers: Vec<FormerState>,
+    handover: Option<sync::Arc<str>>,
+    open: bool,
+    next_call: clock::MonoTime,
+}
+
+/// What the granter of a host knows.
+pub struct KeyGranter {
+    own: book::GranterLife,
+    hold: time::Duration,
+    table: chart::ChartTable<RangeVocabulary>,
+    duty: duty::GrantDuty,
+    ledger: arrival::ArrivalLedger,
+    book: book::GrantBook,
+    end: Option<u64>,
+    appending: Option<book::GrantBook>,
+    append_retry: clock::MonoTime,
+    candidate: bool,
+    claimed_at: clock::MonoTime,
+    planned_at: clock::MonoTime,
+    runs: collections::BTreeMap<RangeId, RangeRun>,
+    silences: collections::BTreeMap<book::ServerLife, Silence>,
+    yielded: bool,
+    append_sent: clock::MonoTime,
+    heat: heat::ServiceHeat,
+}
+
+impl KeyGranter {
+    /// Creates the granter of a host that has read nothing.
+    ///
+    /// # Errors
+    /// Fails when a chart is faulty.
+    pub fn new(own: book::GranterLife, max_hold: time::Duration) -> Result<Self, chart::ChartError> {
+        let hold = max_hold.min(time::Duration::from_millis(HOLD_MS));
+        let origin = clock::MonoTime::from_micros(0);
+        Ok(Self {
+            own,
+            hold,
+            table: chart::ChartTable::new()?,
+            duty: duty::GrantDuty::new()?,
+            ledger: arrival::ArrivalLedger::new(hold),
+            book: book::GrantBook::default(),
+            end: None,
+            appending: None,
+            append_retry: origin,
+            candidate: false,
+            claimed_at: origin,
+            planned_at: origin,
+            runs: collections::BTreeMap::new(),
+            silences: collections::BTreeMap::new(),
+            yielded: false,
+            append_sent: origin,
+            heat: heat::ServiceHeat::new(),
+        })
+    }
+
+    /// Returns the newest book.
+    #[must_use]
+    pub const fn book(&self) -> &book::GrantBook {
+        &self.book
+    }
+
+    /// Returns where the book's log ends, 0 where that is not known.
+    #[must_use]
+    pub fn book_end(&self) -> u64 {
+        self.end.unwrap_or(0)
+    }
+
+    /// Reports whether this host grants.
+    #[must_use]
+    pub fn is_granting(&self) -> bool {
+        self.duty.state() == duty::DutyState::Granting
+    }
+
+    /// Notes whether this host is the one that is to claim the duty.
+    pub fn note_candidate(&mut self, candidate: bool) {
+        self.candidate = candidate;
+    }
+
+    /// Takes the newest book of the log, which ends at `end`. Reports whether it was news.
+    pub fn note_book(
+        &mut self,
+        newest: Option<book::GrantBook>,
+        end: u64,
+        now: clock::MonoTime,
+    ) -> bool {
+        if self.end.is_some_and(|known| end <= known) {
+            return false;
+        }
+        self.end = Some(end);
+        let Some(newest) = newest else {
+            return false;
+        };
+        if newest == self.book {
+            return false;
+        }
+        if self.appending.as_ref() == Some(&newest) {
+            // The append's own answer was slower, or lost.
+            self.note_appended(AppendOutcome::Appended { end }, self.append_sent, now);
+            return true;
+        }
+        let foreign = newest.granter != self.own;
+        self.book = newest;
+        self.appending = None;
+        match self.duty.state() {
+            duty::DutyState::Claiming => self.run_duty(duty::DutyEvent::AppendConflict),
+            duty::DutyState::Granting if foreign => self.run_duty(duty::DutyEvent::NewerTermSeen),
+            duty::DutyState::Granting | duty::DutyState::Watching => {}
+        }
+        true
+    }
+
+    /// Notes that the log held nothing newer at `at`, the time when it was asked.
+    pub fn note_confirmed(&mut self, at: clock::MonoTime) {
+        self.duty.confirm(at);
+    }
+
+    /// Takes the work of a service's keys.
+    pub fn note_heat(&mut self, service: &names::ServiceName, report: &[heat::StretchHeat]) {
+        self.heat.entry(service.clone()).or_default().note(report);
+    }
+
+    /// Takes the end of an append.
+    pub fn note_appended(
+        &mut self,
+        outcome: AppendOutcome,
+        sent: clock::MonoTime,
+        now: clock::MonoTime,
+    ) {
+        if self.appending.is_none() {
+            return;
+        }
+        match outcome {
+            AppendOutcome::Appended { end } => {
+                self.end = self.end.max(Some(end));
+                self.duty.confirm(sent);
+                if let Some(appended) = self.appending.take() {
+                    let former = std::mem::replace(&mut self.book, appended);
+                    self.follow_append(&former, now);
+                }
+            }
+            AppendOutcome::Conflict => {
+                // What is there instead comes with the next news of the log.
+                self.append_retry = now + time::Duration::from_millis(APPEND_RETRY_MS);
+            }
+            AppendOutcome::Refused | AppendOutcome::Unknown => {
+                self.append_retry = now + time::Duration::from_millis(APPEND_RETRY_MS);
+            }
+        }
+    }
+
+    fn follow_append(&mut self, former: &book::GrantBook, now: clock::MonoTime) {
+        if self.duty.state() == duty::DutyState::Claiming {
+            self.claimed_at = now;
+            self.take_foreign(former, now);
+            self.run_duty(duty::DutyEvent::ClaimAppended);
+        }
+        self.sync_runs(now);
+    }
+
+    // Whoever granted before may go on until its right has ended by its own clock.
+    fn take_foreign(&mut self, former: &book::GrantBook, now: clock::MonoTime) {
+        let own = former.granter == self.own;
+        let right = duty::RENEWAL_RIGHT_MS + FOREIGN_ORDER_MS;
+        let until = now + time::Duration::from_millis(right);
+        let ranges = former.services.values().flatten();
+        let holders = ranges.flat_map(|range| range.formers.iter().chain([&range.holder]));
+        let lives = holders.map(|holder| holder.life.clone());
+        if !own {
+            let hold = time::Duration::from_millis(former.hold_ms);
+            self.ledger.take_over(lives, until, hold);
+        }
+    }
+
+    fn run_duty(&mut self, event: duty::DutyEvent) {
+        let term = self.book.term;
+        for action in self.duty.handle(event) {
+            match action {
+                duty::DutyAction::AppendClaim => {}
+                duty::DutyAction::TakeUp => {
+                    tracing::info!(event = "granting-taken-up", term);
+                }
+                duty::DutyAction::StandDown => {
+                    tracing::info!(event = "granting-stood-down", term, cause = ?event);
+                    self.runs.clear();
+                }
+                duty::DutyAction::YieldDuty => self.yielded = true,
+            }
+        }
+    }
+
+    /// Takes the end of an order. Reports whether it was the first to be done.
+    pub fn note_granted(
+        &mut self,
+        order: &GrantOrder,
+        outcome: &OrderOutcome,
+        now: clock::MonoTime,
+    ) -> bool {
+        self.ledger.note_ended(&order.life, outcome.arrival(), now);
+        if outcome.arrival() == arrival::OrderArrival::Answered {
+            self.silences.remove(&order.life);
+        }
+        let renewal = self.hold / RENEWALS_PER_HOLD;
+        let Some(run) = self.runs.get_mut(&order.range) else {
+            return false;
+        };
+        run.open = false;
+        let event = match outcome {
+            OrderOutcome::Done(_) => RangeEvent::Accepted,
+            OrderOutcome::Refused => RangeEvent::Refused,
+            OrderOutcome::Unanswered | OrderOutcome::Unsent => {
+                run.next_call = now + time::Duration::from_millis(ORDER_RETRY_MS);
+                return false;
+            }
+        };
+        run.next_call = now + renewal;
+        let Some(step) = self.table.step(run.state, event, |guard| match guard {}) else {
+            return false;
+        };
+        let news = run.state != step.next;
+        run.state = step.next;
+        news
+    }
+
+    /// Takes the end of a release.
+    pub fn note_released(
+        &mut self,
+        order: &ReleaseOrder,
+        outcome: &OrderOutcome,
+        now: clock::MonoTime,
+    ) {
+        let Some(run) = self.runs.get_mut(&order.range) else {
+            return;
+        };
+        let position = run.formers.iter().position(|f| f.holder.life == order.life);
+        let Some(position) = position else {
+            return;
+        };
+        let former = &mut run.formers[position];
+        former.open = false;
+        former.next_call = now + time::Duration::from_millis(ORDER_RETRY_MS);
+        if let OrderOutcome::Done(handover) = outcome {
+            run.formers.remove(position);
+            if handover.is_some() {
+                run.handover.clone_from(handover);
+            }
+        }
+    }
+
+    /// Returns what is to be done at `now`.
+    pub fn tick(
+        &mut self,
+        now: clock::MonoTime,
+        services: &[names::ServiceName],
+        servers: &directory::ServerDirectory,
+    ) -> Vec<GranterAction> {
+        let mut actions = Vec::new();
+        if self.is_granting() && !self.duty.has_right(now) {
+            self.run_duty(duty::DutyEvent::RightEnded);
+        }
+        if self.is_granting() {
+            self.watch_silence(now, services, servers);
+        }
+        if std::mem::take(&mut self.yielded) {
+            actions.push(GranterAction::Yield);
+        }
+        if let (Some(book), Some(at)) = (&self.appending, self.end) {
+            if now >= self.append_retry {
+                self.append_retry = now + time::Duration::from_millis(APPEND_TIMEOUT_MS);
+                self.append_sent = now;
+                actions.push(GranterAction::Append {
+                    book: book.clone(),
+                    at,
+                });
+            }
+        } else if let Some(at) = self.end {
+            let next = self.next_book(now, services, servers);
+            if let Some(next) = next {
+                self.appending = Some(next.clone());
+                self.append_retry = now + time::Duration::from_millis(APPEND_TIMEOUT_MS);
+                self.append_sent = now;
+                actions.push(GranterAction::Append { book: next, at });
+            }
+        }
+        if self.duty.has_right(now) {
+            self.order_all(now, servers, &mut actions);
+        }
+        actions
+    }
+
+    // The next book to append: a claim, or a plan.
+    fn next_book(
+        &mut self,
+        now: clock::MonoTime,
+        services: &[names::ServiceName],
+        servers: &directory::ServerDirectory,
+    ) -> Option<book::GrantBook> {
+        match self.duty.state() {
+            duty::DutyState::Watching if self.candidate && !services.is_empty() => {
+                self.run_duty(duty::DutyEvent::ClaimDue);
+                let mut claim = self.book.clone();
+                claim.term += 1;
+                claim.granter = self.own.clone();
+                claim.hold_ms = u64::try_from(self.hold.as_millis()).unwrap_or(u64::MAX);
+                Some(claim)
+            }
+            duty::DutyState::Granting => self.next_plan(now, services, servers),
+            _ => None,
+        }
+    }
+
+    fn next_plan(
+        &mut self,
+        now: clock::MonoTime,
+        services: &[names::ServiceName],
+        servers: &directory::ServerDirectory,
+    ) -> Option<book::GrantBook> {
+        let mut next = self.book.clone();
+        let mut changed = self.forget_vacated(&mut next);
+        changed |= self.raise_refused(&mut next);
+        let settled = now >= self.planned_at + time::Duration::from_millis(PLAN_INTERVAL_MS);
+        let placing = now >= self.claimed_at + time::Duration::from_millis(FIRST_PLACE_MS);
+        for service in services {
+            if !placing && !next.services.contains_key(service) {
+                continue;
+            }
+            let takers = self.takers(now, service, servers);
+            let heat = self.heat.entry(service.clone()).or_default();
+            let moving = self.runs.values().any(|run| !run.formers.is_empty());
+            let plan = plan::ServicePlan {
+                takers: &takers,
+                heat,
+                may_move: settled && !moving,
+            };
+            changed |= plan::plan_service(&mut next, service, &plan);
+        }
+        if !changed {
+            return None;
+        }
+        self.planned_at = now;
+        Some(next)
+    }
+
+    // Servers of a service that may take keys: ready ones whose orders do not go unanswered.
+    fn takers(
+        &self,
+        now: clock::MonoTime,
+        service: &names::ServiceName,
+        servers: &directory::ServerDirectory,
+    ) -> Vec<plan::KeyTaker> {
+        let ready = servers.servers().filter(|record| {
+            record.service == *service
+                && record.state == directory::ServerState::Ready
+                && !self.is_silent(&record.life, now)
+        });
+        ready
+            .map(|record| plan::KeyTaker {
+                holder: book::KeyHolder {
+                    life: record.life.clone(),
+                    address: record.address,
+                },
+                capacity: f64::from(record.slots),
+            })
+            .collect()
+    }
+
+    // Whether a server gets no keys because its orders went unanswered.
+    fn is_silent(&self, life: &book::ServerLife, now: clock::MonoTime) -> bool {
+        let silence = self.silences.get(life);
+        silence.is_some_and(|silence| now < silence.until)
+    }
+
+    // Finds servers whose orders go unanswered. Where they are most, the fault is taken to be on
+    // this host's side, and the duty goes to another.
+    fn watch_silence(
+        &mut self,
+        now: clock::MonoTime,
+        services: &[names::ServiceName],
+        servers: &directory::ServerDirectory,
+    ) {
+        let isolation = time::Duration::from_millis(ISOLATION_MS);
+        let ours = servers.servers().filter(|record| services.contains(&record.service));
+        let lives: Vec<_> = ours.map(|record| record.life.clone()).collect();
+        let failing = |life: &&book::ServerLife| self.ledger.is_failing(life, isolation, now);
+        let failing: Vec<_> = lives.iter().filter(failing).collect();
+        if failing.len() * 2 > lives.len() && lives.len() > 1 {
+            tracing::warn!(event = "granter-isolated", silent = failing.len(), of = lives.len());
+            self.run_duty(duty::DutyEvent::Isolated);
+            return;
+        }
+        for life in failing {
+            let held = !self.ledger.has_lapsed(life, now);
+            if held || self.is_silent(life, now) {
+                continue;
+            }
+            let first = time::Duration::from_millis(SILENCE_MS);
+            let longest = time::Duration::from_millis(MAX_SILENCE_MS);
+            let span = self.silences.get(life).map_or(first, |s| (s.span * 2).min(longest));
+            tracing::warn!(event = "server-silent", server = %life.server, span_ms = span.as_millis());
+            let silence = Silence { until: now + span, span };
+            self.silences.insert(life.clone(), silence);
+        }
+    }
+
+    // Drops formers from the book once the holder has the keys: hosts then send to it, and a
+    // successor need not ask the formers again.
+    fn forget_vacated(&self, next: &mut book::GrantBook) -> bool {
+        let mut changed = false;
+        for (service, ranges) in &mut next.services {
+            for range in ranges.iter_mut().filter(|range| !range.formers.is_empty()) {
+                let run = self.runs.get(&range_id(service, range));
+                let settled = |run: &RangeRun| {
+                    run.formers.is_empty() && run.state == RangeState::Held
+                };
+                if run.is_some_and(settled) {
+                    range.formers.clear();
+                    changed = true;
+                }
+            }
+        }
+        changed
+    }
+
+    fn raise_refused(&self, next: &mut book::GrantBook) -> bool {
+        let mut refused = Vec::new();
+        for (service, ranges) in &next.services {
+            for (index, range) in ranges.iter().enumerate() {
+                let run = self.runs.get(&range_id(service, range));
+                if run.is_some_and(|run| run.state == RangeState::Refused) {
+                    refused.push((service.clone(), index));
+                }
+            }
+        }
+        for (service, index) in &refused {
+            let fence = next.take_fence();
+            if let Some(range) = next.services.get_mut(service).and_then(|r| r.get_mut(*index)) {
+                range.fence = fence;
+            }
+        }
+        !refused.is_empty()
+    }
+
+    // Makes the runs those of the book's ranges, keeping what is known of unchanged ones.
+    fn sync_runs(&mut self, now: clock::MonoTime) {
+        let mut former = std::mem::take(&mut self.runs);
+        for (service, ranges) in &self.book.services {
+            for range in ranges {
+                let id = range_id(service, range);
+                let kept = former.remove(&id);
+                let run = kept.unwrap_or_else(|| new_run(&self.table, range, now));
+                self.runs.insert(id, run);
+            }
+        }
+    }
+
+    fn order_all(
+        &mut self,
+        now: clock::MonoTime,
+        servers: &directory::ServerDirectory,
+        actions: &mut Vec<GranterAction>,
+    ) {
+        for (id, run) in &mut self.runs {
+            release_formers(id, run, now, &self.ledger, servers, actions);
+            if run.state == RangeState::Vacating && run.formers.is_empty() {
+                let step = self.table.step(run.state, RangeEvent::Vacated, |guard| match guard {});
+                run.state = step.map_or(run.state, |step| step.next);
+            }
+            let due = !run.open && now >= run.next_call;
+            let gone = is_reborn(&run.holder.life, servers);
+            let orderable = matches!(run.state, RangeState::Ordered | RangeState::Held);
+            if due && !gone && orderable {
+                run.open = true;
+                self.ledger.note_sent(&run.holder.life);
+                actions.push(GranterAction::Grant(GrantOrder {
+                    range: id.clone(),
+                    life: run.holder.life.clone(),
+                    address: run.holder.address,
+                    hold: self.hold,
+                    handover: run.handover.clone(),
+                }));
+            }
+        }
+    }
+}
+
+fn release_formers(
+    id: &RangeId,
+    run: &mut RangeRun,
+    now: clock::MonoTime,
+    ledger: &arrival::ArrivalLedger,
+    servers: &directory::ServerDirectory,
+    actions: &mut Vec<GranterAction>,
+) {
+    run.formers.retain(|former| {
+        let life = &former.holder.life;
+        !is_reborn(life, servers) && !ledger.has_lapsed(life, now)
+    });
+    for former in &mut run.formers {
+        if former.open || now < former.next_call {
+            continue;
+        }
+        former.open = true;
+        actions.push(GranterAction::Release(ReleaseOrder {
+            range: id.clone(),
+            life: former.holder.life.clone(),
+            address: former.holder.address,
+        }));
+    }
+}
+
+// A server that started again holds nothing of its life before.
+fn is_reborn(life: &book::ServerLife, servers: &directory::ServerDirectory) -> bool {
+    let record = servers.find(&life.server);
+    record.is_some_and(|record| record.life.born > life.born)
+}
+
+fn range_id(service: &names::ServiceName, range: &book::RangeEntry) -> RangeId {
+    RangeId {
+        service: service.clone(),
+        first: range.first,
+        last: range.last,
+        fence: range.fence,
+    }
+}
+
+fn new_run(
+    table: &chart::ChartTable<RangeVocabulary>,
+    range: &book::RangeEntry,
+    now: clock::MonoTime,
+) -> RangeRun {
+    let formers = range.formers.iter().map(|holder| FormerState {
+        holder: holder.clone(),
+        open: false,
+        next_call: now,
+    });
+    RangeRun {
+        state: table.initial(),
+        holder: range.holder.clone(),
+        formers: formers.collect(),
+        handover: None,
+        open: false,
+        next_call: now,
+    }
+}
--- /dev/null
+++ b/src/ownership/mod.rs
@@ -0,0 +1,12 @@
+//! Which server holds which keys: the book of grants, the host that writes it, and its plans.
+//!
+//! The book is one record in the platform's log, replaced whole by appends that name the offset at
+//! which the log must end. Every change is in the log before an order is sent, so that whoever has
+//! read the log knows every holder that there can be.
+
+pub mod arrival;
+pub mod book;
+pub mod duty;
+pub mod granter;
+pub mod heat;
+pub mod plan;
--- a/src/retry.rs
+++ b/src/retry.rs
@@ -8,6 +8,8 @@
 /// A budget that fresh requests fill and repeats draw from.
 #[derive(Clone, Debug)]
 pub struct RetryBudget {
+    ratio: f64,
+    most: f64,
     saved: f64,
 }
 
@@ -15,14 +17,22 @@
     /// Creates a full budget.
     #[must_use]
     pub const fn new() -> Self {
+        Self::with_ratio(REPEATS_PER_REQUEST, MAX_SAVED_REPEATS)
+    }
+
+    /// Creates a full budget of `most` repeats that each fresh request fills by `ratio`.
+    #[must_use]
+    pub const fn with_ratio(ratio: f64, most: f64) -> Self {
         Self {
-            saved: MAX_SAVED_REPEATS,
+            ratio,
+            most,
+            saved: most,
         }
     }
 
     /// Counts a fresh request.
     pub fn note_fresh(&mut self) {
-        self.saved = (self.saved + REPEATS_PER_REQUEST).min(MAX_SAVED_REPEATS);
+        self.saved = (self.saved + self.ratio).min(self.most);
     }
 
     /// Reports whether a repeat is allowed.
--- /dev/null
+++ b/src/serving/knowledge.rs
@@ -0,0 +1,277 @@
+//! What one host knows of routes, servers, grants and other hosts, and the view it makes of it.
+
+use std::collections;
+use std::sync;
+use std::time;
+
+use crate::clock;
+use crate::names;
+use crate::ownership::book;
+use crate::ownership::heat;
+use crate::routing::specification;
+use crate::serving::directory;
+use crate::serving::news;
+use crate::serving::view;
+
+/// How long a host counts as there after its last news, in milliseconds.
+pub const HOST_SPAN_MS: u64 = 2_500;
+/// How long the news of another host's demand counts, in milliseconds.
+pub const DEMAND_SPAN_MS: u64 = 1_500;
+
+struct PeerState {
+    news: news::HostNews,
+    heard: clock::MonoTime,
+}
+
+/// The knowledge of one host.
+pub struct HostKnowledge {
+    own: news::HostRecord,
+    routes: Option<sync::Arc<specification::RouteSet>>,
+    directory: directory::ServerDirectory,
+    servers_known: bool,
+    hosts: collections::BTreeMap<names::HostName, news::HostRecord>,
+    peers: collections::BTreeMap<names::HostName, PeerState>,
+    store_lost: bool,
+    demand: view::ServerDemand,
+    reports: Vec<news::ServiceReport>,
+}
+
+impl HostKnowledge {
+    /// Creates the knowledge of a host that knows only itself.
+    #[must_use]
+    pub fn new(own: news::HostRecord) -> Self {
+        Self {
+            own,
+            routes: None,
+            directory: directory::ServerDirectory::new(),
+            servers_known: false,
+            hosts: collections::BTreeMap::new(),
+            peers: collections::BTreeMap::new(),
+            store_lost: false,
+            demand: view::ServerDemand::new(),
+            reports: Vec::new(),
+        }
+    }
+
+    /// Returns this host's own record.
+    #[must_use]
+    pub const fn own(&self) -> &news::HostRecord {
+        &self.own
+    }
+
+    /// Returns the servers.
+    #[must_use]
+    pub const fn directory(&self) -> &directory::ServerDirectory {
+        &self.directory
+    }
+
+    /// Takes a set of routes. Reports whether it is in force now: an older one never is again.
+    pub fn note_routes(&mut self, routes: specification::RouteSet) -> bool {
+        let known = self.routes.as_ref().map_or(0, |known| known.version);
+        if routes.version <= known && self.routes.is_some() {
+            return false;
+        }
+        self.routes = Some(sync::Arc::new(routes));
+        true
+    }
+
+    /// Returns the version of the routes in force, 0 for none.
+    #[must_use]
+    pub fn routes_version(&self) -> u64 {
+        self.routes.as_ref().map_or(0, |routes| routes.version)
+    }
+
+    /// Takes a server's entry.
+    pub fn note_server(&mut self, record: directory::ServerRecord) {
+        self.directory.note(record);
+    }
+
+    /// Takes the removal of a server's entry.
+    pub fn remove_server(&mut self, name: &names::ServerName, now: clock::MonoTime) {
+        self.directory.remove(name, now);
+    }
+
+    /// Takes all servers' entries.
+    pub fn replace_servers(&mut self, records: Vec<directory::ServerRecord>, now: clock::MonoTime) {
+        self.directory.replace(records, now);
+        self.servers_known = true;
+    }
+
+    /// Takes another host's entry, or its removal.
+    pub fn note_host(&mut self, name: &names::HostName, record: Option<news::HostRecord>) {
+        match record {
+            Some(record) if *name != self.own.host => {
+                self.hosts.insert(name.clone(), record);
+            }
+            _ => {
+                self.hosts.remove(name);
+                self.peers.remove(name);
+            }
+        }
+    }
+
+    /// Notes whether the store answers this host. Reports whether that is news.
+    pub fn note_store(&mut self, lost: bool, now: clock::MonoTime) -> bool {
+        if lost {
+            self.directory.note_store_lost(now);
+        }
+        std::mem::replace(&mut self.store_lost, lost) != lost
+    }
+
+    /// Reports whether the store turns this host away.
+    #[must_use]
+    pub const fn store_lost(&self) -> bool {
+        self.store_lost
+    }
+
+    /// Takes what the traffic threads report.
+    pub fn note_traffic(&mut self, demand: view::ServerDemand, reports: Vec<news::ServiceReport>) {
+        self.demand = demand;
+        self.reports = reports;
+    }
+
+    /// Takes another host's news; returns what it relays of the store.
+    pub fn note_news(
+        &mut self,
+        news: news::HostNews,
+        now: clock::MonoTime,
+    ) -> Option<news::StoreRelay> {
+        let mut news = news;
+        let relay = news.relay.take();
+        let host = news.record.host.clone();
+        if host == self.own.host {
+            return None;
+        }
+        self.hosts.insert(host.clone(), news.record.clone());
+        self.peers.insert(host, PeerState { news, heard: now });
+        relay.filter(|_| self.store_lost)
+    }
+
+    /// Takes what another host relays of the store. Reports whether anything changed.
+    pub fn note_relay(&mut self, relay: &news::StoreRelay, now: clock::MonoTime) -> bool {
+        let mut changed = false;
+        if let Some(routes) = &relay.routes {
+            changed |= self.note_routes(routes.clone());
+        }
+        if !relay.servers.is_empty() {
+            self.replace_servers(relay.servers.clone(), now);
+            changed = true;
+        }
+        changed
+    }
+
+    /// Returns the hosts to exchange news with: each pair has one that asks.
+    #[must_use]
+    pub fn hosts_to_ask(&self) -> Vec<news::HostRecord> {
+        let hosts = self.hosts.values();
+        hosts.filter(|record| self.own.host < record.host).cloned().collect()
+    }
+
+    /// Returns the news for another host.
+    #[must_use]
+    pub fn news_for(
+        &self,
+        host: &names::HostName,
+        grants: &GrantKnowledge<'_>,
+    ) -> news::HostNews {
+        let asked = self.peers.get(host).map(|peer| &peer.news);
+        let lost = asked.filter(|news| news.store_lost && !self.store_lost);
+        let granter = grants.book.granter.host == host.as_str();
+        news::HostNews {
+            record: self.own.clone(),
+            store_lost: self.store_lost,
+            routes_version: self.routes_version(),
+            book_end: grants.end,
+            demand: self.demand.clone(),
+            reports: if granter { self.reports.clone() } else { Vec::new() },
+            relay: lost.map(|news| self.relay_for(news, grants)),
+        }
+    }
+
+    fn relay_for(&self, asked: &news::HostNews, grants: &GrantKnowledge<'_>) -> news::StoreRelay {
+        let newer = self.routes_version() > asked.routes_version;
+        let routes = self.routes.as_ref().filter(|_| newer);
+        let servers = self.directory.servers().map(|record| (**record).clone());
+        let book = (grants.end > asked.book_end).then(|| (grants.book.clone(), grants.end));
+        news::StoreRelay {
+            routes: routes.map(|routes| (**routes).clone()),
+            servers: servers.collect(),
+            book,
+        }
+    }
+
+    /// Returns the work of each service's keys, summed over all hosts.
+    #[must_use]
+    pub fn heat(&self, now: clock::MonoTime) -> Vec<news::ServiceReport> {
+        let span = time::Duration::from_millis(DEMAND_SPAN_MS);
+        let fresh = self.peers.values().filter(|peer| now.since(peer.heard) < span);
+        let told = fresh.flat_map(|peer| &peer.news.reports);
+        let mut sums = collections::BTreeMap::<_, collections::BTreeMap<u16, f32>>::new();
+        for report in told.chain(&self.reports) {
+            let sum = sums.entry(report.service.clone()).or_default();
+            for heat in &report.heat {
+                *sum.entry(heat.stretch).or_default() += heat.busy;
+            }
+        }
+        let reports = sums.into_iter().map(|(service, sum)| news::ServiceReport {
+            service,
+            heat: sum
+                .into_iter()
+                .map(|(stretch, busy)| heat::StretchHeat { stretch, busy })
+                .collect(),
+        });
+        reports.collect()
+    }
+
+    /// Returns the services whose servers own keys.
+    #[must_use]
+    pub fn sharded_services(&self) -> Vec<names::ServiceName> {
+        let services = self.routes.iter().flat_map(|routes| routes.services.values());
+        let sharded = services.filter(|spec| spec.sharded);
+        sharded.map(|spec| spec.name.clone()).collect()
+    }
+
+    /// Reports whether this host can serve.
+    #[must_use]
+    pub fn is_ready(&self, book: &book::GrantBook) -> bool {
+        let granted = |service: &names::ServiceName| book.services.contains_key(service);
+        self.routes.is_some()
+            && self.servers_known
+            && self.sharded_services().iter().all(granted)
+    }
+
+    /// Drops what has expired. Reports whether the view changes.
+    pub fn expire(&mut self, now: clock::MonoTime) -> bool {
+        self.directory.expire(now)
+    }
+
+    /// Makes the view for the traffic threads.
+    #[must_use]
+    pub fn view(&self, book: &sync::Arc<book::GrantBook>, now: clock::MonoTime) -> view::ServingView {
+        let servers = self.directory.servers();
+        let servers = servers.map(|record| (record.life.server.clone(), sync::Arc::clone(record)));
+        let there = time::Duration::from_millis(HOST_SPAN_MS);
+        let there = |peer: &&PeerState| now.since(peer.heard) < there;
+        let fresh = time::Duration::from_millis(DEMAND_SPAN_MS);
+        let fresh = |peer: &&PeerState| now.since(peer.heard) < fresh;
+        let demands = self.peers.values().filter(fresh).map(|peer| &peer.news.demand);
+        let near = |peer: &&PeerState| peer.news.record.domain == self.own.domain;
+        view::ServingView {
+            routes: self.routes.clone(),
+            servers: sync::Arc::new(servers.collect()),
+            book: sync::Arc::clone(book),
+            demand: sync::Arc::new(news::sum_demand(demands)),
+            hosts: 1 + self.peers.values().filter(there).count(),
+            near_hosts: 1 + self.peers.values().filter(there).filter(near).count(),
+        }
+    }
+}
+
+/// What the granter part of a host knows.
+#[derive(Clone, Copy, Debug)]
+pub struct GrantKnowledge<'a> {
+    /// The newest book.
+    pub book: &'a book::GrantBook,
+    /// Where its log ends.
+    pub end: u64,
+}
--- /dev/null
+++ b/src/serving/news.rs
@@ -0,0 +1,83 @@
+//! What entry hosts tell each other.
+
+use std::collections;
+use std::net;
+
+use crate::names;
+use crate::ownership::book;
+use crate::ownership::heat;
+use crate::routing::specification;
+use crate::serving::directory;
+use crate::serving::view;
+
+/// An entry host, as it registers itself in the store.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct HostRecord {
+    /// The host.
+    pub host: names::HostName,
+    /// A random number of its process.
+    pub incarnation: u64,
+    /// Its failure domain.
+    pub domain: names::DomainName,
+    /// Where other hosts reach it.
+    pub peers: net::SocketAddr,
+}
+
+/// The work of the keys of one service.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct ServiceReport {
+    /// The service.
+    pub service: names::ServiceName,
+    /// The stretches with work.
+    pub heat: Vec<heat::StretchHeat>,
+}
+
+/// What the store says, for a host that it turns away.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct StoreRelay {
+    /// The routes, where they are newer.
+    pub routes: Option<specification::RouteSet>,
+    /// The servers.
+    pub servers: Vec<directory::ServerRecord>,
+    /// The book and where its log ends, where it is newer.
+    pub book: Option<(book::GrantBook, u64)>,
+}
+
+/// One host's news for another.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct HostNews {
+    /// Who tells it.
+    pub record: HostRecord,
+    /// Whether the store turns it away.
+    pub store_lost: bool,
+    /// The version of its routes.
+    pub routes_version: u64,
+    /// Where the book's log ends, as far as it knows.
+    pub book_end: u64,
+    /// What it has at each server.
+    pub demand: view::ServerDemand,
+    /// The work of keys, for the host that grants.
+    pub reports: Vec<ServiceReport>,
+    /// What the store says, for a host that it turns away.
+    pub relay: Option<StoreRelay>,
+}
+
+/// The demand of other hosts, summed.
+#[must_use]
+pub fn sum_demand<'a>(demands: impl Iterator<Item = &'a view::ServerDemand>) -> view::ServerDemand {
+    let mut sum = collections::BTreeMap::new();
+    for demand in demands {
+        for (server, wanted) in demand {
+            *sum.entry(server.clone()).or_default() += wanted;
+        }
+    }
+    sum
+}
--- /dev/null
+++ b/src/serving/view.rs
@@ -0,0 +1,73 @@
+//! What the control thread tells the traffic threads: immutable, replaced whole.
+
+use std::collections;
+use std::sync;
+
+use crate::names;
+use crate::ownership::book;
+use crate::routing::specification;
+use crate::serving::directory;
+
+/// What the other hosts have under way or waiting at each server, on average.
+pub type ServerDemand = collections::BTreeMap<names::ServerName, f64>;
+
+/// The state of the world as one host knows it.
+#[derive(Clone, Debug)]
+pub struct ServingView {
+    /// The routes, once a version is known.
+    pub routes: Option<sync::Arc<specification::RouteSet>>,
+    /// The servers, by name.
+    pub servers: sync::Arc<collections::BTreeMap<names::ServerName, sync::Arc<directory::ServerRecord>>>,
+    /// The book of grants.
+    pub book: sync::Arc<book::GrantBook>,
+    /// What the other hosts want of each server.
+    pub demand: sync::Arc<ServerDemand>,
+    /// How many hosts there are, this one included.
+    pub hosts: usize,
+    /// How many hosts there are in this host's failure domain, this one included.
+    pub near_hosts: usize,
+}
+
+impl ServingView {
+    /// Creates the view of a host that knows nothing.
+    #[must_use]
+    pub fn new() -> Self {
+        Self {
+            routes: None,
+            servers: sync::Arc::default(),
+            book: sync::Arc::default(),
+            demand: sync::Arc::default(),
+            hosts: 1,
+            near_hosts: 1,
+        }
+    }
+
+    /// Returns the server that holds a key, where one may be sent to.
+    #[must_use]
+    pub fn owner(&self, service: &names::ServiceName, key: u16) -> KeyOwner {
+        let Some(range) = self.book.find(service, key) else {
+            return KeyOwner::None;
+        };
+        if !range.formers.is_empty() {
+            return KeyOwner::Moving;
+        }
+        KeyOwner::Server(range.holder.life.clone())
+    }
+}
+
+impl Default for ServingView {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+/// Who holds a key.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum KeyOwner {
+    /// Nobody has held it yet.
+    None,
+    /// It is on its way to another server.
+    Moving,
+    /// A server holds it.
+    Server(book::ServerLife),
+}
