--- a/src/edge/router/control.rs
+++ b/src/edge/router/control.rs
@@ -33,13 +33,16 @@
 /// How long the store holds a read of the book by the host that grants, in milliseconds: what the
 /// duty's right rests on is at most that old.
 pub const GRANTER_WAIT_MS: u64 = 1_000;
-/// How long the store holds a read of routes or of the book, in milliseconds.
-pub const READ_WAIT_MS: u64 = 5_000;
+/// How long the store holds a read of routes, servers or the book, in milliseconds.
+pub const READ_WAIT_MS: u64 = 3_000;
 /// How long the store holds a read of the hosts, in milliseconds.
 pub const HOSTS_WAIT_MS: u64 = 20_000;
 /// The pause between two reads of the servers' entries, in milliseconds.
 pub const SERVERS_PAUSE_MS: u64 = 400;
 
+/// The name of the calls about the duty in logs.
+const DUTY_CALL: &str = "duty";
+
 /// What the control thread is made of.
 pub struct ControlParts<S, O, D> {
     /// The store.
@@ -159,29 +162,29 @@
     fn take_store_news(&self, topic: ports::StoreTopic, news: store_reader::StoreNews) {
         match news {
             store_reader::StoreNews::Snapshot(snapshot) => {
-                self.note_store(false);
+                self.note_store(topic.as_str(), false);
                 self.take_snapshot(topic, &snapshot);
             }
             store_reader::StoreNews::Batch(batch) => {
-                self.note_store(false);
+                self.note_store(topic.as_str(), false);
                 self.take_batch(topic, &batch);
             }
             store_reader::StoreNews::Nothing(sent) => {
-                self.note_store(false);
+                self.note_store(topic.as_str(), false);
                 if topic == ports::StoreTopic::Book {
                     self.state.borrow_mut().granter.note_confirmed(sent);
                 }
             }
             store_reader::StoreNews::Failed(fault) => {
                 tracing::warn!(event = "store-call-failed", topic = topic.as_str(), fault = %fault);
-                self.note_store(true);
+                self.note_store(topic.as_str(), true);
             }
         }
     }
 
-    fn note_store(&self, lost: bool) {
+    fn note_store(&self, call: &'static str, lost: bool) {
         let now = self.clock.now();
-        let changed = self.state.borrow_mut().knowledge.note_store(lost, now);
+        let changed = self.state.borrow_mut().knowledge.note_store(call, lost, now);
         if changed && lost {
             tracing::warn!(event = "store-lost");
         } else if changed {
@@ -321,12 +324,12 @@
             }
             match self.store.join().await {
                 Ok(candidate) => {
-                    self.note_store(false);
+                    self.note_store(DUTY_CALL, false);
                     self.state.borrow_mut().granter.note_candidate(candidate);
                 }
                 Err(fault) => {
                     tracing::warn!(event = "store-call-failed", topic = "duty", fault = %fault);
-                    self.note_store(true);
+                    self.note_store(DUTY_CALL, true);
                     self.state.borrow_mut().granter.note_candidate(false);
                 }
             }
--- a/src/edge/router/front.rs
+++ b/src/edge/router/front.rs
@@ -34,6 +34,8 @@
 pub const SWEEP_MS: u64 = 20;
 /// The shortest time after which a refused caller is told to come back, in milliseconds.
 pub const MIN_RETURN_MS: f64 = 40.0;
+/// When a caller whose request was not looked at is told to come back, in milliseconds.
+pub const EARLY_RETURN_MS: u64 = 50;
 /// The part of a caller's time left that it may be told to wait.
 pub const MAX_RETURN_PART: f64 = 0.32;
 /// The interval between two reports to the control thread, in milliseconds.
@@ -62,8 +64,10 @@
     pub desk: desk::DeskSettings,
     /// The chart of a request.
     pub chart: sync::Arc<chart::ChartTable<verdict::DeliveryVocabulary>>,
-    /// Whether the host is stopping.
+    /// Whether the host is stopping: connections end with their answers.
     pub stopping: sync::Arc<atomic::AtomicBool>,
+    /// Whether the host takes no new requests any longer.
+    pub closed: sync::Arc<atomic::AtomicBool>,
     /// The number of requests under way.
     pub in_flight: sync::Arc<atomic::AtomicI64>,
     /// Where reports go.
@@ -149,7 +153,7 @@
         let view = self.parts.view.load_full();
         let events = {
             let mut desk = self.desk.borrow_mut();
-            desk.sync(&view);
+            desk.sync(&view, now);
             desk.pump(now)
         };
         for event in events {
@@ -193,6 +197,8 @@
 
 // A slot at a server, given back when it ends.
 struct ServerSlot<C: ports::HeaderCodec> {
+    // Counts as long as the answer is on its way.
+    _in_flight: InFlight,
     thread: rc::Rc<TrafficThread<C>>,
     record: sync::Arc<directory::ServerRecord>,
     stretch: Option<(names::ServiceName, u16)>,
@@ -237,6 +243,8 @@
     NoRoute,
     /// No set of routes is known yet.
     Starting,
+    /// The host is about to end.
+    Stopping,
     /// A header is missing or malformed.
     Malformed,
     /// The head is too large.
@@ -265,7 +273,7 @@
             Self::HeadTooLarge => 431,
             Self::BodyTooLarge => 413,
             Self::BodyTimeout => 408,
-            Self::Starting | Self::Refused(_) | Self::NotRun => 503,
+            Self::Starting | Self::Stopping | Self::Refused(_) | Self::NotRun => 503,
             Self::Broken => 502,
             Self::Timeout => 504,
         }
@@ -277,6 +285,7 @@
         match self {
             Self::NoRoute => "no-route",
             Self::Starting => "starting",
+            Self::Stopping => "stopping",
             Self::Malformed => "malformed",
             Self::HeadTooLarge => "head-too-large",
             Self::BodyTooLarge => "body-too-large",
@@ -336,7 +345,8 @@
         Ok(request) => request.serve(payload).await,
         Err((own, id)) => {
             note_own(own, id.as_deref(), None);
-            own_response(own, None)
+            let back = (own.status() == 503).then(|| time::Duration::from_millis(EARLY_RETURN_MS));
+            own_response(own, back)
         }
     };
     if stopping.parts.stopping.load(atomic::Ordering::Relaxed) {
@@ -360,6 +370,9 @@
         let arrived = thread.parts.clock.now();
         let facts = thread.parts.codec.read_request(caller.headers());
         let early = |own| (own, facts.id.clone());
+        if thread.parts.closed.load(atomic::Ordering::Relaxed) {
+            return Err(early(OwnAnswer::Stopping));
+        }
         let view = thread.parts.view.load();
         let routes = view.routes.as_ref().ok_or_else(|| early(OwnAnswer::Starting))?;
         check_limits(&caller, &routes.limits).map_err(early)?;
@@ -482,7 +495,7 @@
         let (sender, receiver) = tokio::sync::oneshot::channel();
         let ticket = {
             let mut desk = self.thread.desk.borrow_mut();
-            desk.sync(&view);
+            desk.sync(&view, now);
             desk.enqueue(wish, now)?
         };
         self.thread.waiters.borrow_mut().insert(ticket, sender);
@@ -522,6 +535,7 @@
     ) -> (Option<exchange::AttemptEnd>, ServerSlot<C>) {
         let now = self.thread.parts.clock.now();
         let slot = ServerSlot {
+            _in_flight: InFlight::new(&self.thread.parts.in_flight),
             thread: rc::Rc::clone(&self.thread),
             record: sync::Arc::clone(record),
             stretch: self.key.map(|key| (self.service.clone(), heat::stretch_of(key))),
--- a/src/edge/router/host.rs
+++ b/src/edge/router/host.rs
@@ -26,6 +26,8 @@
 /// How long a stopping host goes on taking requests, in milliseconds: the platform learns by two
 /// questions, a second apart, that it is not ready.
 pub const LAME_DUCK_MS: u64 = 2_600;
+/// How long the last answers have to leave, in milliseconds.
+pub const FLUSH_MS: u64 = 150;
 /// How long before its end a stopping host gives up waiting for requests, in milliseconds.
 pub const STOP_MARGIN_MS: u64 = 400;
 /// How long a stopping host waits between two looks, in milliseconds.
@@ -98,6 +100,7 @@
 pub struct RouterHost {
     settings: RouterSettings,
     stopping: sync::Arc<atomic::AtomicBool>,
+    closed: sync::Arc<atomic::AtomicBool>,
     stop: tokio::sync::watch::Sender<bool>,
     in_flight: sync::Arc<atomic::AtomicI64>,
     front: actix_web::dev::ServerHandle,
@@ -117,6 +120,7 @@
         let view: front::SharedView = sync::Arc::new(arc_swap::ArcSwap::from_pointee(view::ServingView::new()));
         let ready = sync::Arc::new(atomic::AtomicBool::new(false));
         let stopping = sync::Arc::new(atomic::AtomicBool::new(false));
+        let closed = sync::Arc::new(atomic::AtomicBool::new(false));
         let in_flight = sync::Arc::new(atomic::AtomicI64::new(0));
         let (stop, stop_seen) = tokio::sync::watch::channel(false);
         let (reports, reports_in) = tokio::sync::mpsc::unbounded_channel();
@@ -136,6 +140,7 @@
             desk: settings.desk.clone(),
             chart: sync::Arc::new(chart),
             stopping: sync::Arc::clone(&stopping),
+            closed: sync::Arc::clone(&closed),
             in_flight: sync::Arc::clone(&in_flight),
             reports,
             clock,
@@ -152,6 +157,7 @@
         Ok(Self {
             settings,
             stopping,
+            closed,
             stop,
             in_flight,
             front,
@@ -165,16 +171,16 @@
         // Nobody may listen any longer.
         let _ = self.stop.send(true);
         tracing::info!(event = "host-draining", in_flight = self.in_flight());
-        let started = time::Instant::now();
         let longest = self.settings.grace.saturating_sub(time::Duration::from_millis(STOP_MARGIN_MS));
-        let shortest = time::Duration::from_millis(LAME_DUCK_MS).min(longest);
-        loop {
+        let taking = time::Duration::from_millis(LAME_DUCK_MS).min(longest);
+        tokio::time::sleep(taking).await;
+        // Callers may still use connections that were idle all the while: they are told at once.
+        self.closed.store(true, atomic::Ordering::Relaxed);
+        let finishing = time::Instant::now();
+        while self.in_flight() > 0 && finishing.elapsed() < longest.saturating_sub(taking) {
             tokio::time::sleep(time::Duration::from_millis(STOP_POLL_MS)).await;
-            let elapsed = started.elapsed();
-            if elapsed >= longest || (elapsed >= shortest && self.in_flight() == 0) {
-                break;
-            }
         }
+        tokio::time::sleep(time::Duration::from_millis(FLUSH_MS)).await;
         let cut = self.in_flight();
         // Connections without a request end with the process.
         drop(self.front.stop(false));
--- a/src/ownership/granter.rs
+++ b/src/ownership/granter.rs
@@ -168,12 +168,14 @@
     Unanswered,
     /// No connection was made.
     Unsent,
+    /// Another server answers at the address: the one that was meant has ended.
+    Replaced,
 }
 
 impl OrderOutcome {
     const fn arrival(&self) -> arrival::OrderArrival {
         match self {
-            Self::Done(_) | Self::Refused => arrival::OrderArrival::Answered,
+            Self::Done(_) | Self::Refused | Self::Replaced => arrival::OrderArrival::Answered,
             Self::Unanswered => arrival::OrderArrival::Possible,
             Self::Unsent => arrival::OrderArrival::Unsent,
         }
@@ -217,6 +219,8 @@
     planned_at: clock::MonoTime,
     runs: collections::BTreeMap<RangeId, RangeRun>,
     silences: collections::BTreeMap<book::ServerLife, Silence>,
+    // Lives at whose address another server answers.
+    ended: collections::BTreeSet<book::ServerLife>,
     yielded: bool,
     append_sent: clock::MonoTime,
     heat: heat::ServiceHeat,
@@ -245,6 +249,7 @@
             planned_at: origin,
             runs: collections::BTreeMap::new(),
             silences: collections::BTreeMap::new(),
+            ended: collections::BTreeSet::new(),
             yielded: false,
             append_sent: origin,
             heat: heat::ServiceHeat::new(),
@@ -403,6 +408,10 @@
         };
         run.open = false;
         let event = match outcome {
+            OrderOutcome::Replaced => {
+                self.ended.insert(order.life.clone());
+                return true;
+            }
             OrderOutcome::Done(_) => RangeEvent::Accepted,
             OrderOutcome::Refused => RangeEvent::Refused,
             OrderOutcome::Unanswered | OrderOutcome::Unsent => {
@@ -436,6 +445,9 @@
         let former = &mut run.formers[position];
         former.open = false;
         former.next_call = now + time::Duration::from_millis(ORDER_RETRY_MS);
+        if *outcome == OrderOutcome::Replaced {
+            self.ended.insert(order.life.clone());
+        }
         if let OrderOutcome::Done(handover) = outcome {
             run.formers.remove(position);
             if handover.is_some() {
@@ -549,6 +561,7 @@
             record.service == *service
                 && record.state == directory::ServerState::Ready
                 && !self.is_silent(&record.life, now)
+                && !self.ended.contains(&record.life)
         });
         ready
             .map(|record| plan::KeyTaker {
@@ -657,13 +670,15 @@
         actions: &mut Vec<GranterAction>,
     ) {
         for (id, run) in &mut self.runs {
+            run.formers.retain(|former| !self.ended.contains(&former.holder.life));
             release_formers(id, run, now, &self.ledger, servers, actions);
             if run.state == RangeState::Vacating && run.formers.is_empty() {
                 let step = self.table.step(run.state, RangeEvent::Vacated, |guard| match guard {});
                 run.state = step.map_or(run.state, |step| step.next);
             }
             let due = !run.open && now >= run.next_call;
-            let gone = is_reborn(&run.holder.life, servers);
+            let life = &run.holder.life;
+            let gone = is_reborn(life, servers) || self.ended.contains(life);
             let orderable = matches!(run.state, RangeState::Ordered | RangeState::Held);
             if due && !gone && orderable {
                 run.open = true;
--- a/src/serving/desk.rs
+++ b/src/serving/desk.rs
@@ -22,6 +22,8 @@
 pub const ASSUMED_SERVICE_MS: f64 = 100.0;
 /// How long a request may wait for a key that is on its way to another server, in milliseconds.
 pub const MOVE_PATIENCE_MS: u64 = 700;
+/// How long a server that leaves still gets requests for keys that it holds, in milliseconds.
+pub const DRAIN_PATIENCE_MS: u64 = 1_200;
 /// The longest wait that is accepted for a request that is late already, as a part of its time left.
 pub const LATE_WAIT_PART: f64 = 0.15;
 /// The part of the expected service time that must be left for a start to pay.
@@ -93,6 +95,9 @@
 
 struct ServerLane {
     record: sync::Arc<directory::ServerRecord>,
+    // Whether the view still has the server.
+    listed: bool,
+    drains_since: Option<clock::MonoTime>,
     running: u32,
     waiting: u32,
     measure: measure::ServerMeasure,
@@ -139,7 +144,7 @@
     }
 
     /// Takes a new view of servers and grants.
-    pub fn sync(&mut self, view: &sync::Arc<view::ServingView>) {
+    pub fn sync(&mut self, view: &sync::Arc<view::ServingView>, now: clock::MonoTime) {
         if sync::Arc::ptr_eq(&self.view, view) {
             return;
         }
@@ -155,9 +160,12 @@
                 }
             }
         }
-        let servers = &view.servers;
-        self.lanes
-            .retain(|name, lane| lane.running > 0 || servers.contains_key(name));
+        for (name, lane) in &mut self.lanes {
+            lane.listed = view.servers.contains_key(name);
+            let drains = lane.record.state == directory::ServerState::Draining;
+            lane.drains_since = lane.drains_since.or(Some(now)).filter(|_| drains);
+        }
+        self.lanes.retain(|_, lane| lane.running > 0 || lane.listed);
     }
 
     /// Takes a request. It waits until [`Self::pump`] decides.
@@ -322,7 +330,7 @@
         let Some(lane) = self.lanes.get(&life.server) else {
             return f64::INFINITY;
         };
-        if lane.measure.is_paused(now) || lane.record.life != life {
+        if !lane.serves_keys(&life, now) {
             return f64::INFINITY;
         }
         let ahead = self.ahead(wish, |other| other.key.is_some() && self.is_owner(other, &life));
@@ -459,12 +467,9 @@
             view::KeyOwner::None => return Decision::GiveUp(DeskRefusal::NoServer),
         };
         let lane = self.lanes.get(&life.server);
-        let Some(lane) = lane.filter(|lane| lane.record.life == life) else {
+        let Some(lane) = lane.filter(|lane| lane.serves_keys(&life, now)) else {
             return self.decide_moving(waiting, now);
         };
-        if lane.measure.is_paused(now) {
-            return self.decide_moving(waiting, now);
-        }
         if f64::from(lane.running) + 1.0 <= self.limit(lane) {
             return Decision::Send(sync::Arc::clone(&lane.record));
         }
@@ -540,6 +545,8 @@
     fn new(record: sync::Arc<directory::ServerRecord>) -> Self {
         Self {
             record,
+            listed: true,
+            drains_since: None,
             running: 0,
             waiting: 0,
             measure: measure::ServerMeasure::new(),
@@ -550,8 +557,19 @@
         self.measure.service_ms().unwrap_or(ASSUMED_SERVICE_MS)
     }
 
+    // Whether a request for a key that it holds may still go there. A server that leaves serves its
+    // keys until they have moved, but not for long.
+    fn serves_keys(&self, life: &book::ServerLife, now: clock::MonoTime) -> bool {
+        let patience = time::Duration::from_millis(DRAIN_PATIENCE_MS);
+        self.listed
+            && self.record.life == *life
+            && self.drains_since.is_none_or(|since| now < since + patience)
+            && !self.measure.is_paused(now)
+    }
+
     fn takes(&self, service: &names::ServiceName, now: clock::MonoTime) -> bool {
-        self.record.service == *service
+        self.listed
+            && self.record.service == *service
             && self.record.state == directory::ServerState::Ready
             && !self.measure.is_paused(now)
     }
--- a/src/serving/directory.rs
+++ b/src/serving/directory.rs
@@ -9,10 +9,11 @@
 use crate::names;
 use crate::ownership::book;
 
-/// How long entries that lapsed while the store was away have to come back, in milliseconds.
-pub const RETURN_SPAN_MS: u64 = 2_000;
+/// How long entries that lapsed while the store was away have to come back, in milliseconds. With
+/// the time to read the removal it stays below what leaving servers serve on for.
+pub const RETURN_SPAN_MS: u64 = 1_300;
 /// How long after a failure of the store its removals are not taken at their word, in milliseconds.
-pub const DOUBT_SPAN_MS: u64 = 2_500;
+pub const DOUBT_SPAN_MS: u64 = 2_000;
 
 /// What a server says of itself.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/src/serving/knowledge.rs
+++ b/src/serving/knowledge.rs
@@ -31,7 +31,7 @@
     servers_known: bool,
     hosts: collections::BTreeMap<names::HostName, news::HostRecord>,
     peers: collections::BTreeMap<names::HostName, PeerState>,
-    store_lost: bool,
+    lost: collections::BTreeSet<&'static str>,
     demand: view::ServerDemand,
     reports: Vec<news::ServiceReport>,
 }
@@ -47,7 +47,7 @@
             servers_known: false,
             hosts: collections::BTreeMap::new(),
             peers: collections::BTreeMap::new(),
-            store_lost: false,
+            lost: collections::BTreeSet::new(),
             demand: view::ServerDemand::new(),
             reports: Vec::new(),
         }
@@ -110,18 +110,23 @@
         }
     }
 
-    /// Notes whether the store answers this host. Reports whether that is news.
-    pub fn note_store(&mut self, lost: bool, now: clock::MonoTime) -> bool {
+    /// Notes whether the store answers the calls of one kind. Reports whether it is lost now, or
+    /// regained, where that is news.
+    pub fn note_store(&mut self, call: &'static str, lost: bool, now: clock::MonoTime) -> bool {
+        let before = self.store_lost();
         if lost {
             self.directory.note_store_lost(now);
+            self.lost.insert(call);
+        } else {
+            self.lost.remove(call);
         }
-        std::mem::replace(&mut self.store_lost, lost) != lost
+        before != self.store_lost()
     }
 
-    /// Reports whether the store turns this host away.
+    /// Reports whether the store turns this host away, with calls of any kind.
     #[must_use]
-    pub const fn store_lost(&self) -> bool {
-        self.store_lost
+    pub fn store_lost(&self) -> bool {
+        !self.lost.is_empty()
     }
 
     /// Takes what the traffic threads report.
@@ -144,7 +149,7 @@
         }
         self.hosts.insert(host.clone(), news.record.clone());
         self.peers.insert(host, PeerState { news, heard: now });
-        relay.filter(|_| self.store_lost)
+        relay
     }
 
     /// Takes what another host relays of the store. Reports whether anything changed.
@@ -153,7 +158,7 @@
         if let Some(routes) = &relay.routes {
             changed |= self.note_routes(routes.clone());
         }
-        if !relay.servers.is_empty() {
+        if !relay.servers.is_empty() && self.store_lost() {
             self.replace_servers(relay.servers.clone(), now);
             changed = true;
         }
@@ -175,29 +180,39 @@
         grants: &GrantKnowledge<'_>,
     ) -> news::HostNews {
         let asked = self.peers.get(host).map(|peer| &peer.news);
-        let lost = asked.filter(|news| news.store_lost && !self.store_lost);
+        let relay = asked.and_then(|news| self.relay_for(news, grants));
         let granter = grants.book.granter.host == host.as_str();
         news::HostNews {
             record: self.own.clone(),
-            store_lost: self.store_lost,
+            store_lost: self.store_lost(),
             routes_version: self.routes_version(),
             book_end: grants.end,
             demand: self.demand.clone(),
             reports: if granter { self.reports.clone() } else { Vec::new() },
-            relay: lost.map(|news| self.relay_for(news, grants)),
+            relay,
         }
     }
 
-    fn relay_for(&self, asked: &news::HostNews, grants: &GrantKnowledge<'_>) -> news::StoreRelay {
+    // What another host lacks: a read of the store can miss a record for as long as it waits.
+    fn relay_for(
+        &self,
+        asked: &news::HostNews,
+        grants: &GrantKnowledge<'_>,
+    ) -> Option<news::StoreRelay> {
         let newer = self.routes_version() > asked.routes_version;
         let routes = self.routes.as_ref().filter(|_| newer);
-        let servers = self.directory.servers().map(|record| (**record).clone());
+        let lost = asked.store_lost && !self.store_lost();
+        let servers = self.directory.servers().filter(|_| lost);
+        let servers: Vec<_> = servers.map(|record| (**record).clone()).collect();
         let book = (grants.end > asked.book_end).then(|| (grants.book.clone(), grants.end));
-        news::StoreRelay {
+        if routes.is_none() && servers.is_empty() && book.is_none() {
+            return None;
+        }
+        Some(news::StoreRelay {
             routes: routes.map(|routes| (**routes).clone()),
-            servers: servers.collect(),
+            servers,
             book,
-        }
+        })
     }
 
     /// Returns the work of each service's keys, summed over all hosts.
