--- /dev/null
+++ b/lab/src/grant_world.rs
@@ -0,0 +1,1025 @@
+//! Granting on the users' platform, on virtual time: hosts with the real decisions, a store with
+//! conditional appends and a group, servers that hold keys, and faults. Every step is checked.
+
+use std::cmp;
+use std::collections;
+use std::net;
+use std::time;
+
+use rand::RngExt as _;
+use rand::SeedableRng as _;
+use zinniastack::clock;
+use zinniastack::names;
+use zinniastack::ownership::book;
+use zinniastack::ownership::granter;
+use zinniastack::serving::directory;
+
+use crate::key_server;
+
+/// The interval of a host's decisions, in milliseconds.
+pub const TICK_MS: u64 = 100;
+/// The interval of a host's reads of the store, in milliseconds.
+pub const READ_MS: u64 = 200;
+/// The interval of a host's joins, in milliseconds.
+pub const JOIN_MS: u64 = 400;
+/// How long a join lasts, in milliseconds.
+pub const JOIN_TTL_MS: u64 = 1_200;
+/// After how long without a sign a server's entry goes, in milliseconds.
+pub const ENTRY_MS: u64 = 2_600;
+/// How much slower than it should a server's clock may run, in percent.
+pub const SLOW_PERCENT: u32 = 2;
+
+/// A deliberate flaw, which the checker must find.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum GrantFlaw {
+    /// None.
+    None,
+    /// A lapse counts from the sending of the last order.
+    LapseFromSending,
+    /// The hosts' clocks stop while they are frozen.
+    SteadyClock,
+    /// A granter orders after its right to renew has ended.
+    EndlessRight,
+    /// Orders go out before the append that they rest on.
+    OrderBeforeAppend,
+    /// A successor claims without having read the newest book.
+    UnreadClaim,
+    /// Fences begin anew with each claim.
+    RepeatedFence,
+    /// A server whose entry lapsed is taken for ended.
+    LapsedIsDead,
+}
+
+#[derive(Clone, Debug)]
+enum WorldEvent {
+    Tick(usize),
+    Read(usize),
+    Join(usize),
+    Beat(usize),
+    Thaw(usize),
+    Append {
+        host: usize,
+        life: u64,
+        book: book::GrantBook,
+        at: u64,
+        sent: clock::MonoTime,
+        lost: bool,
+    },
+    Appended {
+        host: usize,
+        life: u64,
+        outcome: granter::AppendOutcome,
+        sent: clock::MonoTime,
+    },
+    Grant {
+        host: usize,
+        life: u64,
+        order: granter::GrantOrder,
+        fate: OrderFate,
+        arrived: Option<clock::MonoTime>,
+    },
+    Granted {
+        host: usize,
+        life: u64,
+        order: granter::GrantOrder,
+        outcome: granter::OrderOutcome,
+    },
+    Release {
+        host: usize,
+        life: u64,
+        order: granter::ReleaseOrder,
+    },
+    Released {
+        host: usize,
+        life: u64,
+        order: granter::ReleaseOrder,
+        outcome: granter::OrderOutcome,
+    },
+    Fault,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum OrderFate {
+    Answered,
+    AnswerLost,
+    AppliedLate,
+}
+
+struct QueuedEvent {
+    at: clock::MonoTime,
+    number: u64,
+    event: WorldEvent,
+}
+
+impl PartialEq for QueuedEvent {
+    fn eq(&self, other: &Self) -> bool {
+        self.number == other.number
+    }
+}
+
+impl Eq for QueuedEvent {}
+
+impl PartialOrd for QueuedEvent {
+    fn partial_cmp(&self, other: &Self) -> Option<cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for QueuedEvent {
+    fn cmp(&self, other: &Self) -> cmp::Ordering {
+        (other.at, other.number).cmp(&(self.at, self.number))
+    }
+}
+
+struct WorldHost {
+    life: u64,
+    granter: granter::KeyGranter,
+    directory: directory::ServerDirectory,
+    frozen_until: clock::MonoTime,
+    frozen_for: time::Duration,
+    cut_from_store: bool,
+    cut_from: collections::BTreeSet<usize>,
+    delayed: Vec<WorldEvent>,
+}
+
+struct WorldServer {
+    server: key_server::KeyServer,
+    address: net::SocketAddr,
+    alive: bool,
+    draining: bool,
+    cut_from_store: bool,
+    beat: Option<clock::MonoTime>,
+    sequence: u64,
+}
+
+/// The virtual world.
+pub struct GrantWorld {
+    now: clock::MonoTime,
+    random: rand::rngs::StdRng,
+    flaw: GrantFlaw,
+    number: u64,
+    queue: collections::BinaryHeap<QueuedEvent>,
+    hosts: Vec<WorldHost>,
+    servers: Vec<WorldServer>,
+    log: Vec<book::GrantBook>,
+    store_down_until: clock::MonoTime,
+    lossy_until: clock::MonoTime,
+    members: collections::BTreeMap<usize, clock::MonoTime>,
+    owner: Option<usize>,
+    granted: Vec<(u16, u16, u64, book::ServerLife)>,
+    violations: Vec<String>,
+    faults: u32,
+    unheld: time::Duration,
+}
+
+const HOSTS: usize = 4;
+const SERVERS: usize = 5;
+
+fn name<T: std::str::FromStr>(text: &str) -> T {
+    text.parse()
+        .unwrap_or_else(|_| unreachable!("'{text}' is a name"))
+}
+
+fn service() -> names::ServiceName {
+    name("stock")
+}
+
+fn address(index: usize) -> net::SocketAddr {
+    let port = 8_000 + u16::try_from(index).unwrap_or(0);
+    net::SocketAddr::from(([10, 0, 0, 1], port))
+}
+
+impl GrantWorld {
+    /// Creates a world that starts now, with `faults` faults to come.
+    #[must_use]
+    pub fn new(seed: u64, faults: u32, flaw: GrantFlaw) -> Self {
+        let mut world = Self {
+            now: clock::MonoTime::from_millis(1_000),
+            random: rand::rngs::StdRng::seed_from_u64(seed),
+            flaw,
+            number: 0,
+            queue: collections::BinaryHeap::new(),
+            hosts: Vec::new(),
+            servers: Vec::new(),
+            log: Vec::new(),
+            store_down_until: clock::MonoTime::from_micros(0),
+            lossy_until: clock::MonoTime::from_micros(0),
+            members: collections::BTreeMap::new(),
+            owner: None,
+            granted: Vec::new(),
+            violations: Vec::new(),
+            faults,
+            unheld: time::Duration::ZERO,
+        };
+        for index in 0..SERVERS {
+            world.add_server(index, 1);
+        }
+        for host in 0..HOSTS {
+            let created = world.new_host(host, 1);
+            world.hosts.push(created);
+            world.schedule_host(host);
+        }
+        world.push(2_000, WorldEvent::Fault);
+        world
+    }
+
+    /// Runs for `span`.
+    pub fn run(&mut self, span: time::Duration) {
+        let end = self.now + span;
+        while self.violations.is_empty() {
+            let due = self.queue.peek().is_some_and(|next| next.at <= end);
+            let Some(next) = self.queue.pop_if_due(due) else {
+                break;
+            };
+            self.note_unheld(next.at);
+            self.now = next.at;
+            self.handle(next.event);
+            self.check();
+        }
+        self.now = end;
+    }
+
+    /// Returns what went wrong.
+    #[must_use]
+    pub fn violations(&self) -> &[String] {
+        &self.violations
+    }
+
+    /// Returns for how long some key was held by no server.
+    #[must_use]
+    pub const fn unheld(&self) -> time::Duration {
+        self.unheld
+    }
+
+    /// Reports whether every key is held.
+    #[must_use]
+    pub fn is_covered(&self) -> bool {
+        let mut held: Vec<_> = self
+            .servers
+            .iter()
+            .filter(|server| server.alive)
+            .flat_map(|server| server.server.held(self.now))
+            .map(|held| (held.first, held.last))
+            .collect();
+        held.sort_unstable();
+        let mut next = 0_u32;
+        for (first, last) in held {
+            if u32::from(first) > next {
+                return false;
+            }
+            next = next.max(u32::from(last) + 1);
+        }
+        next > u32::from(book::MAX_KEY)
+    }
+
+    /// Brings about that one server can be reached by the granter only, and the granter neither
+    /// reads the store nor, where `frozen` says so, runs, for `span`.
+    pub fn strand_granter(&mut self, frozen: bool, span: time::Duration) {
+        let granting = self
+            .hosts
+            .iter()
+            .position(|host| host.granter.is_granting());
+        let granter = granting.unwrap_or(0);
+        for (index, host) in self.hosts.iter_mut().enumerate() {
+            if index != granter {
+                host.cut_from.insert(0);
+            }
+        }
+        self.hosts[granter].cut_from_store = !frozen;
+        if frozen {
+            let millis = u64::try_from(span.as_millis()).unwrap_or(u64::MAX);
+            self.freeze_host_for(granter, millis);
+        }
+    }
+
+    /// Describes servers and hosts, for a failed case.
+    #[must_use]
+    pub fn describe(&self) -> String {
+        let servers = self.servers.iter().map(|server| {
+            let held: Vec<_> = server.server.held(self.now).collect();
+            format!(
+                "{:?} alive={} held={held:?}",
+                server.server.life, server.alive
+            )
+        });
+        let hosts = self.hosts.iter().map(|host| {
+            let granting = host.granter.is_granting();
+            let (end, frozen) = (host.granter.book_end(), host.frozen_until);
+            format!("granting={granting} end={end} frozen-until={frozen:?}")
+        });
+        let book = format!("{:?}", self.log.last());
+        let lines: Vec<_> = servers.chain(hosts).chain([book]).collect();
+        lines.join("\n")
+    }
+
+    fn note_unheld(&mut self, until: clock::MonoTime) {
+        if !self.is_covered() {
+            self.unheld += until.since(self.now);
+        }
+    }
+
+    fn new_host(&self, host: usize, life: u64) -> WorldHost {
+        let own = book::GranterLife {
+            host: format!("h{host}"),
+            incarnation: life,
+        };
+        let hold = time::Duration::from_secs(10);
+        let created = granter::KeyGranter::new(own, hold);
+        WorldHost {
+            life,
+            granter: created.unwrap_or_else(|fault| unreachable!("{fault}")),
+            directory: directory::ServerDirectory::new(),
+            frozen_until: clock::MonoTime::from_micros(0),
+            frozen_for: time::Duration::ZERO,
+            cut_from_store: false,
+            cut_from: collections::BTreeSet::new(),
+            delayed: Vec::new(),
+        }
+    }
+
+    fn schedule_host(&mut self, host: usize) {
+        let spread = u64::try_from(host).unwrap_or(0) * 7;
+        self.push(spread + 1, WorldEvent::Read(host));
+        self.push(spread + 50, WorldEvent::Join(host));
+        self.push(spread + TICK_MS, WorldEvent::Tick(host));
+    }
+
+    fn add_server(&mut self, index: usize, born: u64) {
+        let life = book::ServerLife {
+            server: name(&format!("s{index}")),
+            born,
+        };
+        let server = WorldServer {
+            server: key_server::KeyServer::new(life, SLOW_PERCENT),
+            address: address(index),
+            alive: true,
+            draining: false,
+            cut_from_store: false,
+            beat: None,
+            sequence: 0,
+        };
+        if index < self.servers.len() {
+            self.servers[index] = server;
+        } else {
+            self.servers.push(server);
+            self.push(1, WorldEvent::Beat(index));
+        }
+    }
+
+    fn push(&mut self, after_ms: u64, event: WorldEvent) {
+        let at = self.now + time::Duration::from_millis(after_ms);
+        self.push_at(at, event);
+    }
+
+    fn push_at(&mut self, at: clock::MonoTime, event: WorldEvent) {
+        self.number += 1;
+        let number = self.number;
+        self.queue.push(QueuedEvent { at, number, event });
+    }
+
+    fn chance(&mut self, one_in: u32) -> bool {
+        self.random.random_ratio(1, one_in)
+    }
+
+    fn delay(&mut self) -> u64 {
+        self.random.random_range(1..6)
+    }
+
+    // The time by a host's own clock.
+    fn clock_of(&self, host: usize) -> clock::MonoTime {
+        if self.flaw == GrantFlaw::SteadyClock {
+            return self.now.back(self.hosts[host].frozen_for);
+        }
+        self.now
+    }
+
+    fn store_serves(&self, host: usize) -> bool {
+        self.now >= self.store_down_until && !self.hosts[host].cut_from_store
+    }
+
+    fn host_of(event: &WorldEvent) -> Option<(usize, Option<u64>)> {
+        match event {
+            WorldEvent::Tick(host) | WorldEvent::Read(host) | WorldEvent::Join(host) => {
+                Some((*host, None))
+            }
+            WorldEvent::Appended { host, life, .. }
+            | WorldEvent::Granted { host, life, .. }
+            | WorldEvent::Released { host, life, .. } => Some((*host, Some(*life))),
+            _ => None,
+        }
+    }
+
+    fn handle(&mut self, event: WorldEvent) {
+        if let Some((host, life)) = Self::host_of(&event) {
+            if life.is_some_and(|life| life != self.hosts[host].life) {
+                return;
+            }
+            if self.now < self.hosts[host].frozen_until {
+                self.hosts[host].delayed.push(event);
+                return;
+            }
+        }
+        match event {
+            WorldEvent::Tick(host) => self.tick(host),
+            WorldEvent::Read(host) => self.read(host),
+            WorldEvent::Join(host) => self.join(host),
+            WorldEvent::Beat(server) => self.beat(server),
+            WorldEvent::Thaw(host) => self.thaw(host),
+            WorldEvent::Append {
+                host,
+                life,
+                book,
+                at,
+                sent,
+                lost,
+            } => {
+                self.append(host, life, book, at, sent, lost);
+            }
+            WorldEvent::Appended {
+                host,
+                outcome,
+                sent,
+                ..
+            } => {
+                let now = self.clock_of(host);
+                self.hosts[host].granter.note_appended(outcome, sent, now);
+            }
+            WorldEvent::Grant {
+                host,
+                life,
+                order,
+                fate,
+                arrived,
+            } => {
+                self.grant(host, life, order, fate, arrived);
+            }
+            WorldEvent::Granted {
+                host,
+                order,
+                outcome,
+                ..
+            } => {
+                let now = self.clock_of(host);
+                self.hosts[host].granter.note_granted(&order, &outcome, now);
+            }
+            WorldEvent::Release { host, life, order } => self.release(host, life, order),
+            WorldEvent::Released {
+                host,
+                order,
+                outcome,
+                ..
+            } => {
+                let now = self.clock_of(host);
+                self.hosts[host]
+                    .granter
+                    .note_released(&order, &outcome, now);
+            }
+            WorldEvent::Fault => self.strike(),
+        }
+    }
+
+    fn thaw(&mut self, host: usize) {
+        let delayed = std::mem::take(&mut self.hosts[host].delayed);
+        for event in delayed {
+            // What waited for the process is found in any order.
+            let after = self.random.random_range(0..5);
+            self.push(after, event);
+        }
+    }
+
+    fn tick(&mut self, host: usize) {
+        self.push(TICK_MS, WorldEvent::Tick(host));
+        let now = self.clock_of(host);
+        if self.flaw == GrantFlaw::EndlessRight {
+            self.hosts[host].granter.note_confirmed(now);
+        }
+        self.hosts[host].directory.expire(now);
+        let state = &mut self.hosts[host];
+        let actions = state.granter.tick(now, &[service()], &state.directory);
+        for action in actions {
+            self.act(host, action);
+        }
+    }
+
+    fn act(&mut self, host: usize, action: granter::GranterAction) {
+        let life = self.hosts[host].life;
+        let now = self.clock_of(host);
+        match action {
+            granter::GranterAction::Append { book, at } => self.send_append(host, book, at),
+            granter::GranterAction::Grant(order) => self.send_grant(host, order),
+            granter::GranterAction::Release(order) => {
+                let server = self.server_of(&order.address);
+                if self.hosts[host].cut_from.contains(&server) {
+                    let outcome = granter::OrderOutcome::Unsent;
+                    self.push(
+                        300,
+                        WorldEvent::Released {
+                            host,
+                            life,
+                            order,
+                            outcome,
+                        },
+                    );
+                } else {
+                    let delay = self.delay();
+                    self.push(delay, WorldEvent::Release { host, life, order });
+                }
+            }
+            granter::GranterAction::Yield => {
+                self.members.remove(&host);
+                self.hosts[host].granter.note_candidate(false);
+                let _ = now;
+            }
+        }
+    }
+
+    fn send_append(&mut self, host: usize, book: book::GrantBook, at: u64) {
+        let life = self.hosts[host].life;
+        let sent = self.clock_of(host);
+        if self.flaw == GrantFlaw::OrderBeforeAppend {
+            let outcome = granter::AppendOutcome::Appended { end: at + 1 };
+            self.push(
+                0,
+                WorldEvent::Appended {
+                    host,
+                    life,
+                    outcome,
+                    sent,
+                },
+            );
+        }
+        if !self.store_serves(host) {
+            let outcome = granter::AppendOutcome::Refused;
+            self.push(
+                5,
+                WorldEvent::Appended {
+                    host,
+                    life,
+                    outcome,
+                    sent,
+                },
+            );
+            return;
+        }
+        let lossy = self.now < self.lossy_until;
+        let lost = lossy && self.chance(3);
+        let slow = if lost && self.chance(2) {
+            self.random.random_range(100..4_000)
+        } else {
+            0
+        };
+        let delay = self.delay() + slow;
+        self.push(
+            delay,
+            WorldEvent::Append {
+                host,
+                life,
+                book,
+                at,
+                sent,
+                lost,
+            },
+        );
+    }
+
+    fn append(
+        &mut self,
+        host: usize,
+        life: u64,
+        book: book::GrantBook,
+        at: u64,
+        sent: clock::MonoTime,
+        lost: bool,
+    ) {
+        let end = u64::try_from(self.log.len()).unwrap_or(u64::MAX);
+        let outcome = if at == end {
+            self.log.push(book);
+            granter::AppendOutcome::Appended { end: end + 1 }
+        } else {
+            granter::AppendOutcome::Conflict
+        };
+        let outcome = if lost {
+            granter::AppendOutcome::Unknown
+        } else {
+            outcome
+        };
+        let delay = if lost { 1_500 } else { self.delay() };
+        self.push(
+            delay,
+            WorldEvent::Appended {
+                host,
+                life,
+                outcome,
+                sent,
+            },
+        );
+    }
+
+    fn server_of(&self, address: &net::SocketAddr) -> usize {
+        let position = self
+            .servers
+            .iter()
+            .position(|server| server.address == *address);
+        position.unwrap_or_else(|| unreachable!("{address} is a server's"))
+    }
+
+    fn send_grant(&mut self, host: usize, order: granter::GrantOrder) {
+        let life = self.hosts[host].life;
+        let server = self.server_of(&order.address);
+        if self.hosts[host].cut_from.contains(&server) || !self.servers[server].alive {
+            let sent = self.chance(4);
+            let (after, outcome) = if sent {
+                (granter::ORDER_TIMEOUT_MS, granter::OrderOutcome::Unanswered)
+            } else {
+                (300, granter::OrderOutcome::Unsent)
+            };
+            self.push(
+                after,
+                WorldEvent::Granted {
+                    host,
+                    life,
+                    order,
+                    outcome,
+                },
+            );
+            return;
+        }
+        let fate = match self.random.random_range(0..40) {
+            0 => OrderFate::AnswerLost,
+            1 => OrderFate::AppliedLate,
+            _ => OrderFate::Answered,
+        };
+        // Some orders are held up on their way, until shortly before the sender gives up.
+        let held_up = self.chance(15);
+        let delay = if held_up {
+            self.random.random_range(100..490)
+        } else {
+            self.delay()
+        };
+        if self.flaw == GrantFlaw::LapseFromSending {
+            let now = self.clock_of(host);
+            let outcome = granter::OrderOutcome::Done(None);
+            self.hosts[host].granter.note_granted(&order, &outcome, now);
+        }
+        let unanswered = granter::OrderOutcome::Unanswered;
+        let known = WorldEvent::Granted {
+            host,
+            life,
+            order: order.clone(),
+            outcome: unanswered,
+        };
+        if fate != OrderFate::Answered {
+            self.push(granter::ORDER_TIMEOUT_MS, known);
+        }
+        self.push(
+            delay,
+            WorldEvent::Grant {
+                host,
+                life,
+                order,
+                fate,
+                arrived: None,
+            },
+        );
+    }
+
+    fn grant(
+        &mut self,
+        host: usize,
+        life: u64,
+        order: granter::GrantOrder,
+        fate: OrderFate,
+        arrived: Option<clock::MonoTime>,
+    ) {
+        let index = self.server_of(&order.address);
+        let late = fate == OrderFate::AppliedLate && arrived.is_none();
+        if late {
+            let arrived = Some(self.now);
+            let after = self.random.random_range(2_000..9_000);
+            self.push(
+                after,
+                WorldEvent::Grant {
+                    host,
+                    life,
+                    order,
+                    fate,
+                    arrived,
+                },
+            );
+            return;
+        }
+        let server = &mut self.servers[index];
+        if !server.alive {
+            return;
+        }
+        let same = server.server.life == order.life;
+        let outcome = if same {
+            let taken = server.server.grant(&key_server::HoldOrder {
+                first: order.range.first,
+                last: order.range.last,
+                fence: order.range.fence,
+                hold: order.hold,
+                arrived: arrived.unwrap_or(self.now),
+            });
+            if taken {
+                self.note_granted_keys(&order);
+                granter::OrderOutcome::Done(None)
+            } else {
+                granter::OrderOutcome::Refused
+            }
+        } else {
+            granter::OrderOutcome::Replaced
+        };
+        if fate == OrderFate::Answered && self.flaw != GrantFlaw::LapseFromSending {
+            let delay = self.delay();
+            self.push(
+                delay,
+                WorldEvent::Granted {
+                    host,
+                    life,
+                    order,
+                    outcome,
+                },
+            );
+        }
+    }
+
+    // A key goes to another life only under a fence above all that other lives had.
+    fn note_granted_keys(&mut self, order: &granter::GrantOrder) {
+        let range = &order.range;
+        let higher = self.granted.iter().find(|(first, last, fence, life)| {
+            key_server::overlaps(*first, *last, range.first, range.last)
+                && *life != order.life
+                && *fence >= range.fence
+        });
+        if let Some((_, _, fence, life)) = higher {
+            let text = format!(
+                "{:?}: {:?} takes {}..{} under {}, {:?} had {}",
+                self.now, order.life, range.first, range.last, range.fence, life, fence
+            );
+            self.violations.push(text);
+        }
+        let entry = (range.first, range.last, range.fence, order.life.clone());
+        if !self.granted.contains(&entry) {
+            self.granted.push(entry);
+        }
+    }
+
+    fn release(&mut self, host: usize, life: u64, order: granter::ReleaseOrder) {
+        let index = self.server_of(&order.address);
+        let working = self.random.random_range(0..400);
+        let server = &mut self.servers[index];
+        let outcome = if !server.alive {
+            granter::OrderOutcome::Unanswered
+        } else if server.server.life == order.life {
+            let range = &order.range;
+            server.server.release(range.first, range.last, range.fence);
+            granter::OrderOutcome::Done(None)
+        } else {
+            granter::OrderOutcome::Replaced
+        };
+        let lost = self.chance(20);
+        let outcome = if lost {
+            granter::OrderOutcome::Unanswered
+        } else {
+            outcome
+        };
+        let after = if lost {
+            granter::RELEASE_TIMEOUT_MS
+        } else {
+            working + 2
+        };
+        self.push(
+            after,
+            WorldEvent::Released {
+                host,
+                life,
+                order,
+                outcome,
+            },
+        );
+    }
+
+    fn read(&mut self, host: usize) {
+        self.push(READ_MS, WorldEvent::Read(host));
+        let now = self.clock_of(host);
+        if !self.store_serves(host) {
+            self.hosts[host].directory.note_store_lost(now);
+            return;
+        }
+        let records = self.entries();
+        let end = u64::try_from(self.log.len()).unwrap_or(u64::MAX);
+        let unread = self.flaw == GrantFlaw::UnreadClaim && self.chance(3);
+        let newest = if unread {
+            self.log.first().cloned()
+        } else {
+            self.log.last().cloned()
+        };
+        let forgets = self.flaw == GrantFlaw::RepeatedFence && self.hosts[host].life > 1;
+        let newest = newest.map(|book| book::GrantBook {
+            next_fence: if forgets { 1 } else { book.next_fence },
+            ..book
+        });
+        let state = &mut self.hosts[host];
+        state.directory.replace(records, now);
+        let known = state.granter.book_end() == end && end > 0;
+        if known || end == 0 {
+            state.granter.note_confirmed(now);
+        }
+        state.granter.note_book(newest, end, now);
+    }
+
+    fn entries(&self) -> Vec<directory::ServerRecord> {
+        let there = self.servers.iter().filter(|server| {
+            let entry = time::Duration::from_millis(ENTRY_MS);
+            server.beat.is_some_and(|beat| self.now.since(beat) < entry)
+        });
+        there.map(|server| self.record_of(server)).collect()
+    }
+
+    fn record_of(&self, server: &WorldServer) -> directory::ServerRecord {
+        let mut life = server.server.life.clone();
+        if self.flaw == GrantFlaw::LapsedIsDead && server.cut_from_store {
+            life.born += 1_000;
+        }
+        directory::ServerRecord {
+            life,
+            service: service(),
+            address: server.address,
+            domain: name("north"),
+            slots: 4,
+            state: if server.draining {
+                directory::ServerState::Draining
+            } else {
+                directory::ServerState::Ready
+            },
+            sequence: server.sequence,
+        }
+    }
+
+    fn join(&mut self, host: usize) {
+        self.push(JOIN_MS, WorldEvent::Join(host));
+        if !self.store_serves(host) {
+            self.hosts[host].granter.note_candidate(false);
+            return;
+        }
+        self.members.insert(host, self.now);
+        let ttl = time::Duration::from_millis(JOIN_TTL_MS);
+        let now = self.now;
+        self.members.retain(|_, joined| now.since(*joined) < ttl);
+        if !self
+            .owner
+            .is_some_and(|owner| self.members.contains_key(&owner))
+        {
+            self.owner = self.members.keys().next().copied();
+        }
+        let candidate = self.owner == Some(host);
+        self.hosts[host].granter.note_candidate(candidate);
+    }
+
+    fn beat(&mut self, index: usize) {
+        self.push(870, WorldEvent::Beat(index));
+        let down = self.now < self.store_down_until;
+        let now = self.now;
+        let server = &mut self.servers[index];
+        if server.alive && !server.cut_from_store && !down {
+            server.beat = Some(now);
+            server.sequence += 1;
+        }
+    }
+
+    // One random fault, and the end of earlier ones now and then.
+    fn strike(&mut self) {
+        if self.faults == 0 {
+            self.heal();
+            return;
+        }
+        self.faults -= 1;
+        let after = self.random.random_range(200..2_500);
+        self.push(after, WorldEvent::Fault);
+        let host = self.random.random_range(0..HOSTS);
+        let server = self.random.random_range(0..self.servers.len());
+        match self.random.random_range(0..14) {
+            0 => self.kill_host(host),
+            1 | 2 => self.freeze_host(host),
+            3 => self.hosts[host].cut_from_store = true,
+            4 => self.cut_servers(host),
+            5 => {
+                let span = self.random.random_range(1_000..12_000);
+                self.store_down_until = self.now + time::Duration::from_millis(span);
+            }
+            6 => self.owner = Some(host),
+            7 => self.servers[server].alive = false,
+            8 => self.restart_server(server),
+            9 => self.servers[server].cut_from_store = true,
+            10 => self.servers[server].draining = !self.servers[server].draining,
+            11 => self.lossy_until = self.now + time::Duration::from_secs(5),
+            12 => self.kill_granter(),
+            _ => self.heal(),
+        }
+    }
+
+    fn heal(&mut self) {
+        for host in &mut self.hosts {
+            host.cut_from_store = false;
+            host.cut_from.clear();
+        }
+        for server in &mut self.servers {
+            server.cut_from_store = false;
+            server.draining = false;
+        }
+        for server in 0..self.servers.len() {
+            if !self.servers[server].alive {
+                self.restart_server(server);
+            }
+        }
+    }
+
+    fn kill_host(&mut self, host: usize) {
+        let life = self.hosts[host].life + 1;
+        let mut fresh = self.new_host(host, life);
+        fresh.frozen_until = self.now + time::Duration::from_millis(500);
+        // What was delayed belongs to the process; its timers start anew.
+        fresh.delayed = vec![
+            WorldEvent::Tick(host),
+            WorldEvent::Read(host),
+            WorldEvent::Join(host),
+        ];
+        let old = std::mem::replace(&mut self.hosts[host], fresh);
+        let kept = |event: &QueuedEvent| !matches!(event.event, WorldEvent::Tick(h) | WorldEvent::Read(h) | WorldEvent::Join(h) if h == host);
+        self.queue.retain(kept);
+        drop(old);
+        self.push(501, WorldEvent::Thaw(host));
+    }
+
+    fn kill_granter(&mut self) {
+        let granting = self
+            .hosts
+            .iter()
+            .position(|host| host.granter.is_granting());
+        if let Some(host) = granting {
+            self.kill_host(host);
+        }
+    }
+
+    fn freeze_host(&mut self, host: usize) {
+        if self.now < self.hosts[host].frozen_until {
+            return;
+        }
+        let span = self.random.random_range(500..9_000);
+        self.freeze_host_for(host, span);
+    }
+
+    fn freeze_host_for(&mut self, host: usize, span: u64) {
+        let frozen = time::Duration::from_millis(span);
+        self.hosts[host].frozen_until = self.now + frozen;
+        self.hosts[host].frozen_for += frozen;
+        self.push(span + 1, WorldEvent::Thaw(host));
+    }
+
+    fn cut_servers(&mut self, host: usize) {
+        for server in 0..self.servers.len() {
+            if self.chance(2) {
+                self.hosts[host].cut_from.insert(server);
+            }
+        }
+    }
+
+    fn restart_server(&mut self, index: usize) {
+        let born = self.servers[index].server.life.born + 1;
+        self.add_server(index, born);
+    }
+
+    // No key is held by two servers that are up.
+    fn check(&mut self) {
+        let now = self.now;
+        let alive: Vec<_> = self.servers.iter().filter(|server| server.alive).collect();
+        let mut found = None;
+        for (index, one) in alive.iter().enumerate() {
+            for other in &alive[index + 1..] {
+                for held in one.server.held(now) {
+                    let both = other.server.held(now);
+                    let both = both
+                        .filter(|h| key_server::overlaps(h.first, h.last, held.first, held.last));
+                    for second in both {
+                        found = Some(format!(
+                            "{now:?}: {:?} holds {held:?}, {:?} holds {second:?}",
+                            one.server.life, other.server.life
+                        ));
+                    }
+                }
+            }
+        }
+        self.violations.extend(found);
+    }
+}
+
+trait DueQueue {
+    fn pop_if_due(&mut self, due: bool) -> Option<QueuedEvent>;
+}
+
+impl DueQueue for collections::BinaryHeap<QueuedEvent> {
+    fn pop_if_due(&mut self, due: bool) -> Option<QueuedEvent> {
+        if due { self.pop() } else { None }
+    }
+}
--- /dev/null
+++ b/lab/src/key_server.rs
@@ -0,0 +1,145 @@
+//! A server that holds keys under grants, as the platform's pages describe it: on virtual time.
+
+use std::time;
+
+use zinniastack::clock;
+use zinniastack::ownership::book;
+
+/// Keys with a fence.
+#[derive(Clone, Copy, Debug)]
+struct FencedKeys {
+    first: u16,
+    last: u16,
+    fence: u64,
+}
+
+/// Keys that are held.
+#[derive(Clone, Copy, Debug)]
+pub struct HeldKeys {
+    /// The first key.
+    pub first: u16,
+    /// The last key.
+    pub last: u16,
+    /// The fence.
+    pub fence: u64,
+    /// Until when, by the world's clock.
+    pub until: clock::MonoTime,
+}
+
+/// An order to hold keys.
+#[derive(Clone, Copy, Debug)]
+pub struct HoldOrder {
+    /// The first key.
+    pub first: u16,
+    /// The last key.
+    pub last: u16,
+    /// The fence.
+    pub fence: u64,
+    /// The time from the order's arrival.
+    pub hold: time::Duration,
+    /// When it arrived.
+    pub arrived: clock::MonoTime,
+}
+
+/// One life of a server.
+#[derive(Debug)]
+pub struct KeyServer {
+    /// The life.
+    pub life: book::ServerLife,
+    slow_percent: u32,
+    seen: Vec<FencedKeys>,
+    held: Vec<HeldKeys>,
+}
+
+impl KeyServer {
+    /// Creates a server that holds nothing, whose clock runs `slow_percent` slow.
+    #[must_use]
+    pub const fn new(life: book::ServerLife, slow_percent: u32) -> Self {
+        Self {
+            life,
+            slow_percent,
+            seen: Vec::new(),
+            held: Vec::new(),
+        }
+    }
+
+    /// Carries out a grant; reports whether it was taken.
+    pub fn grant(&mut self, order: &HoldOrder) -> bool {
+        if self.has_seen_above(order.first, order.last, order.fence) {
+            return false;
+        }
+        self.note_seen(order.first, order.last, order.fence);
+        let hold = order.hold + order.hold * self.slow_percent / 100;
+        let until = order.arrived + hold;
+        let longer = self.held.iter().any(|held| {
+            let covers = held.first <= order.first && order.last <= held.last;
+            covers && held.fence == order.fence && held.until >= until
+        });
+        // An order that is carried out late does not shorten a newer one.
+        if longer {
+            return true;
+        }
+        self.cut_out(order.first, order.last);
+        self.held.push(HeldKeys {
+            first: order.first,
+            last: order.last,
+            fence: order.fence,
+            until,
+        });
+        true
+    }
+
+    /// Carries out a release.
+    pub fn release(&mut self, first: u16, last: u16, fence: u64) {
+        self.note_seen(first, last, fence);
+        self.cut_out(first, last);
+    }
+
+    /// Returns what it holds at `now`.
+    pub fn held(&self, now: clock::MonoTime) -> impl Iterator<Item = &HeldKeys> {
+        self.held.iter().filter(move |held| now < held.until)
+    }
+
+    fn has_seen_above(&self, first: u16, last: u16, fence: u64) -> bool {
+        let overlapping = self
+            .seen
+            .iter()
+            .filter(|s| overlaps(s.first, s.last, first, last));
+        overlapping.clone().any(|seen| seen.fence > fence)
+    }
+
+    fn note_seen(&mut self, first: u16, last: u16, fence: u64) {
+        self.seen
+            .retain(|s| s.fence > fence || s.first < first || s.last > last);
+        self.seen.push(FencedKeys { first, last, fence });
+    }
+
+    // Drops the keys from what is held.
+    fn cut_out(&mut self, first: u16, last: u16) {
+        let held = std::mem::take(&mut self.held);
+        for keys in held {
+            if !overlaps(keys.first, keys.last, first, last) {
+                self.held.push(keys);
+                continue;
+            }
+            if keys.first < first {
+                self.held.push(HeldKeys {
+                    last: first - 1,
+                    ..keys
+                });
+            }
+            if keys.last > last {
+                self.held.push(HeldKeys {
+                    first: last + 1,
+                    ..keys
+                });
+            }
+        }
+    }
+}
+
+/// Reports whether two ranges of keys have a key in common.
+#[must_use]
+pub const fn overlaps(first: u16, last: u16, other_first: u16, other_last: u16) -> bool {
+    first <= other_last && other_first <= last
+}
--- a/src/edge/router/body.rs
+++ b/src/edge/router/body.rs
@@ -34,7 +34,8 @@
     }
 }
 
-type FramePoll = task::Poll<Option<Result<body::Frame<bytes::Bytes>, actix_web::error::PayloadError>>>;
+type FramePoll =
+    task::Poll<Option<Result<body::Frame<bytes::Bytes>, actix_web::error::PayloadError>>>;
 
 impl body::Body for RequestBody {
     type Data = bytes::Bytes;
--- a/src/edge/router/control.rs
+++ b/src/edge/router/control.rs
@@ -184,7 +184,11 @@
 
     fn note_store(&self, call: &'static str, lost: bool) {
         let now = self.clock.now();
-        let changed = self.state.borrow_mut().knowledge.note_store(call, lost, now);
+        let changed = self
+            .state
+            .borrow_mut()
+            .knowledge
+            .note_store(call, lost, now);
         if changed && lost {
             tracing::warn!(event = "store-lost");
         } else if changed {
@@ -228,7 +232,9 @@
                     let taken = self.state.borrow_mut().knowledge.note_routes(routes);
                     tracing::info!(event = "routes-read", version, in_force = taken);
                 }
-                Err(fault) => tracing::warn!(event = "record-refused", topic = "routes", fault = %fault),
+                Err(fault) => {
+                    tracing::warn!(event = "record-refused", topic = "routes", fault = %fault)
+                }
             }
         }
     }
@@ -355,13 +361,17 @@
         self.append_host(&record).await;
         let mut stopping = stopping;
         if stopping.wait_for(|stopping| *stopping).await.is_ok() {
-            self.append_host(&ports::KeyedRecord { key, value: None }).await;
+            self.append_host(&ports::KeyedRecord { key, value: None })
+                .await;
         }
     }
 
     async fn append_host(&self, record: &ports::KeyedRecord) {
         loop {
-            let outcome = self.store.append(ports::StoreTopic::Hosts, record, None).await;
+            let outcome = self
+                .store
+                .append(ports::StoreTopic::Hosts, record, None)
+                .await;
             if let granter::AppendOutcome::Appended { .. } = outcome {
                 return;
             }
@@ -392,7 +402,9 @@
         let actions = {
             let mut state = self.state.borrow_mut();
             let services = state.knowledge.sharded_services();
-            let ControlState { knowledge, granter, .. } = &mut *state;
+            let ControlState {
+                knowledge, granter, ..
+            } = &mut *state;
             granter.tick(now, &services, knowledge.directory())
         };
         for action in actions {
@@ -432,8 +444,15 @@
             key: sync::Arc::from("book"),
             value: Some(value),
         };
-        let outcome = self.store.append(ports::StoreTopic::Book, &record, Some(at)).await;
-        let changes = book.services.values().flatten().filter(|range| !range.formers.is_empty());
+        let outcome = self
+            .store
+            .append(ports::StoreTopic::Book, &record, Some(at))
+            .await;
+        let changes = book
+            .services
+            .values()
+            .flatten()
+            .filter(|range| !range.formers.is_empty());
         tracing::info!(
             event = "book-appended",
             term = book.term,
@@ -442,7 +461,10 @@
             outcome = ?outcome
         );
         let now = self.clock.now();
-        self.state.borrow_mut().granter.note_appended(outcome, sent, now);
+        self.state
+            .borrow_mut()
+            .granter
+            .note_appended(outcome, sent, now);
         self.publish();
         self.decide();
     }
@@ -479,7 +501,10 @@
             fence = order.range.fence,
             outcome = ?outcome
         );
-        self.state.borrow_mut().granter.note_released(&order, &outcome, now);
+        self.state
+            .borrow_mut()
+            .granter
+            .note_released(&order, &outcome, now);
         self.decide();
     }
 
@@ -526,7 +551,9 @@
         let news = self.news_for(&host.host);
         match self.gossip.exchange(host.peers, news).await {
             Ok(news) => self.take_news(news),
-            Err(fault) => tracing::debug!(event = "host-unreached", host = %host.host, fault = %fault),
+            Err(fault) => {
+                tracing::debug!(event = "host-unreached", host = %host.host, fault = %fault)
+            }
         }
     }
 
@@ -546,7 +573,9 @@
             return;
         };
         let changed = state.knowledge.note_relay(&relay, now);
-        let book = relay.book.is_some_and(|(book, end)| state.granter.note_book(Some(book), end, now));
+        let book = relay
+            .book
+            .is_some_and(|(book, end)| state.granter.note_book(Some(book), end, now));
         drop(state);
         if changed || book {
             self.publish();
@@ -571,7 +600,12 @@
     match serde_json::from_slice::<book::GrantBook>(value) {
         Ok(book) if book.is_sound() => Some(book),
         Ok(book) => {
-            tracing::error!(event = "record-refused", topic = "book", term = book.term, fault = "unsound");
+            tracing::error!(
+                event = "record-refused",
+                topic = "book",
+                term = book.term,
+                fault = "unsound"
+            );
             None
         }
         Err(fault) => {
--- a/src/edge/router/exchange.rs
+++ b/src/edge/router/exchange.rs
@@ -111,12 +111,18 @@
         };
     }
     if !facts.is_ours {
-        return AttemptEnd::Broken(format!("step=judge peer={peer} fault=\"another request's answer\""));
+        return AttemptEnd::Broken(format!(
+            "step=judge peer={peer} fault=\"another request's answer\""
+        ));
     }
     if status.is_success() && !facts.is_signed {
         return AttemptEnd::Broken(format!("step=judge peer={peer} fault=\"no signature\""));
     }
-    if answer.head.headers.contains_key(hyper::header::CONTENT_ENCODING) {
+    if answer
+        .head
+        .headers
+        .contains_key(hyper::header::CONTENT_ENCODING)
+    {
         return AttemptEnd::Broken(format!("step=judge peer={peer} fault=\"an encoded body\""));
     }
     let first = match read_first(&mut answer).await {
@@ -182,8 +188,13 @@
     body: body::RequestBody,
 ) -> Result<hyper::Request<body::RequestBody>, String> {
     let fail = |e: hyper::http::Error| e.to_string();
-    let target = caller.uri().path_and_query().map_or("/", |target| target.as_str());
-    let builder = hyper::Request::builder().method(caller.method().as_str()).uri(target);
+    let target = caller
+        .uri()
+        .path_and_query()
+        .map_or("/", |target| target.as_str());
+    let builder = hyper::Request::builder()
+        .method(caller.method().as_str())
+        .uri(target);
     let mut request = builder.body(body).map_err(fail)?;
     let headers = request.headers_mut();
     let named = connection_names(caller.headers());
@@ -193,13 +204,17 @@
         if dropped || codec.is_replaced(name) || name == "content-length" || name == "expect" {
             continue;
         }
-        let name = hyper::header::HeaderName::from_bytes(name.as_bytes()).map_err(|e| e.to_string())?;
+        let name =
+            hyper::header::HeaderName::from_bytes(name.as_bytes()).map_err(|e| e.to_string())?;
         let value = hyper::header::HeaderValue::from_bytes(value.as_bytes());
         headers.append(name, value.map_err(|e| e.to_string())?);
     }
     codec.write_request(headers, left, server);
     if let Some(length) = stated_length(caller) {
-        headers.insert(hyper::header::CONTENT_LENGTH, hyper::header::HeaderValue::from(length));
+        headers.insert(
+            hyper::header::CONTENT_LENGTH,
+            hyper::header::HeaderValue::from(length),
+        );
     }
     Ok(request)
 }
--- a/src/edge/router/front.rs
+++ b/src/edge/router/front.rs
@@ -77,8 +77,7 @@
 }
 
 type DeskAnswer = Result<sync::Arc<directory::ServerRecord>, desk::DeskRefusal>;
-type DeskWaiters =
-    collections::HashMap<desk::WaitTicket, tokio::sync::oneshot::Sender<DeskAnswer>>;
+type DeskWaiters = collections::HashMap<desk::WaitTicket, tokio::sync::oneshot::Sender<DeskAnswer>>;
 
 /// One traffic thread.
 pub struct TrafficThread<C: ports::HeaderCodec> {
@@ -166,7 +165,11 @@
                 continue;
             };
             if let Err(Ok(record)) = waiter.send(answer) {
-                self.finish(&record.life, measure::ExchangeEnd::CutShort, time::Duration::ZERO);
+                self.finish(
+                    &record.life,
+                    measure::ExchangeEnd::CutShort,
+                    time::Duration::ZERO,
+                );
             }
         }
         if self.desk.borrow().has_waiting() {
@@ -354,7 +357,9 @@
         response
             .headers_mut()
             .insert(actix_web::http::header::CONNECTION, close);
-        response.head_mut().set_connection_type(actix_web::http::ConnectionType::Close);
+        response
+            .head_mut()
+            .set_connection_type(actix_web::http::ConnectionType::Close);
     }
     response
 }
@@ -374,14 +379,20 @@
             return Err(early(OwnAnswer::Stopping));
         }
         let view = thread.parts.view.load();
-        let routes = view.routes.as_ref().ok_or_else(|| early(OwnAnswer::Starting))?;
+        let routes = view
+            .routes
+            .as_ref()
+            .ok_or_else(|| early(OwnAnswer::Starting))?;
         check_limits(&caller, &routes.limits).map_err(early)?;
         let host = host_of(&caller).ok_or_else(|| early(OwnAnswer::Malformed))?;
         let route = routes.find(&host, caller.uri().path());
         let route = sync::Arc::clone(route.ok_or_else(|| early(OwnAnswer::NoRoute))?);
         let part = thread.split.borrow_mut().choose(&route);
         let service = route.parts[part].service.clone();
-        let sharded = routes.services.get(&service).is_some_and(|spec| spec.sharded);
+        let sharded = routes
+            .services
+            .get(&service)
+            .is_some_and(|spec| spec.sharded);
         if sharded && facts.key.is_none() {
             return Err(early(OwnAnswer::Malformed));
         }
@@ -431,10 +442,18 @@
         let head = head.freeze();
         if whole {
             let rest = None;
-            return Ok(HeldBody { head, rest, passed_on: false });
+            return Ok(HeldBody {
+                head,
+                rest,
+                passed_on: false,
+            });
         }
         let rest = Some(payload);
-        Ok(HeldBody { head, rest, passed_on: false })
+        Ok(HeldBody {
+            head,
+            rest,
+            passed_on: false,
+        })
     }
 
     async fn deliver(&self, held: HeldBody) -> actix_web::HttpResponse {
@@ -444,7 +463,9 @@
         let mut avoid = None;
         let mut again = false;
         loop {
-            let waited = self.wait_for_server(again, avoid.clone(), held.size()).await;
+            let waited = self
+                .wait_for_server(again, avoid.clone(), held.size())
+                .await;
             let record = match waited {
                 Ok(record) => record,
                 Err(refusal) => {
@@ -538,7 +559,9 @@
             _in_flight: InFlight::new(&self.thread.parts.in_flight),
             thread: rc::Rc::clone(&self.thread),
             record: sync::Arc::clone(record),
-            stretch: self.key.map(|key| (self.service.clone(), heat::stretch_of(key))),
+            stretch: self
+                .key
+                .map(|key| (self.service.clone(), heat::stretch_of(key))),
             started: now,
             end: measure::ExchangeEnd::CutShort,
         };
@@ -676,7 +699,13 @@
 
 fn note_own(own: OwnAnswer, id: Option<&str>, server: Option<&str>) {
     let (id, server) = (id.unwrap_or(""), server.unwrap_or(""));
-    tracing::info!(event = "request-ended", id, status = own.status(), cause = own.as_str(), server);
+    tracing::info!(
+        event = "request-ended",
+        id,
+        status = own.status(),
+        cause = own.as_str(),
+        server
+    );
 }
 
 fn own_response(own: OwnAnswer, back: Option<time::Duration>) -> actix_web::HttpResponse {
@@ -758,9 +787,14 @@
     caller: &actix_web::HttpRequest,
     limits: &specification::CallerLimits,
 ) -> Result<(), OwnAnswer> {
-    let target = caller.uri().path_and_query().map_or(0, |target| target.as_str().len());
+    let target = caller
+        .uri()
+        .path_and_query()
+        .map_or(0, |target| target.as_str().len());
     let headers = caller.headers().iter();
-    let headers: usize = headers.map(|(name, value)| name.as_str().len() + value.len() + 4).sum();
+    let headers: usize = headers
+        .map(|(name, value)| name.as_str().len() + value.len() + 4)
+        .sum();
     if target + headers > limits.head_bytes {
         return Err(OwnAnswer::HeadTooLarge);
     }
--- a/src/edge/router/gossip.rs
+++ b/src/edge/router/gossip.rs
@@ -126,7 +126,10 @@
         Err(port_error("ask-peer", peer, fault))
     }
 
-    async fn connect(&self, peer: net::SocketAddr) -> Result<GossipServiceClient, ports::PortError> {
+    async fn connect(
+        &self,
+        peer: net::SocketAddr,
+    ) -> Result<GossipServiceClient, ports::PortError> {
         let known = self.connections.borrow().get(&peer).cloned();
         if let Some(client) = known {
             return Ok(client);
--- a/src/edge/router/host.rs
+++ b/src/edge/router/host.rs
@@ -117,7 +117,8 @@
         adapter: A,
     ) -> Result<Self, RouterError> {
         let clock = clock::SystemClock::new();
-        let view: front::SharedView = sync::Arc::new(arc_swap::ArcSwap::from_pointee(view::ServingView::new()));
+        let view: front::SharedView =
+            sync::Arc::new(arc_swap::ArcSwap::from_pointee(view::ServingView::new()));
         let ready = sync::Arc::new(atomic::AtomicBool::new(false));
         let stopping = sync::Arc::new(atomic::AtomicBool::new(false));
         let closed = sync::Arc::new(atomic::AtomicBool::new(false));
@@ -171,7 +172,10 @@
         // Nobody may listen any longer.
         let _ = self.stop.send(true);
         tracing::info!(event = "host-draining", in_flight = self.in_flight());
-        let longest = self.settings.grace.saturating_sub(time::Duration::from_millis(STOP_MARGIN_MS));
+        let longest = self
+            .settings
+            .grace
+            .saturating_sub(time::Duration::from_millis(STOP_MARGIN_MS));
         let taking = time::Duration::from_millis(LAME_DUCK_MS).min(longest);
         tokio::time::sleep(taking).await;
         // Callers may still use connections that were idle all the while: they are told at once.
@@ -234,7 +238,10 @@
     let address = settings.own.peers;
     let responder = gossip::GossipResponder::new(questions);
     let listened = responder.listen(address).await;
-    listened.map_err(|e| RouterError::Listen { address, fault: e.to_string() })?;
+    listened.map_err(|e| RouterError::Listen {
+        address,
+        fault: e.to_string(),
+    })?;
     let parts = control::ControlParts {
         store: adapter.new_store(),
         orders: adapter.new_orders(),
@@ -250,7 +257,9 @@
         stopping: shared.stopping,
     };
     let started = control::ControlThread::start(parts);
-    started.map(drop).map_err(|source| RouterError::Chart { source })
+    started
+        .map(drop)
+        .map_err(|source| RouterError::Chart { source })
 }
 
 struct ReadyState {
@@ -277,7 +286,10 @@
     .workers(1)
     .disable_signals()
     .bind(address)
-    .map_err(|e| RouterError::Listen { address, fault: e.to_string() })?
+    .map_err(|e| RouterError::Listen {
+        address,
+        fault: e.to_string(),
+    })?
     .run();
     actix::spawn(server);
     Ok(())
@@ -309,7 +321,10 @@
     .h1_allow_half_closed(false)
     .disable_signals()
     .bind(address)
-    .map_err(|e| RouterError::Listen { address, fault: e.to_string() })?
+    .map_err(|e| RouterError::Listen {
+        address,
+        fault: e.to_string(),
+    })?
     .run();
     let handle = server.handle();
     actix::spawn(server);
--- a/src/edge/router/wire.rs
+++ b/src/edge/router/wire.rs
@@ -129,18 +129,29 @@
             }
         }
         let connection = connect(peer).await?;
-        exchange(peer, connection, request).await.map_err(|fault| match fault {
-            ExchangeFault::Fault(fault) => fault,
-            ExchangeFault::Returned(_) => {
-                let fault = "the connection closed".to_owned();
-                WireFault::Unsent { step: "send", peer, fault }
-            }
-        })
+        exchange(peer, connection, request)
+            .await
+            .map_err(|fault| match fault {
+                ExchangeFault::Fault(fault) => fault,
+                ExchangeFault::Returned(_) => {
+                    let fault = "the connection closed".to_owned();
+                    WireFault::Unsent {
+                        step: "send",
+                        peer,
+                        fault,
+                    }
+                }
+            })
     }
 
     /// Keeps the connection of an answer that was read whole.
     pub fn keep(&self, answer: WireAnswer) {
-        let WireAnswer { head, connection, peer, .. } = answer;
+        let WireAnswer {
+            head,
+            connection,
+            peer,
+            ..
+        } = answer;
         let Some(span) = idle_span(&head.headers) else {
             return;
         };
@@ -233,7 +244,12 @@
     match connection.sender.try_send_request(request).await {
         Ok(answer) => {
             let (head, body) = answer.into_parts();
-            Ok(WireAnswer { head, body, connection, peer })
+            Ok(WireAnswer {
+                head,
+                body,
+                connection,
+                peer,
+            })
         }
         Err(mut error) => match error.take_message() {
             Some(request) => Err(ExchangeFault::Returned(Box::new(request))),
@@ -289,9 +305,13 @@
     }
     let stated = text(hyper::header::HeaderName::from_static("keep-alive"));
     let parts = stated.split(',').map(str::trim);
-    let seconds = parts.filter_map(|part| part.strip_prefix("timeout=")).next();
+    let seconds = parts
+        .filter_map(|part| part.strip_prefix("timeout="))
+        .next();
     let seconds = seconds.and_then(|seconds| seconds.parse::<u64>().ok());
     let unstated = time::Duration::from_millis(UNSTATED_IDLE_MS);
-    let span = seconds.map_or(unstated, |s| time::Duration::from_secs(s).mul_f64(IDLE_PART));
+    let span = seconds.map_or(unstated, |s| {
+        time::Duration::from_secs(s).mul_f64(IDLE_PART)
+    });
     Some(span)
 }
--- a/src/ownership/arrival.rs
+++ b/src/ownership/arrival.rs
@@ -61,8 +61,16 @@
         until: clock::MonoTime,
         hold: time::Duration,
     ) {
-        self.foreign_hold = hold;
-        self.foreign = lives.map(|life| (life, until)).collect();
+        self.foreign_hold = self.foreign_hold.max(hold);
+        // Failures of an earlier term say nothing of now.
+        for mark in self.marks.values_mut() {
+            mark.failing_since = None;
+        }
+        // What an earlier take-over waits for still counts.
+        for life in lives {
+            let known = self.foreign.entry(life).or_insert(until);
+            *known = until.max(*known);
+        }
     }
 
     /// Notes that an order is about to be sent.
@@ -105,11 +113,14 @@
     #[must_use]
     pub fn has_lapsed(&self, life: &book::ServerLife, now: clock::MonoTime) -> bool {
         let foreign = self.foreign.get(life);
-        let foreign_over = foreign.is_none_or(|until| now >= *until + lapse_span(self.foreign_hold));
+        let foreign_over =
+            foreign.is_none_or(|until| now >= *until + lapse_span(self.foreign_hold));
         let Some(mark) = self.marks.get(life) else {
             return foreign_over;
         };
-        let latest = mark.latest.is_none_or(|at| now >= at + lapse_span(self.hold));
+        let latest = mark
+            .latest
+            .is_none_or(|at| now >= at + lapse_span(self.hold));
         foreign_over && mark.open == 0 && latest
     }
 }
--- a/src/ownership/granter.rs
+++ b/src/ownership/granter.rs
@@ -231,7 +231,10 @@
     ///
     /// # Errors
     /// Fails when a chart is faulty.
-    pub fn new(own: book::GranterLife, max_hold: time::Duration) -> Result<Self, chart::ChartError> {
+    pub fn new(
+        own: book::GranterLife,
+        max_hold: time::Duration,
+    ) -> Result<Self, chart::ChartError> {
         let hold = max_hold.min(time::Duration::from_millis(HOLD_MS));
         let origin = clock::MonoTime::from_micros(0);
         Ok(Self {
@@ -368,10 +371,10 @@
         let ranges = former.services.values().flatten();
         let holders = ranges.flat_map(|range| range.formers.iter().chain([&range.holder]));
         let lives = holders.map(|holder| holder.life.clone());
-        if !own {
-            let hold = time::Duration::from_millis(former.hold_ms);
-            self.ledger.take_over(lives, until, hold);
-        }
+        let hold = time::Duration::from_millis(former.hold_ms);
+        let lives: Vec<_> = lives.filter(|_| !own).collect();
+        self.ledger.take_over(lives.into_iter(), until, hold);
+        self.silences.clear();
     }
 
     fn run_duty(&mut self, event: duty::DutyEvent) {
@@ -589,12 +592,18 @@
         servers: &directory::ServerDirectory,
     ) {
         let isolation = time::Duration::from_millis(ISOLATION_MS);
-        let ours = servers.servers().filter(|record| services.contains(&record.service));
+        let ours = servers
+            .servers()
+            .filter(|record| services.contains(&record.service));
         let lives: Vec<_> = ours.map(|record| record.life.clone()).collect();
         let failing = |life: &&book::ServerLife| self.ledger.is_failing(life, isolation, now);
         let failing: Vec<_> = lives.iter().filter(failing).collect();
         if failing.len() * 2 > lives.len() && lives.len() > 1 {
-            tracing::warn!(event = "granter-isolated", silent = failing.len(), of = lives.len());
+            tracing::warn!(
+                event = "granter-isolated",
+                silent = failing.len(),
+                of = lives.len()
+            );
             self.run_duty(duty::DutyEvent::Isolated);
             return;
         }
@@ -605,9 +614,15 @@
             }
             let first = time::Duration::from_millis(SILENCE_MS);
             let longest = time::Duration::from_millis(MAX_SILENCE_MS);
-            let span = self.silences.get(life).map_or(first, |s| (s.span * 2).min(longest));
+            let span = self
+                .silences
+                .get(life)
+                .map_or(first, |s| (s.span * 2).min(longest));
             tracing::warn!(event = "server-silent", server = %life.server, span_ms = span.as_millis());
-            let silence = Silence { until: now + span, span };
+            let silence = Silence {
+                until: now + span,
+                span,
+            };
             self.silences.insert(life.clone(), silence);
         }
     }
@@ -619,9 +634,8 @@
         for (service, ranges) in &mut next.services {
             for range in ranges.iter_mut().filter(|range| !range.formers.is_empty()) {
                 let run = self.runs.get(&range_id(service, range));
-                let settled = |run: &RangeRun| {
-                    run.formers.is_empty() && run.state == RangeState::Held
-                };
+                let settled =
+                    |run: &RangeRun| run.formers.is_empty() && run.state == RangeState::Held;
                 if run.is_some_and(settled) {
                     range.formers.clear();
                     changed = true;
@@ -643,7 +657,11 @@
         }
         for (service, index) in &refused {
             let fence = next.take_fence();
-            if let Some(range) = next.services.get_mut(service).and_then(|r| r.get_mut(*index)) {
+            if let Some(range) = next
+                .services
+                .get_mut(service)
+                .and_then(|r| r.get_mut(*index))
+            {
                 range.fence = fence;
             }
         }
@@ -670,10 +688,13 @@
         actions: &mut Vec<GranterAction>,
     ) {
         for (id, run) in &mut self.runs {
-            run.formers.retain(|former| !self.ended.contains(&former.holder.life));
+            run.formers
+                .retain(|former| !self.ended.contains(&former.holder.life));
             release_formers(id, run, now, &self.ledger, servers, actions);
             if run.state == RangeState::Vacating && run.formers.is_empty() {
-                let step = self.table.step(run.state, RangeEvent::Vacated, |guard| match guard {});
+                let step = self
+                    .table
+                    .step(run.state, RangeEvent::Vacated, |guard| match guard {});
                 run.state = step.map_or(run.state, |step| step.next);
             }
             let due = !run.open && now >= run.next_call;
--- a/src/ownership/plan.rs
+++ b/src/ownership/plan.rs
@@ -57,7 +57,9 @@
             state.move_for_load();
         }
     }
-    let PlanState { ranges, changed, .. } = state;
+    let PlanState {
+        ranges, changed, ..
+    } = state;
     book.services.insert(service.clone(), ranges);
     changed
 }
@@ -122,7 +124,12 @@
                 index += 1;
                 continue;
             }
-            if self.plan.heat.range(self.ranges[index].first, self.ranges[index].last) > fair / 2.0 {
+            if self
+                .plan
+                .heat
+                .range(self.ranges[index].first, self.ranges[index].last)
+                > fair / 2.0
+            {
                 self.split_at_load(index, fair / 2.0);
             }
             let taker = self.coolest();
@@ -218,7 +225,10 @@
 
     fn split_key(&self, range: &book::RangeEntry, wanted: f64) -> Option<u16> {
         let mut low = range.first;
-        let mut high = range.last.checked_sub(1).filter(|last| *last >= range.first)?;
+        let mut high = range
+            .last
+            .checked_sub(1)
+            .filter(|last| *last >= range.first)?;
         while low < high {
             let middle = low + (high - low) / 2;
             if self.plan.heat.range(range.first, middle) < wanted {
--- a/src/routing/specification.rs
+++ b/src/routing/specification.rs
@@ -200,7 +200,11 @@
     let known = |part: &&SplitPart| !services.contains_key(&part.service);
     if let Some(part) = route.parts.iter().find(known) {
         let service = part.service.clone();
-        return route_fault::UnknownServiceSnafu { route: name(), service }.fail();
+        return route_fault::UnknownServiceSnafu {
+            route: name(),
+            service,
+        }
+        .fail();
     }
     if route.parts.iter().all(|part| part.weight == 0) {
         return route_fault::NoWeightSnafu { route: name() }.fail();
@@ -210,11 +214,19 @@
     }
     let timeout_ms = route.timeout.as_millis();
     if timeout_ms == 0 || timeout_ms > u128::from(MAX_ROUTE_TIMEOUT_MS) {
-        return route_fault::BadTimeoutSnafu { route: name(), timeout_ms }.fail();
+        return route_fault::BadTimeoutSnafu {
+            route: name(),
+            timeout_ms,
+        }
+        .fail();
     }
     if !route.prefix.starts_with('/') || !route.prefix.ends_with('/') {
         let prefix = sync::Arc::clone(&route.prefix);
-        return route_fault::BadPrefixSnafu { route: name(), prefix }.fail();
+        return route_fault::BadPrefixSnafu {
+            route: name(),
+            prefix,
+        }
+        .fail();
     }
     Ok(())
 }
--- a/src/serving/desk.rs
+++ b/src/serving/desk.rs
@@ -240,7 +240,10 @@
     /// Returns what this host has at each server, running or waiting.
     #[must_use]
     pub fn demand(&self) -> view::ServerDemand {
-        let busy = self.lanes.iter().filter(|(_, lane)| lane.running + lane.waiting > 0);
+        let busy = self
+            .lanes
+            .iter()
+            .filter(|(_, lane)| lane.running + lane.waiting > 0);
         let mut demand: view::ServerDemand = busy
             .map(|(name, lane)| (name.clone(), f64::from(lane.running + lane.waiting)))
             .collect();
@@ -258,7 +261,10 @@
         demand: &mut view::ServerDemand,
     ) {
         let waiting = line.queue.values().filter(|w| w.wish.key.is_none()).count();
-        let lanes = self.lanes.values().filter(|lane| lane.record.service == *service);
+        let lanes = self
+            .lanes
+            .values()
+            .filter(|lane| lane.record.service == *service);
         let names: Vec<_> = lanes.map(|lane| lane.record.life.server.clone()).collect();
         if waiting == 0 || names.is_empty() {
             return;
@@ -280,7 +286,9 @@
         let ratio = self.settings.retry_ratio * BUDGET_PART;
         let most = (self.settings.retry_slack * BUDGET_PART / hosts).max(1.0);
         let line = self.lines.entry(wish.service.clone()).or_default();
-        let budget = line.budget.get_or_insert_with(|| retry::RetryBudget::with_ratio(ratio, most));
+        let budget = line
+            .budget
+            .get_or_insert_with(|| retry::RetryBudget::with_ratio(ratio, most));
         if !wish.again {
             budget.note_fresh();
             return Ok(());
@@ -333,7 +341,9 @@
         if !lane.serves_keys(&life, now) {
             return f64::INFINITY;
         }
-        let ahead = self.ahead(wish, |other| other.key.is_some() && self.is_owner(other, &life));
+        let ahead = self.ahead(wish, |other| {
+            other.key.is_some() && self.is_owner(other, &life)
+        });
         let limit = self.limit(lane);
         let queued = ahead + f64::from(lane.running) - limit + 1.0;
         (queued.max(0.0) / limit) * lane.service_ms()
@@ -341,13 +351,18 @@
 
     fn pool_wait_ms(&self, wish: &ServerWish, now: clock::MonoTime) -> f64 {
         let lanes = self.lanes.values();
-        let usable: Vec<_> = lanes.filter(|lane| lane.takes(&wish.service, now)).collect();
+        let usable: Vec<_> = lanes
+            .filter(|lane| lane.takes(&wish.service, now))
+            .collect();
         let room: f64 = usable.iter().map(|lane| self.limit(lane)).sum();
         if room <= 0.0 {
             return f64::INFINITY;
         }
         let running: u32 = usable.iter().map(|lane| lane.running).sum();
-        let rate: f64 = usable.iter().map(|lane| self.limit(lane) / lane.service_ms()).sum();
+        let rate: f64 = usable
+            .iter()
+            .map(|lane| self.limit(lane) / lane.service_ms())
+            .sum();
         let ahead = self.ahead(wish, |other| other.key.is_none());
         let queued = ahead + f64::from(running) - room + 1.0;
         queued.max(0.0) / rate
@@ -488,11 +503,14 @@
     fn decide_pool(&self, waiting: &Waiting, now: clock::MonoTime) -> Decision {
         let wish = &waiting.wish;
         let lanes = self.lanes.values();
-        let usable: Vec<_> = lanes.filter(|lane| lane.takes(&wish.service, now)).collect();
+        let usable: Vec<_> = lanes
+            .filter(|lane| lane.takes(&wish.service, now))
+            .collect();
         if usable.is_empty() {
             return Decision::GiveUp(DeskRefusal::NoServer);
         }
-        let far_ms = FAR_MS + FAR_MS_PER_KB * to_f64(usize::try_from(wish.body_bytes).unwrap_or(0)) / 1_000.0;
+        let far_ms = FAR_MS
+            + FAR_MS_PER_KB * to_f64(usize::try_from(wish.body_bytes).unwrap_or(0)) / 1_000.0;
         let near_exists = usable.iter().any(|lane| self.is_near(lane));
         let near_wait = time::Duration::from_secs_f64(far_ms / 1_000.0);
         let near_wait = near_wait.min(time::Duration::from_millis(MAX_NEAR_WAIT_MS));
--- a/src/serving/knowledge.rs
+++ b/src/serving/knowledge.rs
@@ -169,16 +169,15 @@
     #[must_use]
     pub fn hosts_to_ask(&self) -> Vec<news::HostRecord> {
         let hosts = self.hosts.values();
-        hosts.filter(|record| self.own.host < record.host).cloned().collect()
+        hosts
+            .filter(|record| self.own.host < record.host)
+            .cloned()
+            .collect()
     }
 
     /// Returns the news for another host.
     #[must_use]
-    pub fn news_for(
-        &self,
-        host: &names::HostName,
-        grants: &GrantKnowledge<'_>,
-    ) -> news::HostNews {
+    pub fn news_for(&self, host: &names::HostName, grants: &GrantKnowledge<'_>) -> news::HostNews {
         let asked = self.peers.get(host).map(|peer| &peer.news);
         let relay = asked.and_then(|news| self.relay_for(news, grants));
         let granter = grants.book.granter.host == host.as_str();
@@ -188,7 +187,11 @@
             routes_version: self.routes_version(),
             book_end: grants.end,
             demand: self.demand.clone(),
-            reports: if granter { self.reports.clone() } else { Vec::new() },
+            reports: if granter {
+                self.reports.clone()
+            } else {
+                Vec::new()
+            },
             relay,
         }
     }
@@ -219,7 +222,10 @@
     #[must_use]
     pub fn heat(&self, now: clock::MonoTime) -> Vec<news::ServiceReport> {
         let span = time::Duration::from_millis(DEMAND_SPAN_MS);
-        let fresh = self.peers.values().filter(|peer| now.since(peer.heard) < span);
+        let fresh = self
+            .peers
+            .values()
+            .filter(|peer| now.since(peer.heard) < span);
         let told = fresh.flat_map(|peer| &peer.news.reports);
         let mut sums = collections::BTreeMap::<_, collections::BTreeMap<u16, f32>>::new();
         for report in told.chain(&self.reports) {
@@ -241,7 +247,10 @@
     /// Returns the services whose servers own keys.
     #[must_use]
     pub fn sharded_services(&self) -> Vec<names::ServiceName> {
-        let services = self.routes.iter().flat_map(|routes| routes.services.values());
+        let services = self
+            .routes
+            .iter()
+            .flat_map(|routes| routes.services.values());
         let sharded = services.filter(|spec| spec.sharded);
         sharded.map(|spec| spec.name.clone()).collect()
     }
@@ -250,9 +259,7 @@
     #[must_use]
     pub fn is_ready(&self, book: &book::GrantBook) -> bool {
         let granted = |service: &names::ServiceName| book.services.contains_key(service);
-        self.routes.is_some()
-            && self.servers_known
-            && self.sharded_services().iter().all(granted)
+        self.routes.is_some() && self.servers_known && self.sharded_services().iter().all(granted)
     }
 
     /// Drops what has expired. Reports whether the view changes.
@@ -262,14 +269,22 @@
 
     /// Makes the view for the traffic threads.
     #[must_use]
-    pub fn view(&self, book: &sync::Arc<book::GrantBook>, now: clock::MonoTime) -> view::ServingView {
+    pub fn view(
+        &self,
+        book: &sync::Arc<book::GrantBook>,
+        now: clock::MonoTime,
+    ) -> view::ServingView {
         let servers = self.directory.servers();
         let servers = servers.map(|record| (record.life.server.clone(), sync::Arc::clone(record)));
         let there = time::Duration::from_millis(HOST_SPAN_MS);
         let there = |peer: &&PeerState| now.since(peer.heard) < there;
         let fresh = time::Duration::from_millis(DEMAND_SPAN_MS);
         let fresh = |peer: &&PeerState| now.since(peer.heard) < fresh;
-        let demands = self.peers.values().filter(fresh).map(|peer| &peer.news.demand);
+        let demands = self
+            .peers
+            .values()
+            .filter(fresh)
+            .map(|peer| &peer.news.demand);
         let near = |peer: &&PeerState| peer.news.record.domain == self.own.domain;
         view::ServingView {
             routes: self.routes.clone(),
--- a/src/serving/measure.rs
+++ b/src/serving/measure.rs
@@ -61,7 +61,9 @@
         }
         let failed = match end {
             ExchangeEnd::Answered => 0.0,
-            ExchangeEnd::Failed | ExchangeEnd::Broken | ExchangeEnd::Full | ExchangeEnd::Unsent => 1.0,
+            ExchangeEnd::Failed | ExchangeEnd::Broken | ExchangeEnd::Full | ExchangeEnd::Unsent => {
+                1.0
+            }
             ExchangeEnd::Misplaced | ExchangeEnd::CutShort => return,
         };
         self.failures += (failed - self.failures) * FAILURE_WEIGHT;
--- a/src/serving/view.rs
+++ b/src/serving/view.rs
@@ -17,7 +17,8 @@
     /// The routes, once a version is known.
     pub routes: Option<sync::Arc<specification::RouteSet>>,
     /// The servers, by name.
-    pub servers: sync::Arc<collections::BTreeMap<names::ServerName, sync::Arc<directory::ServerRecord>>>,
+    pub servers:
+        sync::Arc<collections::BTreeMap<names::ServerName, sync::Arc<directory::ServerRecord>>>,
     /// The book of grants.
     pub book: sync::Arc<book::GrantBook>,
     /// What the other hosts want of each server.
