--- a/src/ownership/granter.rs
+++ b/src/ownership/granter.rs
@@ -17,9 +17,9 @@
 use crate::serving::directory;
 
 /// The longest hold of one order, in milliseconds, where the servers allow as much.
-pub const HOLD_MS: u64 = 3_000;
+pub const HOLD_MS: u64 = 2_400;
 /// How many orders a hold is renewed by.
-pub const RENEWALS_PER_HOLD: u32 = 3;
+pub const RENEWALS_PER_HOLD: u32 = 4;
 /// How long an order may take, in milliseconds.
 pub const ORDER_TIMEOUT_MS: u64 = 500;
 /// How long after an order without an answer the next one is sent, in milliseconds.
@@ -170,12 +170,16 @@
     Unsent,
     /// Another server answers at the address: the one that was meant has ended.
     Replaced,
+    /// The answer says that the order makes no sense there, as a server without keys does.
+    Rejected,
 }
 
 impl OrderOutcome {
     const fn arrival(&self) -> arrival::OrderArrival {
         match self {
-            Self::Done(_) | Self::Refused | Self::Replaced => arrival::OrderArrival::Answered,
+            Self::Done(_) | Self::Refused | Self::Replaced | Self::Rejected => {
+                arrival::OrderArrival::Answered
+            }
             Self::Unanswered => arrival::OrderArrival::Possible,
             Self::Unsent => arrival::OrderArrival::Unsent,
         }
@@ -221,6 +225,8 @@
     silences: collections::BTreeMap<book::ServerLife, Silence>,
     // Lives at whose address another server answers.
     ended: collections::BTreeSet<book::ServerLife>,
+    // Lives whose address answers like a server without keys.
+    rejected: collections::BTreeMap<book::ServerLife, net::SocketAddr>,
     yielded: bool,
     append_sent: clock::MonoTime,
     heat: heat::ServiceHeat,
@@ -253,6 +259,7 @@
             runs: collections::BTreeMap::new(),
             silences: collections::BTreeMap::new(),
             ended: collections::BTreeSet::new(),
+            rejected: collections::BTreeMap::new(),
             yielded: false,
             append_sent: origin,
             heat: heat::ServiceHeat::new(),
@@ -415,6 +422,11 @@
                 self.ended.insert(order.life.clone());
                 return true;
             }
+            OrderOutcome::Rejected => {
+                self.rejected.insert(order.life.clone(), order.address);
+                run.next_call = now + time::Duration::from_millis(ORDER_RETRY_MS);
+                return false;
+            }
             OrderOutcome::Done(_) => RangeEvent::Accepted,
             OrderOutcome::Refused => RangeEvent::Refused,
             OrderOutcome::Unanswered | OrderOutcome::Unsent => {
@@ -448,6 +460,9 @@
         let former = &mut run.formers[position];
         former.open = false;
         former.next_call = now + time::Duration::from_millis(ORDER_RETRY_MS);
+        if *outcome == OrderOutcome::Rejected {
+            self.rejected.insert(order.life.clone(), order.address);
+        }
         if *outcome == OrderOutcome::Replaced {
             self.ended.insert(order.life.clone());
         }
@@ -471,6 +486,7 @@
             self.run_duty(duty::DutyEvent::RightEnded);
         }
         if self.is_granting() {
+            self.find_ended(servers);
             self.watch_silence(now, services, servers);
         }
         if std::mem::take(&mut self.yielded) {
@@ -538,11 +554,10 @@
             }
             let takers = self.takers(now, service, servers);
             let heat = self.heat.entry(service.clone()).or_default();
-            let moving = self.runs.values().any(|run| !run.formers.is_empty());
             let plan = plan::ServicePlan {
                 takers: &takers,
                 heat,
-                may_move: settled && !moving,
+                may_move: settled,
             };
             changed |= plan::plan_service(&mut next, service, &plan);
         }
@@ -583,6 +598,21 @@
         silence.is_some_and(|silence| now < silence.until)
     }
 
+    // A life has ended where its address answers like a server without keys, and another server
+    // has registered with that address.
+    fn find_ended(&mut self, servers: &directory::ServerDirectory) {
+        let rejected = std::mem::take(&mut self.rejected);
+        for (life, address) in rejected {
+            let taken = servers
+                .servers()
+                .any(|record| record.address == address && record.life.server != life.server);
+            if taken {
+                tracing::info!(event = "server-replaced", server = %life.server, address = %address);
+                self.ended.insert(life);
+            }
+        }
+    }
+
     // Finds servers whose orders go unanswered. Where they are most, the fault is taken to be on
     // this host's side, and the duty goes to another.
     fn watch_silence(
--- a/src/ownership/heat.rs
+++ b/src/ownership/heat.rs
@@ -9,7 +9,7 @@
 /// The number of stretches.
 pub const STRETCHES: usize = 65_536 / 16;
 /// The weight of the newest report in the running estimate.
-pub const REPORT_WEIGHT: f64 = 0.35;
+pub const REPORT_WEIGHT: f64 = 0.5;
 
 /// The work of one stretch in one report.
 #[derive(Clone, Copy, Debug, PartialEq)]
--- a/src/ownership/plan.rs
+++ b/src/ownership/plan.rs
@@ -12,7 +12,7 @@
 /// By how much the hottest server must exceed the mean for keys to move.
 pub const HOT_RATIO: f64 = 1.35;
 /// How many moves for load one plan makes for a service.
-pub const MAX_MOVES: usize = 3;
+pub const MAX_MOVES: usize = 12;
 /// How many ranges a service has for each server, at most.
 pub const MAX_RANGES_PER_SERVER: usize = 8;
 
@@ -190,9 +190,6 @@
             return false;
         };
         let range = &self.ranges[index];
-        if !range.formers.is_empty() || range.len() < 2 {
-            return false;
-        }
         let whole = self.plan.heat.range(range.first, range.last);
         if whole > wanted {
             self.split_at_load(index, wanted);
@@ -204,6 +201,8 @@
     fn hottest_range(&self, life: &book::ServerLife) -> Option<usize> {
         let owned = self.ranges.iter().enumerate();
         let owned = owned.filter(|(_, range)| range.holder.life == *life);
+        // A range on its way, or of one key, stays as it is.
+        let owned = owned.filter(|(_, range)| range.formers.is_empty() && range.len() > 1);
         let heat = |range: &book::RangeEntry| self.plan.heat.range(range.first, range.last);
         owned
             .max_by(|a, b| heat(a.1).total_cmp(&heat(b.1)))
