Measure work by key, so that a hot key stays and its neighbours go

Cause: 'hot_key' concentrates on few keys; stretches of 16 keys spread its heat over its neighbours, which were split and moved in vain.

--- a/src/edge/router/control.rs
+++ b/src/edge/router/control.rs
@@ -23,11 +23,11 @@
 /// The interval of the granter's decisions, in milliseconds.
 pub const TICK_MS: u64 = 100;
 /// The interval between two exchanges of news with a host, in milliseconds.
-pub const GOSSIP_MS: u64 = 300;
+pub const GOSSIP_MS: u64 = 250;
 /// The number of hosts from which on the interval grows in proportion.
 pub const GOSSIP_HOSTS: usize = 8;
 /// The interval between two reports of keys' work to the granter, in milliseconds.
-pub const HEAT_MS: u64 = 400;
+pub const HEAT_MS: u64 = 250;
 /// How long a host that gave the duty away does not take it, in milliseconds.
 pub const YIELD_MS: u64 = 4_000;
 /// How long the store holds a read of the book by the host that grants, in milliseconds: what the
--- a/src/edge/router/front.rs
+++ b/src/edge/router/front.rs
@@ -50,7 +50,7 @@
     /// What this host has at each server.
     pub demand: view::ServerDemand,
     /// The work of the keys of each service.
-    pub heat: Vec<(names::ServiceName, Vec<heat::StretchHeat>)>,
+    pub heat: Vec<(names::ServiceName, Vec<heat::KeyHeat>)>,
 }
 
 /// What a traffic thread is made of.
@@ -133,14 +133,14 @@
         }
     }
 
-    fn take_heat(&self) -> Vec<(names::ServiceName, Vec<heat::StretchHeat>)> {
+    fn take_heat(&self) -> Vec<(names::ServiceName, Vec<heat::KeyHeat>)> {
         let counted = std::mem::take(&mut *self.heat.borrow_mut());
         let mut services = collections::BTreeMap::<_, Vec<_>>::new();
         let interval = f64::from(u32::try_from(REPORT_MS).unwrap_or(u32::MAX));
-        for ((service, stretch), busy_ms) in counted {
+        for ((service, key), busy_ms) in counted {
             #[expect(clippy::cast_possible_truncation, reason = "an estimate")]
             let busy = (busy_ms / interval) as f32;
-            let heat = heat::StretchHeat { stretch, busy };
+            let heat = heat::KeyHeat { key, busy };
             services.entry(service).or_default().push(heat);
         }
         services.into_iter().collect()
@@ -204,7 +204,7 @@
     _in_flight: InFlight,
     thread: rc::Rc<TrafficThread<C>>,
     record: sync::Arc<directory::ServerRecord>,
-    stretch: Option<(names::ServiceName, u16)>,
+    key_of: Option<(names::ServiceName, u16)>,
     started: clock::MonoTime,
     end: measure::ExchangeEnd,
 }
@@ -212,9 +212,9 @@
 impl<C: ports::HeaderCodec> Drop for ServerSlot<C> {
     fn drop(&mut self) {
         let elapsed = self.thread.parts.clock.now().since(self.started);
-        if let Some(stretch) = self.stretch.take() {
+        if let Some(key_of) = self.key_of.take() {
             let mut heat = self.thread.heat.borrow_mut();
-            *heat.entry(stretch).or_default() += elapsed.as_secs_f64() * 1_000.0;
+            *heat.entry(key_of).or_default() += elapsed.as_secs_f64() * 1_000.0;
         }
         self.thread.finish(&self.record.life, self.end, elapsed);
         self.thread.pump();
@@ -559,9 +559,9 @@
             _in_flight: InFlight::new(&self.thread.parts.in_flight),
             thread: rc::Rc::clone(&self.thread),
             record: sync::Arc::clone(record),
-            stretch: self
+            key_of: self
                 .key
-                .map(|key| (self.service.clone(), heat::stretch_of(key))),
+                .map(|key| (self.service.clone(), key)),
             started: now,
             end: measure::ExchangeEnd::CutShort,
         };
@@ -663,8 +663,8 @@
             return;
         };
         let service_ms = self.thread.desk.borrow().service_ms(&self.service);
-        let stretch = (self.service.clone(), heat::stretch_of(key));
-        *self.thread.heat.borrow_mut().entry(stretch).or_default() += service_ms;
+        let key_of = (self.service.clone(), key);
+        *self.thread.heat.borrow_mut().entry(key_of).or_default() += service_ms;
     }
 
     // When a refused caller may come back: when room is likely, spread out, and in time.
--- a/src/ownership/granter.rs
+++ b/src/ownership/granter.rs
@@ -31,7 +31,7 @@
 /// How long a release may take, in milliseconds: it waits for the work under way.
 pub const RELEASE_TIMEOUT_MS: u64 = 1_500;
 /// How long a plan waits after the last one, in milliseconds, where no server was lost.
-pub const PLAN_INTERVAL_MS: u64 = 400;
+pub const PLAN_INTERVAL_MS: u64 = 250;
 /// How long a new granter waits for servers to register before it places keys for the first time,
 /// in milliseconds.
 pub const FIRST_PLACE_MS: u64 = 400;
@@ -328,7 +328,7 @@
     }
 
     /// Takes the work of a service's keys.
-    pub fn note_heat(&mut self, service: &names::ServiceName, report: &[heat::StretchHeat]) {
+    pub fn note_heat(&mut self, service: &names::ServiceName, report: &[heat::KeyHeat]) {
         self.heat.entry(service.clone()).or_default().note(report);
     }
 
--- a/src/ownership/heat.rs
+++ b/src/ownership/heat.rs
@@ -1,36 +1,30 @@
-//! How much work each stretch of keys brings, as the hosts measure it.
+//! How much work each key brings, as the hosts measure it.
 
 use std::collections;
 
 use crate::names;
 
-/// The number of keys in one stretch.
-pub const STRETCH_KEYS: u32 = 16;
-/// The number of stretches.
-pub const STRETCHES: usize = 65_536 / 16;
 /// The weight of the newest report in the running estimate.
 pub const REPORT_WEIGHT: f64 = 0.5;
+/// The work below which a key is forgotten, in slots.
+pub const FORGOTTEN_BUSY: f64 = 0.002;
+/// The part of the measured work that is assumed of all keys together, so that quiet keys count.
+pub const IDLE_PART: f64 = 0.1;
 
-/// The work of one stretch in one report.
+/// The work of one key in one report.
 #[derive(Clone, Copy, Debug, PartialEq)]
 #[derive(serde::Serialize, serde::Deserialize)]
-pub struct StretchHeat {
-    /// The stretch's number.
-    pub stretch: u16,
+pub struct KeyHeat {
+    /// The key.
+    pub key: u16,
     /// The work, in slots that were busy on average.
     pub busy: f32,
 }
 
-/// Returns the stretch of a key.
-#[must_use]
-pub const fn stretch_of(key: u16) -> u16 {
-    key / STRETCH_KEYS as u16
-}
-
 /// The running estimate for the keys of one service.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct HeatMap {
-    busy: Vec<f64>,
+    busy: collections::BTreeMap<u16, f64>,
     total: f64,
 }
 
@@ -38,48 +32,92 @@
     /// Creates a map without work.
     #[must_use]
     pub fn new() -> Self {
-        Self {
-            busy: vec![0.0; STRETCHES],
-            total: 0.0,
-        }
+        Self::default()
     }
 
     /// Takes the sum of the hosts' newest reports.
-    pub fn note(&mut self, report: &[StretchHeat]) {
-        for busy in &mut self.busy {
+    pub fn note(&mut self, report: &[KeyHeat]) {
+        for busy in self.busy.values_mut() {
             *busy *= 1.0 - REPORT_WEIGHT;
         }
         for heat in report {
-            if let Some(busy) = self.busy.get_mut(usize::from(heat.stretch)) {
-                *busy += f64::from(heat.busy) * REPORT_WEIGHT;
-            }
+            *self.busy.entry(heat.key).or_default() += f64::from(heat.busy) * REPORT_WEIGHT;
         }
-        self.total = self.busy.iter().sum();
+        self.busy.retain(|_, busy| *busy > FORGOTTEN_BUSY);
+        self.total = self.busy.values().sum();
     }
 
     /// Returns the work of the keys from `first` to `last`.
     #[must_use]
     pub fn range(&self, first: u16, last: u16) -> f64 {
-        let (low, high) = (stretch_of(first), stretch_of(last));
-        // A little for keys that nobody has asked for yet.
-        let idle = (self.total * 0.1 + 0.01) / 65_536.0;
         let keys = f64::from(u32::from(last) - u32::from(first) + 1);
-        let measured: f64 = (low..=high)
-            .map(|stretch| {
-                let start = u32::from(stretch) * STRETCH_KEYS;
-                let from = start.max(u32::from(first));
-                let to = (start + STRETCH_KEYS - 1).min(u32::from(last));
-                let part = f64::from(to - from + 1) / f64::from(STRETCH_KEYS);
-                self.busy[usize::from(stretch)] * part
-            })
-            .sum();
-        measured + idle * keys
+        let measured: f64 = self.busy.range(first..=last).map(|(_, busy)| busy).sum();
+        measured + self.idle() * keys
+    }
+
+    /// Returns the last key of the longest part of a range that begins with `first` and has at most
+    /// `most` work; none where its first key has more.
+    #[must_use]
+    pub fn head_within(&self, first: u16, last: u16, most: f64) -> Option<u16> {
+        let idle = self.idle();
+        let mut work = 0.0;
+        let mut next = first;
+        for (key, busy) in self.busy.range(first..=last) {
+            let before = idle * f64::from(key - next);
+            if work + before + idle + busy > most {
+                return self.fill(next, key.checked_sub(1)?, first, most - work);
+            }
+            work += before + idle + busy;
+            if *key == last {
+                return Some(last);
+            }
+            next = key + 1;
+        }
+        self.fill(next, last, first, most - work)
+    }
+
+    /// Returns the first key of the longest part of a range that ends with `last` and has at most
+    /// `most` work; none where its last key has more.
+    #[must_use]
+    pub fn tail_within(&self, first: u16, last: u16, most: f64) -> Option<u16> {
+        let idle = self.idle();
+        let mut work = 0.0;
+        let mut from = None;
+        for (key, busy) in self.busy.range(first..=last).rev() {
+            let end = from.map_or(last, |from: u16| from - 1);
+            let after = idle * f64::from(end - key);
+            if work + after + idle + busy > most {
+                return (*key < end).then(|| key + 1).or(from);
+            }
+            work += after + idle + busy;
+            from = Some(*key);
+        }
+        Some(first)
+    }
+
+    // As many quiet keys from `next` to `last` as fit into `most`.
+    fn fill(&self, next: u16, last: u16, first: u16, most: f64) -> Option<u16> {
+        let before = next.checked_sub(1).filter(|before| *before >= first);
+        if next > last {
+            return before;
+        }
+        let idle = self.idle();
+        let keys = f64::from(last - next) + 1.0;
+        if idle * keys <= most {
+            return Some(last);
+        }
+        let fitting = (most / idle).floor().clamp(0.0, keys);
+        #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "within the range")]
+        let fitting = fitting as u16;
+        match fitting {
+            0 => before,
+            fitting => Some(next + (fitting - 1)),
+        }
     }
-}
 
-impl Default for HeatMap {
-    fn default() -> Self {
-        Self::new()
+    // The work that is assumed of each key.
+    fn idle(&self) -> f64 {
+        (self.total * IDLE_PART + 0.01) / 65_536.0
     }
 }
 
--- a/src/ownership/plan.rs
+++ b/src/ownership/plan.rs
@@ -8,11 +8,13 @@
 use crate::ownership::heat;
 
 /// The utilisation above which keys move to cooler servers.
-pub const HOT_UTILISATION: f64 = 0.6;
+pub const HOT_UTILISATION: f64 = 1.0;
 /// By how much the hottest server must exceed the mean for keys to move.
-pub const HOT_RATIO: f64 = 1.35;
+pub const HOT_RATIO: f64 = 1.4;
 /// How many moves for load one plan makes for a service.
-pub const MAX_MOVES: usize = 12;
+pub const MAX_MOVES: usize = 6;
+/// The least work for which keys move, in slots.
+pub const MIN_MOVED_BUSY: f64 = 0.05;
 /// How many ranges a service has for each server, at most.
 pub const MAX_RANGES_PER_SERVER: usize = 8;
 
@@ -64,6 +66,14 @@
     changed
 }
 
+// A part of a range.
+struct RangePart {
+    index: usize,
+    first: u16,
+    last: u16,
+    work: f64,
+}
+
 struct PlanState<'a, 'b> {
     book: &'a mut book::GrantBook,
     plan: &'a ServicePlan<'b>,
@@ -174,8 +184,8 @@
         }
     }
 
-    // Moves a part of the hottest server's hottest range to `target`: half of the difference, and
-    // no more than `most`.
+    // Moves a part of the hottest server's keys to `target`: up to half of the difference, and no
+    // more than `most`. A key that is hot by itself stays; the keys beside it go.
     fn move_part(&mut self, target: &book::KeyHolder, most: f64) -> bool {
         let Some((life, _)) = self.hottest() else {
             return false;
@@ -186,57 +196,66 @@
         let load = |state: &Self, life: &book::ServerLife| state.loads.get(life).copied();
         let gap = load(self, &life).unwrap_or(0.0) - load(self, &target.life).unwrap_or(0.0);
         let wanted = (gap / 2.0).min(most);
-        let Some(index) = self.hottest_range(&life) else {
+        let Some(part) = self.best_part(&life, wanted) else {
             return false;
         };
-        let range = &self.ranges[index];
-        let whole = self.plan.heat.range(range.first, range.last);
-        if whole > wanted {
-            self.split_at_load(index, wanted);
-        }
+        let index = self.cut_part(&part);
         self.assign(index, target);
         true
     }
 
-    fn hottest_range(&self, life: &book::ServerLife) -> Option<usize> {
+    // The part of a server's ranges with the most work that is within `wanted`.
+    fn best_part(&self, life: &book::ServerLife, wanted: f64) -> Option<RangePart> {
         let owned = self.ranges.iter().enumerate();
-        let owned = owned.filter(|(_, range)| range.holder.life == *life);
-        // A range on its way, or of one key, stays as it is.
-        let owned = owned.filter(|(_, range)| range.formers.is_empty() && range.len() > 1);
-        let heat = |range: &book::RangeEntry| self.plan.heat.range(range.first, range.last);
-        owned
-            .max_by(|a, b| heat(a.1).total_cmp(&heat(b.1)))
-            .map(|(index, _)| index)
+        // A range on its way stays as it is.
+        let owned = owned.filter(|(_, range)| range.holder.life == *life && range.formers.is_empty());
+        let parts = owned.flat_map(|(index, range)| self.parts_of(index, range, wanted));
+        let best = parts.max_by(|a, b| a.work.total_cmp(&b.work));
+        best.filter(|part| part.work >= MIN_MOVED_BUSY)
     }
 
-    // Splits a range so that its first part has about `wanted` work. Both keep fence and holder.
-    fn split_at_load(&mut self, index: usize, wanted: f64) {
+    fn parts_of(&self, index: usize, range: &book::RangeEntry, wanted: f64) -> Vec<RangePart> {
+        let heat = self.plan.heat;
+        let (first, last) = (range.first, range.last);
+        let head = heat.head_within(first, last, wanted).map(|end| (first, end));
+        let tail = heat.tail_within(first, last, wanted).map(|start| (start, last));
+        let parts = head.into_iter().chain(tail);
+        let parts = parts.map(|(first, last)| RangePart {
+            index,
+            first,
+            last,
+            work: heat.range(first, last),
+        });
+        parts.collect()
+    }
+
+    // Makes a part a range of its own, with the same fence and holder; returns its position.
+    fn cut_part(&mut self, part: &RangePart) -> usize {
+        let mut index = part.index;
         let range = self.ranges[index].clone();
-        let Some(last) = self.split_key(&range, wanted) else {
-            return;
-        };
-        let mut rest = range;
-        rest.first = last + 1;
-        self.ranges[index].last = last;
-        self.ranges.insert(index + 1, rest);
+        if part.last < range.last {
+            let rest = book::RangeEntry { first: part.last + 1, ..range.clone() };
+            self.ranges.insert(index + 1, rest);
+        }
+        if part.first > range.first {
+            self.ranges[index].last = part.first - 1;
+            index += 1;
+            self.ranges.insert(index, range);
+        }
+        self.ranges[index].first = part.first;
+        self.ranges[index].last = part.last;
         self.changed = true;
+        index
     }
 
-    fn split_key(&self, range: &book::RangeEntry, wanted: f64) -> Option<u16> {
-        let mut low = range.first;
-        let mut high = range
-            .last
-            .checked_sub(1)
-            .filter(|last| *last >= range.first)?;
-        while low < high {
-            let middle = low + (high - low) / 2;
-            if self.plan.heat.range(range.first, middle) < wanted {
-                low = middle + 1;
-            } else {
-                high = middle;
-            }
+    // Splits a range so that its first part has about `wanted` work.
+    fn split_at_load(&mut self, index: usize, wanted: f64) {
+        let (first, last) = (self.ranges[index].first, self.ranges[index].last);
+        let end = self.plan.heat.head_within(first, last, wanted).unwrap_or(first);
+        if end < last {
+            let work = self.plan.heat.range(first, end);
+            self.cut_part(&RangePart { index, first, last: end, work });
         }
-        Some(low)
     }
 
     fn assign(&mut self, index: usize, target: &book::KeyHolder) {
--- a/src/serving/desk.rs
+++ b/src/serving/desk.rs
@@ -21,7 +21,7 @@
 /// The service time that is assumed before one is measured, in milliseconds.
 pub const ASSUMED_SERVICE_MS: f64 = 100.0;
 /// How long a request may wait for a key that is on its way to another server, in milliseconds.
-pub const MOVE_PATIENCE_MS: u64 = 700;
+pub const MOVE_PATIENCE_MS: u64 = 1_500;
 /// How long a server that leaves still gets requests for keys that it holds, in milliseconds.
 pub const DRAIN_PATIENCE_MS: u64 = 1_200;
 /// The longest wait that is accepted for a request that is late already, as a part of its time left.
@@ -494,7 +494,7 @@
     // The key has no server at the moment; one may be there soon.
     fn decide_moving(&self, waiting: &Waiting, now: clock::MonoTime) -> Decision {
         let patience = time::Duration::from_millis(MOVE_PATIENCE_MS);
-        if now.since(waiting.since) > patience || now >= waiting.wish.objective {
+        if now.since(waiting.since) > patience {
             return Decision::GiveUp(DeskRefusal::NoServer);
         }
         Decision::Wait
--- a/src/serving/knowledge.rs
+++ b/src/serving/knowledge.rs
@@ -231,14 +231,14 @@
         for report in told.chain(&self.reports) {
             let sum = sums.entry(report.service.clone()).or_default();
             for heat in &report.heat {
-                *sum.entry(heat.stretch).or_default() += heat.busy;
+                *sum.entry(heat.key).or_default() += heat.busy;
             }
         }
         let reports = sums.into_iter().map(|(service, sum)| news::ServiceReport {
             service,
             heat: sum
                 .into_iter()
-                .map(|(stretch, busy)| heat::StretchHeat { stretch, busy })
+                .map(|(key, busy)| heat::KeyHeat { key, busy })
                 .collect(),
         });
         reports.collect()
--- a/src/serving/news.rs
+++ b/src/serving/news.rs
@@ -32,8 +32,8 @@
 pub struct ServiceReport {
     /// The service.
     pub service: names::ServiceName,
-    /// The stretches with work.
-    pub heat: Vec<heat::StretchHeat>,
+    /// The keys with work.
+    pub heat: Vec<heat::KeyHeat>,
 }
 
 /// What the store says, for a host that it turns away.
