Place keys by the requests for them and by servers' speed

Cause: work measured as time at the server depended on who held the key, and noise of short spans moved keys for nothing; slow servers answered late however idle they were; keys were placed before all servers had registered. Change: requests are counted by key, at the service's mean time; a quick estimate finds heat, a steady one balances; levels count slowness, less the fuller the servers are; the first placement waits until servers have gathered.

--- a/src/edge/router/control.rs
+++ b/src/edge/router/control.rs
@@ -517,6 +517,8 @@
                 continue;
             }
             let reports = state.knowledge.heat(now);
+            let times = state.knowledge.service_times(now);
+            state.granter.note_service_times(times);
             for report in &reports {
                 state.granter.note_heat(&report.service, &report.heat);
             }
@@ -532,7 +534,8 @@
             let heat = report.heat.into_iter();
             let heat = heat.map(|(service, heat)| news::ServiceReport { service, heat });
             let mut state = self.state.borrow_mut();
-            state.knowledge.note_traffic(report.demand, heat.collect());
+            let knowledge = &mut state.knowledge;
+            knowledge.note_traffic(report.demand, heat.collect(), report.service_times);
         }
     }
 
--- a/src/edge/router/front.rs
+++ b/src/edge/router/front.rs
@@ -51,6 +51,8 @@
     pub demand: view::ServerDemand,
     /// The work of the keys of each service.
     pub heat: Vec<(names::ServiceName, Vec<heat::KeyHeat>)>,
+    /// The measured time of each server, in milliseconds.
+    pub service_times: Vec<(names::ServerName, f64)>,
 }
 
 /// What a traffic thread is made of.
@@ -127,6 +129,7 @@
             let report = TrafficReport {
                 demand: self.desk.borrow().demand(),
                 heat: self.take_heat(),
+                service_times: self.desk.borrow().service_times(),
             };
             // The control thread may have ended before this one.
             let _ = self.parts.reports.send(report);
@@ -204,7 +207,6 @@
     _in_flight: InFlight,
     thread: rc::Rc<TrafficThread<C>>,
     record: sync::Arc<directory::ServerRecord>,
-    key_of: Option<(names::ServiceName, u16)>,
     started: clock::MonoTime,
     end: measure::ExchangeEnd,
 }
@@ -212,10 +214,6 @@
 impl<C: ports::HeaderCodec> Drop for ServerSlot<C> {
     fn drop(&mut self) {
         let elapsed = self.thread.parts.clock.now().since(self.started);
-        if let Some(key_of) = self.key_of.take() {
-            let mut heat = self.thread.heat.borrow_mut();
-            *heat.entry(key_of).or_default() += elapsed.as_secs_f64() * 1_000.0;
-        }
         self.thread.finish(&self.record.life, self.end, elapsed);
         self.thread.pump();
     }
@@ -415,6 +413,7 @@
     }
 
     async fn serve(self, payload: web::Payload) -> actix_web::HttpResponse {
+        self.note_work();
         let held = match self.read_body(payload).await {
             Ok(held) => held,
             Err(own) => return self.answer_own(own, None),
@@ -559,9 +558,6 @@
             _in_flight: InFlight::new(&self.thread.parts.in_flight),
             thread: rc::Rc::clone(&self.thread),
             record: sync::Arc::clone(record),
-            key_of: self
-                .key
-                .map(|key| (self.service.clone(), key)),
             started: now,
             end: measure::ExchangeEnd::CutShort,
         };
@@ -652,19 +648,19 @@
             server,
             after_ms = now.since(self.arrived).as_millis()
         );
-        self.note_unserved(own);
         let back = (own.status() == 503).then(|| self.return_after(now));
         own_response(own, back)
     }
 
-    // Work that was refused for want of room counts as work of its keys, so that they move.
-    fn note_unserved(&self, own: OwnAnswer) {
-        let (Some(key), OwnAnswer::Refused(desk::DeskRefusal::Crowded)) = (self.key, own) else {
+    // Every request counts as work of its key, served or not, by the mean time of the service's
+    // servers: so the work does not depend on which server holds the key.
+    fn note_work(&self) {
+        let Some(key) = self.key else {
             return;
         };
         let service_ms = self.thread.desk.borrow().service_ms(&self.service);
-        let key_of = (self.service.clone(), key);
-        *self.thread.heat.borrow_mut().entry(key_of).or_default() += service_ms;
+        let place = (self.service.clone(), key);
+        *self.thread.heat.borrow_mut().entry(place).or_default() += service_ms;
     }
 
     // When a refused caller may come back: when room is likely, spread out, and in time.
--- a/src/ownership/granter.rs
+++ b/src/ownership/granter.rs
@@ -31,10 +31,10 @@
 /// How long a release may take, in milliseconds: it waits for the work under way.
 pub const RELEASE_TIMEOUT_MS: u64 = 1_500;
 /// How long a plan waits after the last one, in milliseconds, where no server was lost.
-pub const PLAN_INTERVAL_MS: u64 = 250;
-/// How long a new granter waits for servers to register before it places keys for the first time,
+pub const PLAN_INTERVAL_MS: u64 = 400;
+/// How long no further server of a service registers until its keys are placed for the first time,
 /// in milliseconds.
-pub const FIRST_PLACE_MS: u64 = 400;
+pub const FIRST_PLACE_MS: u64 = 1_200;
 /// By how much a claimant's wait exceeds the former granter's right, in milliseconds: an order that
 /// was sent at its last moment is answered or reset by then.
 pub const FOREIGN_ORDER_MS: u64 = 700;
@@ -219,7 +219,6 @@
     appending: Option<book::GrantBook>,
     append_retry: clock::MonoTime,
     candidate: bool,
-    claimed_at: clock::MonoTime,
     planned_at: clock::MonoTime,
     runs: collections::BTreeMap<RangeId, RangeRun>,
     silences: collections::BTreeMap<book::ServerLife, Silence>,
@@ -230,6 +229,9 @@
     yielded: bool,
     append_sent: clock::MonoTime,
     heat: heat::ServiceHeat,
+    service_times: collections::BTreeMap<names::ServerName, f64>,
+    // Since when the servers of a service without ranges have been the same.
+    gathered: collections::BTreeMap<names::ServiceName, (usize, clock::MonoTime)>,
 }
 
 impl KeyGranter {
@@ -254,7 +256,6 @@
             appending: None,
             append_retry: origin,
             candidate: false,
-            claimed_at: origin,
             planned_at: origin,
             runs: collections::BTreeMap::new(),
             silences: collections::BTreeMap::new(),
@@ -263,6 +264,8 @@
             yielded: false,
             append_sent: origin,
             heat: heat::ServiceHeat::new(),
+            service_times: collections::BTreeMap::new(),
+            gathered: collections::BTreeMap::new(),
         })
     }
 
@@ -327,6 +330,11 @@
         self.duty.confirm(at);
     }
 
+    /// Takes the measured time of servers, in milliseconds.
+    pub fn note_service_times(&mut self, times: Vec<(names::ServerName, f64)>) {
+        self.service_times = times.into_iter().collect();
+    }
+
     /// Takes the work of a service's keys.
     pub fn note_heat(&mut self, service: &names::ServiceName, report: &[heat::KeyHeat]) {
         self.heat.entry(service.clone()).or_default().note(report);
@@ -363,7 +371,6 @@
 
     fn follow_append(&mut self, former: &book::GrantBook, now: clock::MonoTime) {
         if self.duty.state() == duty::DutyState::Claiming {
-            self.claimed_at = now;
             self.take_foreign(former, now);
             self.run_duty(duty::DutyEvent::ClaimAppended);
         }
@@ -547,12 +554,12 @@
         let mut changed = self.forget_vacated(&mut next);
         changed |= self.raise_refused(&mut next);
         let settled = now >= self.planned_at + time::Duration::from_millis(PLAN_INTERVAL_MS);
-        let placing = now >= self.claimed_at + time::Duration::from_millis(FIRST_PLACE_MS);
         for service in services {
-            if !placing && !next.services.contains_key(service) {
+            let takers = self.takers(now, service, servers);
+            let gathered = self.has_gathered(service, takers.len(), now);
+            if !gathered && !next.services.contains_key(service) {
                 continue;
             }
-            let takers = self.takers(now, service, servers);
             let heat = self.heat.entry(service.clone()).or_default();
             let plan = plan::ServicePlan {
                 takers: &takers,
@@ -581,15 +588,34 @@
                 && !self.is_silent(&record.life, now)
                 && !self.ended.contains(&record.life)
         });
-        ready
-            .map(|record| plan::KeyTaker {
-                holder: book::KeyHolder {
-                    life: record.life.clone(),
-                    address: record.address,
-                },
-                capacity: f64::from(record.slots),
-            })
-            .collect()
+        let ready: Vec<_> = ready.collect();
+        let time_of = |record: &&sync::Arc<directory::ServerRecord>| {
+            self.service_times.get(&record.life.server).copied()
+        };
+        let usual = median(ready.iter().filter_map(time_of).collect());
+        let takers = ready.iter().map(|record| plan::KeyTaker {
+            holder: book::KeyHolder {
+                life: record.life.clone(),
+                address: record.address,
+            },
+            slots: f64::from(record.slots),
+            speed: plan::speed(usual, time_of(record)),
+        });
+        takers.collect()
+    }
+
+    // Whether the servers of a service without ranges have all come, as far as one can tell.
+    fn has_gathered(
+        &mut self,
+        service: &names::ServiceName,
+        count: usize,
+        now: clock::MonoTime,
+    ) -> bool {
+        let known = self.gathered.entry(service.clone()).or_insert((count, now));
+        if known.0 != count {
+            *known = (count, now);
+        }
+        now >= known.1 + time::Duration::from_millis(FIRST_PLACE_MS)
     }
 
     // Whether a server gets no keys because its orders went unanswered.
@@ -777,6 +803,12 @@
     record.is_some_and(|record| record.life.born > life.born)
 }
 
+fn median(values: Vec<f64>) -> Option<f64> {
+    let mut values = values;
+    values.sort_by(f64::total_cmp);
+    values.get(values.len() / 2).copied()
+}
+
 fn range_id(service: &names::ServiceName, range: &book::RangeEntry) -> RangeId {
     RangeId {
         service: service.clone(),
--- a/src/ownership/heat.rs
+++ b/src/ownership/heat.rs
@@ -4,8 +4,10 @@
 
 use crate::names;
 
-/// The weight of the newest report in the running estimate.
-pub const REPORT_WEIGHT: f64 = 0.5;
+/// The weight of the newest report in the estimate that finds heat quickly.
+pub const QUICK_WEIGHT: f64 = 0.5;
+/// The weight of the newest report in the estimate that ordinary balance rests on.
+pub const STEADY_WEIGHT: f64 = 0.1;
 /// The work below which a key is forgotten, in slots.
 pub const FORGOTTEN_BUSY: f64 = 0.002;
 /// The part of the measured work that is assumed of all keys together, so that quiet keys count.
@@ -22,26 +24,32 @@
 }
 
 /// The running estimate for the keys of one service.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct HeatMap {
+    weight: f64,
     busy: collections::BTreeMap<u16, f64>,
     total: f64,
 }
 
 impl HeatMap {
-    /// Creates a map without work.
+    /// Creates a map without work, in which the newest report has `weight`.
     #[must_use]
-    pub fn new() -> Self {
-        Self::default()
+    pub const fn new(weight: f64) -> Self {
+        Self {
+            weight,
+            busy: collections::BTreeMap::new(),
+            total: 0.0,
+        }
     }
 
     /// Takes the sum of the hosts' newest reports.
     pub fn note(&mut self, report: &[KeyHeat]) {
+        let keep = 1.0 - self.weight;
         for busy in self.busy.values_mut() {
-            *busy *= 1.0 - REPORT_WEIGHT;
+            *busy *= keep;
         }
         for heat in report {
-            *self.busy.entry(heat.key).or_default() += f64::from(heat.busy) * REPORT_WEIGHT;
+            *self.busy.entry(heat.key).or_default() += f64::from(heat.busy) * self.weight;
         }
         self.busy.retain(|_, busy| *busy > FORGOTTEN_BUSY);
         self.total = self.busy.values().sum();
@@ -95,6 +103,16 @@
         Some(first)
     }
 
+    /// Returns the key of a range with the most work, and its work.
+    #[must_use]
+    pub fn hottest_key(&self, first: u16, last: u16) -> Option<(u16, f64)> {
+        let keys = self
+            .busy
+            .range(first..=last)
+            .map(|(key, busy)| (*key, *busy));
+        keys.max_by(|a, b| a.1.total_cmp(&b.1))
+    }
+
     // As many quiet keys from `next` to `last` as fit into `most`.
     fn fill(&self, next: u16, last: u16, first: u16, most: f64) -> Option<u16> {
         let before = next.checked_sub(1).filter(|before| *before >= first);
@@ -107,7 +125,11 @@
             return Some(last);
         }
         let fitting = (most / idle).floor().clamp(0.0, keys);
-        #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "within the range")]
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "within the range"
+        )]
         let fitting = fitting as u16;
         match fitting {
             0 => before,
@@ -121,5 +143,37 @@
     }
 }
 
+/// The estimates of one service.
+#[derive(Clone, Debug)]
+pub struct KeyHeatMaps {
+    /// The one that finds heat quickly.
+    pub quick: HeatMap,
+    /// The one that ordinary balance rests on.
+    pub steady: HeatMap,
+}
+
+impl KeyHeatMaps {
+    /// Creates maps without work.
+    #[must_use]
+    pub const fn new() -> Self {
+        Self {
+            quick: HeatMap::new(QUICK_WEIGHT),
+            steady: HeatMap::new(STEADY_WEIGHT),
+        }
+    }
+
+    /// Takes the sum of the hosts' newest reports.
+    pub fn note(&mut self, report: &[KeyHeat]) {
+        self.quick.note(report);
+        self.steady.note(report);
+    }
+}
+
+impl Default for KeyHeatMaps {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
 /// The maps of all services.
-pub type ServiceHeat = collections::BTreeMap<names::ServiceName, HeatMap>;
+pub type ServiceHeat = collections::BTreeMap<names::ServiceName, KeyHeatMaps>;
--- a/src/ownership/plan.rs
+++ b/src/ownership/plan.rs
@@ -7,14 +7,21 @@
 use crate::ownership::book;
 use crate::ownership::heat;
 
-/// The utilisation above which keys move to cooler servers.
-pub const HOT_UTILISATION: f64 = 1.0;
-/// By how much the hottest server must exceed the mean for keys to move.
-pub const HOT_RATIO: f64 = 1.4;
+/// By how much the levels of two servers must differ for keys to move, by the steady estimate.
+pub const STEADY_GAP: f64 = 0.5;
+/// By how much they must differ by the quick estimate.
+pub const QUICK_GAP: f64 = 1.0;
+/// By how much a move must lower the higher level.
+pub const LEAST_GAIN: f64 = 0.15;
+/// How much fuller than an infinitely fast server an ordinary one counts while all are idle: slow
+/// servers answer late however idle they are. It falls to nothing as the servers fill up.
+pub const SLOWNESS_WEIGHT: f64 = 0.25;
+/// The lowest and the highest speed that is believed.
+pub const SPEED_BOUNDS: (f64, f64) = (0.3, 2.5);
 /// How many moves for load one plan makes for a service.
 pub const MAX_MOVES: usize = 6;
 /// The least work for which keys move, in slots.
-pub const MIN_MOVED_BUSY: f64 = 0.05;
+pub const MIN_MOVED_BUSY: f64 = 0.15;
 /// How many ranges a service has for each server, at most.
 pub const MAX_RANGES_PER_SERVER: usize = 8;
 
@@ -23,8 +30,30 @@
 pub struct KeyTaker {
     /// The server.
     pub holder: book::KeyHolder,
-    /// What it can run, in slots of an ordinary server.
-    pub capacity: f64,
+    /// How many requests it runs at a time.
+    pub slots: f64,
+    /// How fast it is, 1 for an ordinary server.
+    pub speed: f64,
+}
+
+impl KeyTaker {
+    // What it can run, in slots of an ordinary server.
+    fn capacity(&self) -> f64 {
+        (self.slots * self.speed).max(f64::MIN_POSITIVE)
+    }
+
+    // How full it is with `load`, and how slow; keys go from high levels to low ones.
+    fn level(&self, load: f64, slowness: f64) -> f64 {
+        load / self.capacity() + slowness / self.speed
+    }
+}
+
+/// Returns a server's speed from the usual time of a request and its own, in milliseconds.
+#[must_use]
+pub fn speed(usual: Option<f64>, own: Option<f64>) -> f64 {
+    let known = usual.zip(own).filter(|(_, own)| *own > 0.0);
+    let speed = known.map_or(1.0, |(usual, own)| usual / own);
+    speed.clamp(SPEED_BOUNDS.0, SPEED_BOUNDS.1)
 }
 
 /// What a plan knows of one service.
@@ -33,7 +62,7 @@
     /// The servers that may take keys.
     pub takers: &'a [KeyTaker],
     /// The work of the keys.
-    pub heat: &'a heat::HeatMap,
+    pub heat: &'a heat::KeyHeatMaps,
     /// Whether moves for load may begin.
     pub may_move: bool,
 }
@@ -49,19 +78,23 @@
         return false;
     }
     let ranges = book.services.remove(service).unwrap_or_default();
-    let mut state = PlanState::new(book, plan, ranges);
+    let mut state = PlanState::new(book, plan.takers, &plan.heat.steady, ranges);
     if state.ranges.is_empty() {
         state.place_first();
     } else {
         state.move_from_lost();
         state.fill_joined();
         if plan.may_move {
-            state.move_for_load();
+            state.move_for_load(STEADY_GAP);
         }
     }
-    let PlanState {
-        ranges, changed, ..
-    } = state;
+    let (ranges, mut changed) = (state.ranges, state.changed);
+    let mut quick = PlanState::new(book, plan.takers, &plan.heat.quick, ranges);
+    if plan.may_move {
+        quick.move_for_load(QUICK_GAP);
+    }
+    changed |= quick.changed;
+    let ranges = quick.ranges;
     book.services.insert(service.clone(), ranges);
     changed
 }
@@ -74,42 +107,49 @@
     work: f64,
 }
 
-struct PlanState<'a, 'b> {
+struct PlanState<'a> {
     book: &'a mut book::GrantBook,
-    plan: &'a ServicePlan<'b>,
+    takers: &'a [KeyTaker],
+    heat: &'a heat::HeatMap,
     ranges: Vec<book::RangeEntry>,
     loads: collections::BTreeMap<book::ServerLife, f64>,
+    slowness: f64,
     changed: bool,
 }
 
-impl<'a, 'b> PlanState<'a, 'b> {
+impl<'a> PlanState<'a> {
     fn new(
         book: &'a mut book::GrantBook,
-        plan: &'a ServicePlan<'b>,
+        takers: &'a [KeyTaker],
+        heat: &'a heat::HeatMap,
         ranges: Vec<book::RangeEntry>,
     ) -> Self {
-        let lives = plan.takers.iter().map(|taker| taker.holder.life.clone());
+        let lives = takers.iter().map(|taker| taker.holder.life.clone());
         let mut loads: collections::BTreeMap<_, _> = lives.map(|life| (life, 0.0)).collect();
         for range in &ranges {
             if let Some(load) = loads.get_mut(&range.holder.life) {
-                *load += plan.heat.range(range.first, range.last);
+                *load += heat.range(range.first, range.last);
             }
         }
+        let capacity: f64 = takers.iter().map(KeyTaker::capacity).sum();
+        let filled = heat.range(0, book::MAX_KEY) / capacity.max(f64::MIN_POSITIVE);
         Self {
             book,
-            plan,
+            takers,
+            heat,
             ranges,
             loads,
+            slowness: SLOWNESS_WEIGHT * (1.0 - filled).clamp(0.0, 1.0),
             changed: false,
         }
     }
 
     // Splits all keys evenly.
     fn place_first(&mut self) {
-        let count = u32::try_from(self.plan.takers.len()).unwrap_or(1);
+        let count = u32::try_from(self.takers.len()).unwrap_or(1);
         let keys = u32::from(book::MAX_KEY) + 1;
         let mut first = 0;
-        for (index, taker) in (1..=count).zip(self.plan.takers) {
+        for (index, taker) in (1..=count).zip(self.takers) {
             let end = keys * index / count;
             let range = book::RangeEntry {
                 first: to_key(first),
@@ -135,14 +175,13 @@
                 continue;
             }
             if self
-                .plan
                 .heat
                 .range(self.ranges[index].first, self.ranges[index].last)
                 > fair / 2.0
             {
                 self.split_at_load(index, fair / 2.0);
             }
-            let taker = self.coolest();
+            let taker = self.takers[self.coolest()].holder.clone();
             self.assign(index, &taker);
             index += 1;
         }
@@ -155,70 +194,103 @@
             .iter()
             .map(|range| range.holder.life.clone())
             .collect();
-        let takers = self.plan.takers.iter();
+        let takers = self.takers.iter();
         let empty: Vec<_> = takers
             .filter(|taker| !holding.contains(&taker.holder.life))
             .map(|taker| taker.holder.clone())
             .collect();
         for joined in empty {
-            self.move_part(&joined, self.fair_load());
+            self.move_part(&joined, self.fair_load() / 2.0);
         }
     }
 
-    fn move_for_load(&mut self) {
+    fn move_for_load(&mut self, gap: f64) {
         for _ in 0..MAX_MOVES {
-            if self.ranges.len() >= self.plan.takers.len() * MAX_RANGES_PER_SERVER {
+            if self.ranges.len() >= self.takers.len() * MAX_RANGES_PER_SERVER {
                 return;
             }
-            let Some((_, hot)) = self.hottest() else {
-                return;
-            };
-            let mean = self.mean_utilisation();
-            if hot < HOT_UTILISATION || hot < mean * HOT_RATIO {
+            let (hottest, coolest) = (self.hottest(), self.coolest());
+            if self.level(hottest) - self.level(coolest) < gap {
                 return;
             }
-            let coolest = self.coolest();
-            if !self.move_part(&coolest, f64::INFINITY) {
+            if !self.even_out(hottest, coolest) {
                 return;
             }
         }
     }
 
-    // Moves a part of the hottest server's keys to `target`: up to half of the difference, and no
-    // more than `most`. A key that is hot by itself stays; the keys beside it go.
-    fn move_part(&mut self, target: &book::KeyHolder, most: f64) -> bool {
-        let Some((life, _)) = self.hottest() else {
-            return false;
-        };
-        if life == target.life {
-            return false;
-        }
-        let load = |state: &Self, life: &book::ServerLife| state.loads.get(life).copied();
-        let gap = load(self, &life).unwrap_or(0.0) - load(self, &target.life).unwrap_or(0.0);
-        let wanted = (gap / 2.0).min(most);
-        let Some(part) = self.best_part(&life, wanted) else {
+    // Moves keys from one server to another until their levels meet. A key that is hot by itself
+    // stays, and the keys beside it go, unless the other server does better with it.
+    fn even_out(&mut self, hottest: usize, coolest: usize) -> bool {
+        let (from, to) = (&self.takers[hottest], &self.takers[coolest]);
+        let gap = self.level(hottest) - self.level(coolest);
+        let wanted = gap / (1.0 / from.capacity() + 1.0 / to.capacity());
+        let part = self.best_part(&from.holder.life, wanted);
+        let part = part.or_else(|| self.hot_key_part(hottest, coolest));
+        let Some(part) = part else {
             return false;
         };
+        let target = to.holder.clone();
         let index = self.cut_part(&part);
-        self.assign(index, target);
+        self.assign(index, &target);
         true
     }
 
+    // The hottest single key of a server, where another server would be less full with it.
+    fn hot_key_part(&self, hottest: usize, coolest: usize) -> Option<RangePart> {
+        let (from, to) = (&self.takers[hottest], &self.takers[coolest]);
+        let life = &from.holder.life;
+        let owned = self.ranges.iter().enumerate();
+        let owned =
+            owned.filter(|(_, range)| range.holder.life == *life && range.formers.is_empty());
+        let keys = owned.filter_map(|(index, range)| {
+            let (key, work) = self.heat.hottest_key(range.first, range.last)?;
+            Some(RangePart {
+                index,
+                first: key,
+                last: key,
+                work,
+            })
+        });
+        let part = keys.max_by(|a, b| a.work.total_cmp(&b.work))?;
+        let load = self.load(to) + part.work;
+        let better = to.level(load, self.slowness) + LEAST_GAIN < self.level(hottest);
+        better.then_some(part)
+    }
+
+    // Gives `target` keys of the hottest server with up to `most` work.
+    fn move_part(&mut self, target: &book::KeyHolder, most: f64) {
+        let hottest = self.hottest();
+        let life = self.takers[hottest].holder.life.clone();
+        if life == target.life {
+            return;
+        }
+        if let Some(part) = self.best_part(&life, most) {
+            let index = self.cut_part(&part);
+            self.assign(index, target);
+        }
+    }
+
     // The part of a server's ranges with the most work that is within `wanted`.
     fn best_part(&self, life: &book::ServerLife, wanted: f64) -> Option<RangePart> {
         let owned = self.ranges.iter().enumerate();
         // A range on its way stays as it is.
-        let owned = owned.filter(|(_, range)| range.holder.life == *life && range.formers.is_empty());
+        let owned =
+            owned.filter(|(_, range)| range.holder.life == *life && range.formers.is_empty());
         let parts = owned.flat_map(|(index, range)| self.parts_of(index, range, wanted));
         let best = parts.max_by(|a, b| a.work.total_cmp(&b.work));
         best.filter(|part| part.work >= MIN_MOVED_BUSY)
     }
 
     fn parts_of(&self, index: usize, range: &book::RangeEntry, wanted: f64) -> Vec<RangePart> {
-        let heat = self.plan.heat;
+        let heat = self.heat;
         let (first, last) = (range.first, range.last);
-        let head = heat.head_within(first, last, wanted).map(|end| (first, end));
-        let tail = heat.tail_within(first, last, wanted).map(|start| (start, last));
+        let head = heat
+            .head_within(first, last, wanted)
+            .map(|end| (first, end));
+        let tail = heat
+            .tail_within(first, last, wanted)
+            .map(|start| (start, last));
         let parts = head.into_iter().chain(tail);
         let parts = parts.map(|(first, last)| RangePart {
             index,
@@ -234,7 +306,10 @@
         let mut index = part.index;
         let range = self.ranges[index].clone();
         if part.last < range.last {
-            let rest = book::RangeEntry { first: part.last + 1, ..range.clone() };
+            let rest = book::RangeEntry {
+                first: part.last + 1,
+                ..range.clone()
+            };
             self.ranges.insert(index + 1, rest);
         }
         if part.first > range.first {
@@ -251,17 +326,22 @@
     // Splits a range so that its first part has about `wanted` work.
     fn split_at_load(&mut self, index: usize, wanted: f64) {
         let (first, last) = (self.ranges[index].first, self.ranges[index].last);
-        let end = self.plan.heat.head_within(first, last, wanted).unwrap_or(first);
+        let end = self.heat.head_within(first, last, wanted).unwrap_or(first);
         if end < last {
-            let work = self.plan.heat.range(first, end);
-            self.cut_part(&RangePart { index, first, last: end, work });
+            let work = self.heat.range(first, end);
+            self.cut_part(&RangePart {
+                index,
+                first,
+                last: end,
+                work,
+            });
         }
     }
 
     fn assign(&mut self, index: usize, target: &book::KeyHolder) {
         let fence = self.book.take_fence();
         let range = &mut self.ranges[index];
-        let work = self.plan.heat.range(range.first, range.last);
+        let work = self.heat.range(range.first, range.last);
         let former = std::mem::replace(&mut range.holder, target.clone());
         if let Some(load) = self.loads.get_mut(&former.life) {
             *load -= work;
@@ -275,32 +355,30 @@
         self.changed = true;
     }
 
-    fn utilisation(&self, taker: &KeyTaker) -> f64 {
-        let load = self.loads.get(&taker.holder.life).copied().unwrap_or(0.0);
-        load / taker.capacity.max(f64::MIN_POSITIVE)
+    fn load(&self, taker: &KeyTaker) -> f64 {
+        self.loads.get(&taker.holder.life).copied().unwrap_or(0.0)
     }
 
-    fn hottest(&self) -> Option<(book::ServerLife, f64)> {
-        let takers = self.plan.takers.iter();
-        let rated = takers.map(|taker| (taker.holder.life.clone(), self.utilisation(taker)));
-        rated.max_by(|a, b| a.1.total_cmp(&b.1))
+    fn level(&self, index: usize) -> f64 {
+        let taker = &self.takers[index];
+        taker.level(self.load(taker), self.slowness)
     }
 
-    fn coolest(&self) -> book::KeyHolder {
-        let takers = self.plan.takers.iter();
-        let coolest = takers.min_by(|a, b| self.utilisation(a).total_cmp(&self.utilisation(b)));
-        // `plan_service` returns early where there is no taker.
-        coolest.unwrap_or(&self.plan.takers[0]).holder.clone()
+    fn hottest(&self) -> usize {
+        let indexes = 0..self.takers.len();
+        let hottest = indexes.max_by(|a, b| self.level(*a).total_cmp(&self.level(*b)));
+        hottest.unwrap_or(0)
     }
 
-    fn mean_utilisation(&self) -> f64 {
-        let capacity: f64 = self.plan.takers.iter().map(|taker| taker.capacity).sum();
-        self.loads.values().sum::<f64>() / capacity.max(f64::MIN_POSITIVE)
+    fn coolest(&self) -> usize {
+        let indexes = 0..self.takers.len();
+        let coolest = indexes.min_by(|a, b| self.level(*a).total_cmp(&self.level(*b)));
+        coolest.unwrap_or(0)
     }
 
     fn fair_load(&self) -> f64 {
-        let total = self.plan.heat.range(0, book::MAX_KEY);
-        let count = u32::try_from(self.plan.takers.len()).unwrap_or(1);
+        let total = self.heat.range(0, book::MAX_KEY);
+        let count = u32::try_from(self.takers.len()).unwrap_or(1);
         total / f64::from(count.max(1))
     }
 }
--- a/src/serving/desk.rs
+++ b/src/serving/desk.rs
@@ -275,6 +275,15 @@
         }
     }
 
+    /// Returns the measured time of each server, in milliseconds.
+    #[must_use]
+    pub fn service_times(&self) -> Vec<(names::ServerName, f64)> {
+        let lanes = self.lanes.iter();
+        let known =
+            lanes.filter_map(|(name, lane)| Some((name.clone(), lane.measure.service_ms()?)));
+        known.collect()
+    }
+
     /// Returns the time until room is likely, for a request that was refused.
     #[must_use]
     pub fn expected_wait(&self, wish: &ServerWish, now: clock::MonoTime) -> time::Duration {
--- a/src/serving/knowledge.rs
+++ b/src/serving/knowledge.rs
@@ -34,6 +34,7 @@
     lost: collections::BTreeSet<&'static str>,
     demand: view::ServerDemand,
     reports: Vec<news::ServiceReport>,
+    service_times: Vec<(names::ServerName, f64)>,
 }
 
 impl HostKnowledge {
@@ -50,6 +51,7 @@
             lost: collections::BTreeSet::new(),
             demand: view::ServerDemand::new(),
             reports: Vec::new(),
+            service_times: Vec::new(),
         }
     }
 
@@ -130,9 +132,15 @@
     }
 
     /// Takes what the traffic threads report.
-    pub fn note_traffic(&mut self, demand: view::ServerDemand, reports: Vec<news::ServiceReport>) {
+    pub fn note_traffic(
+        &mut self,
+        demand: view::ServerDemand,
+        reports: Vec<news::ServiceReport>,
+        service_times: Vec<(names::ServerName, f64)>,
+    ) {
         self.demand = demand;
         self.reports = reports;
+        self.service_times = service_times;
     }
 
     /// Takes another host's news; returns what it relays of the store.
@@ -192,6 +200,11 @@
             } else {
                 Vec::new()
             },
+            service_times: if granter {
+                self.service_times.clone()
+            } else {
+                Vec::new()
+            },
             relay,
         }
     }
@@ -244,6 +257,25 @@
         reports.collect()
     }
 
+    /// Returns the mean time that each server takes, by all hosts that measured it, in milliseconds.
+    #[must_use]
+    pub fn service_times(&self, now: clock::MonoTime) -> Vec<(names::ServerName, f64)> {
+        let span = time::Duration::from_millis(DEMAND_SPAN_MS);
+        let fresh = self
+            .peers
+            .values()
+            .filter(|peer| now.since(peer.heard) < span);
+        let told = fresh.flat_map(|peer| &peer.news.service_times);
+        let mut sums = collections::BTreeMap::<_, (f64, u32)>::new();
+        for (server, millis) in told.chain(&self.service_times) {
+            let sum = sums.entry(server.clone()).or_default();
+            *sum = (sum.0 + millis, sum.1 + 1);
+        }
+        let means = sums.into_iter();
+        let means = means.map(|(server, (sum, count))| (server, sum / f64::from(count)));
+        means.collect()
+    }
+
     /// Returns the services whose servers own keys.
     #[must_use]
     pub fn sharded_services(&self) -> Vec<names::ServiceName> {
--- a/src/serving/news.rs
+++ b/src/serving/news.rs
@@ -66,6 +66,8 @@
     pub demand: view::ServerDemand,
     /// The work of keys, for the host that grants.
     pub reports: Vec<ServiceReport>,
+    /// The measured time of servers, in milliseconds, for the host that grants.
+    pub service_times: Vec<(names::ServerName, f64)>,
     /// What the store says, for a host that it turns away.
     pub relay: Option<StoreRelay>,
 }
