--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod http;
 pub mod key_server;
 pub mod log_state;
+pub mod platform_site;
 pub mod scenario;
 pub mod server_state;
 pub mod site;
--- /dev/null
+++ b/lab/src/platform_site/settings.rs
@@ -0,0 +1,62 @@
+//! The settings file of one entry host, as the platform writes it, and the operator's configuration.
+
+use std::net;
+
+/// Where the parts of one entry host listen.
+#[derive(Clone, Copy, Debug)]
+pub struct HostPorts {
+    /// Where callers connect.
+    pub front: net::SocketAddr,
+    /// Where readiness is asked for.
+    pub ready: net::SocketAddr,
+    /// The port for other hosts.
+    pub peers: u16,
+}
+
+/// Returns the settings file of a host.
+#[must_use]
+pub fn settings_file(name: &str, ports: &HostPorts, store: net::SocketAddr) -> serde_json::Value {
+    serde_json::json!({
+        "grants": "call",
+        "self": { "node": name, "zone": "north", "ip": ports.front.ip() },
+        "network": {
+            "listen": { "front": ports.front, "ready": ports.ready },
+            "internal_ports": [ports.peers, ports.peers],
+        },
+        "platform": { "platform": { "address": store, "min_ttl_ms": 1_000 } },
+        "terms": { "bounds": {
+            "grace_s": 4, "retry_ratio": 0.2, "retry_slack": 60, "max_hold_ms": 10_000,
+        } },
+    })
+}
+
+/// Returns a configuration with the route `/stock/` to a service with keys and `/orders/` to a pool,
+/// and `/extra/` where `extra` says so.
+#[must_use]
+pub fn configuration(version: u64, extra: bool) -> serde_json::Value {
+    let route = |name: &str, prefix: &str, kind: &str, service: &str| {
+        serde_json::json!({
+            "name": name, "path_prefix": prefix, "kind": kind, "timeout_ms": 2_000,
+            "target_latency_ms": 500, "priority": 1, "max_attempts": 2, "service": service,
+        })
+    };
+    let mut paths = vec![
+        route("r-stock", "/stock/", "safe", "stock"),
+        route("r-orders", "/orders/", "unsafe", "orders"),
+    ];
+    if extra {
+        paths.push(route("r-extra", "/extra/", "unsafe", "orders"));
+    }
+    serde_json::json!({
+        "version": version,
+        "services": [
+            { "name": "stock", "health_path": "/health", "max_conns": 100, "use_shards": true },
+            { "name": "orders", "health_path": "/health", "max_conns": 100 },
+        ],
+        "limits": {
+            "max_header_bytes": 4_096, "max_body_bytes": 3_000_000,
+            "header_timeout_ms": 3_000, "idle_timeout_ms": 15_000,
+        },
+        "hosts": [{ "host": "desk.example", "paths": paths }],
+    })
+}
--- /dev/null
+++ b/lab/src/platform_site/store.rs
@@ -0,0 +1,297 @@
+//! The platform's store: keyed logs, conditional appends and groups.
+
+use std::collections;
+use std::net;
+use std::sync;
+use std::time;
+
+use actix_web::web;
+use base64::Engine as _;
+use bytes::BufMut as _;
+
+use crate::http;
+
+/// How long the store sleeps between two looks for a record that a reader waits for, in
+/// milliseconds.
+const LOOK_MS: u64 = 10;
+
+/// One record with a key.
+#[derive(Clone, Debug)]
+struct StoredRecord {
+    offset: u64,
+    key: String,
+    value: Vec<u8>,
+}
+
+#[derive(Debug, Default)]
+struct TopicState {
+    end: u64,
+    first: u64,
+    records: collections::VecDeque<StoredRecord>,
+    newest: collections::BTreeMap<String, StoredRecord>,
+}
+
+/// What goes wrong at the store.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct StoreFaults {
+    /// Every call is refused with 503.
+    pub is_down: bool,
+    /// So many appends are done and not answered.
+    pub lose_appends: u32,
+}
+
+/// The state of the store.
+#[derive(Debug, Default)]
+pub struct StoreState {
+    topics: collections::BTreeMap<String, TopicState>,
+    members: collections::BTreeMap<String, time::Instant>,
+    owner: Option<String>,
+    generation: u64,
+    /// What goes wrong.
+    pub faults: StoreFaults,
+}
+
+impl StoreState {
+    /// Creates an empty store.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Appends a record; without a value it removes the key. Returns its offset.
+    pub fn append(&mut self, topic: &str, key: &str, value: &[u8]) -> u64 {
+        let topic = self.topics.entry(topic.to_owned()).or_default();
+        let record = StoredRecord {
+            offset: topic.end,
+            key: key.to_owned(),
+            value: value.to_vec(),
+        };
+        topic.end += 1;
+        if value.is_empty() {
+            topic.newest.remove(key);
+        } else {
+            topic.newest.insert(key.to_owned(), record.clone());
+        }
+        topic.records.push_back(record);
+        topic.end - 1
+    }
+
+    /// Forgets all records but the newest of each key.
+    pub fn compact(&mut self) {
+        for topic in self.topics.values_mut() {
+            topic.records.clear();
+            topic.first = topic.end;
+        }
+    }
+
+    /// Deals the group's partitions anew: another member holds the first.
+    pub fn deal_anew(&mut self) {
+        self.generation += 1;
+        let next = self
+            .members
+            .keys()
+            .find(|member| Some(*member) != self.owner.as_ref());
+        self.owner = next.cloned().or(self.owner.take());
+    }
+
+    fn join(&mut self, member: &str, ttl: time::Duration) -> bool {
+        let now = time::Instant::now();
+        self.members.insert(member.to_owned(), now + ttl);
+        self.members.retain(|_, until| now < *until);
+        let lapsed = |owner: &String| !self.members.contains_key(owner);
+        if self.owner.as_ref().is_none_or(lapsed) {
+            self.generation += 1;
+            self.owner = self.members.keys().next().cloned();
+        }
+        self.owner.as_deref() == Some(member)
+    }
+}
+
+#[derive(Debug)]
+#[derive(serde::Deserialize)]
+struct AppendQuery {
+    topic: String,
+    at: Option<u64>,
+}
+
+#[derive(Debug)]
+#[derive(serde::Deserialize)]
+struct ReadQuery {
+    topic: String,
+    from: u64,
+    wait_ms: Option<u64>,
+}
+
+#[derive(Debug)]
+#[derive(serde::Deserialize)]
+struct NewestQuery {
+    topic: String,
+}
+
+#[derive(Debug)]
+#[derive(serde::Deserialize)]
+struct JoinBody {
+    member: String,
+    topics: Vec<String>,
+    ttl_ms: u64,
+}
+
+#[derive(Debug)]
+#[derive(serde::Deserialize)]
+struct LeaveBody {
+    member: String,
+}
+
+type SharedStore = web::Data<sync::Mutex<StoreState>>;
+
+/// Serves the store.
+///
+/// # Errors
+/// Fails when the listener cannot be used.
+pub fn serve(
+    listener: net::TcpListener,
+    state: http::Shared<StoreState>,
+) -> std::io::Result<actix_web::dev::ServerHandle> {
+    let state = web::Data::from(state);
+    let server = actix_web::HttpServer::new(move || {
+        actix_web::App::new()
+            .app_data(state.clone())
+            .app_data(web::PayloadConfig::new(http::MAX_BODY_BYTES))
+            .route("/zinniastack/log-append", web::post().to(answer_append))
+            .route("/zinniastack/log-read", web::get().to(answer_read))
+            .route("/zinniastack/log-newest", web::get().to(answer_newest))
+            .route("/zinniastack/log-join", web::post().to(answer_join))
+            .route("/zinniastack/log-leave", web::post().to(answer_leave))
+    })
+    .workers(1)
+    .disable_signals()
+    .listen(listener)?
+    .run();
+    let handle = server.handle();
+    actix::spawn(server);
+    Ok(handle)
+}
+
+fn lock(store: &SharedStore) -> sync::MutexGuard<'_, StoreState> {
+    store.lock().unwrap_or_else(sync::PoisonError::into_inner)
+}
+
+fn is_down(store: &SharedStore) -> bool {
+    lock(store).faults.is_down
+}
+
+async fn answer_append(
+    store: SharedStore,
+    query: web::Query<AppendQuery>,
+    body: web::Bytes,
+) -> actix_web::HttpResponse {
+    let mut state = lock(&store);
+    if state.faults.is_down {
+        return actix_web::HttpResponse::ServiceUnavailable().finish();
+    }
+    let end = state.topics.get(&query.topic).map_or(0, |topic| topic.end);
+    if query.at.is_some_and(|at| at != end) {
+        return actix_web::HttpResponse::PreconditionFailed()
+            .json(serde_json::json!({ "end": end }));
+    }
+    // One record a call: four bytes of length, a byte of length, the key, the value.
+    let Some(content) = body.get(4..).filter(|content| !content.is_empty()) else {
+        return actix_web::HttpResponse::BadRequest().finish();
+    };
+    let length = usize::from(content[0]);
+    let Some((key, value)) = content[1..].split_at_checked(length) else {
+        return actix_web::HttpResponse::BadRequest().finish();
+    };
+    let key = String::from_utf8_lossy(key).into_owned();
+    let offset = state.append(&query.topic, &key, value);
+    if state.faults.lose_appends > 0 {
+        state.faults.lose_appends -= 1;
+        return actix_web::HttpResponse::GatewayTimeout().finish();
+    }
+    actix_web::HttpResponse::Ok().json(serde_json::json!({ "offset": offset, "end": offset + 1 }))
+}
+
+async fn answer_read(store: SharedStore, query: web::Query<ReadQuery>) -> actix_web::HttpResponse {
+    let wait = time::Duration::from_millis(query.wait_ms.unwrap_or(0));
+    let until = time::Instant::now() + wait;
+    loop {
+        if is_down(&store) {
+            return actix_web::HttpResponse::ServiceUnavailable().finish();
+        }
+        if let Some(answer) = read_now(&store, &query, time::Instant::now() >= until) {
+            return answer;
+        }
+        tokio::time::sleep(time::Duration::from_millis(LOOK_MS)).await;
+    }
+}
+
+// None while there is nothing to tell and time is left.
+fn read_now(
+    store: &SharedStore,
+    query: &ReadQuery,
+    is_last: bool,
+) -> Option<actix_web::HttpResponse> {
+    let mut state = lock(store);
+    let topic = state.topics.entry(query.topic.clone()).or_default();
+    if query.from < topic.first {
+        let first = topic.first;
+        return Some(actix_web::HttpResponse::Gone().json(serde_json::json!({ "first": first })));
+    }
+    let found = topic
+        .records
+        .iter()
+        .filter(|record| record.offset >= query.from);
+    let mut body = bytes::BytesMut::new();
+    body.put_u64(topic.end);
+    body.put_u64(topic.first);
+    let mut count = 0;
+    for record in found {
+        let key_length = u8::try_from(record.key.len()).unwrap_or(u8::MAX);
+        let length = u32::try_from(1 + record.key.len() + record.value.len()).unwrap_or(u32::MAX);
+        body.put_u32(length);
+        body.put_u8(key_length);
+        body.put_slice(record.key.as_bytes());
+        body.put_slice(&record.value);
+        count += 1;
+    }
+    (count > 0 || is_last).then(|| actix_web::HttpResponse::Ok().body(body.freeze()))
+}
+
+async fn answer_newest(
+    store: SharedStore,
+    query: web::Query<NewestQuery>,
+) -> actix_web::HttpResponse {
+    let mut state = lock(&store);
+    if state.faults.is_down {
+        return actix_web::HttpResponse::ServiceUnavailable().finish();
+    }
+    let topic = state.topics.entry(query.topic.clone()).or_default();
+    let items = topic.newest.values().map(|record| {
+        let value = base64::engine::general_purpose::STANDARD.encode(&record.value);
+        serde_json::json!({ "key": record.key, "value": value, "offset": record.offset })
+    });
+    let items: Vec<_> = items.collect();
+    let answer = serde_json::json!({ "items": items, "has_more": false, "end": topic.end });
+    actix_web::HttpResponse::Ok().json(answer)
+}
+
+async fn answer_join(store: SharedStore, body: web::Json<JoinBody>) -> actix_web::HttpResponse {
+    let mut state = lock(&store);
+    if state.faults.is_down {
+        return actix_web::HttpResponse::ServiceUnavailable().finish();
+    }
+    let owns = state.join(&body.member, time::Duration::from_millis(body.ttl_ms));
+    let rows = body.topics.iter().filter(|_| owns);
+    let rows: Vec<_> = rows.map(|topic| serde_json::json!([topic, 0, 0])).collect();
+    let answer = serde_json::json!({ "generation": state.generation, "parts": rows });
+    actix_web::HttpResponse::Ok().json(answer)
+}
+
+async fn answer_leave(store: SharedStore, body: web::Json<LeaveBody>) -> actix_web::HttpResponse {
+    let mut state = lock(&store);
+    if state.faults.is_down {
+        return actix_web::HttpResponse::ServiceUnavailable().finish();
+    }
+    state.members.remove(&body.member);
+    actix_web::HttpResponse::Ok().json(serde_json::json!({}))
+}
--- /dev/null
+++ b/lab/tests/platform.rs
@@ -0,0 +1,343 @@
+//! The platform's front end as real processes over real sockets, against the stand-ins.
+
+use std::net;
+use std::path;
+use std::process;
+use std::sync;
+use std::time;
+
+use zinnia_lab::http;
+use zinnia_lab::platform_site::settings;
+use zinnia_lab::platform_site::store;
+use zinnia_lab::platform_site::worker;
+use zinniastack::clock;
+use zinniastack::clock::MonoClock as _;
+
+/// How long a step may take before the test gives up; no test asserts a time.
+const GIVE_UP: time::Duration = time::Duration::from_secs(60);
+/// How long a look waits for the next one.
+const LOOK: time::Duration = time::Duration::from_millis(50);
+
+/// A host's process, ended by its id when the test ends.
+struct RouterProcess {
+    child: process::Child,
+    ports: settings::HostPorts,
+    file: path::PathBuf,
+}
+
+impl RouterProcess {
+    fn signal(&self, name: &str) {
+        let id = self.child.id().to_string();
+        let sent = process::Command::new("kill").args([name, &id]).status();
+        assert!(sent.expect("kill runs").success());
+    }
+}
+
+impl Drop for RouterProcess {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.file);
+    }
+}
+
+// Built beside this one by `cargo test --workspace`.
+fn router_program() -> path::PathBuf {
+    let lab = path::Path::new(env!("CARGO_BIN_EXE_zinnia-lab"));
+    lab.with_file_name("zinnia-router")
+}
+
+// A loopback address of this test's own, so that tests beside each other share no port.
+fn own_ip(test: u8) -> net::IpAddr {
+    let [high, low] = u16::try_from(process::id() % 60_000)
+        .unwrap_or(1)
+        .to_be_bytes();
+    net::IpAddr::from([127, 64 + test, high, low.max(1)])
+}
+
+/// A store, four workers and two hosts.
+struct PlatformCase {
+    ip: net::IpAddr,
+    store: http::Shared<store::StoreState>,
+    store_address: net::SocketAddr,
+    workers: Vec<http::Shared<worker::WorkerState>>,
+    hosts: Vec<RouterProcess>,
+    clock: clock::SystemClock,
+    started: u16,
+}
+
+impl PlatformCase {
+    async fn start(test: u8) -> Self {
+        let ip = own_ip(test);
+        let store = http::shared(store::StoreState::new());
+        let listener = net::TcpListener::bind((ip, 7_000)).expect("the store's port is free");
+        store::serve(listener, sync::Arc::clone(&store)).expect("the store listens");
+        let mut case = Self {
+            ip,
+            store,
+            store_address: (ip, 7_000).into(),
+            workers: Vec::new(),
+            hosts: Vec::new(),
+            clock: clock::SystemClock::new(),
+            started: 0,
+        };
+        case.add_worker("stock-1", "stock", true);
+        case.add_worker("stock-2", "stock", true);
+        case.add_worker("orders-1", "orders", false);
+        case.add_worker("orders-2", "orders", false);
+        case.configure(&settings::configuration(3, false));
+        for _ in 0..2 {
+            case.add_host();
+        }
+        case.wait_ready().await;
+        case
+    }
+
+    fn add_worker(&mut self, id: &str, service: &str, sharded: bool) {
+        let state = http::shared(worker::WorkerState::new(id, service, sharded));
+        let port = 7_100 + u16::try_from(self.workers.len()).expect("a few workers");
+        let listener = net::TcpListener::bind((self.ip, port)).expect("the port is free");
+        let store = sync::Arc::clone(&self.store);
+        worker::serve(listener, &state, store, self.clock).expect("the worker listens");
+        self.workers.push(state);
+    }
+
+    fn configure(&self, configuration: &serde_json::Value) {
+        let text = configuration.to_string();
+        http::lock(&self.store).append("keyed.op", "config", text.as_bytes());
+    }
+
+    fn add_host(&mut self) {
+        let number = self.started;
+        self.started += 1;
+        let ports = settings::HostPorts {
+            front: (self.ip, 7_200 + number).into(),
+            ready: (self.ip, 7_300 + number).into(),
+            peers: 7_400 + number,
+        };
+        let name = format!("entry-{number}");
+        let file = format!("zinnia-{}-{}-{name}.json", process::id(), self.ip);
+        let file = std::env::temp_dir().join(file);
+        let text = settings::settings_file(&name, &ports, self.store_address).to_string();
+        std::fs::write(&file, text).expect("the file is written");
+        let child = process::Command::new(router_program())
+            .env("ZINNIASTACK_CONFIG", &file)
+            .stdout(process::Stdio::null())
+            .spawn()
+            .expect("the program starts");
+        self.hosts.push(RouterProcess { child, ports, file });
+    }
+
+    async fn wait_ready(&self) {
+        for host in &self.hosts {
+            let address = format!("http://{}/zinniastack/readiness", host.ports.ready);
+            until("the host is ready", async || {
+                let answer = awc::Client::default().get(&address).send().await;
+                answer.is_ok_and(|answer| answer.status().is_success())
+            })
+            .await;
+        }
+    }
+
+    async fn send(&self, host: usize, path: &str, id: &str, key: u16) -> Option<(u16, String)> {
+        let front = self.hosts[host].ports.front;
+        let request = awc::Client::default()
+            .post(format!("http://{front}{path}"))
+            .insert_header(("host", "desk.example"))
+            .insert_header(("x-request-id", id))
+            .insert_header(("x-request-deadline", "5000"))
+            .insert_header(("x-shard-key", key.to_string()))
+            .timeout(time::Duration::from_secs(10));
+        let mut answer = request.send_body("body").await.ok()?;
+        let status = answer.status().as_u16();
+        let body = answer.body().await.ok()?;
+        Some((status, String::from_utf8_lossy(&body).into_owned()))
+    }
+
+    // Sends requests with many keys to both hosts; returns how many were answered as they should.
+    async fn send_many(&self, path: &str, prefix: &str, count: u16) -> usize {
+        let mut answered = 0;
+        for number in 0..count {
+            let id = format!("{prefix}-{number}");
+            let key = number.wrapping_mul(1_021);
+            let host = usize::from(number) % self.hosts.len();
+            let expected = format!("POST {path} {id} 4");
+            let answer = self.send(host, path, &id, key).await;
+            answered += usize::from(answer == Some((200, expected)));
+        }
+        answered
+    }
+
+    // No request ran twice, and no key is held twice.
+    fn expect_kept(&self) {
+        let now = self.clock.now();
+        let mut held = Vec::new();
+        for worker in &self.workers {
+            let state = http::lock(worker);
+            let twice: Vec<_> = state.runs().iter().filter(|(_, runs)| **runs > 1).collect();
+            assert!(twice.is_empty(), "ran twice: {twice:?}");
+            held.extend(state.held(now));
+        }
+        held.sort_unstable();
+        let apart = held.windows(2).all(|pair| pair[0].1 < pair[1].0);
+        assert!(apart, "held twice: {held:?}");
+    }
+}
+
+async fn until(what: &str, check: impl AsyncFn() -> bool) {
+    let end = time::Instant::now() + GIVE_UP;
+    while !check().await {
+        assert!(time::Instant::now() < end, "{what}: given up");
+        tokio::time::sleep(LOOK).await;
+    }
+}
+
+async fn serves_a_short_day(test: u8) {
+    let case = PlatformCase::start(test).await;
+    until("every key is served", async || {
+        case.send_many("/stock/a", "warm", 10).await == 10
+    })
+    .await;
+    assert_eq!(case.send_many("/stock/a", "s", 60).await, 60);
+    assert_eq!(case.send_many("/orders/a", "o", 60).await, 60);
+    let none = case.send(0, "/nowhere/", "n", 0).await;
+    assert_eq!(none.map(|answer| answer.0), Some(404));
+    case.expect_kept();
+}
+
+async fn puts_versions_in_force_and_never_takes_one_back(test: u8) {
+    let case = PlatformCase::start(test).await;
+    case.configure(&settings::configuration(7, true));
+    for host in 0..2 {
+        until("the new route is served", async || {
+            let answer = case.send(host, "/extra/a", &format!("e{host}"), 0).await;
+            answer.is_some_and(|answer| answer.0 == 200)
+        })
+        .await;
+    }
+    case.configure(&settings::configuration(5, false));
+    http::lock(&case.store).append("keyed.op", "config", b"{\"version\":9,\"serv");
+    tokio::time::sleep(time::Duration::from_secs(1)).await;
+    let answer = case.send(0, "/extra/a", "after", 0).await;
+    assert_eq!(
+        answer.map(|answer| answer.0),
+        Some(200),
+        "an older or broken version took effect"
+    );
+}
+
+async fn moves_the_keys_of_a_worker_that_drains(test: u8) {
+    let case = PlatformCase::start(test).await;
+    http::lock(&case.workers[0]).drain();
+    until("the worker holds no key", async || {
+        http::lock(&case.workers[0])
+            .held(case.clock.now())
+            .is_empty()
+    })
+    .await;
+    until("every key is served", async || {
+        case.send_many("/stock/a", "d", 20).await == 20
+    })
+    .await;
+    case.expect_kept();
+}
+
+async fn goes_on_when_the_granter_is_killed(test: u8) {
+    let mut case = PlatformCase::start(test).await;
+    // One of the two grants; each is killed in turn.
+    for number in 0..2_u16 {
+        let killed = case.hosts.remove(0);
+        killed.signal("-9");
+        drop(killed);
+        until("every key is served", async || {
+            case.send_many("/stock/a", &format!("k{number}"), 20).await == 20
+        })
+        .await;
+        case.expect_kept();
+        if number == 0 {
+            case.add_host();
+            case.wait_ready().await;
+        }
+    }
+}
+
+async fn serves_while_the_store_is_away(test: u8) {
+    let case = PlatformCase::start(test).await;
+    until("every key is served", async || {
+        case.send_many("/stock/a", "warm", 10).await == 10
+    })
+    .await;
+    http::lock(&case.store).faults.is_down = true;
+    // Longer than a hold.
+    tokio::time::sleep(time::Duration::from_secs(4)).await;
+    assert_eq!(case.send_many("/stock/a", "away", 40).await, 40);
+    http::lock(&case.store).faults.is_down = false;
+    http::lock(&case.store).compact();
+    http::lock(&case.store).deal_anew();
+    until("every key is served", async || {
+        case.send_many("/stock/a", "back", 20).await == 20
+    })
+    .await;
+    case.expect_kept();
+}
+
+async fn stops_without_cutting_a_request(test: u8) {
+    let case = PlatformCase::start(test).await;
+    for worker in &case.workers {
+        http::lock(worker).work_ms = 800;
+    }
+    let sent = case.send(0, "/orders/a", "last", 0);
+    let stop = async {
+        tokio::time::sleep(time::Duration::from_millis(200)).await;
+        case.hosts[0].signal("-TERM");
+    };
+    let (answer, ()) = futures_util::future::join(sent, stop).await;
+    assert_eq!(answer, Some((200, "POST /orders/a last 4".to_owned())));
+    case.expect_kept();
+}
+
+async fn passes_no_part_or_cross_of_an_answer_on(test: u8) {
+    let case = PlatformCase::start(test).await;
+    for worker in &case.workers[2..] {
+        http::lock(worker).faults.cut_answers = 1;
+    }
+    let answer = case.send(0, "/orders/a", "cut", 0).await;
+    assert_eq!(
+        answer.map(|answer| answer.0),
+        Some(502),
+        "a part was passed on"
+    );
+    for worker in &case.workers[2..] {
+        let mut state = http::lock(worker);
+        state.faults.cut_answers = 0;
+        state.faults.cross_answers = 1;
+    }
+    let answer = case.send(0, "/orders/a", "cross", 0).await;
+    assert_eq!(
+        answer.map(|answer| answer.0),
+        Some(502),
+        "another's answer was passed on"
+    );
+    case.expect_kept();
+}
+
+macro_rules! platform_cases {
+    ($($name:ident = $number:literal),* $(,)?) => {
+        mod cases {
+            $(#[actix_web::test]
+            async fn $name() {
+                super::$name($number).await;
+            })*
+        }
+    };
+}
+
+platform_cases! {
+    serves_a_short_day = 1,
+    puts_versions_in_force_and_never_takes_one_back = 2,
+    moves_the_keys_of_a_worker_that_drains = 3,
+    goes_on_when_the_granter_is_killed = 4,
+    serves_while_the_store_is_away = 5,
+    stops_without_cutting_a_request = 6,
+    passes_no_part_or_cross_of_an_answer_on = 7,
+}
--- a/src/chart.rs
+++ b/src/chart.rs
@@ -447,9 +447,12 @@
 }
 
 /// The charts that the program holds, by name.
-pub const CHART_SOURCES: [&str; 6] = [
+pub const CHART_SOURCES: [&str; 9] = [
+    include_str!("../charts/delivery.toml"),
     include_str!("../charts/grant.toml"),
+    include_str!("../charts/granting.toml"),
     include_str!("../charts/host.toml"),
+    include_str!("../charts/key-range.toml"),
     include_str!("../charts/lease.toml"),
     include_str!("../charts/patch.toml"),
     include_str!("../charts/request.toml"),
--- a/src/edge/router/control.rs
+++ b/src/edge/router/control.rs
@@ -11,6 +11,7 @@
 use crate::clock::MonoClock as _;
 use crate::edge::router::front;
 use crate::edge::router::gossip;
+use crate::edge::router::metrics;
 use crate::edge::router::ports;
 use crate::edge::router::store_reader;
 use crate::names;
@@ -69,6 +70,8 @@
     pub own: news::HostRecord,
     /// Told when the host stops.
     pub stopping: tokio::sync::watch::Receiver<bool>,
+    /// The metrics.
+    pub metrics: sync::Arc<metrics::RouterMetrics>,
 }
 
 struct ControlState {
@@ -89,6 +92,7 @@
     ready: sync::Arc<sync::atomic::AtomicBool>,
     gossip: gossip::GossipClient,
     join_interval: time::Duration,
+    metrics: sync::Arc<metrics::RouterMetrics>,
 }
 
 impl<S, O, D> ControlThread<S, O, D>
@@ -122,6 +126,7 @@
             ready: parts.ready,
             gossip: gossip::GossipClient::new(),
             join_interval: parts.join_interval,
+            metrics: parts.metrics,
         });
         for topic in ports::StoreTopic::ALL {
             actix::spawn(rc::Rc::clone(&thread).follow(topic));
@@ -184,6 +189,8 @@
 
     fn note_store(&self, call: &'static str, lost: bool) {
         let now = self.clock.now();
+        let outcome = if lost { "failed" } else { "done" };
+        self.metrics.note_store_call(call, outcome);
         let changed = self
             .state
             .borrow_mut()
@@ -243,6 +250,7 @@
         match self.decoder.server(record) {
             Ok(server) => Some(server),
             Err(fault) => {
+                self.metrics.note_record_refused("servers");
                 tracing::warn!(event = "record-refused", topic = "servers", fault = %fault);
                 None
             }
@@ -290,6 +298,7 @@
             match read.transpose() {
                 Ok(read) => self.state.borrow_mut().knowledge.note_host(&name, read),
                 Err(fault) => {
+                    self.metrics.note_record_refused("hosts");
                     tracing::warn!(event = "record-refused", topic = "hosts", fault = %fault);
                 }
             }
@@ -314,9 +323,29 @@
         let view = state.knowledge.view(&state.book, now);
         self.view.store(sync::Arc::new(view));
         let ready = state.knowledge.is_ready(&state.book);
+        self.show(&state);
         self.ready.store(ready, sync::atomic::Ordering::Relaxed);
     }
 
+    // Brings the gauges up to date.
+    fn show(&self, state: &ControlState) {
+        let metrics = &self.metrics;
+        let version = i64::try_from(state.knowledge.routes_version());
+        metrics.routes_version.set(version.unwrap_or(i64::MAX));
+        metrics
+            .store_lost
+            .set(i64::from(state.knowledge.store_lost()));
+        let granting = i64::from(state.granter.is_granting());
+        if metrics.granting.set(granting) == 0 && granting == 1 {
+            metrics.takeovers.inc();
+        }
+        let ranges = state.book.services.values().flatten();
+        let moving = ranges.filter(|range| !range.formers.is_empty()).count();
+        metrics
+            .ranges_moving
+            .set(i64::try_from(moving).unwrap_or(i64::MAX));
+    }
+
     async fn join(self: rc::Rc<Self>, stopping: tokio::sync::watch::Receiver<bool>) {
         loop {
             tokio::time::sleep(self.join_interval).await;
@@ -471,6 +500,7 @@
 
     async fn send_grant(self: rc::Rc<Self>, order: granter::GrantOrder) {
         let outcome = self.orders.grant(&order).await;
+        self.metrics.note_order("grant", outcome.as_str());
         let now = self.clock.now();
         if !matches!(outcome, granter::OrderOutcome::Done(_)) {
             tracing::warn!(
@@ -492,6 +522,7 @@
 
     async fn send_release(self: rc::Rc<Self>, order: granter::ReleaseOrder) {
         let outcome = self.orders.release(&order).await;
+        self.metrics.note_order("release", outcome.as_str());
         let now = self.clock.now();
         tracing::info!(
             event = "release-ended",
--- a/src/edge/router/exchange.rs
+++ b/src/edge/router/exchange.rs
@@ -78,6 +78,18 @@
         }
     }
 
+    /// Returns the end's name in metrics.
+    #[must_use]
+    pub const fn as_str(&self) -> &'static str {
+        match self {
+            Self::Answered(_) => "answered",
+            Self::Failed(_) => "failed",
+            Self::NotRun { .. } => "not-run",
+            Self::Broken(_) => "broken",
+            Self::Unsent(_) => "unsent",
+        }
+    }
+
     /// Returns what went wrong, for logs.
     #[must_use]
     pub fn fault(&self) -> String {
--- a/src/edge/router/front.rs
+++ b/src/edge/router/front.rs
@@ -15,6 +15,8 @@
 use crate::clock::MonoClock as _;
 use crate::edge::router::body;
 use crate::edge::router::exchange;
+use crate::edge::router::log_budget;
+use crate::edge::router::metrics;
 use crate::edge::router::ports;
 use crate::edge::router::wire;
 use crate::names;
@@ -76,6 +78,8 @@
     pub reports: tokio::sync::mpsc::UnboundedSender<TrafficReport>,
     /// The clock.
     pub clock: clock::SystemClock,
+    /// The metrics.
+    pub metrics: sync::Arc<metrics::RouterMetrics>,
 }
 
 type DeskAnswer = Result<sync::Arc<directory::ServerRecord>, desk::DeskRefusal>;
@@ -91,6 +95,7 @@
     heat: cell::RefCell<collections::HashMap<(names::ServiceName, u16), f64>>,
     client: wire::WireClient,
     waiting: tokio::sync::Notify,
+    lines: log_budget::LogBudget,
 }
 
 impl<C: ports::HeaderCodec> TrafficThread<C> {
@@ -105,6 +110,7 @@
             heat: cell::RefCell::default(),
             client: wire::WireClient::new(),
             waiting: tokio::sync::Notify::new(),
+            lines: log_budget::LogBudget::new(),
             parts,
         });
         actix::spawn(rc::Rc::clone(&thread).sweep());
@@ -126,6 +132,7 @@
         loop {
             tokio::time::sleep(time::Duration::from_millis(REPORT_MS)).await;
             self.client.sweep();
+            self.tell_left_out();
             let report = TrafficReport {
                 demand: self.desk.borrow().demand(),
                 heat: self.take_heat(),
@@ -136,6 +143,16 @@
         }
     }
 
+    fn tell_left_out(&self) {
+        let count = self.lines.take_left_out();
+        if count > 0 {
+            self.parts.metrics.lines_left_out.inc_by(count);
+            tracing::warn!(event = "lines-left-out", count);
+        }
+        let in_flight = self.parts.in_flight.load(atomic::Ordering::Relaxed);
+        self.parts.metrics.in_flight.set(in_flight);
+    }
+
     fn take_heat(&self) -> Vec<(names::ServiceName, Vec<heat::KeyHeat>)> {
         let counted = std::mem::take(&mut *self.heat.borrow_mut());
         let mut services = collections::BTreeMap::<_, Vec<_>>::new();
@@ -345,7 +362,7 @@
     let mut response = match CallerRequest::new(thread, caller) {
         Ok(request) => request.serve(payload).await,
         Err((own, id)) => {
-            note_own(own, id.as_deref(), None);
+            note_own(&stopping, own, id.as_deref());
             let back = (own.status() == 503).then(|| time::Duration::from_millis(EARLY_RETURN_MS));
             own_response(own, back)
         }
@@ -592,12 +609,7 @@
             }
             response.append_header((name, value.as_bytes()));
         }
-        tracing::debug!(
-            event = "request-answered",
-            id = self.facts.id.as_deref().unwrap_or(""),
-            server = %slot.record.life.server,
-            status = status.as_u16()
-        );
+        self.note_answered(&slot, status.as_u16());
         let Some(rest) = answer.rest else {
             drop(slot);
             return response.body(answer.first);
@@ -611,6 +623,28 @@
         }
     }
 
+    fn note_answered(&self, slot: &ServerSlot<C>, status: u16) {
+        let elapsed = self.thread.parts.clock.now().since(self.arrived);
+        let end = if status >= 500 { "failed" } else { "answered" };
+        let metrics = &self.thread.parts.metrics;
+        metrics.note_end(self.route.name.as_str(), end, elapsed.as_secs_f64());
+        metrics.note_attempt(self.service.as_str(), end);
+        let failed = status >= 500;
+        if (failed || self.thread.lines.samples_answered()) && self.thread.lines.take() {
+            tracing::info!(
+                event = "request-answered",
+                id = self.facts.id.as_deref().unwrap_or(""),
+                route = %self.route.name,
+                service = %self.service,
+                key = self.key,
+                version = self.version,
+                server = %slot.record.life.server,
+                status,
+                after_ms = elapsed.as_millis()
+            );
+        }
+    }
+
     fn answer_end(
         &self,
         action: Option<verdict::DeliveryAction>,
@@ -633,21 +667,28 @@
         own: OwnAnswer,
         record: Option<&directory::ServerRecord>,
     ) -> actix_web::HttpResponse {
-        let server = record.map_or("", |record| record.life.server.as_str());
         let now = self.thread.parts.clock.now();
-        let id = self.facts.id.as_deref().unwrap_or("");
-        tracing::info!(
-            event = "request-ended",
-            id,
-            route = %self.route.name,
-            service = %self.service,
-            key = self.key,
-            version = self.version,
-            status = own.status(),
-            cause = own.as_str(),
-            server,
-            after_ms = now.since(self.arrived).as_millis()
-        );
+        let elapsed = now.since(self.arrived);
+        let route = self.route.name.as_str();
+        self.thread
+            .parts
+            .metrics
+            .note_end(route, own.as_str(), elapsed.as_secs_f64());
+        if self.thread.lines.take() {
+            tracing::info!(
+                event = "request-ended",
+                id = self.facts.id.as_deref().unwrap_or(""),
+                route,
+                service = %self.service,
+                key = self.key,
+                version = self.version,
+                term = self.thread.parts.view.load().book.term,
+                status = own.status(),
+                cause = own.as_str(),
+                server = record.map_or("", |record| record.life.server.as_str()),
+                after_ms = elapsed.as_millis()
+            );
+        }
         let back = (own.status() == 503).then(|| self.return_after(now));
         own_response(own, back)
     }
@@ -681,6 +722,11 @@
         end: &exchange::AttemptEnd,
         action: Option<verdict::DeliveryAction>,
     ) {
+        let metrics = &self.thread.parts.metrics;
+        metrics.note_attempt(self.service.as_str(), end.as_str());
+        if !self.thread.lines.take() {
+            return;
+        }
         tracing::info!(
             event = "attempt-ended",
             id = self.facts.id.as_deref().unwrap_or(""),
@@ -693,15 +739,17 @@
     }
 }
 
-fn note_own(own: OwnAnswer, id: Option<&str>, server: Option<&str>) {
-    let (id, server) = (id.unwrap_or(""), server.unwrap_or(""));
-    tracing::info!(
-        event = "request-ended",
-        id,
-        status = own.status(),
-        cause = own.as_str(),
-        server
-    );
+fn note_own<C: ports::HeaderCodec>(thread: &TrafficThread<C>, own: OwnAnswer, id: Option<&str>) {
+    thread.parts.metrics.note_end("", own.as_str(), 0.0);
+    if thread.lines.take() {
+        let id = id.unwrap_or("");
+        tracing::info!(
+            event = "request-ended",
+            id,
+            status = own.status(),
+            cause = own.as_str()
+        );
+    }
 }
 
 fn own_response(own: OwnAnswer, back: Option<time::Duration>) -> actix_web::HttpResponse {
--- a/src/edge/router/host.rs
+++ b/src/edge/router/host.rs
@@ -12,6 +12,7 @@
 use crate::edge::router::control;
 use crate::edge::router::front;
 use crate::edge::router::gossip;
+use crate::edge::router::metrics;
 use crate::edge::router::ports;
 use crate::serving::desk;
 use crate::serving::news;
@@ -19,6 +20,8 @@
 
 /// How many connections a listener lets wait.
 pub const LISTEN_BACKLOG: u32 = 2_048;
+/// Where metrics are served.
+pub const METRICS_PATH: &str = "/metrics";
 /// How long an idle connection of a caller is kept, in seconds; longer than callers use one.
 pub const IDLE_TIMEOUT_S: u64 = 120;
 /// How long a caller may take to send a head, in seconds.
@@ -42,6 +45,8 @@
     pub front: net::SocketAddr,
     /// Where the platform asks whether it is ready.
     pub ready: net::SocketAddr,
+    /// Where metrics are served, if anywhere.
+    pub metrics: Option<net::SocketAddr>,
     /// The desk's settings.
     pub desk: desk::DeskSettings,
     /// The interval between two joins of the hosts that may grant.
@@ -127,7 +132,9 @@
         let (reports, reports_in) = tokio::sync::mpsc::unbounded_channel();
         let chart = chart::ChartTable::new().map_err(|source| RouterError::Chart { source })?;
         let control = actix::Arbiter::new();
+        let metrics = metrics::RouterMetrics::new();
         let shared = ControlShared {
+            metrics: sync::Arc::clone(&metrics),
             clock,
             view: sync::Arc::clone(&view),
             ready: sync::Arc::clone(&ready),
@@ -145,7 +152,11 @@
             in_flight: sync::Arc::clone(&in_flight),
             reports,
             clock,
+            metrics: sync::Arc::clone(&metrics),
         };
+        if let Some(address) = settings.metrics {
+            listen_metrics(address, metrics)?;
+        }
         listen_ready(&settings, &traffic, ready)?;
         let front = listen_callers(&settings, traffic)?;
         tracing::info!(
@@ -200,6 +211,7 @@
 }
 
 struct ControlShared {
+    metrics: sync::Arc<metrics::RouterMetrics>,
     clock: clock::SystemClock,
     view: front::SharedView,
     ready: sync::Arc<atomic::AtomicBool>,
@@ -255,6 +267,7 @@
         max_hold: settings.max_hold,
         own: settings.own,
         stopping: shared.stopping,
+        metrics: shared.metrics,
     };
     let started = control::ControlThread::start(parts);
     started
@@ -295,6 +308,38 @@
     Ok(())
 }
 
+fn listen_metrics(
+    address: net::SocketAddr,
+    metrics: sync::Arc<metrics::RouterMetrics>,
+) -> Result<(), RouterError> {
+    let state = web::Data::from(metrics);
+    let server = actix_web::HttpServer::new(move || {
+        actix_web::App::new()
+            .app_data(state.clone())
+            .route(METRICS_PATH, web::get().to(answer_metrics))
+    })
+    .workers(1)
+    .disable_signals()
+    .bind(address)
+    .map_err(|e| RouterError::Listen {
+        address,
+        fault: e.to_string(),
+    })?
+    .run();
+    actix::spawn(server);
+    Ok(())
+}
+
+async fn answer_metrics(metrics: web::Data<metrics::RouterMetrics>) -> actix_web::HttpResponse {
+    match metrics.encode() {
+        Ok(text) => actix_web::HttpResponse::Ok().body(text),
+        Err(fault) => {
+            tracing::warn!(event = "metrics-not-written", fault = %fault);
+            actix_web::HttpResponse::InternalServerError().finish()
+        }
+    }
+}
+
 async fn answer_ready(state: web::Data<ReadyState>) -> actix_web::HttpResponse {
     let ready = state.ready.load(atomic::Ordering::Relaxed);
     if ready && !state.stopping.load(atomic::Ordering::Relaxed) {
--- /dev/null
+++ b/src/edge/router/metrics.rs
@@ -0,0 +1,211 @@
+//! The counters and histograms of a host on a platform, in the Prometheus format.
+
+use std::sync;
+use std::sync::atomic;
+
+use prometheus_client::encoding::text;
+use prometheus_client::metrics::counter;
+use prometheus_client::metrics::family;
+use prometheus_client::metrics::gauge;
+use prometheus_client::metrics::histogram;
+use prometheus_client::registry;
+
+/// The bounds of the latency histograms, in seconds.
+pub const LATENCY_BOUNDS_S: [f64; 10] = [0.005, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.2, 3.0];
+
+/// The label of an ended request.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+#[derive(prometheus_client::encoding::EncodeLabelSet)]
+pub struct EndLabel {
+    /// The route; empty where none was found.
+    pub route: String,
+    /// How it ended: `answered`, `failed` (the server's own failure), or this host's own cause.
+    pub end: &'static str,
+}
+
+/// The label of an attempt.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+#[derive(prometheus_client::encoding::EncodeLabelSet)]
+pub struct AttemptLabel {
+    /// The service.
+    pub service: String,
+    /// How it ended.
+    pub end: &'static str,
+}
+
+/// The label of a call to the store, or of an order.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+#[derive(prometheus_client::encoding::EncodeLabelSet)]
+pub struct CallLabel {
+    /// What was called.
+    pub call: &'static str,
+    /// How it ended.
+    pub outcome: &'static str,
+}
+
+/// The label of a refused record.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+#[derive(prometheus_client::encoding::EncodeLabelSet)]
+pub struct TopicLabel {
+    /// The topic.
+    pub topic: &'static str,
+}
+
+type LatencyFamily = family::Family<EndLabel, histogram::Histogram, fn() -> histogram::Histogram>;
+
+fn latency_histogram() -> histogram::Histogram {
+    histogram::Histogram::new(LATENCY_BOUNDS_S)
+}
+
+/// All metrics of one host.
+pub struct RouterMetrics {
+    registry: registry::Registry,
+    /// The time from a request's arrival to the head of its answer, in seconds.
+    pub latency: LatencyFamily,
+    /// Ends of attempts.
+    pub attempts: family::Family<AttemptLabel, counter::Counter>,
+    /// Calls to the store.
+    pub store_calls: family::Family<CallLabel, counter::Counter>,
+    /// Orders to servers.
+    pub orders: family::Family<CallLabel, counter::Counter>,
+    /// Records that could not be read.
+    pub records_refused: family::Family<TopicLabel, counter::Counter>,
+    /// Times that this host took up the duty of granting.
+    pub takeovers: counter::Counter,
+    /// Whether this host grants.
+    pub granting: gauge::Gauge,
+    /// Ranges that are on their way to another server.
+    pub ranges_moving: gauge::Gauge,
+    /// The version of the routes in force.
+    pub routes_version: gauge::Gauge,
+    /// Whether the store turns this host away.
+    pub store_lost: gauge::Gauge,
+    /// Requests under way.
+    pub in_flight: gauge::Gauge,
+    /// Log lines that were left out.
+    pub lines_left_out: counter::Counter<u64, atomic::AtomicU64>,
+}
+
+impl RouterMetrics {
+    /// Creates the metrics, all zero.
+    #[must_use]
+    pub fn new() -> sync::Arc<Self> {
+        let mut metrics = Self {
+            registry: registry::Registry::with_prefix("zinnia_router"),
+            latency: family::Family::new_with_constructor(latency_histogram),
+            attempts: family::Family::default(),
+            store_calls: family::Family::default(),
+            orders: family::Family::default(),
+            records_refused: family::Family::default(),
+            takeovers: counter::Counter::default(),
+            granting: gauge::Gauge::default(),
+            ranges_moving: gauge::Gauge::default(),
+            routes_version: gauge::Gauge::default(),
+            store_lost: gauge::Gauge::default(),
+            in_flight: gauge::Gauge::default(),
+            lines_left_out: counter::Counter::default(),
+        };
+        metrics.register_requests();
+        metrics.register_control();
+        sync::Arc::new(metrics)
+    }
+
+    fn register_requests(&mut self) {
+        let registry = &mut self.registry;
+        let latency = self.latency.clone();
+        registry.register(
+            "latency_seconds",
+            "Time to an answer, by route and end",
+            latency,
+        );
+        let attempts = self.attempts.clone();
+        registry.register(
+            "attempts",
+            "Ends of attempts at servers, by service",
+            attempts,
+        );
+        let in_flight = self.in_flight.clone();
+        registry.register("in_flight", "Requests under way", in_flight);
+        let left_out = self.lines_left_out.clone();
+        registry.register("lines_left_out", "Log lines that were left out", left_out);
+    }
+
+    fn register_control(&mut self) {
+        let registry = &mut self.registry;
+        let store_calls = self.store_calls.clone();
+        registry.register("store_calls", "Calls to the store, by outcome", store_calls);
+        let orders = self.orders.clone();
+        registry.register("orders", "Orders to servers, by outcome", orders);
+        let refused = self.records_refused.clone();
+        registry.register("records_refused", "Records that could not be read", refused);
+        let takeovers = self.takeovers.clone();
+        registry.register(
+            "takeovers",
+            "Times that this host took up granting",
+            takeovers,
+        );
+        let granting = self.granting.clone();
+        registry.register("granting", "Whether this host grants", granting);
+        let moving = self.ranges_moving.clone();
+        registry.register(
+            "ranges_moving",
+            "Ranges on their way to another server",
+            moving,
+        );
+        let version = self.routes_version.clone();
+        registry.register(
+            "routes_version",
+            "The version of the routes in force",
+            version,
+        );
+        let lost = self.store_lost.clone();
+        registry.register("store_lost", "Whether the store turns this host away", lost);
+    }
+
+    /// Counts the end of a request.
+    pub fn note_end(&self, route: &str, end: &'static str, seconds: f64) {
+        let route = route.to_owned();
+        self.latency
+            .get_or_create(&EndLabel { route, end })
+            .observe(seconds);
+    }
+
+    /// Counts the end of an attempt.
+    pub fn note_attempt(&self, service: &str, end: &'static str) {
+        let service = service.to_owned();
+        self.attempts
+            .get_or_create(&AttemptLabel { service, end })
+            .inc();
+    }
+
+    /// Counts a call to the store.
+    pub fn note_store_call(&self, call: &'static str, outcome: &'static str) {
+        self.store_calls
+            .get_or_create(&CallLabel { call, outcome })
+            .inc();
+    }
+
+    /// Counts an order to a server.
+    pub fn note_order(&self, call: &'static str, outcome: &'static str) {
+        self.orders
+            .get_or_create(&CallLabel { call, outcome })
+            .inc();
+    }
+
+    /// Counts a record that could not be read.
+    pub fn note_record_refused(&self, topic: &'static str) {
+        self.records_refused
+            .get_or_create(&TopicLabel { topic })
+            .inc();
+    }
+
+    /// Returns all metrics as text.
+    ///
+    /// # Errors
+    /// Fails when a metric cannot be written.
+    pub fn encode(&self) -> Result<String, std::fmt::Error> {
+        let mut text = String::new();
+        text::encode(&mut text, &self.registry)?;
+        Ok(text)
+    }
+}
--- a/src/edge/router/mod.rs
+++ b/src/edge/router/mod.rs
@@ -6,6 +6,8 @@
 pub mod front;
 pub mod gossip;
 pub mod host;
+pub mod log_budget;
+pub mod metrics;
 pub mod ports;
 pub mod store_reader;
 pub mod wire;
--- a/src/ownership/granter.rs
+++ b/src/ownership/granter.rs
@@ -175,6 +175,19 @@
 }
 
 impl OrderOutcome {
+    /// Returns the outcome's name in metrics.
+    #[must_use]
+    pub const fn as_str(&self) -> &'static str {
+        match self {
+            Self::Done(_) => "done",
+            Self::Refused => "refused",
+            Self::Unanswered => "unanswered",
+            Self::Unsent => "unsent",
+            Self::Replaced => "replaced",
+            Self::Rejected => "rejected",
+        }
+    }
+
     const fn arrival(&self) -> arrival::OrderArrival {
         match self {
             Self::Done(_) | Self::Refused | Self::Replaced | Self::Rejected => {
--- /dev/null
+++ b/tests/deliveries.rs
@@ -0,0 +1,70 @@
+//! The course of a request: what is sent again, what is told, for each kind and each end.
+
+use std::sync;
+use std::time;
+
+use zinniastack::chart;
+use zinniastack::routing::specification;
+use zinniastack::serving::verdict;
+use zinniastack::serving::verdict::DeliveryAction as Action;
+use zinniastack::serving::verdict::DeliveryEvent as Event;
+
+fn route(kind: specification::RequestKind, attempts: u32) -> specification::RouteSpec {
+    specification::RouteSpec {
+        name: "r".parse().expect("a name"),
+        prefix: sync::Arc::from("/"),
+        kind,
+        timeout: time::Duration::from_secs(1),
+        objective: time::Duration::from_millis(300),
+        max_attempts: attempts,
+        priority: 1,
+        parts: Vec::new(),
+    }
+}
+
+fn play(kind: specification::RequestKind, events: &[(Event, bool)]) -> Option<Action> {
+    let table = chart::ChartTable::new().expect("the chart is sound");
+    let route = route(kind, 2);
+    let mut course = verdict::DeliveryCourse::new(&table, &route);
+    let mut last = None;
+    for (event, may_again) in events {
+        last = course.handle(*event, *may_again);
+    }
+    last
+}
+
+const SAFE: specification::RequestKind = specification::RequestKind::Idempotent;
+const ONCE: specification::RequestKind = specification::RequestKind::Once;
+const UPLOAD: specification::RequestKind = specification::RequestKind::Upload;
+const SENT: (Event, bool) = (Event::Assigned, true);
+
+macro_rules! delivery_cases {
+    ($($name:ident: $kind:expr, $events:expr => $action:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            assert_eq!(play($kind, &$events), Some($action));
+        }
+    )*};
+}
+
+delivery_cases! {
+    an_answer_is_passed_on: ONCE, [SENT, (Event::Answered, true)] => Action::PassAnswer;
+    a_broken_order_is_never_sent_again: ONCE, [SENT, (Event::Broken, true)] => Action::TellBroken;
+    a_broken_upload_is_never_sent_again: UPLOAD, [SENT, (Event::Broken, true)] => Action::TellBroken;
+    a_broken_lookup_is_sent_again: SAFE, [SENT, (Event::Broken, true)] => Action::Enqueue;
+    a_broken_lookup_without_budget_is_told: SAFE, [SENT, (Event::Broken, false)] => Action::TellBroken;
+    an_unsent_order_is_sent_again: ONCE, [SENT, (Event::Unsent, true)] => Action::Enqueue;
+    an_unsent_order_without_budget_is_refused: ONCE, [SENT, (Event::Unsent, false)] => Action::Refuse;
+    an_order_that_did_not_run_is_sent_again: ONCE, [SENT, (Event::NotRun, true)] => Action::Enqueue;
+    an_order_that_did_not_run_twice_is_refused:
+        ONCE, [SENT, (Event::NotRun, true), SENT, (Event::NotRun, true)] => Action::Refuse;
+    a_failure_of_an_order_is_passed_on: ONCE, [SENT, (Event::Failed, true)] => Action::PassAnswer;
+    a_failure_of_a_lookup_is_tried_again: SAFE, [SENT, (Event::Failed, true)] => Action::Enqueue;
+    the_last_failure_of_a_lookup_is_passed_on:
+        SAFE, [SENT, (Event::Failed, true), SENT, (Event::Failed, true)] => Action::PassAnswer;
+    no_promise_after_a_lookup_that_may_have_run:
+        SAFE, [SENT, (Event::Broken, true), (Event::GivenUp, true)] => Action::TellBroken;
+    a_request_that_never_left_is_refused: ONCE, [(Event::GivenUp, true)] => Action::Refuse;
+    a_wait_that_ends_is_refused: ONCE, [(Event::TimeOver, true)] => Action::Refuse;
+    a_sent_order_that_ends_is_no_promise: ONCE, [SENT, (Event::TimeOver, true)] => Action::TellTimeout;
+}
--- /dev/null
+++ b/tests/desk.rs
@@ -0,0 +1,317 @@
+//! The desk: who waits, who goes to which server, who is refused at once, under floods.
+
+use std::sync;
+use std::time;
+
+use zinniastack::clock;
+use zinniastack::names;
+use zinniastack::ownership::book;
+use zinniastack::serving::desk;
+use zinniastack::serving::directory;
+use zinniastack::serving::measure;
+use zinniastack::serving::view;
+
+const SLOTS: u32 = 4;
+
+fn name<T: std::str::FromStr>(text: &str) -> T
+where
+    T::Err: std::fmt::Debug,
+{
+    text.parse().expect("a name")
+}
+
+fn at(millis: u64) -> clock::MonoTime {
+    clock::MonoTime::from_millis(millis)
+}
+
+fn settings() -> desk::DeskSettings {
+    desk::DeskSettings {
+        domain: name("north"),
+        retry_ratio: 0.2,
+        retry_slack: 10.0,
+    }
+}
+
+fn record(server: &str, domain: &str, state: directory::ServerState) -> directory::ServerRecord {
+    directory::ServerRecord {
+        life: book::ServerLife {
+            server: name(server),
+            born: 1,
+        },
+        service: name("orders"),
+        address: ([10, 0, 0, 1], 80).into(),
+        domain: name(domain),
+        slots: SLOTS,
+        state,
+        sequence: 1,
+    }
+}
+
+/// A desk with its view.
+struct DeskCase {
+    desk: desk::ServiceDesk,
+    view: view::ServingView,
+}
+
+impl DeskCase {
+    fn new(servers: &[(&str, &str)]) -> Self {
+        let records = servers.iter().map(|(server, domain)| {
+            let record = record(server, domain, directory::ServerState::Ready);
+            (name(server), sync::Arc::new(record))
+        });
+        let view = view::ServingView {
+            servers: sync::Arc::new(records.collect()),
+            ..view::ServingView::new()
+        };
+        let mut case = Self {
+            desk: desk::ServiceDesk::new(settings()),
+            view,
+        };
+        case.sync(at(0));
+        case
+    }
+
+    fn sync(&mut self, now: clock::MonoTime) {
+        self.desk.sync(&sync::Arc::new(self.view.clone()), now);
+    }
+
+    fn wish(priority: u32, deadline_ms: u64) -> desk::ServerWish {
+        desk::ServerWish {
+            service: name("orders"),
+            key: None,
+            priority,
+            objective: at(300),
+            deadline: at(deadline_ms),
+            body_bytes: 0,
+            again: false,
+            avoid: None,
+        }
+    }
+
+    // Sends one request; the server it went to.
+    fn send(&mut self, wish: desk::ServerWish, now: clock::MonoTime) -> Option<String> {
+        self.desk.enqueue(wish, now).ok()?;
+        self.desk
+            .pump(now)
+            .into_iter()
+            .find_map(|event| match event {
+                desk::DeskEvent::Assigned(_, record) => Some(record.life.server.to_string()),
+                desk::DeskEvent::GivenUp(..) => None,
+            })
+    }
+
+    fn finish(&mut self, server: &str, end: measure::ExchangeEnd, millis: u64) {
+        let life = book::ServerLife {
+            server: name(server),
+            born: 1,
+        };
+        self.desk
+            .finish(&life, end, time::Duration::from_millis(millis), at(0));
+    }
+
+    fn fill(&mut self) -> usize {
+        let mut sent = 0;
+        while self.send(Self::wish(1, 1_000), at(0)).is_some() {
+            sent += 1;
+        }
+        sent
+    }
+}
+
+fn prefers_its_own_domain() {
+    let mut case = DeskCase::new(&[("far", "south"), ("near", "north")]);
+    assert_eq!(
+        case.send(DeskCase::wish(1, 1_000), at(0)).as_deref(),
+        Some("near")
+    );
+}
+
+fn uses_another_domain_when_its_own_is_full() {
+    let mut case = DeskCase::new(&[("far", "south"), ("near", "north")]);
+    case.fill();
+    let events = case.desk.pump(at(50));
+    let far = events.iter().any(|event| {
+        matches!(event, desk::DeskEvent::Assigned(_, record) if record.life.server.as_str() == "far")
+    });
+    assert!(far, "{events:?}");
+}
+
+fn keeps_to_the_room_of_a_server() {
+    let mut case = DeskCase::new(&[("near", "north")]);
+    let sent = case.fill();
+    let room = (f64::from(SLOTS) * desk::FILL_RATIO).floor();
+    assert!(sent as f64 <= room, "{sent} requests for {SLOTS} slots");
+}
+
+fn leaves_the_others_their_share() {
+    let mut case = DeskCase::new(&[("near", "north")]);
+    let demand = [(name("near"), 40.0)].into_iter().collect();
+    case.view.demand = sync::Arc::new(demand);
+    case.sync(at(0));
+    assert_eq!(case.fill(), 1);
+}
+
+fn sends_nothing_to_a_server_that_drains() {
+    let mut case = DeskCase::new(&[("near", "north")]);
+    let draining = record("near", "north", directory::ServerState::Draining);
+    case.view.servers = sync::Arc::new([(name("near"), sync::Arc::new(draining))].into());
+    case.sync(at(10));
+    let refused = case.desk.enqueue(DeskCase::wish(1, 1_000), at(10));
+    assert_eq!(refused, Err(desk::DeskRefusal::NoServer));
+}
+
+// scale-1 at EMOV, seed 384130632242: requests went to a removed server while others ran there.
+fn sends_nothing_to_a_removed_server_at_which_requests_run() {
+    let mut case = DeskCase::new(&[("near", "north")]);
+    assert!(case.send(DeskCase::wish(1, 1_000), at(0)).is_some());
+    case.view.servers = sync::Arc::default();
+    case.sync(at(10));
+    let refused = case.desk.enqueue(DeskCase::wish(1, 1_000), at(10));
+    assert_eq!(refused, Err(desk::DeskRefusal::NoServer));
+}
+
+fn refuses_at_once_what_would_wait_past_its_objective() {
+    let mut case = DeskCase::new(&[("near", "north")]);
+    case.fill();
+    let mut last = Ok(());
+    for _ in 0..100 {
+        last = case.desk.enqueue(DeskCase::wish(1, 1_000), at(0)).map(drop);
+        if last.is_err() {
+            break;
+        }
+    }
+    assert_eq!(last, Err(desk::DeskRefusal::Crowded));
+}
+
+fn serves_urgent_work_first() {
+    let mut case = DeskCase::new(&[("near", "north")]);
+    case.fill();
+    let later = case
+        .desk
+        .enqueue(DeskCase::wish(2, 1_000), at(0))
+        .expect("it waits");
+    let urgent = case
+        .desk
+        .enqueue(DeskCase::wish(0, 1_000), at(1))
+        .expect("it waits");
+    case.finish("near", measure::ExchangeEnd::Answered, 100);
+    let events = case.desk.pump(at(2));
+    let first = events.iter().find_map(|event| match event {
+        desk::DeskEvent::Assigned(ticket, _) => Some(*ticket),
+        desk::DeskEvent::GivenUp(..) => None,
+    });
+    assert_eq!(first, Some(urgent), "{later:?} waits on");
+}
+
+fn gives_up_what_cannot_end_in_time() {
+    let mut case = DeskCase::new(&[("near", "north")]);
+    case.fill();
+    case.desk
+        .enqueue(DeskCase::wish(1, 400), at(0))
+        .expect("it waits");
+    let events = case.desk.pump(at(380));
+    let late = events.iter().any(|event| {
+        matches!(
+            event,
+            desk::DeskEvent::GivenUp(_, desk::DeskRefusal::TooLate)
+        )
+    });
+    assert!(late, "{events:?}");
+}
+
+fn avoids_a_server_that_fails() {
+    let mut case = DeskCase::new(&[("grey", "north"), ("sound", "north")]);
+    for _ in 0..20 {
+        case.finish("grey", measure::ExchangeEnd::Failed, 10);
+        case.finish("sound", measure::ExchangeEnd::Answered, 100);
+    }
+    assert_eq!(
+        case.send(DeskCase::wish(1, 1_000), at(0)).as_deref(),
+        Some("sound")
+    );
+}
+
+fn pauses_a_server_that_cannot_be_reached() {
+    let mut case = DeskCase::new(&[("near", "north")]);
+    case.finish("near", measure::ExchangeEnd::Unsent, 300);
+    let refused = case.desk.enqueue(DeskCase::wish(1, 1_000), at(1));
+    assert_eq!(refused, Err(desk::DeskRefusal::NoServer));
+    let back = at(measure::PAUSE_MS + 1);
+    assert!(case.desk.enqueue(DeskCase::wish(1, 1_000), back).is_ok());
+}
+
+fn repeats_within_its_part_of_the_budget() {
+    let mut case = DeskCase::new(&[("near", "north")]);
+    let mut again = DeskCase::wish(1, 1_000);
+    again.again = true;
+    let taken = (0..100)
+        .filter(|_| case.desk.enqueue(again.clone(), at(0)).is_ok())
+        .count();
+    assert!(
+        taken as f64 <= 10.0 * desk::BUDGET_PART,
+        "{taken} repeats without a fresh request"
+    );
+}
+
+fn holds_requests_for_a_key_that_moves() {
+    let mut case = DeskCase::new(&[("near", "north")]);
+    let holder = book::KeyHolder {
+        life: book::ServerLife {
+            server: name("near"),
+            born: 1,
+        },
+        address: ([10, 0, 0, 1], 80).into(),
+    };
+    let mut range = book::RangeEntry {
+        first: 0,
+        last: book::MAX_KEY,
+        fence: 1,
+        holder: holder.clone(),
+        formers: vec![holder],
+    };
+    let book_of = |range: &book::RangeEntry| {
+        let mut book = book::GrantBook::default();
+        book.services.insert(name("orders"), vec![range.clone()]);
+        sync::Arc::new(book)
+    };
+    case.view.book = book_of(&range);
+    case.sync(at(0));
+    let mut wish = DeskCase::wish(1, 1_000);
+    wish.key = Some(7);
+    assert_eq!(case.send(wish, at(0)), None, "the key is on its way");
+    range.formers.clear();
+    case.view.book = book_of(&range);
+    case.sync(at(50));
+    assert_eq!(
+        case.desk.pump(at(50)).len(),
+        1,
+        "the request goes to the new holder"
+    );
+}
+
+macro_rules! desk_cases {
+    ($($name:ident),* $(,)?) => {
+        mod cases {
+            $(#[test]
+            fn $name() {
+                super::$name();
+            })*
+        }
+    };
+}
+
+desk_cases! {
+    prefers_its_own_domain,
+    uses_another_domain_when_its_own_is_full,
+    keeps_to_the_room_of_a_server,
+    leaves_the_others_their_share,
+    sends_nothing_to_a_server_that_drains,
+    sends_nothing_to_a_removed_server_at_which_requests_run,
+    refuses_at_once_what_would_wait_past_its_objective,
+    serves_urgent_work_first,
+    gives_up_what_cannot_end_in_time,
+    avoids_a_server_that_fails,
+    pauses_a_server_that_cannot_be_reached,
+    repeats_within_its_part_of_the_budget,
+    holds_requests_for_a_key_that_moves,
+}
