Let the stand-in's late grants count from their arrival to the end

Trace: an order that arrived at 19.6 s under the former fence was carried out at 25.7 s, when its hold had long been over; the server held nothing, but the stand-in counted it as taking the key. Ruled out: the granter (its right had ended by its own clock when it sent last).

--- a/lab/src/key_server.rs
+++ b/lab/src/key_server.rs
@@ -39,6 +39,19 @@
     pub hold: time::Duration,
     /// When it arrived.
     pub arrived: clock::MonoTime,
+    /// When it is carried out, which may be later.
+    pub now: clock::MonoTime,
+}
+
+/// What a server made of a grant.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum GrantTaken {
+    /// It holds the keys.
+    Held,
+    /// The time, which counts from the order's arrival, was over.
+    Over,
+    /// It has seen a higher fence.
+    Refused,
 }
 
 /// One life of a server.
@@ -63,21 +76,24 @@
         }
     }
 
-    /// Carries out a grant; reports whether it was taken.
-    pub fn grant(&mut self, order: &HoldOrder) -> bool {
+    /// Carries out a grant.
+    pub fn grant(&mut self, order: &HoldOrder) -> GrantTaken {
         if self.has_seen_above(order.first, order.last, order.fence) {
-            return false;
+            return GrantTaken::Refused;
         }
         self.note_seen(order.first, order.last, order.fence);
         let hold = order.hold + order.hold * self.slow_percent / 100;
         let until = order.arrived + hold;
+        if until <= order.now {
+            return GrantTaken::Over;
+        }
         let longer = self.held.iter().any(|held| {
             let covers = held.first <= order.first && order.last <= held.last;
             covers && held.fence == order.fence && held.until >= until
         });
         // An order that is carried out late does not shorten a newer one.
         if longer {
-            return true;
+            return GrantTaken::Held;
         }
         self.cut_out(order.first, order.last);
         self.held.push(HeldKeys {
@@ -86,7 +102,7 @@
             fence: order.fence,
             until,
         });
-        true
+        GrantTaken::Held
     }
 
     /// Carries out a release.
--- a/lab/src/platform_site/worker.rs
+++ b/lab/src/platform_site/worker.rs
@@ -191,8 +191,9 @@
         fence: body.fence,
         hold: time::Duration::from_millis(body.hold_ms),
         arrived: clock.now(),
+        now: clock.now(),
     });
-    if taken {
+    if taken == key_server::GrantTaken::Held {
         return actix_web::HttpResponse::Ok().finish();
     }
     actix_web::HttpResponse::Conflict().finish()
