--- a/lab/src/grant_world.rs
+++ b/lab/src/grant_world.rs
@@ -12,6 +12,7 @@
 use zinniastack::names;
 use zinniastack::ownership::book;
 use zinniastack::ownership::granter;
+use zinniastack::ownership::order;
 use zinniastack::serving::directory;
 
 use crate::key_server;
@@ -68,32 +69,32 @@
     Appended {
         host: usize,
         life: u64,
-        outcome: granter::AppendOutcome,
+        outcome: order::AppendOutcome,
         sent: clock::MonoTime,
     },
     Grant {
         host: usize,
         life: u64,
-        order: granter::GrantOrder,
+        order: order::GrantOrder,
         fate: OrderFate,
         arrived: Option<clock::MonoTime>,
     },
     Granted {
         host: usize,
         life: u64,
-        order: granter::GrantOrder,
-        outcome: granter::OrderOutcome,
+        order: order::GrantOrder,
+        outcome: order::OrderOutcome,
     },
     Release {
         host: usize,
         life: u64,
-        order: granter::ReleaseOrder,
+        order: order::ReleaseOrder,
     },
     Released {
         host: usize,
         life: u64,
-        order: granter::ReleaseOrder,
-        outcome: granter::OrderOutcome,
+        order: order::ReleaseOrder,
+        outcome: order::OrderOutcome,
     },
     Fault,
 }
@@ -501,16 +502,16 @@
         }
     }
 
-    fn act(&mut self, host: usize, action: granter::GranterAction) {
+    fn act(&mut self, host: usize, action: order::GranterAction) {
         let life = self.hosts[host].life;
         let now = self.clock_of(host);
         match action {
-            granter::GranterAction::Append { book, at } => self.send_append(host, book, at),
-            granter::GranterAction::Grant(order) => self.send_grant(host, order),
-            granter::GranterAction::Release(order) => {
+            order::GranterAction::Append { book, at } => self.send_append(host, book, at),
+            order::GranterAction::Grant(order) => self.send_grant(host, order),
+            order::GranterAction::Release(order) => {
                 let server = self.server_of(&order.address);
                 if self.hosts[host].cut_from.contains(&server) {
-                    let outcome = granter::OrderOutcome::Unsent;
+                    let outcome = order::OrderOutcome::Unsent;
                     self.push(
                         300,
                         WorldEvent::Released {
@@ -525,7 +526,7 @@
                     self.push(delay, WorldEvent::Release { host, life, order });
                 }
             }
-            granter::GranterAction::Yield => {
+            order::GranterAction::Yield => {
                 self.members.remove(&host);
                 self.hosts[host].granter.note_candidate(false);
                 let _ = now;
@@ -537,7 +538,7 @@
         let life = self.hosts[host].life;
         let sent = self.clock_of(host);
         if self.flaw == GrantFlaw::OrderBeforeAppend {
-            let outcome = granter::AppendOutcome::Appended { end: at + 1 };
+            let outcome = order::AppendOutcome::Appended { end: at + 1 };
             self.push(
                 0,
                 WorldEvent::Appended {
@@ -549,7 +550,7 @@
             );
         }
         if !self.store_serves(host) {
-            let outcome = granter::AppendOutcome::Refused;
+            let outcome = order::AppendOutcome::Refused;
             self.push(
                 5,
                 WorldEvent::Appended {
@@ -594,12 +595,12 @@
         let end = u64::try_from(self.log.len()).unwrap_or(u64::MAX);
         let outcome = if at == end {
             self.log.push(book);
-            granter::AppendOutcome::Appended { end: end + 1 }
+            order::AppendOutcome::Appended { end: end + 1 }
         } else {
-            granter::AppendOutcome::Conflict
+            order::AppendOutcome::Conflict
         };
         let outcome = if lost {
-            granter::AppendOutcome::Unknown
+            order::AppendOutcome::Unknown
         } else {
             outcome
         };
@@ -623,16 +624,16 @@
         position.unwrap_or_else(|| unreachable!("{address} is a server's"))
     }
 
-    fn send_grant(&mut self, host: usize, order: granter::GrantOrder) {
+    fn send_grant(&mut self, host: usize, order: order::GrantOrder) {
         let life = self.hosts[host].life;
         let server = self.server_of(&order.address);
         if self.hosts[host].cut_from.contains(&server) || !self.servers[server].alive {
             // A kept connection that went silent takes one order; no further one is made.
             let sent = self.chance(20);
             let (after, outcome) = if sent {
-                (granter::ORDER_TIMEOUT_MS, granter::OrderOutcome::Unanswered)
+                (order::ORDER_TIMEOUT_MS, order::OrderOutcome::Unanswered)
             } else {
-                (300, granter::OrderOutcome::Unsent)
+                (300, order::OrderOutcome::Unsent)
             };
             self.push(
                 after,
@@ -659,10 +660,10 @@
         };
         if self.flaw == GrantFlaw::LapseFromSending {
             let now = self.clock_of(host);
-            let outcome = granter::OrderOutcome::Done(None);
+            let outcome = order::OrderOutcome::Done(None);
             self.hosts[host].granter.note_granted(&order, &outcome, now);
         }
-        let unanswered = granter::OrderOutcome::Unanswered;
+        let unanswered = order::OrderOutcome::Unanswered;
         let known = WorldEvent::Granted {
             host,
             life,
@@ -670,7 +671,7 @@
             outcome: unanswered,
         };
         if fate != OrderFate::Answered {
-            self.push(granter::ORDER_TIMEOUT_MS, known);
+            self.push(order::ORDER_TIMEOUT_MS, known);
         }
         self.push(
             delay,
@@ -688,7 +689,7 @@
         &mut self,
         host: usize,
         life: u64,
-        order: granter::GrantOrder,
+        order: order::GrantOrder,
         fate: OrderFate,
         arrived: Option<clock::MonoTime>,
     ) {
@@ -727,11 +728,11 @@
                 self.note_granted_keys(&order);
             }
             match taken {
-                key_server::GrantTaken::Refused => granter::OrderOutcome::Refused,
-                _ => granter::OrderOutcome::Done(None),
+                key_server::GrantTaken::Refused => order::OrderOutcome::Refused,
+                _ => order::OrderOutcome::Done(None),
             }
         } else {
-            granter::OrderOutcome::Replaced
+            order::OrderOutcome::Replaced
         };
         if fate == OrderFate::Answered && self.flaw != GrantFlaw::LapseFromSending {
             let delay = self.delay();
@@ -748,7 +749,7 @@
     }
 
     // A key goes to another life only under a fence above all that other lives had.
-    fn note_granted_keys(&mut self, order: &granter::GrantOrder) {
+    fn note_granted_keys(&mut self, order: &order::GrantOrder) {
         let range = &order.range;
         let higher = self.granted.iter().find(|(first, last, fence, life)| {
             key_server::overlaps(*first, *last, range.first, range.last)
@@ -768,27 +769,27 @@
         }
     }
 
-    fn release(&mut self, host: usize, life: u64, order: granter::ReleaseOrder) {
+    fn release(&mut self, host: usize, life: u64, order: order::ReleaseOrder) {
         let index = self.server_of(&order.address);
         let working = self.random.random_range(0..400);
         let server = &mut self.servers[index];
         let outcome = if !server.alive {
-            granter::OrderOutcome::Unanswered
+            order::OrderOutcome::Unanswered
         } else if server.server.life == order.life {
             let range = &order.range;
             server.server.release(range.first, range.last, range.fence);
-            granter::OrderOutcome::Done(None)
+            order::OrderOutcome::Done(None)
         } else {
-            granter::OrderOutcome::Replaced
+            order::OrderOutcome::Replaced
         };
         let lost = self.chance(20);
         let outcome = if lost {
-            granter::OrderOutcome::Unanswered
+            order::OrderOutcome::Unanswered
         } else {
             outcome
         };
         let after = if lost {
-            granter::RELEASE_TIMEOUT_MS
+            order::RELEASE_TIMEOUT_MS
         } else {
             working + 2
         };
--- a/src/edge/router/body.rs
+++ b/src/edge/router/body.rs
@@ -71,3 +71,32 @@
         }
     }
 }
+
+/// A caller's body: held, or begun.
+pub(crate) struct HeldBody {
+    pub(crate) head: bytes::Bytes,
+    pub(crate) rest: Option<web::Payload>,
+    pub(crate) passed_on: bool,
+}
+
+impl HeldBody {
+    pub(crate) fn size(&self) -> u64 {
+        u64::try_from(self.head.len()).unwrap_or(u64::MAX)
+    }
+
+    pub(crate) fn take(&mut self) -> RequestBody {
+        match self.rest.take() {
+            Some(rest) => {
+                self.passed_on = true;
+                let head = Some(std::mem::take(&mut self.head));
+                RequestBody::Passing { head, rest }
+            }
+            None => RequestBody::new(self.head.clone()),
+        }
+    }
+
+    // A long body is gone once it was passed on.
+    pub(crate) const fn can_repeat(&self) -> bool {
+        !self.passed_on
+    }
+}
--- a/src/edge/router/control.rs
+++ b/src/edge/router/control.rs
@@ -9,14 +9,15 @@
 use crate::chart;
 use crate::clock;
 use crate::clock::MonoClock as _;
-use crate::edge::router::front;
 use crate::edge::router::gossip;
 use crate::edge::router::metrics;
 use crate::edge::router::ports;
 use crate::edge::router::store_reader;
+use crate::edge::router::traffic;
 use crate::names;
 use crate::ownership::book;
 use crate::ownership::granter;
+use crate::ownership::order;
 use crate::serving::directory;
 use crate::serving::knowledge;
 use crate::serving::news;
@@ -55,11 +56,11 @@
     /// The clock.
     pub clock: clock::SystemClock,
     /// The view for the traffic threads.
-    pub view: front::SharedView,
+    pub view: traffic::SharedView,
     /// Whether the host can serve.
     pub ready: sync::Arc<sync::atomic::AtomicBool>,
     /// What the traffic threads report.
-    pub reports: tokio::sync::mpsc::UnboundedReceiver<front::TrafficReport>,
+    pub reports: tokio::sync::mpsc::UnboundedReceiver<traffic::TrafficReport>,
     /// What other hosts ask.
     pub questions: tokio::sync::mpsc::UnboundedReceiver<gossip::GossipQuestion>,
     /// The interval between two joins, in milliseconds.
@@ -88,7 +89,7 @@
     orders: O,
     decoder: D,
     clock: clock::SystemClock,
-    view: front::SharedView,
+    view: traffic::SharedView,
     ready: sync::Arc<sync::atomic::AtomicBool>,
     gossip: gossip::GossipClient,
     join_interval: time::Duration,
@@ -406,7 +407,7 @@
                 .store
                 .append(ports::StoreTopic::Hosts, record, None)
                 .await;
-            if let granter::AppendOutcome::Appended { .. } = outcome {
+            if let order::AppendOutcome::Appended { .. } = outcome {
                 return;
             }
             tracing::warn!(event = "store-call-failed", topic = "hosts", outcome = ?outcome);
@@ -443,16 +444,16 @@
         };
         for action in actions {
             match action {
-                granter::GranterAction::Append { book, at } => {
+                order::GranterAction::Append { book, at } => {
                     actix::spawn(rc::Rc::clone(self).append_book(book, at));
                 }
-                granter::GranterAction::Grant(order) => {
+                order::GranterAction::Grant(order) => {
                     actix::spawn(rc::Rc::clone(self).send_grant(order));
                 }
-                granter::GranterAction::Release(order) => {
+                order::GranterAction::Release(order) => {
                     actix::spawn(rc::Rc::clone(self).send_release(order));
                 }
-                granter::GranterAction::Yield => {
+                order::GranterAction::Yield => {
                     actix::spawn(rc::Rc::clone(self).yield_duty());
                 }
             }
@@ -503,11 +504,11 @@
         self.decide();
     }
 
-    async fn send_grant(self: rc::Rc<Self>, order: granter::GrantOrder) {
+    async fn send_grant(self: rc::Rc<Self>, order: order::GrantOrder) {
         let outcome = self.orders.grant(&order).await;
         self.metrics.note_order("grant", outcome.as_str());
         let now = self.clock.now();
-        if !matches!(outcome, granter::OrderOutcome::Done(_)) {
+        if !matches!(outcome, order::OrderOutcome::Done(_)) {
             tracing::warn!(
                 event = "grant-unanswered",
                 server = %order.life.server,
@@ -525,7 +526,7 @@
         }
     }
 
-    async fn send_release(self: rc::Rc<Self>, order: granter::ReleaseOrder) {
+    async fn send_release(self: rc::Rc<Self>, order: order::ReleaseOrder) {
         let outcome = self.orders.release(&order).await;
         self.metrics.note_order("release", outcome.as_str());
         let now = self.clock.now();
@@ -563,7 +564,7 @@
 
     async fn take_reports(
         self: rc::Rc<Self>,
-        reports: tokio::sync::mpsc::UnboundedReceiver<front::TrafficReport>,
+        reports: tokio::sync::mpsc::UnboundedReceiver<traffic::TrafficReport>,
     ) {
         let mut reports = reports;
         while let Some(report) = reports.recv().await {
--- a/src/edge/router/front.rs
+++ b/src/edge/router/front.rs
@@ -1,7 +1,5 @@
 //! Callers' requests: from the route to the one answer.
 
-use std::cell;
-use std::collections;
 use std::rc;
 use std::sync;
 use std::sync::atomic;
@@ -10,333 +8,33 @@
 use actix_web::web;
 use futures_util::StreamExt as _;
 
-use crate::chart;
 use crate::clock;
 use crate::clock::MonoClock as _;
+use crate::edge::router::answer;
 use crate::edge::router::body;
 use crate::edge::router::exchange;
-use crate::edge::router::log_budget;
-use crate::edge::router::metrics;
 use crate::edge::router::ports;
+use crate::edge::router::traffic;
 use crate::edge::router::wire;
 use crate::names;
-use crate::ownership::book;
-use crate::ownership::heat;
 use crate::routing::specification;
-use crate::routing::split;
 use crate::serving::desk;
 use crate::serving::directory;
 use crate::serving::measure;
 use crate::serving::verdict;
-use crate::serving::view;
 
 /// Bodies up to this size are held whole, in bytes, so that they can be sent again.
 pub const HELD_BODY_BYTES: usize = 1 << 20;
-/// How often waiting requests are looked at where nothing else happens, in milliseconds.
-pub const SWEEP_MS: u64 = 20;
 /// The shortest time after which a refused caller is told to come back, in milliseconds.
 pub const MIN_RETURN_MS: f64 = 40.0;
 /// When a caller whose request was not looked at is told to come back, in milliseconds.
 pub const EARLY_RETURN_MS: u64 = 50;
 /// The part of a caller's time left that it may be told to wait.
 pub const MAX_RETURN_PART: f64 = 0.32;
-/// The interval between two reports to the control thread, in milliseconds.
-pub const REPORT_MS: u64 = 250;
-
-/// The view that the control thread keeps.
-pub type SharedView = sync::Arc<arc_swap::ArcSwap<view::ServingView>>;
-
-/// What one traffic thread tells the control thread.
-#[derive(Debug, Default)]
-pub struct TrafficReport {
-    /// What this host has at each server.
-    pub demand: view::ServerDemand,
-    /// The work of the keys of each service.
-    pub heat: Vec<(names::ServiceName, Vec<heat::KeyHeat>)>,
-    /// The measured time of each server, in milliseconds.
-    pub service_times: Vec<(names::ServerName, f64)>,
-}
-
-/// What a traffic thread is made of.
-#[derive(Clone)]
-pub struct TrafficParts<C: ports::HeaderCodec> {
-    /// The headers.
-    pub codec: C,
-    /// The view.
-    pub view: SharedView,
-    /// The desk's settings.
-    pub desk: desk::DeskSettings,
-    /// The chart of a request.
-    pub chart: sync::Arc<chart::ChartTable<verdict::DeliveryVocabulary>>,
-    /// Whether the host is stopping: connections end with their answers.
-    pub stopping: sync::Arc<atomic::AtomicBool>,
-    /// Whether the host takes no new requests any longer.
-    pub closed: sync::Arc<atomic::AtomicBool>,
-    /// The number of requests under way.
-    pub in_flight: sync::Arc<atomic::AtomicI64>,
-    /// Where reports go.
-    pub reports: tokio::sync::mpsc::UnboundedSender<TrafficReport>,
-    /// The clock.
-    pub clock: clock::SystemClock,
-    /// The metrics.
-    pub metrics: sync::Arc<metrics::RouterMetrics>,
-}
-
-type DeskAnswer = Result<sync::Arc<directory::ServerRecord>, desk::DeskRefusal>;
-type DeskWaiters = collections::HashMap<desk::WaitTicket, tokio::sync::oneshot::Sender<DeskAnswer>>;
-
-/// One traffic thread.
-pub struct TrafficThread<C: ports::HeaderCodec> {
-    parts: TrafficParts<C>,
-    desk: cell::RefCell<desk::ServiceDesk>,
-    waiters: cell::RefCell<DeskWaiters>,
-    split: cell::RefCell<split::SplitCounter>,
-    patience: cell::RefCell<collections::HashMap<names::RouteName, time::Duration>>,
-    heat: cell::RefCell<collections::HashMap<(names::ServiceName, u16), f64>>,
-    client: wire::WireClient,
-    waiting: tokio::sync::Notify,
-    lines: log_budget::LogBudget,
-}
-
-impl<C: ports::HeaderCodec> TrafficThread<C> {
-    /// Creates a traffic thread's state and starts its timers.
-    #[must_use]
-    pub fn start(parts: TrafficParts<C>) -> rc::Rc<Self> {
-        let thread = rc::Rc::new(Self {
-            desk: cell::RefCell::new(desk::ServiceDesk::new(parts.desk.clone())),
-            waiters: cell::RefCell::default(),
-            split: cell::RefCell::default(),
-            patience: cell::RefCell::default(),
-            heat: cell::RefCell::default(),
-            client: wire::WireClient::new(),
-            waiting: tokio::sync::Notify::new(),
-            lines: log_budget::LogBudget::new(),
-            parts,
-        });
-        actix::spawn(rc::Rc::clone(&thread).sweep());
-        actix::spawn(rc::Rc::clone(&thread).report());
-        thread
-    }
-
-    async fn sweep(self: rc::Rc<Self>) {
-        loop {
-            self.waiting.notified().await;
-            while self.desk.borrow().has_waiting() {
-                tokio::time::sleep(time::Duration::from_millis(SWEEP_MS)).await;
-                self.pump();
-            }
-        }
-    }
-
-    async fn report(self: rc::Rc<Self>) {
-        loop {
-            tokio::time::sleep(time::Duration::from_millis(REPORT_MS)).await;
-            self.client.sweep();
-            self.tell_left_out();
-            let report = TrafficReport {
-                demand: self.desk.borrow().demand(),
-                heat: self.take_heat(),
-                service_times: self.desk.borrow().service_times(),
-            };
-            // The control thread may have ended before this one.
-            let _ = self.parts.reports.send(report);
-        }
-    }
-
-    fn tell_left_out(&self) {
-        let count = self.lines.take_left_out();
-        if count > 0 {
-            self.parts.metrics.lines_left_out.inc_by(count);
-            tracing::warn!(event = "lines-left-out", count);
-        }
-        let in_flight = self.parts.in_flight.load(atomic::Ordering::Relaxed);
-        self.parts.metrics.in_flight.set(in_flight);
-    }
-
-    fn take_heat(&self) -> Vec<(names::ServiceName, Vec<heat::KeyHeat>)> {
-        let counted = std::mem::take(&mut *self.heat.borrow_mut());
-        let mut services = collections::BTreeMap::<_, Vec<_>>::new();
-        let interval = f64::from(u32::try_from(REPORT_MS).unwrap_or(u32::MAX));
-        for ((service, key), busy_ms) in counted {
-            #[expect(clippy::cast_possible_truncation, reason = "an estimate")]
-            let busy = (busy_ms / interval) as f32;
-            let heat = heat::KeyHeat { key, busy };
-            services.entry(service).or_default().push(heat);
-        }
-        services.into_iter().collect()
-    }
-
-    // Lets the desk decide and tells the waiting requests.
-    fn pump(&self) {
-        let now = self.parts.clock.now();
-        let view = self.parts.view.load_full();
-        let events = {
-            let mut desk = self.desk.borrow_mut();
-            desk.sync(&view, now);
-            desk.pump(now)
-        };
-        for event in events {
-            let (ticket, answer) = match event {
-                desk::DeskEvent::Assigned(ticket, record) => (ticket, Ok(record)),
-                desk::DeskEvent::GivenUp(ticket, refusal) => (ticket, Err(refusal)),
-            };
-            let waiter = self.waiters.borrow_mut().remove(&ticket);
-            let Some(waiter) = waiter else {
-                continue;
-            };
-            if let Err(Ok(record)) = waiter.send(answer) {
-                self.finish(
-                    &record.life,
-                    measure::ExchangeEnd::CutShort,
-                    time::Duration::ZERO,
-                );
-            }
-        }
-        if self.desk.borrow().has_waiting() {
-            self.waiting.notify_one();
-        }
-    }
-
-    fn finish(&self, life: &book::ServerLife, end: measure::ExchangeEnd, elapsed: time::Duration) {
-        let now = self.parts.clock.now();
-        self.desk.borrow_mut().finish(life, end, elapsed, now);
-    }
-
-    // The time by which an answer counts in full. A caller that comes back has used a part of it:
-    // it states less time than the longest that its route's callers have stated.
-    fn objective(
-        &self,
-        route: &specification::RouteSpec,
-        patience: time::Duration,
-        arrived: clock::MonoTime,
-    ) -> clock::MonoTime {
-        let mut longest = self.patience.borrow_mut();
-        let longest = longest.entry(route.name.clone()).or_insert(patience);
-        *longest = (*longest).max(patience);
-        let used = longest.saturating_sub(patience);
-        arrived + route.objective.saturating_sub(used)
-    }
-}
-
-// A slot at a server, given back when it ends.
-struct ServerSlot<C: ports::HeaderCodec> {
-    // Counts as long as the answer is on its way.
-    _in_flight: InFlight,
-    thread: rc::Rc<TrafficThread<C>>,
-    record: sync::Arc<directory::ServerRecord>,
-    started: clock::MonoTime,
-    end: measure::ExchangeEnd,
-}
-
-impl<C: ports::HeaderCodec> Drop for ServerSlot<C> {
-    fn drop(&mut self) {
-        let elapsed = self.thread.parts.clock.now().since(self.started);
-        self.thread.finish(&self.record.life, self.end, elapsed);
-        self.thread.pump();
-    }
-}
-
-// A request that waits, forgotten by the desk when its caller leaves.
-struct DeskWait<C: ports::HeaderCodec> {
-    thread: rc::Rc<TrafficThread<C>>,
-    service: names::ServiceName,
-    priority: u32,
-    ticket: desk::WaitTicket,
-}
-
-impl<C: ports::HeaderCodec> Drop for DeskWait<C> {
-    fn drop(&mut self) {
-        let waiter = self.thread.waiters.borrow_mut().remove(&self.ticket);
-        if waiter.is_some() {
-            let mut desk = self.thread.desk.borrow_mut();
-            desk.forget(&self.service, self.priority, self.ticket);
-        }
-    }
-}
-
-/// Why a request is answered by this host itself.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum OwnAnswer {
-    /// No route fits.
-    NoRoute,
-    /// No set of routes is known yet.
-    Starting,
-    /// The host is about to end.
-    Stopping,
-    /// A header is missing or malformed.
-    Malformed,
-    /// The head is too large.
-    HeadTooLarge,
-    /// The body is too large.
-    BodyTooLarge,
-    /// The body did not come in time.
-    BodyTimeout,
-    /// No server can take it; it did not run.
-    Refused(desk::DeskRefusal),
-    /// No server took it; it did not run.
-    NotRun,
-    /// Its end is not known.
-    Broken,
-    /// The time is over.
-    Timeout,
-}
-
-impl OwnAnswer {
-    /// Returns the status.
-    #[must_use]
-    pub const fn status(self) -> u16 {
-        match self {
-            Self::NoRoute => 404,
-            Self::Malformed => 400,
-            Self::HeadTooLarge => 431,
-            Self::BodyTooLarge => 413,
-            Self::BodyTimeout => 408,
-            Self::Starting | Self::Stopping | Self::Refused(_) | Self::NotRun => 503,
-            Self::Broken => 502,
-            Self::Timeout => 504,
-        }
-    }
-
-    /// Returns the cause's name in logs and metrics.
-    #[must_use]
-    pub const fn as_str(self) -> &'static str {
-        match self {
-            Self::NoRoute => "no-route",
-            Self::Starting => "starting",
-            Self::Stopping => "stopping",
-            Self::Malformed => "malformed",
-            Self::HeadTooLarge => "head-too-large",
-            Self::BodyTooLarge => "body-too-large",
-            Self::BodyTimeout => "body-timeout",
-            Self::Refused(desk::DeskRefusal::Crowded) => "crowded",
-            Self::Refused(desk::DeskRefusal::NoServer) => "no-server",
-            Self::Refused(desk::DeskRefusal::TooLate) => "too-late",
-            Self::Refused(desk::DeskRefusal::Budget) => "retry-budget",
-            Self::NotRun => "not-run",
-            Self::Broken => "broken",
-            Self::Timeout => "timeout",
-        }
-    }
-}
-
-struct InFlight(sync::Arc<atomic::AtomicI64>);
-
-impl InFlight {
-    fn new(count: &sync::Arc<atomic::AtomicI64>) -> Self {
-        count.fetch_add(1, atomic::Ordering::Relaxed);
-        Self(sync::Arc::clone(count))
-    }
-}
-
-impl Drop for InFlight {
-    fn drop(&mut self) {
-        self.0.fetch_sub(1, atomic::Ordering::Relaxed);
-    }
-}
 
 // One caller's request on its way.
 struct CallerRequest<C: ports::HeaderCodec> {
-    thread: rc::Rc<TrafficThread<C>>,
+    thread: rc::Rc<traffic::TrafficThread<C>>,
     caller: actix_web::HttpRequest,
     facts: ports::CallerFacts,
     arrived: clock::MonoTime,
@@ -353,18 +51,18 @@
     caller: actix_web::HttpRequest,
     payload: web::Payload,
 ) -> actix_web::HttpResponse {
-    let Some(thread) = caller.app_data::<rc::Rc<TrafficThread<C>>>() else {
+    let Some(thread) = caller.app_data::<rc::Rc<traffic::TrafficThread<C>>>() else {
         return actix_web::HttpResponse::InternalServerError().finish();
     };
     let thread = rc::Rc::clone(thread);
-    let _in_flight = InFlight::new(&thread.parts.in_flight);
+    let _in_flight = traffic::InFlight::new(&thread.parts.in_flight);
     let stopping = rc::Rc::clone(&thread);
     let mut response = match CallerRequest::new(thread, caller) {
         Ok(request) => request.serve(payload).await,
         Err((own, id)) => {
             note_own(&stopping, own, id.as_deref());
             let back = (own.status() == 503).then(|| time::Duration::from_millis(EARLY_RETURN_MS));
-            own_response(own, back)
+            answer::respond(own, back)
         }
     };
     if stopping.parts.stopping.load(atomic::Ordering::Relaxed) {
@@ -379,29 +77,29 @@
     response
 }
 
-type EarlyAnswer = (OwnAnswer, Option<sync::Arc<str>>);
+type EarlyAnswer = (answer::OwnAnswer, Option<sync::Arc<str>>);
 
 impl<C: ports::HeaderCodec> CallerRequest<C> {
     // Finds the request's route and service.
     fn new(
-        thread: rc::Rc<TrafficThread<C>>,
+        thread: rc::Rc<traffic::TrafficThread<C>>,
         caller: actix_web::HttpRequest,
     ) -> Result<Self, EarlyAnswer> {
         let arrived = thread.parts.clock.now();
         let facts = thread.parts.codec.read_request(caller.headers());
         let early = |own| (own, facts.id.clone());
         if thread.parts.closed.load(atomic::Ordering::Relaxed) {
-            return Err(early(OwnAnswer::Stopping));
+            return Err(early(answer::OwnAnswer::Stopping));
         }
         let view = thread.parts.view.load();
         let routes = view
             .routes
             .as_ref()
-            .ok_or_else(|| early(OwnAnswer::Starting))?;
+            .ok_or_else(|| early(answer::OwnAnswer::Starting))?;
         check_limits(&caller, &routes.limits).map_err(early)?;
-        let host = host_of(&caller).ok_or_else(|| early(OwnAnswer::Malformed))?;
+        let host = host_of(&caller).ok_or_else(|| early(answer::OwnAnswer::Malformed))?;
         let route = routes.find(&host, caller.uri().path());
-        let route = sync::Arc::clone(route.ok_or_else(|| early(OwnAnswer::NoRoute))?);
+        let route = sync::Arc::clone(route.ok_or_else(|| early(answer::OwnAnswer::NoRoute))?);
         let part = thread.split.borrow_mut().choose(&route);
         let service = route.parts[part].service.clone();
         let sharded = routes
@@ -409,7 +107,7 @@
             .get(&service)
             .is_some_and(|spec| spec.sharded);
         if sharded && facts.key.is_none() {
-            return Err(early(OwnAnswer::Malformed));
+            return Err(early(answer::OwnAnswer::Malformed));
         }
         let patience = facts.patience.unwrap_or(route.timeout);
         let objective = thread.objective(&route, patience, arrived);
@@ -439,7 +137,7 @@
     }
 
     // Reads a body that is small enough to be held; a longer one is passed on as it comes.
-    async fn read_body(&self, payload: web::Payload) -> Result<HeldBody, OwnAnswer> {
+    async fn read_body(&self, payload: web::Payload) -> Result<body::HeldBody, answer::OwnAnswer> {
         let mut payload = payload;
         let mut head = bytes::BytesMut::new();
         let left = self.deadline.since(self.thread.parts.clock.now());
@@ -448,31 +146,31 @@
                 match payload.next().await {
                     None => return Ok(true),
                     Some(Ok(part)) => head.extend_from_slice(&part),
-                    Some(Err(_)) => return Err(OwnAnswer::Malformed),
+                    Some(Err(_)) => return Err(answer::OwnAnswer::Malformed),
                 }
             }
             Ok(false)
         };
         let whole = tokio::time::timeout(left, read).await;
-        let whole = whole.unwrap_or(Err(OwnAnswer::BodyTimeout))?;
+        let whole = whole.unwrap_or(Err(answer::OwnAnswer::BodyTimeout))?;
         let head = head.freeze();
         if whole {
             let rest = None;
-            return Ok(HeldBody {
+            return Ok(body::HeldBody {
                 head,
                 rest,
                 passed_on: false,
             });
         }
         let rest = Some(payload);
-        Ok(HeldBody {
+        Ok(body::HeldBody {
             head,
             rest,
             passed_on: false,
         })
     }
 
-    async fn deliver(&self, held: HeldBody) -> actix_web::HttpResponse {
+    async fn deliver(&self, held: body::HeldBody) -> actix_web::HttpResponse {
         let mut held = held;
         let table = sync::Arc::clone(&self.thread.parts.chart);
         let mut course = verdict::DeliveryCourse::new(&table, &self.route);
@@ -486,14 +184,14 @@
                 Ok(record) => record,
                 Err(refusal) => {
                     let action = course.handle(verdict::DeliveryEvent::GivenUp, false);
-                    return self.answer_end(action, OwnAnswer::Refused(refusal), None);
+                    return self.answer_end(action, answer::OwnAnswer::Refused(refusal), None);
                 }
             };
             course.handle(verdict::DeliveryEvent::Assigned, true);
             let (end, mut slot) = self.attempt(&record, &mut held).await;
             let Some(end) = end else {
                 let action = course.handle(verdict::DeliveryEvent::TimeOver, false);
-                return self.answer_end(action, OwnAnswer::Timeout, Some(&record));
+                return self.answer_end(action, answer::OwnAnswer::Timeout, Some(&record));
             };
             slot.end = end.measure();
             let may_again = held.can_repeat() && self.has_time();
@@ -510,7 +208,9 @@
                     again = true;
                     avoid = Some(record.life.server.clone());
                 }
-                (action, _) => return self.answer_end(action, OwnAnswer::NotRun, Some(&record)),
+                (action, _) => {
+                    return self.answer_end(action, answer::OwnAnswer::NotRun, Some(&record));
+                }
             }
         }
     }
@@ -525,7 +225,7 @@
         again: bool,
         avoid: Option<names::ServerName>,
         body_bytes: u64,
-    ) -> DeskAnswer {
+    ) -> traffic::DeskAnswer {
         let now = self.thread.parts.clock.now();
         let wish = self.wish(again, avoid, body_bytes);
         let view = self.thread.parts.view.load_full();
@@ -536,7 +236,7 @@
             desk.enqueue(wish, now)?
         };
         self.thread.waiters.borrow_mut().insert(ticket, sender);
-        let _wait = DeskWait {
+        let _wait = traffic::DeskWait {
             thread: rc::Rc::clone(&self.thread),
             service: self.service.clone(),
             priority: self.route.priority,
@@ -568,11 +268,11 @@
     async fn attempt(
         &self,
         record: &sync::Arc<directory::ServerRecord>,
-        held: &mut HeldBody,
-    ) -> (Option<exchange::AttemptEnd>, ServerSlot<C>) {
+        held: &mut body::HeldBody,
+    ) -> (Option<exchange::AttemptEnd>, traffic::ServerSlot<C>) {
         let now = self.thread.parts.clock.now();
-        let slot = ServerSlot {
-            _in_flight: InFlight::new(&self.thread.parts.in_flight),
+        let slot = traffic::ServerSlot {
+            _in_flight: traffic::InFlight::new(&self.thread.parts.in_flight),
             thread: rc::Rc::clone(&self.thread),
             record: sync::Arc::clone(record),
             started: now,
@@ -597,7 +297,7 @@
     fn pass_answer(
         &self,
         answer: exchange::ServerAnswer,
-        slot: ServerSlot<C>,
+        slot: traffic::ServerSlot<C>,
     ) -> actix_web::HttpResponse {
         let status = actix_web::http::StatusCode::from_u16(answer.head.status.as_u16());
         let status = status.unwrap_or(actix_web::http::StatusCode::BAD_GATEWAY);
@@ -623,7 +323,7 @@
         }
     }
 
-    fn note_answered(&self, slot: &ServerSlot<C>, status: u16) {
+    fn note_answered(&self, slot: &traffic::ServerSlot<C>, status: u16) {
         let elapsed = self.thread.parts.clock.now().since(self.arrived);
         let end = if status >= 500 { "failed" } else { "answered" };
         let metrics = &self.thread.parts.metrics;
@@ -648,23 +348,23 @@
     fn answer_end(
         &self,
         action: Option<verdict::DeliveryAction>,
-        refused: OwnAnswer,
+        refused: answer::OwnAnswer,
         record: Option<&directory::ServerRecord>,
     ) -> actix_web::HttpResponse {
         let own = match action {
             Some(verdict::DeliveryAction::Refuse) => match refused {
-                OwnAnswer::Timeout => OwnAnswer::NotRun,
+                answer::OwnAnswer::Timeout => answer::OwnAnswer::NotRun,
                 other => other,
             },
-            Some(verdict::DeliveryAction::TellTimeout) => OwnAnswer::Timeout,
-            _ => OwnAnswer::Broken,
+            Some(verdict::DeliveryAction::TellTimeout) => answer::OwnAnswer::Timeout,
+            _ => answer::OwnAnswer::Broken,
         };
         self.answer_own(own, record)
     }
 
     fn answer_own(
         &self,
-        own: OwnAnswer,
+        own: answer::OwnAnswer,
         record: Option<&directory::ServerRecord>,
     ) -> actix_web::HttpResponse {
         let now = self.thread.parts.clock.now();
@@ -690,7 +390,7 @@
             );
         }
         let back = (own.status() == 503).then(|| self.return_after(now));
-        own_response(own, back)
+        answer::respond(own, back)
     }
 
     // Every request counts as work of its key, served or not, by the mean time of the service's
@@ -739,7 +439,11 @@
     }
 }
 
-fn note_own<C: ports::HeaderCodec>(thread: &TrafficThread<C>, own: OwnAnswer, id: Option<&str>) {
+fn note_own<C: ports::HeaderCodec>(
+    thread: &traffic::TrafficThread<C>,
+    own: answer::OwnAnswer,
+    id: Option<&str>,
+) {
     thread.parts.metrics.note_end("", own.as_str(), 0.0);
     if thread.lines.take() {
         let id = id.unwrap_or("");
@@ -752,52 +456,13 @@
     }
 }
 
-fn own_response(own: OwnAnswer, back: Option<time::Duration>) -> actix_web::HttpResponse {
-    let status = actix_web::http::StatusCode::from_u16(own.status());
-    let status = status.unwrap_or(actix_web::http::StatusCode::BAD_GATEWAY);
-    let mut response = actix_web::HttpResponse::build(status);
-    if let Some(back) = back {
-        response.insert_header(("retry-after", format!("{:.3}", back.as_secs_f64())));
-    }
-    response.body(own.as_str())
-}
-
-// A body that is held, or begun.
-struct HeldBody {
-    head: bytes::Bytes,
-    rest: Option<web::Payload>,
-    passed_on: bool,
-}
-
-impl HeldBody {
-    fn size(&self) -> u64 {
-        u64::try_from(self.head.len()).unwrap_or(u64::MAX)
-    }
-
-    fn take(&mut self) -> body::RequestBody {
-        match self.rest.take() {
-            Some(rest) => {
-                self.passed_on = true;
-                let head = Some(std::mem::take(&mut self.head));
-                body::RequestBody::Passing { head, rest }
-            }
-            None => body::RequestBody::new(self.head.clone()),
-        }
-    }
-
-    // A long body is gone once it was passed on.
-    const fn can_repeat(&self) -> bool {
-        !self.passed_on
-    }
-}
-
 type BodyPart = Result<bytes::Bytes, std::io::Error>;
 
 // Passes the rest of an answer on as it comes; the slot ends with it.
 fn stream_rest<C: ports::HeaderCodec>(
     first: bytes::Bytes,
     rest: wire::WireAnswer,
-    slot: ServerSlot<C>,
+    slot: traffic::ServerSlot<C>,
 ) -> impl futures_util::Stream<Item = BodyPart> {
     let head = futures_util::stream::once(async move { Ok(first) });
     let state = Some((rest, slot));
@@ -830,7 +495,7 @@
 fn check_limits(
     caller: &actix_web::HttpRequest,
     limits: &specification::CallerLimits,
-) -> Result<(), OwnAnswer> {
+) -> Result<(), answer::OwnAnswer> {
     let target = caller
         .uri()
         .path_and_query()
@@ -840,10 +505,10 @@
         .map(|(name, value)| name.as_str().len() + value.len() + 4)
         .sum();
     if target + headers > limits.head_bytes {
-        return Err(OwnAnswer::HeadTooLarge);
+        return Err(answer::OwnAnswer::HeadTooLarge);
     }
     if exchange::stated_length(caller).is_some_and(|length| length > limits.body_bytes) {
-        return Err(OwnAnswer::BodyTooLarge);
+        return Err(answer::OwnAnswer::BodyTooLarge);
     }
     Ok(())
 }
--- a/src/edge/router/host.rs
+++ b/src/edge/router/host.rs
@@ -14,6 +14,7 @@
 use crate::edge::router::gossip;
 use crate::edge::router::metrics;
 use crate::edge::router::ports;
+use crate::edge::router::traffic;
 use crate::serving::desk;
 use crate::serving::news;
 use crate::serving::view;
@@ -122,7 +123,7 @@
         adapter: A,
     ) -> Result<Self, RouterError> {
         let clock = clock::SystemClock::new();
-        let view: front::SharedView =
+        let view: traffic::SharedView =
             sync::Arc::new(arc_swap::ArcSwap::from_pointee(view::ServingView::new()));
         let ready = sync::Arc::new(atomic::AtomicBool::new(false));
         let stopping = sync::Arc::new(atomic::AtomicBool::new(false));
@@ -142,7 +143,7 @@
             stopping: stop_seen,
         };
         start_control(&control, &settings, adapter.clone(), shared).await?;
-        let traffic = front::TrafficParts {
+        let traffic = traffic::TrafficParts {
             codec: adapter.new_codec(),
             view,
             desk: settings.desk.clone(),
@@ -213,9 +214,9 @@
 struct ControlShared {
     metrics: sync::Arc<metrics::RouterMetrics>,
     clock: clock::SystemClock,
-    view: front::SharedView,
+    view: traffic::SharedView,
     ready: sync::Arc<atomic::AtomicBool>,
-    reports: tokio::sync::mpsc::UnboundedReceiver<front::TrafficReport>,
+    reports: tokio::sync::mpsc::UnboundedReceiver<traffic::TrafficReport>,
     stopping: tokio::sync::watch::Receiver<bool>,
 }
 
@@ -282,7 +283,7 @@
 
 fn listen_ready<C: ports::HeaderCodec>(
     settings: &RouterSettings,
-    traffic: &front::TrafficParts<C>,
+    traffic: &traffic::TrafficParts<C>,
     ready: sync::Arc<atomic::AtomicBool>,
 ) -> Result<(), RouterError> {
     let path = traffic.codec.ready_path();
@@ -350,11 +351,11 @@
 
 fn listen_callers<C: ports::HeaderCodec + Send>(
     settings: &RouterSettings,
-    traffic: front::TrafficParts<C>,
+    traffic: traffic::TrafficParts<C>,
 ) -> Result<actix_web::dev::ServerHandle, RouterError> {
     let address = settings.front;
     let server = actix_web::HttpServer::new(move || {
-        let thread = front::TrafficThread::start(traffic.clone());
+        let thread = traffic::TrafficThread::start(traffic.clone());
         actix_web::App::new()
             .app_data(thread)
             .default_service(web::to(front::handle::<C>))
--- a/src/edge/router/mod.rs
+++ b/src/edge/router/mod.rs
@@ -1,5 +1,6 @@
 //! The front end for platforms: HTTP to callers and servers, the store, and the other hosts.
 
+pub mod answer;
 pub mod body;
 pub mod control;
 pub mod exchange;
@@ -10,4 +11,5 @@
 pub mod metrics;
 pub mod ports;
 pub mod store_reader;
+pub mod traffic;
 pub mod wire;
--- a/src/edge/router/ports.rs
+++ b/src/edge/router/ports.rs
@@ -7,7 +7,7 @@
 use std::time;
 
 use crate::names;
-use crate::ownership::granter;
+use crate::ownership::order;
 use crate::routing::specification;
 use crate::serving::directory;
 
@@ -124,7 +124,7 @@
         topic: StoreTopic,
         record: &KeyedRecord,
         at: Option<u64>,
-    ) -> impl future::Future<Output = granter::AppendOutcome>;
+    ) -> impl future::Future<Output = order::AppendOutcome>;
 
     /// Joins the hosts that may grant, or stays among them; tells whether it is this host's turn.
     fn join(&self) -> impl future::Future<Output = Result<bool, StoreFault>>;
@@ -162,16 +162,14 @@
 /// Orders to servers.
 pub trait OrderPort: Clone + 'static {
     /// Orders a server to hold keys.
-    fn grant(
-        &self,
-        order: &granter::GrantOrder,
-    ) -> impl future::Future<Output = granter::OrderOutcome>;
+    fn grant(&self, order: &order::GrantOrder)
+    -> impl future::Future<Output = order::OrderOutcome>;
 
     /// Orders a server to let keys go.
     fn release(
         &self,
-        order: &granter::ReleaseOrder,
-    ) -> impl future::Future<Output = granter::OrderOutcome>;
+        order: &order::ReleaseOrder,
+    ) -> impl future::Future<Output = order::OrderOutcome>;
 }
 
 /// What a caller's headers say.
--- /dev/null
+++ b/src/edge/router/traffic.rs
@@ -0,0 +1,264 @@
+//! One traffic thread: its desk, the requests that wait there, and its reports to the control thread.
+
+use std::cell;
+use std::collections;
+use std::rc;
+use std::sync;
+use std::sync::atomic;
+use std::time;
+
+use crate::chart;
+use crate::clock;
+use crate::clock::MonoClock as _;
+use crate::edge::router::log_budget;
+use crate::edge::router::metrics;
+use crate::edge::router::ports;
+use crate::edge::router::wire;
+use crate::names;
+use crate::ownership::book;
+use crate::ownership::heat;
+use crate::routing::specification;
+use crate::routing::split;
+use crate::serving::desk;
+use crate::serving::directory;
+use crate::serving::measure;
+use crate::serving::verdict;
+use crate::serving::view;
+
+/// How often waiting requests are looked at where nothing else happens, in milliseconds.
+pub const SWEEP_MS: u64 = 20;
+/// The interval between two reports to the control thread, in milliseconds.
+pub const REPORT_MS: u64 = 250;
+
+/// The view that the control thread keeps.
+pub type SharedView = sync::Arc<arc_swap::ArcSwap<view::ServingView>>;
+
+/// What one traffic thread tells the control thread.
+#[derive(Debug, Default)]
+pub struct TrafficReport {
+    /// What this host has at each server.
+    pub demand: view::ServerDemand,
+    /// The work of the keys of each service.
+    pub heat: Vec<(names::ServiceName, Vec<heat::KeyHeat>)>,
+    /// The measured time of each server, in milliseconds.
+    pub service_times: Vec<(names::ServerName, f64)>,
+}
+
+/// What a traffic thread is made of.
+#[derive(Clone)]
+pub struct TrafficParts<C: ports::HeaderCodec> {
+    /// The headers.
+    pub codec: C,
+    /// The view.
+    pub view: SharedView,
+    /// The desk's settings.
+    pub desk: desk::DeskSettings,
+    /// The chart of a request.
+    pub chart: sync::Arc<chart::ChartTable<verdict::DeliveryVocabulary>>,
+    /// Whether the host is stopping: connections end with their answers.
+    pub stopping: sync::Arc<atomic::AtomicBool>,
+    /// Whether the host takes no new requests any longer.
+    pub closed: sync::Arc<atomic::AtomicBool>,
+    /// The number of requests under way.
+    pub in_flight: sync::Arc<atomic::AtomicI64>,
+    /// Where reports go.
+    pub reports: tokio::sync::mpsc::UnboundedSender<TrafficReport>,
+    /// The clock.
+    pub clock: clock::SystemClock,
+    /// The metrics.
+    pub metrics: sync::Arc<metrics::RouterMetrics>,
+}
+
+pub(crate) type DeskAnswer = Result<sync::Arc<directory::ServerRecord>, desk::DeskRefusal>;
+pub(crate) type DeskWaiters =
+    collections::HashMap<desk::WaitTicket, tokio::sync::oneshot::Sender<DeskAnswer>>;
+
+/// One traffic thread.
+pub struct TrafficThread<C: ports::HeaderCodec> {
+    pub(crate) parts: TrafficParts<C>,
+    pub(crate) desk: cell::RefCell<desk::ServiceDesk>,
+    pub(crate) waiters: cell::RefCell<DeskWaiters>,
+    pub(crate) split: cell::RefCell<split::SplitCounter>,
+    pub(crate) patience: cell::RefCell<collections::HashMap<names::RouteName, time::Duration>>,
+    pub(crate) heat: cell::RefCell<collections::HashMap<(names::ServiceName, u16), f64>>,
+    pub(crate) client: wire::WireClient,
+    pub(crate) waiting: tokio::sync::Notify,
+    pub(crate) lines: log_budget::LogBudget,
+}
+
+impl<C: ports::HeaderCodec> TrafficThread<C> {
+    /// Creates a traffic thread's state and starts its timers.
+    #[must_use]
+    pub fn start(parts: TrafficParts<C>) -> rc::Rc<Self> {
+        let thread = rc::Rc::new(Self {
+            desk: cell::RefCell::new(desk::ServiceDesk::new(parts.desk.clone())),
+            waiters: cell::RefCell::default(),
+            split: cell::RefCell::default(),
+            patience: cell::RefCell::default(),
+            heat: cell::RefCell::default(),
+            client: wire::WireClient::new(),
+            waiting: tokio::sync::Notify::new(),
+            lines: log_budget::LogBudget::new(),
+            parts,
+        });
+        actix::spawn(rc::Rc::clone(&thread).sweep());
+        actix::spawn(rc::Rc::clone(&thread).report());
+        thread
+    }
+
+    async fn sweep(self: rc::Rc<Self>) {
+        loop {
+            self.waiting.notified().await;
+            while self.desk.borrow().has_waiting() {
+                tokio::time::sleep(time::Duration::from_millis(SWEEP_MS)).await;
+                self.pump();
+            }
+        }
+    }
+
+    async fn report(self: rc::Rc<Self>) {
+        loop {
+            tokio::time::sleep(time::Duration::from_millis(REPORT_MS)).await;
+            self.client.sweep();
+            self.tell_left_out();
+            let report = TrafficReport {
+                demand: self.desk.borrow().demand(),
+                heat: self.take_heat(),
+                service_times: self.desk.borrow().service_times(),
+            };
+            // The control thread may have ended before this one.
+            let _ = self.parts.reports.send(report);
+        }
+    }
+
+    fn tell_left_out(&self) {
+        let count = self.lines.take_left_out();
+        if count > 0 {
+            self.parts.metrics.lines_left_out.inc_by(count);
+            tracing::warn!(event = "lines-left-out", count);
+        }
+        let in_flight = self.parts.in_flight.load(atomic::Ordering::Relaxed);
+        self.parts.metrics.in_flight.set(in_flight);
+    }
+
+    fn take_heat(&self) -> Vec<(names::ServiceName, Vec<heat::KeyHeat>)> {
+        let counted = std::mem::take(&mut *self.heat.borrow_mut());
+        let mut services = collections::BTreeMap::<_, Vec<_>>::new();
+        let interval = f64::from(u32::try_from(REPORT_MS).unwrap_or(u32::MAX));
+        for ((service, key), busy_ms) in counted {
+            #[expect(clippy::cast_possible_truncation, reason = "an estimate")]
+            let busy = (busy_ms / interval) as f32;
+            let heat = heat::KeyHeat { key, busy };
+            services.entry(service).or_default().push(heat);
+        }
+        services.into_iter().collect()
+    }
+
+    // Lets the desk decide and tells the waiting requests.
+    pub(crate) fn pump(&self) {
+        let now = self.parts.clock.now();
+        let view = self.parts.view.load_full();
+        let events = {
+            let mut desk = self.desk.borrow_mut();
+            desk.sync(&view, now);
+            desk.pump(now)
+        };
+        for event in events {
+            let (ticket, answer) = match event {
+                desk::DeskEvent::Assigned(ticket, record) => (ticket, Ok(record)),
+                desk::DeskEvent::GivenUp(ticket, refusal) => (ticket, Err(refusal)),
+            };
+            let waiter = self.waiters.borrow_mut().remove(&ticket);
+            let Some(waiter) = waiter else {
+                continue;
+            };
+            if let Err(Ok(record)) = waiter.send(answer) {
+                self.finish(
+                    &record.life,
+                    measure::ExchangeEnd::CutShort,
+                    time::Duration::ZERO,
+                );
+            }
+        }
+        if self.desk.borrow().has_waiting() {
+            self.waiting.notify_one();
+        }
+    }
+
+    pub(crate) fn finish(
+        &self,
+        life: &book::ServerLife,
+        end: measure::ExchangeEnd,
+        elapsed: time::Duration,
+    ) {
+        let now = self.parts.clock.now();
+        self.desk.borrow_mut().finish(life, end, elapsed, now);
+    }
+
+    // The time by which an answer counts in full. A caller that comes back has used a part of it:
+    // it states less time than the longest that its route's callers have stated.
+    pub(crate) fn objective(
+        &self,
+        route: &specification::RouteSpec,
+        patience: time::Duration,
+        arrived: clock::MonoTime,
+    ) -> clock::MonoTime {
+        let mut longest = self.patience.borrow_mut();
+        let longest = longest.entry(route.name.clone()).or_insert(patience);
+        *longest = (*longest).max(patience);
+        let used = longest.saturating_sub(patience);
+        arrived + route.objective.saturating_sub(used)
+    }
+}
+
+// A slot at a server, given back when it ends.
+pub(crate) struct ServerSlot<C: ports::HeaderCodec> {
+    // Counts as long as the answer is on its way.
+    pub(crate) _in_flight: InFlight,
+    pub(crate) thread: rc::Rc<TrafficThread<C>>,
+    pub(crate) record: sync::Arc<directory::ServerRecord>,
+    pub(crate) started: clock::MonoTime,
+    pub(crate) end: measure::ExchangeEnd,
+}
+
+impl<C: ports::HeaderCodec> Drop for ServerSlot<C> {
+    fn drop(&mut self) {
+        let elapsed = self.thread.parts.clock.now().since(self.started);
+        self.thread.finish(&self.record.life, self.end, elapsed);
+        self.thread.pump();
+    }
+}
+
+// A request that waits, forgotten by the desk when its caller leaves.
+pub(crate) struct DeskWait<C: ports::HeaderCodec> {
+    pub(crate) thread: rc::Rc<TrafficThread<C>>,
+    pub(crate) service: names::ServiceName,
+    pub(crate) priority: u32,
+    pub(crate) ticket: desk::WaitTicket,
+}
+
+impl<C: ports::HeaderCodec> Drop for DeskWait<C> {
+    fn drop(&mut self) {
+        let waiter = self.thread.waiters.borrow_mut().remove(&self.ticket);
+        if waiter.is_some() {
+            let mut desk = self.thread.desk.borrow_mut();
+            desk.forget(&self.service, self.priority, self.ticket);
+        }
+    }
+}
+
+/// Counts a request as under way until it is dropped.
+pub(crate) struct InFlight(sync::Arc<atomic::AtomicI64>);
+
+impl InFlight {
+    pub(crate) fn new(count: &sync::Arc<atomic::AtomicI64>) -> Self {
+        count.fetch_add(1, atomic::Ordering::Relaxed);
+        Self(sync::Arc::clone(count))
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, atomic::Ordering::Relaxed);
+    }
+}
--- a/src/ownership/granter.rs
+++ b/src/ownership/granter.rs
@@ -13,23 +13,19 @@
 use crate::ownership::book;
 use crate::ownership::duty;
 use crate::ownership::heat;
+use crate::ownership::order;
 use crate::ownership::plan;
+use crate::ownership::range_run;
 use crate::serving::directory;
 
 /// The longest hold of one order, in milliseconds, where the servers allow as much.
 pub const HOLD_MS: u64 = 2_400;
 /// How many orders a hold is renewed by.
 pub const RENEWALS_PER_HOLD: u32 = 4;
-/// How long an order may take, in milliseconds.
-pub const ORDER_TIMEOUT_MS: u64 = 500;
-/// How long after an order without an answer the next one is sent, in milliseconds.
-pub const ORDER_RETRY_MS: u64 = 150;
 /// How long after an append without success the next one is sent, in milliseconds.
 pub const APPEND_RETRY_MS: u64 = 250;
 /// How long an append may take, in milliseconds.
 pub const APPEND_TIMEOUT_MS: u64 = 2_000;
-/// How long a release may take, in milliseconds: it waits for the work under way.
-pub const RELEASE_TIMEOUT_MS: u64 = 1_500;
 /// How long a plan waits after the last one, in milliseconds, where no server was lost.
 pub const PLAN_INTERVAL_MS: u64 = 400;
 /// How long no further server of a service registers until its keys are placed for the first time,
@@ -46,185 +42,17 @@
 /// The longest such time, in milliseconds.
 pub const MAX_SILENCE_MS: u64 = 24_000;
 
-crate::chart_words!(
-    /// The states of one range at the granter.
-    RangeState {
-        Vacating = "vacating",
-        Ordered = "ordered",
-        Held = "held",
-        Refused = "refused",
-    }
-);
-crate::chart_words!(
-    /// The events of one range.
-    RangeEvent {
-        Vacated = "vacated",
-        Accepted = "accepted",
-        Refused = "refused",
-    }
-);
-crate::chart_words!(
-    /// The actions of one range.
-    RangeAction {
-        Order = "order",
-        NoteHeld = "note-held",
-        RaiseFence = "raise-fence",
-    }
-);
-
-/// The words of the chart `key-range`.
-#[derive(Debug)]
-pub struct RangeVocabulary;
-
-impl chart::ChartVocabulary for RangeVocabulary {
-    type State = RangeState;
-    type Event = RangeEvent;
-    type Guard = chart::NoGuard;
-    type Action = RangeAction;
-    const SOURCE: &'static str = include_str!("../../charts/key-range.toml");
-}
-
-/// Which range an order is about.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct RangeId {
-    /// The service.
-    pub service: names::ServiceName,
-    /// The first key.
-    pub first: u16,
-    /// The last key.
-    pub last: u16,
-    /// The fence.
-    pub fence: u64,
-}
-
-/// An order to a server to hold keys.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct GrantOrder {
-    /// The range.
-    pub range: RangeId,
-    /// The server's life.
-    pub life: book::ServerLife,
-    /// Where it is.
-    pub address: net::SocketAddr,
-    /// How long it holds them, from the order's arrival.
-    pub hold: time::Duration,
-    /// What the last holder handed over.
-    pub handover: Option<sync::Arc<str>>,
-}
-
-/// An order to a server to let keys go.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct ReleaseOrder {
-    /// The range.
-    pub range: RangeId,
-    /// The server's life.
-    pub life: book::ServerLife,
-    /// Where it is.
-    pub address: net::SocketAddr,
-}
-
-/// What the granter wants done.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum GranterAction {
-    /// Append a book where the log ends at `at`.
-    Append {
-        /// The book.
-        book: book::GrantBook,
-        /// Where the log must end.
-        at: u64,
-    },
-    /// Send an order.
-    Grant(GrantOrder),
-    /// Send a release.
-    Release(ReleaseOrder),
-    /// Leave the duty to another host for a while.
-    Yield,
-}
-
-/// How an append ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum AppendOutcome {
-    /// It is in the log, which ends at `end` with it.
-    Appended {
-        /// The end.
-        end: u64,
-    },
-    /// The log ended elsewhere; nothing was appended.
-    Conflict,
-    /// Nothing was appended.
-    Refused,
-    /// It may be in the log, or get there later.
-    Unknown,
-}
-
-/// How an order ended.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum OrderOutcome {
-    /// The server did it; a release may yield a token for the next holder.
-    Done(Option<sync::Arc<str>>),
-    /// The server has seen a higher fence.
-    Refused,
-    /// No answer came; the connection was reset.
-    Unanswered,
-    /// No connection was made.
-    Unsent,
-    /// Another server answers at the address: the one that was meant has ended.
-    Replaced,
-    /// The answer says that the order makes no sense there, as a server without keys does.
-    Rejected,
-}
-
-impl OrderOutcome {
-    /// Returns the outcome's name in metrics.
-    #[must_use]
-    pub const fn as_str(&self) -> &'static str {
-        match self {
-            Self::Done(_) => "done",
-            Self::Refused => "refused",
-            Self::Unanswered => "unanswered",
-            Self::Unsent => "unsent",
-            Self::Replaced => "replaced",
-            Self::Rejected => "rejected",
-        }
-    }
-
-    const fn arrival(&self) -> arrival::OrderArrival {
-        match self {
-            Self::Done(_) | Self::Refused | Self::Replaced | Self::Rejected => {
-                arrival::OrderArrival::Answered
-            }
-            Self::Unanswered => arrival::OrderArrival::Possible,
-            Self::Unsent => arrival::OrderArrival::Unsent,
-        }
-    }
-}
-
-struct FormerState {
-    holder: book::KeyHolder,
-    open: bool,
-    next_call: clock::MonoTime,
-}
-
 // A server whose orders went unanswered until its hold had lapsed.
 struct Silence {
     until: clock::MonoTime,
     span: time::Duration,
 }
 
-struct RangeRun {
-    state: RangeState,
-    holder: book::KeyHolder,
-    formers: Vec<FormerState>,
-    handover: Option<sync::Arc<str>>,
-    open: bool,
-    next_call: clock::MonoTime,
-}
-
 /// What the granter of a host knows.
 pub struct KeyGranter {
     own: book::GranterLife,
     hold: time::Duration,
-    table: chart::ChartTable<RangeVocabulary>,
+    table: chart::ChartTable<range_run::RangeVocabulary>,
     duty: duty::GrantDuty,
     ledger: arrival::ArrivalLedger,
     book: book::GrantBook,
@@ -233,7 +61,7 @@
     append_retry: clock::MonoTime,
     candidate: bool,
     planned_at: clock::MonoTime,
-    runs: collections::BTreeMap<RangeId, RangeRun>,
+    runs: collections::BTreeMap<order::RangeId, range_run::RangeRun>,
     silences: collections::BTreeMap<book::ServerLife, Silence>,
     // Lives at whose address another server answers.
     ended: collections::BTreeSet<book::ServerLife>,
@@ -324,7 +152,11 @@
         }
         if self.appending.as_ref() == Some(&newest) {
             // The append's own answer was slower, or lost.
-            self.note_appended(AppendOutcome::Appended { end }, self.append_sent, now);
+            self.note_appended(
+                order::AppendOutcome::Appended { end },
+                self.append_sent,
+                now,
+            );
             return true;
         }
         let foreign = newest.granter != self.own;
@@ -356,7 +188,7 @@
     /// Takes the end of an append.
     pub fn note_appended(
         &mut self,
-        outcome: AppendOutcome,
+        outcome: order::AppendOutcome,
         sent: clock::MonoTime,
         now: clock::MonoTime,
     ) {
@@ -364,7 +196,7 @@
             return;
         }
         match outcome {
-            AppendOutcome::Appended { end } => {
+            order::AppendOutcome::Appended { end } => {
                 self.end = self.end.max(Some(end));
                 self.duty.confirm(sent);
                 if let Some(appended) = self.appending.take() {
@@ -372,11 +204,11 @@
                     self.follow_append(&former, now);
                 }
             }
-            AppendOutcome::Conflict => {
+            order::AppendOutcome::Conflict => {
                 // What is there instead comes with the next news of the log.
                 self.append_retry = now + time::Duration::from_millis(APPEND_RETRY_MS);
             }
-            AppendOutcome::Refused | AppendOutcome::Unknown => {
+            order::AppendOutcome::Refused | order::AppendOutcome::Unknown => {
                 self.append_retry = now + time::Duration::from_millis(APPEND_RETRY_MS);
             }
         }
@@ -424,8 +256,8 @@
     /// Takes the end of an order. Reports whether it was the first to be done.
     pub fn note_granted(
         &mut self,
-        order: &GrantOrder,
-        outcome: &OrderOutcome,
+        order: &order::GrantOrder,
+        outcome: &order::OrderOutcome,
         now: clock::MonoTime,
     ) -> bool {
         self.ledger.note_ended(&order.life, outcome.arrival(), now);
@@ -438,19 +270,19 @@
         };
         run.open = false;
         let event = match outcome {
-            OrderOutcome::Replaced => {
+            order::OrderOutcome::Replaced => {
                 self.ended.insert(order.life.clone());
                 return true;
             }
-            OrderOutcome::Rejected => {
+            order::OrderOutcome::Rejected => {
                 self.rejected.insert(order.life.clone(), order.address);
-                run.next_call = now + time::Duration::from_millis(ORDER_RETRY_MS);
+                run.next_call = now + time::Duration::from_millis(order::ORDER_RETRY_MS);
                 return false;
             }
-            OrderOutcome::Done(_) => RangeEvent::Accepted,
-            OrderOutcome::Refused => RangeEvent::Refused,
-            OrderOutcome::Unanswered | OrderOutcome::Unsent => {
-                run.next_call = now + time::Duration::from_millis(ORDER_RETRY_MS);
+            order::OrderOutcome::Done(_) => range_run::RangeEvent::Accepted,
+            order::OrderOutcome::Refused => range_run::RangeEvent::Refused,
+            order::OrderOutcome::Unanswered | order::OrderOutcome::Unsent => {
+                run.next_call = now + time::Duration::from_millis(order::ORDER_RETRY_MS);
                 return false;
             }
         };
@@ -466,8 +298,8 @@
     /// Takes the end of a release.
     pub fn note_released(
         &mut self,
-        order: &ReleaseOrder,
-        outcome: &OrderOutcome,
+        order: &order::ReleaseOrder,
+        outcome: &order::OrderOutcome,
         now: clock::MonoTime,
     ) {
         let Some(run) = self.runs.get_mut(&order.range) else {
@@ -479,14 +311,14 @@
         };
         let former = &mut run.formers[position];
         former.open = false;
-        former.next_call = now + time::Duration::from_millis(ORDER_RETRY_MS);
-        if *outcome == OrderOutcome::Rejected {
+        former.next_call = now + time::Duration::from_millis(order::ORDER_RETRY_MS);
+        if *outcome == order::OrderOutcome::Rejected {
             self.rejected.insert(order.life.clone(), order.address);
         }
-        if *outcome == OrderOutcome::Replaced {
+        if *outcome == order::OrderOutcome::Replaced {
             self.ended.insert(order.life.clone());
         }
-        if let OrderOutcome::Done(handover) = outcome {
+        if let order::OrderOutcome::Done(handover) = outcome {
             run.formers.remove(position);
             if handover.is_some() {
                 run.handover.clone_from(handover);
@@ -500,7 +332,7 @@
         now: clock::MonoTime,
         services: &[names::ServiceName],
         servers: &directory::ServerDirectory,
-    ) -> Vec<GranterAction> {
+    ) -> Vec<order::GranterAction> {
         let mut actions = Vec::new();
         if self.is_granting() && !self.duty.has_right(now) {
             self.run_duty(duty::DutyEvent::RightEnded);
@@ -510,13 +342,13 @@
             self.watch_silence(now, services, servers);
         }
         if std::mem::take(&mut self.yielded) {
-            actions.push(GranterAction::Yield);
+            actions.push(order::GranterAction::Yield);
         }
         if let (Some(book), Some(at)) = (&self.appending, self.end) {
             if now >= self.append_retry {
                 self.append_retry = now + time::Duration::from_millis(APPEND_TIMEOUT_MS);
                 self.append_sent = now;
-                actions.push(GranterAction::Append {
+                actions.push(order::GranterAction::Append {
                     book: book.clone(),
                     at,
                 });
@@ -527,7 +359,7 @@
                 self.appending = Some(next.clone());
                 self.append_retry = now + time::Duration::from_millis(APPEND_TIMEOUT_MS);
                 self.append_sent = now;
-                actions.push(GranterAction::Append { book: next, at });
+                actions.push(order::GranterAction::Append { book: next, at });
             }
         }
         if self.duty.has_right(now) {
@@ -702,9 +534,10 @@
         let mut changed = false;
         for (service, ranges) in &mut next.services {
             for range in ranges.iter_mut().filter(|range| !range.formers.is_empty()) {
-                let run = self.runs.get(&range_id(service, range));
-                let settled =
-                    |run: &RangeRun| run.formers.is_empty() && run.state == RangeState::Held;
+                let run = self.runs.get(&range_run::range_id(service, range));
+                let settled = |run: &range_run::RangeRun| {
+                    run.formers.is_empty() && run.state == range_run::RangeState::Held
+                };
                 if run.is_some_and(settled) {
                     range.formers.clear();
                     changed = true;
@@ -718,8 +551,8 @@
         let mut refused = Vec::new();
         for (service, ranges) in &next.services {
             for (index, range) in ranges.iter().enumerate() {
-                let run = self.runs.get(&range_id(service, range));
-                if run.is_some_and(|run| run.state == RangeState::Refused) {
+                let run = self.runs.get(&range_run::range_id(service, range));
+                if run.is_some_and(|run| run.state == range_run::RangeState::Refused) {
                     refused.push((service.clone(), index));
                 }
             }
@@ -742,9 +575,9 @@
         let mut former = std::mem::take(&mut self.runs);
         for (service, ranges) in &self.book.services {
             for range in ranges {
-                let id = range_id(service, range);
+                let id = range_run::range_id(service, range);
                 let kept = former.remove(&id);
-                let run = kept.unwrap_or_else(|| new_run(&self.table, range, now));
+                let run = kept.unwrap_or_else(|| range_run::new_run(&self.table, range, now));
                 self.runs.insert(id, run);
             }
         }
@@ -754,26 +587,32 @@
         &mut self,
         now: clock::MonoTime,
         servers: &directory::ServerDirectory,
-        actions: &mut Vec<GranterAction>,
+        actions: &mut Vec<order::GranterAction>,
     ) {
         for (id, run) in &mut self.runs {
             run.formers
                 .retain(|former| !self.ended.contains(&former.holder.life));
-            release_formers(id, run, now, &self.ledger, servers, actions);
-            if run.state == RangeState::Vacating && run.formers.is_empty() {
-                let step = self
-                    .table
-                    .step(run.state, RangeEvent::Vacated, |guard| match guard {});
+            range_run::release_formers(id, run, now, &self.ledger, servers, actions);
+            if run.state == range_run::RangeState::Vacating && run.formers.is_empty() {
+                let step =
+                    self.table.step(
+                        run.state,
+                        range_run::RangeEvent::Vacated,
+                        |guard| match guard {},
+                    );
                 run.state = step.map_or(run.state, |step| step.next);
             }
             let due = !run.open && now >= run.next_call;
             let life = &run.holder.life;
-            let gone = is_reborn(life, servers) || self.ended.contains(life);
-            let orderable = matches!(run.state, RangeState::Ordered | RangeState::Held);
+            let gone = range_run::is_reborn(life, servers) || self.ended.contains(life);
+            let orderable = matches!(
+                run.state,
+                range_run::RangeState::Ordered | range_run::RangeState::Held
+            );
             if due && !gone && orderable {
                 run.open = true;
                 self.ledger.note_sent(&run.holder.life);
-                actions.push(GranterAction::Grant(GrantOrder {
+                actions.push(order::GranterAction::Grant(order::GrantOrder {
                     range: id.clone(),
                     life: run.holder.life.clone(),
                     address: run.holder.address,
@@ -785,68 +624,8 @@
     }
 }
 
-fn release_formers(
-    id: &RangeId,
-    run: &mut RangeRun,
-    now: clock::MonoTime,
-    ledger: &arrival::ArrivalLedger,
-    servers: &directory::ServerDirectory,
-    actions: &mut Vec<GranterAction>,
-) {
-    run.formers.retain(|former| {
-        let life = &former.holder.life;
-        !is_reborn(life, servers) && !ledger.has_lapsed(life, now)
-    });
-    for former in &mut run.formers {
-        if former.open || now < former.next_call {
-            continue;
-        }
-        former.open = true;
-        actions.push(GranterAction::Release(ReleaseOrder {
-            range: id.clone(),
-            life: former.holder.life.clone(),
-            address: former.holder.address,
-        }));
-    }
-}
-
-// A server that started again holds nothing of its life before.
-fn is_reborn(life: &book::ServerLife, servers: &directory::ServerDirectory) -> bool {
-    let record = servers.find(&life.server);
-    record.is_some_and(|record| record.life.born > life.born)
-}
-
 fn median(values: Vec<f64>) -> Option<f64> {
     let mut values = values;
     values.sort_by(f64::total_cmp);
     values.get(values.len() / 2).copied()
 }
-
-fn range_id(service: &names::ServiceName, range: &book::RangeEntry) -> RangeId {
-    RangeId {
-        service: service.clone(),
-        first: range.first,
-        last: range.last,
-        fence: range.fence,
-    }
-}
-
-fn new_run(
-    table: &chart::ChartTable<RangeVocabulary>,
-    range: &book::RangeEntry,
-    now: clock::MonoTime,
-) -> RangeRun {
-    let formers = range.formers.iter().map(|holder| FormerState {
-        holder: holder.clone(),
-        open: false,
-        next_call: now,
-    });
-    RangeRun {
-        state: table.initial(),
-        holder: range.holder.clone(),
-        formers: formers.collect(),
-        handover: None,
-        open: false,
-        next_call: now,
-    }
-}
--- a/src/ownership/mod.rs
+++ b/src/ownership/mod.rs
@@ -9,4 +9,6 @@
 pub mod duty;
 pub mod granter;
 pub mod heat;
+pub mod order;
 pub mod plan;
+mod range_run;
