--- a/lab/src/grant_world.rs
+++ b/lab/src/grant_world.rs
@@ -52,7 +52,7 @@
 }
 
 #[derive(Clone, Debug)]
-enum WorldEvent {
+pub(crate) enum WorldEvent {
     Tick(usize),
     Read(usize),
     Join(usize),
@@ -100,16 +100,16 @@
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum OrderFate {
+pub(crate) enum OrderFate {
     Answered,
     AnswerLost,
     AppliedLate,
 }
 
-struct QueuedEvent {
+pub(crate) struct QueuedEvent {
     at: clock::MonoTime,
     number: u64,
-    event: WorldEvent,
+    pub(crate) event: WorldEvent,
 }
 
 impl PartialEq for QueuedEvent {
@@ -132,48 +132,48 @@
     }
 }
 
-struct WorldHost {
-    life: u64,
-    granter: granter::KeyGranter,
-    directory: directory::ServerDirectory,
-    frozen_until: clock::MonoTime,
-    frozen_for: time::Duration,
-    cut_from_store: bool,
-    cut_from: collections::BTreeSet<usize>,
-    delayed: Vec<WorldEvent>,
+pub(crate) struct WorldHost {
+    pub(crate) life: u64,
+    pub(crate) granter: granter::KeyGranter,
+    pub(crate) directory: directory::ServerDirectory,
+    pub(crate) frozen_until: clock::MonoTime,
+    pub(crate) frozen_for: time::Duration,
+    pub(crate) cut_from_store: bool,
+    pub(crate) cut_from: collections::BTreeSet<usize>,
+    pub(crate) delayed: Vec<WorldEvent>,
 }
 
-struct WorldServer {
-    server: key_server::KeyServer,
-    address: net::SocketAddr,
-    alive: bool,
-    draining: bool,
-    cut_from_store: bool,
-    beat: Option<clock::MonoTime>,
-    sequence: u64,
+pub(crate) struct WorldServer {
+    pub(crate) server: key_server::KeyServer,
+    pub(crate) address: net::SocketAddr,
+    pub(crate) alive: bool,
+    pub(crate) draining: bool,
+    pub(crate) cut_from_store: bool,
+    pub(crate) beat: Option<clock::MonoTime>,
+    pub(crate) sequence: u64,
 }
 
 /// The virtual world.
 pub struct GrantWorld {
-    now: clock::MonoTime,
-    random: rand::rngs::StdRng,
-    flaw: GrantFlaw,
-    number: u64,
-    queue: collections::BinaryHeap<QueuedEvent>,
-    hosts: Vec<WorldHost>,
-    servers: Vec<WorldServer>,
-    log: Vec<book::GrantBook>,
-    store_down_until: clock::MonoTime,
-    lossy_until: clock::MonoTime,
-    members: collections::BTreeMap<usize, clock::MonoTime>,
-    owner: Option<usize>,
-    granted: Vec<(u16, u16, u64, book::ServerLife)>,
-    violations: Vec<String>,
-    faults: u32,
-    unheld: time::Duration,
+    pub(crate) now: clock::MonoTime,
+    pub(crate) random: rand::rngs::StdRng,
+    pub(crate) flaw: GrantFlaw,
+    pub(crate) number: u64,
+    pub(crate) queue: collections::BinaryHeap<QueuedEvent>,
+    pub(crate) hosts: Vec<WorldHost>,
+    pub(crate) servers: Vec<WorldServer>,
+    pub(crate) log: Vec<book::GrantBook>,
+    pub(crate) store_down_until: clock::MonoTime,
+    pub(crate) lossy_until: clock::MonoTime,
+    pub(crate) members: collections::BTreeMap<usize, clock::MonoTime>,
+    pub(crate) owner: Option<usize>,
+    pub(crate) granted: Vec<(u16, u16, u64, book::ServerLife)>,
+    pub(crate) violations: Vec<String>,
+    pub(crate) faults: u32,
+    pub(crate) unheld: time::Duration,
 }
 
-const HOSTS: usize = 4;
+pub(crate) const HOSTS: usize = 4;
 const SERVERS: usize = 5;
 
 fn name<T: std::str::FromStr>(text: &str) -> T {
@@ -273,26 +273,6 @@
         next > u32::from(book::MAX_KEY)
     }
 
-    /// Brings about that one server can be reached by the granter only, and the granter neither
-    /// reads the store nor, where `frozen` says so, runs, for `span`.
-    pub fn strand_granter(&mut self, frozen: bool, span: time::Duration) {
-        let granting = self
-            .hosts
-            .iter()
-            .position(|host| host.granter.is_granting());
-        let granter = granting.unwrap_or(0);
-        for (index, host) in self.hosts.iter_mut().enumerate() {
-            if index != granter {
-                host.cut_from.insert(0);
-            }
-        }
-        self.hosts[granter].cut_from_store = !frozen;
-        if frozen {
-            let millis = u64::try_from(span.as_millis()).unwrap_or(u64::MAX);
-            self.freeze_host_for(granter, millis);
-        }
-    }
-
     /// Describes servers and hosts, for a failed case.
     #[must_use]
     pub fn describe(&self) -> String {
@@ -319,7 +299,7 @@
         }
     }
 
-    fn new_host(host: usize, life: u64) -> WorldHost {
+    pub(crate) fn new_host(host: usize, life: u64) -> WorldHost {
         let own = book::GranterLife {
             host: format!("h{host}"),
             incarnation: life,
@@ -345,7 +325,7 @@
         self.push(spread + TICK_MS, WorldEvent::Tick(host));
     }
 
-    fn add_server(&mut self, index: usize, born: u64) {
+    pub(crate) fn add_server(&mut self, index: usize, born: u64) {
         let life = book::ServerLife {
             server: name(&format!("s{index}")),
             born,
@@ -367,7 +347,7 @@
         }
     }
 
-    fn push(&mut self, after_ms: u64, event: WorldEvent) {
+    pub(crate) fn push(&mut self, after_ms: u64, event: WorldEvent) {
         let at = self.now + time::Duration::from_millis(after_ms);
         self.push_at(at, event);
     }
@@ -378,7 +358,7 @@
         self.queue.push(QueuedEvent { at, number, event });
     }
 
-    fn chance(&mut self, one_in: u32) -> bool {
+    pub(crate) fn chance(&mut self, one_in: u32) -> bool {
         self.random.random_ratio(1, one_in)
     }
 
@@ -890,108 +870,6 @@
         }
     }
 
-    // One random fault, and the end of earlier ones now and then.
-    fn strike(&mut self) {
-        if self.faults == 0 {
-            self.heal();
-            return;
-        }
-        self.faults -= 1;
-        let after = self.random.random_range(200..2_500);
-        self.push(after, WorldEvent::Fault);
-        let host = self.random.random_range(0..HOSTS);
-        let server = self.random.random_range(0..self.servers.len());
-        match self.random.random_range(0..14) {
-            0 => self.kill_host(host),
-            1 | 2 => self.freeze_host(host),
-            3 => self.hosts[host].cut_from_store = true,
-            4 => self.cut_servers(host),
-            5 => {
-                let span = self.random.random_range(1_000..12_000);
-                self.store_down_until = self.now + time::Duration::from_millis(span);
-            }
-            6 => self.owner = Some(host),
-            7 => self.servers[server].alive = false,
-            8 => self.restart_server(server),
-            9 => self.servers[server].cut_from_store = true,
-            10 => self.servers[server].draining = !self.servers[server].draining,
-            11 => self.lossy_until = self.now + time::Duration::from_secs(5),
-            12 => self.kill_granter(),
-            _ => self.heal(),
-        }
-    }
-
-    fn heal(&mut self) {
-        for host in &mut self.hosts {
-            host.cut_from_store = false;
-            host.cut_from.clear();
-        }
-        for server in &mut self.servers {
-            server.cut_from_store = false;
-            server.draining = false;
-        }
-        for server in 0..self.servers.len() {
-            if !self.servers[server].alive {
-                self.restart_server(server);
-            }
-        }
-    }
-
-    fn kill_host(&mut self, host: usize) {
-        let life = self.hosts[host].life + 1;
-        let mut fresh = Self::new_host(host, life);
-        fresh.frozen_until = self.now + time::Duration::from_millis(500);
-        // What was delayed belongs to the process; its timers start anew.
-        fresh.delayed = vec![
-            WorldEvent::Tick(host),
-            WorldEvent::Read(host),
-            WorldEvent::Join(host),
-        ];
-        let old = std::mem::replace(&mut self.hosts[host], fresh);
-        let kept = |event: &QueuedEvent| !matches!(event.event, WorldEvent::Tick(h) | WorldEvent::Read(h) | WorldEvent::Join(h) if h == host);
-        self.queue.retain(kept);
-        drop(old);
-        self.push(501, WorldEvent::Thaw(host));
-    }
-
-    fn kill_granter(&mut self) {
-        let granting = self
-            .hosts
-            .iter()
-            .position(|host| host.granter.is_granting());
-        if let Some(host) = granting {
-            self.kill_host(host);
-        }
-    }
-
-    fn freeze_host(&mut self, host: usize) {
-        if self.now < self.hosts[host].frozen_until {
-            return;
-        }
-        let span = self.random.random_range(500..9_000);
-        self.freeze_host_for(host, span);
-    }
-
-    fn freeze_host_for(&mut self, host: usize, span: u64) {
-        let frozen = time::Duration::from_millis(span);
-        self.hosts[host].frozen_until = self.now + frozen;
-        self.hosts[host].frozen_for += frozen;
-        self.push(span + 1, WorldEvent::Thaw(host));
-    }
-
-    fn cut_servers(&mut self, host: usize) {
-        for server in 0..self.servers.len() {
-            if self.chance(2) {
-                self.hosts[host].cut_from.insert(server);
-            }
-        }
-    }
-
-    fn restart_server(&mut self, index: usize) {
-        let born = self.servers[index].server.life.born + 1;
-        self.add_server(index, born);
-    }
-
     // No key is held by two servers that are up.
     fn check(&mut self) {
         let now = self.now;
--- /dev/null
+++ b/lab/src/grant_world_faults.rs
@@ -0,0 +1,131 @@
+//! What befalls the virtual world of granting: hosts, servers and the store, struck at random.
+
+use std::time;
+
+use rand::RngExt as _;
+
+use crate::grant_world;
+
+impl grant_world::GrantWorld {
+    /// Brings about that one server can be reached by the granter only, and the granter neither
+    /// reads the store nor, where `frozen` says so, runs, for `span`.
+    pub fn strand_granter(&mut self, frozen: bool, span: time::Duration) {
+        let granting = self
+            .hosts
+            .iter()
+            .position(|host| host.granter.is_granting());
+        let granter = granting.unwrap_or(0);
+        for (index, host) in self.hosts.iter_mut().enumerate() {
+            if index != granter {
+                host.cut_from.insert(0);
+            }
+        }
+        self.hosts[granter].cut_from_store = !frozen;
+        if frozen {
+            let millis = u64::try_from(span.as_millis()).unwrap_or(u64::MAX);
+            self.freeze_host_for(granter, millis);
+        }
+    }
+
+    // One random fault, and the end of earlier ones now and then.
+    pub(crate) fn strike(&mut self) {
+        if self.faults == 0 {
+            self.heal();
+            return;
+        }
+        self.faults -= 1;
+        let after = self.random.random_range(200..2_500);
+        self.push(after, grant_world::WorldEvent::Fault);
+        let host = self.random.random_range(0..grant_world::HOSTS);
+        let server = self.random.random_range(0..self.servers.len());
+        match self.random.random_range(0..14) {
+            0 => self.kill_host(host),
+            1 | 2 => self.freeze_host(host),
+            3 => self.hosts[host].cut_from_store = true,
+            4 => self.cut_servers(host),
+            5 => {
+                let span = self.random.random_range(1_000..12_000);
+                self.store_down_until = self.now + time::Duration::from_millis(span);
+            }
+            6 => self.owner = Some(host),
+            7 => self.servers[server].alive = false,
+            8 => self.restart_server(server),
+            9 => self.servers[server].cut_from_store = true,
+            10 => self.servers[server].draining = !self.servers[server].draining,
+            11 => self.lossy_until = self.now + time::Duration::from_secs(5),
+            12 => self.kill_granter(),
+            _ => self.heal(),
+        }
+    }
+
+    fn heal(&mut self) {
+        for host in &mut self.hosts {
+            host.cut_from_store = false;
+            host.cut_from.clear();
+        }
+        for server in &mut self.servers {
+            server.cut_from_store = false;
+            server.draining = false;
+        }
+        for server in 0..self.servers.len() {
+            if !self.servers[server].alive {
+                self.restart_server(server);
+            }
+        }
+    }
+
+    fn kill_host(&mut self, host: usize) {
+        let life = self.hosts[host].life + 1;
+        let mut fresh = Self::new_host(host, life);
+        fresh.frozen_until = self.now + time::Duration::from_millis(500);
+        // What was delayed belongs to the process; its timers start anew.
+        fresh.delayed = vec![
+            grant_world::WorldEvent::Tick(host),
+            grant_world::WorldEvent::Read(host),
+            grant_world::WorldEvent::Join(host),
+        ];
+        let old = std::mem::replace(&mut self.hosts[host], fresh);
+        let kept = |event: &grant_world::QueuedEvent| !matches!(event.event, grant_world::WorldEvent::Tick(h) | grant_world::WorldEvent::Read(h) | grant_world::WorldEvent::Join(h) if h == host);
+        self.queue.retain(kept);
+        drop(old);
+        self.push(501, grant_world::WorldEvent::Thaw(host));
+    }
+
+    fn kill_granter(&mut self) {
+        let granting = self
+            .hosts
+            .iter()
+            .position(|host| host.granter.is_granting());
+        if let Some(host) = granting {
+            self.kill_host(host);
+        }
+    }
+
+    fn freeze_host(&mut self, host: usize) {
+        if self.now < self.hosts[host].frozen_until {
+            return;
+        }
+        let span = self.random.random_range(500..9_000);
+        self.freeze_host_for(host, span);
+    }
+
+    fn freeze_host_for(&mut self, host: usize, span: u64) {
+        let frozen = time::Duration::from_millis(span);
+        self.hosts[host].frozen_until = self.now + frozen;
+        self.hosts[host].frozen_for += frozen;
+        self.push(span + 1, grant_world::WorldEvent::Thaw(host));
+    }
+
+    fn cut_servers(&mut self, host: usize) {
+        for server in 0..self.servers.len() {
+            if self.chance(2) {
+                self.hosts[host].cut_from.insert(server);
+            }
+        }
+    }
+
+    fn restart_server(&mut self, index: usize) {
+        let born = self.servers[index].server.life.born + 1;
+        self.add_server(index, born);
+    }
+}
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod faults;
 pub mod flood;
 pub mod grant_world;
+mod grant_world_faults;
 pub mod host_list;
 pub mod http;
 pub mod key_server;
