--- a/src/chart.rs
+++ b/src/chart.rs
@@ -315,6 +315,15 @@
     }
 }
 
+impl<V: ChartVocabulary<Guard = NoGuard>> ChartTable<V> {
+    /// Returns the transition that `event` takes in `state` of a chart without guards, or `None`
+    /// where it changes nothing.
+    #[must_use]
+    pub fn step_plain(&self, state: V::State, event: V::Event) -> Option<&ChartStep<V>> {
+        self.step(state, event, |guard| match guard {})
+    }
+}
+
 fn compile_step<V: ChartVocabulary>(
     file: &ChartFile,
     entry: &TransitionEntry,
--- a/src/edge/host.rs
+++ b/src/edge/host.rs
@@ -16,6 +16,7 @@
 use crate::edge::controller;
 use crate::edge::dispatcher;
 use crate::edge::exchange;
+use crate::edge::listen;
 use crate::edge::metrics;
 use crate::edge::operators;
 use crate::edge::peers;
@@ -258,9 +259,7 @@
     .bind(address)
     .map_err(|source| HostError::Listen { address, source })?
     .run();
-    let handle = server.handle();
-    actix::spawn(server);
-    Ok(handle)
+    Ok(listen::spawn(server))
 }
 
 fn listen_operators(
@@ -279,7 +278,5 @@
     .bind(address)
     .map_err(|source| HostError::Listen { address, source })?
     .run();
-    let handle = server.handle();
-    actix::spawn(server);
-    Ok(handle)
+    Ok(listen::spawn(server))
 }
--- a/src/edge/peers.rs
+++ b/src/edge/peers.rs
@@ -6,11 +6,9 @@
 use std::rc;
 use std::time;
 
-use futures_util::StreamExt as _;
-use tarpc::server::Channel as _;
-
 use crate::edge::controller;
 use crate::edge::ports;
+use crate::edge::rpc;
 use crate::peer;
 
 /// How long a peer may take to answer, in milliseconds.
@@ -43,28 +41,7 @@
     /// # Errors
     /// Fails when the address cannot be listened on.
     pub async fn listen(self, address: net::SocketAddr) -> Result<(), ports::PortError> {
-        let format = tarpc::tokio_serde::formats::Json::default;
-        let bound = tarpc::serde_transport::tcp::listen(address, format).await;
-        let mut listener = bound.map_err(|e| ports::PortError {
-            step: "listen-peers",
-            peer: address.to_string(),
-            fault: e.to_string(),
-        })?;
-        listener.config_mut().max_frame_length(MAX_FRAME_BYTES);
-        actix::spawn(async move {
-            while let Some(accepted) = listener.next().await {
-                let Ok(transport) = accepted else {
-                    continue;
-                };
-                let channel = tarpc::server::BaseChannel::with_defaults(transport);
-                let responder = self.clone();
-                actix::spawn(async move {
-                    let requests = channel.execute(responder.serve());
-                    requests.for_each_concurrent(None, |answer| answer).await;
-                });
-            }
-        });
-        Ok(())
+        rpc::listen(address, MAX_FRAME_BYTES, self.serve()).await
     }
 }
 
@@ -96,15 +73,8 @@
         if let Some(client) = known {
             return Ok(client);
         }
-        let format = tarpc::tokio_serde::formats::Json::default;
-        let mut connecting = tarpc::serde_transport::tcp::connect(peer, format);
-        connecting.config_mut().max_frame_length(MAX_FRAME_BYTES);
         let limit = time::Duration::from_millis(EXCHANGE_TIMEOUT_MS);
-        let transport = match tokio::time::timeout(limit, connecting).await {
-            Ok(Ok(transport)) => transport,
-            Ok(Err(e)) => return Err(connect_error(peer, &e.to_string())),
-            Err(_) => return Err(connect_error(peer, "timeout")),
-        };
+        let transport = rpc::connect(peer, MAX_FRAME_BYTES, limit).await?;
         let config = tarpc::client::Config::default();
         let client = PeerServiceClient::new(config, transport).spawn();
         self.connections.borrow_mut().insert(peer, client.clone());
@@ -112,14 +82,6 @@
     }
 }
 
-fn connect_error(peer: net::SocketAddr, fault: &str) -> ports::PortError {
-    ports::PortError {
-        step: "connect-peer",
-        peer: peer.to_string(),
-        fault: fault.into(),
-    }
-}
-
 impl ports::PeerPort for PeerClient {
     async fn exchange(
         &self,
@@ -137,10 +99,6 @@
             Err(e) => e.to_string(),
         };
         self.connections.borrow_mut().remove(&peer);
-        Err(ports::PortError {
-            step: "ask-peer",
-            peer: peer.to_string(),
-            fault,
-        })
+        Err(rpc::port_error("ask-peer", peer, fault))
     }
 }
--- a/src/edge/router/gossip.rs
+++ b/src/edge/router/gossip.rs
@@ -6,10 +6,8 @@
 use std::rc;
 use std::time;
 
-use futures_util::StreamExt as _;
-use tarpc::server::Channel as _;
-
 use crate::edge::ports;
+use crate::edge::rpc;
 use crate::serving::news;
 
 /// How long a host may take to answer, in milliseconds.
@@ -51,28 +49,7 @@
     /// # Errors
     /// Fails when the address cannot be listened on.
     pub async fn listen(self, address: net::SocketAddr) -> Result<(), ports::PortError> {
-        let format = tarpc::tokio_serde::formats::Json::default;
-        let bound = tarpc::serde_transport::tcp::listen(address, format).await;
-        let mut listener = bound.map_err(|e| ports::PortError {
-            step: "listen-peers",
-            peer: address.to_string(),
-            fault: e.to_string(),
-        })?;
-        listener.config_mut().max_frame_length(MAX_FRAME_BYTES);
-        actix::spawn(async move {
-            while let Some(accepted) = listener.next().await {
-                let Ok(transport) = accepted else {
-                    continue;
-                };
-                let channel = tarpc::server::BaseChannel::with_defaults(transport);
-                let responder = self.clone();
-                actix::spawn(async move {
-                    let requests = channel.execute(responder.serve());
-                    requests.for_each_concurrent(None, |answer| answer).await;
-                });
-            }
-        });
-        Ok(())
+        rpc::listen(address, MAX_FRAME_BYTES, self.serve()).await
     }
 }
 
@@ -123,7 +100,7 @@
             Err(_) => "timeout".to_owned(),
         };
         self.connections.borrow_mut().remove(&peer);
-        Err(port_error("ask-peer", peer, fault))
+        Err(rpc::port_error("ask-peer", peer, fault))
     }
 
     async fn connect(
@@ -134,26 +111,11 @@
         if let Some(client) = known {
             return Ok(client);
         }
-        let format = tarpc::tokio_serde::formats::Json::default;
-        let mut connecting = tarpc::serde_transport::tcp::connect(peer, format);
-        connecting.config_mut().max_frame_length(MAX_FRAME_BYTES);
         let limit = time::Duration::from_millis(GOSSIP_TIMEOUT_MS);
-        let transport = match tokio::time::timeout(limit, connecting).await {
-            Ok(Ok(transport)) => transport,
-            Ok(Err(e)) => return Err(port_error("connect-peer", peer, e.to_string())),
-            Err(_) => return Err(port_error("connect-peer", peer, "timeout".to_owned())),
-        };
+        let transport = rpc::connect(peer, MAX_FRAME_BYTES, limit).await?;
         let config = tarpc::client::Config::default();
         let client = GossipServiceClient::new(config, transport).spawn();
         self.connections.borrow_mut().insert(peer, client.clone());
         Ok(client)
     }
 }
-
-fn port_error(step: &'static str, peer: net::SocketAddr, fault: String) -> ports::PortError {
-    ports::PortError {
-        step,
-        peer: peer.to_string(),
-        fault,
-    }
-}
--- a/src/edge/router/host.rs
+++ b/src/edge/router/host.rs
@@ -9,6 +9,7 @@
 
 use crate::chart;
 use crate::clock;
+use crate::edge::listen;
 use crate::edge::router::control;
 use crate::edge::router::front;
 use crate::edge::router::gossip;
@@ -291,22 +292,10 @@
         ready,
         stopping: sync::Arc::clone(&traffic.stopping),
     });
-    let address = settings.ready;
-    let server = actix_web::HttpServer::new(move || {
-        actix_web::App::new()
-            .app_data(state.clone())
-            .route(path, web::get().to(answer_ready))
+    listen_quietly(settings.ready, move |app| {
+        app.app_data(state.clone())
+            .route(path, web::get().to(answer_ready));
     })
-    .workers(1)
-    .disable_signals()
-    .bind(address)
-    .map_err(|e| RouterError::Listen {
-        address,
-        fault: e.to_string(),
-    })?
-    .run();
-    actix::spawn(server);
-    Ok(())
 }
 
 fn listen_metrics(
@@ -314,23 +303,35 @@
     metrics: sync::Arc<metrics::RouterMetrics>,
 ) -> Result<(), RouterError> {
     let state = web::Data::from(metrics);
-    let server = actix_web::HttpServer::new(move || {
-        actix_web::App::new()
-            .app_data(state.clone())
-            .route(METRICS_PATH, web::get().to(answer_metrics))
+    listen_quietly(address, move |app| {
+        app.app_data(state.clone())
+            .route(METRICS_PATH, web::get().to(answer_metrics));
     })
-    .workers(1)
-    .disable_signals()
-    .bind(address)
-    .map_err(|e| RouterError::Listen {
-        address,
-        fault: e.to_string(),
-    })?
-    .run();
-    actix::spawn(server);
+}
+
+// Listens for the few questions of the platform and of operators, until the process ends.
+fn listen_quietly(
+    address: net::SocketAddr,
+    configure: impl Fn(&mut web::ServiceConfig) + Clone + Send + 'static,
+) -> Result<(), RouterError> {
+    let server =
+        actix_web::HttpServer::new(move || actix_web::App::new().configure(|app| configure(app)))
+            .workers(1)
+            .disable_signals()
+            .bind(address)
+            .map_err(|e| listen_error(address, &e))?
+            .run();
+    drop(listen::spawn(server));
     Ok(())
 }
 
+fn listen_error(address: net::SocketAddr, fault: &std::io::Error) -> RouterError {
+    RouterError::Listen {
+        address,
+        fault: fault.to_string(),
+    }
+}
+
 async fn answer_metrics(metrics: web::Data<metrics::RouterMetrics>) -> actix_web::HttpResponse {
     match metrics.encode() {
         Ok(text) => actix_web::HttpResponse::Ok().body(text),
@@ -367,12 +368,7 @@
     .h1_allow_half_closed(false)
     .disable_signals()
     .bind(address)
-    .map_err(|e| RouterError::Listen {
-        address,
-        fault: e.to_string(),
-    })?
+    .map_err(|e| listen_error(address, &e))?
     .run();
-    let handle = server.handle();
-    actix::spawn(server);
-    Ok(handle)
+    Ok(listen::spawn(server))
 }
--- /dev/null
+++ b/src/edge/rpc.rs
@@ -0,0 +1,88 @@
+//! What every `tarpc` interface between entry hosts shares: how it listens and how it connects.
+
+use std::net;
+use std::time;
+
+use futures_util::StreamExt as _;
+use tarpc::server::Channel as _;
+
+use crate::edge::ports;
+
+/// The codec of a client: answers in, requests out.
+type ClientCodec<Q, A> =
+    tarpc::tokio_serde::formats::Json<tarpc::Response<A>, tarpc::ClientMessage<Q>>;
+
+/// A client's connection.
+pub type ClientTransport<Q, A> = tarpc::serde_transport::Transport<
+    tokio::net::TcpStream,
+    tarpc::Response<A>,
+    tarpc::ClientMessage<Q>,
+    ClientCodec<Q, A>,
+>;
+
+/// Serves other hosts' connections until the process ends.
+///
+/// # Errors
+/// Fails when the address cannot be listened on.
+pub async fn listen<S>(
+    address: net::SocketAddr,
+    max_frame_bytes: usize,
+    service: S,
+) -> Result<(), ports::PortError>
+where
+    S: tarpc::server::Serve + Clone + 'static,
+    S::Req: serde::de::DeserializeOwned + 'static,
+    S::Resp: serde::Serialize + 'static,
+{
+    let format = tarpc::tokio_serde::formats::Json::default;
+    let bound = tarpc::serde_transport::tcp::listen(address, format).await;
+    let mut listener = bound.map_err(|e| port_error("listen-peers", address, e.to_string()))?;
+    listener.config_mut().max_frame_length(max_frame_bytes);
+    actix::spawn(async move {
+        while let Some(accepted) = listener.next().await {
+            let Ok(transport) = accepted else {
+                continue;
+            };
+            let channel = tarpc::server::BaseChannel::with_defaults(transport);
+            let service = service.clone();
+            actix::spawn(async move {
+                let requests = channel.execute(service);
+                requests.for_each_concurrent(None, |answer| answer).await;
+            });
+        }
+    });
+    Ok(())
+}
+
+/// Connects to another host within `limit`.
+///
+/// # Errors
+/// Fails when no connection can be made in time.
+pub async fn connect<Q, A>(
+    peer: net::SocketAddr,
+    max_frame_bytes: usize,
+    limit: time::Duration,
+) -> Result<ClientTransport<Q, A>, ports::PortError>
+where
+    Q: serde::Serialize,
+    A: serde::de::DeserializeOwned,
+{
+    let format: fn() -> ClientCodec<Q, A> = tarpc::tokio_serde::formats::Json::default;
+    let mut connecting = tarpc::serde_transport::tcp::connect(peer, format);
+    connecting.config_mut().max_frame_length(max_frame_bytes);
+    match tokio::time::timeout(limit, connecting).await {
+        Ok(Ok(transport)) => Ok(transport),
+        Ok(Err(e)) => Err(port_error("connect-peer", peer, e.to_string())),
+        Err(_) => Err(port_error("connect-peer", peer, "timeout".to_owned())),
+    }
+}
+
+/// Creates the error of a call to another host.
+#[must_use]
+pub fn port_error(step: &'static str, peer: net::SocketAddr, fault: String) -> ports::PortError {
+    ports::PortError {
+        step,
+        peer: peer.to_string(),
+        fault,
+    }
+}
--- a/src/grant.rs
+++ b/src/grant.rs
@@ -367,10 +367,7 @@
         let Some(record) = self.shards.get_mut(shard) else {
             return;
         };
-        let Some(step) = charts
-            .grant
-            .step(record.state, event, |guard| match guard {})
-        else {
+        let Some(step) = charts.grant.step_plain(record.state, event) else {
             return;
         };
         record.state = step.next;
--- a/src/ownership/granter.rs
+++ b/src/ownership/granter.rs
@@ -287,7 +287,7 @@
             }
         };
         run.next_call = now + renewal;
-        let Some(step) = self.table.step(run.state, event, |guard| match guard {}) else {
+        let Some(step) = self.table.step_plain(run.state, event) else {
             return false;
         };
         let news = run.state != step.next;
@@ -594,12 +594,9 @@
                 .retain(|former| !self.ended.contains(&former.holder.life));
             range_run::release_formers(id, run, now, &self.ledger, servers, actions);
             if run.state == range_run::RangeState::Vacating && run.formers.is_empty() {
-                let step =
-                    self.table.step(
-                        run.state,
-                        range_run::RangeEvent::Vacated,
-                        |guard| match guard {},
-                    );
+                let step = self
+                    .table
+                    .step_plain(run.state, range_run::RangeEvent::Vacated);
                 run.state = step.map_or(run.state, |step| step.next);
             }
             let due = !run.open && now >= run.next_call;
