Refuse at once for keys whose move takes longer than a move does; split the desk by job

Cause: a key on its way had no expected wait, however long it had been on its way, and a waiting request's patience (1.5 s) was longer than most deadlines. Ruled out: an estimate from the hold's lapse: a plan after a loss begins when the hold has lapsed already, and a claim's wait is the former granter's right, which no host can tell an end of. Change: the desk notes when it first saw a move under its fence (serving/desk/moves.rs); after 1 s requests for its keys are refused on arrival, and those that wait are given up. The desk's estimates, choice, lanes and demand are files of their own; the owner of a key is borrowed from the view, not cloned. Tests: refuses_at_once_for_a_key_whose_move_takes_too_long and gives_up_waiting_when_a_move_takes_too_long were red before (Ok where NoServer was due; no event).

--- /dev/null
+++ b/src/serving/desk/lane.rs
@@ -0,0 +1,57 @@
+//! One server at the desk of this host: what runs there, and what is known of it.
+
+use std::sync;
+use std::time;
+
+use crate::clock;
+use crate::names;
+use crate::ownership::book;
+use crate::serving::desk;
+use crate::serving::directory;
+use crate::serving::measure;
+
+pub(super) struct ServerLane {
+    pub(super) record: sync::Arc<directory::ServerRecord>,
+    // Whether the view still has the server.
+    pub(super) listed: bool,
+    pub(super) drains_since: Option<clock::MonoTime>,
+    pub(super) running: u32,
+    pub(super) waiting: u32,
+    pub(super) measure: measure::ServerMeasure,
+}
+
+impl ServerLane {
+    pub(super) fn new(record: sync::Arc<directory::ServerRecord>) -> Self {
+        Self {
+            record,
+            listed: true,
+            drains_since: None,
+            running: 0,
+            waiting: 0,
+            measure: measure::ServerMeasure::new(),
+        }
+    }
+
+    pub(super) fn service_ms(&self) -> f64 {
+        self.measure
+            .service_ms()
+            .unwrap_or(desk::ASSUMED_SERVICE_MS)
+    }
+
+    // Whether a request for a key that it holds may still go there. A server that leaves serves its
+    // keys until they have moved, but not for long.
+    pub(super) fn serves_keys(&self, life: &book::ServerLife, now: clock::MonoTime) -> bool {
+        let patience = time::Duration::from_millis(desk::DRAIN_PATIENCE_MS);
+        self.listed
+            && self.record.life == *life
+            && self.drains_since.is_none_or(|since| now < since + patience)
+            && !self.measure.is_paused(now)
+    }
+
+    pub(super) fn takes(&self, service: &names::ServiceName, now: clock::MonoTime) -> bool {
+        self.listed
+            && self.record.service == *service
+            && self.record.state == directory::ServerState::Ready
+            && !self.measure.is_paused(now)
+    }
+}
--- a/src/serving/view.rs
+++ b/src/serving/view.rs
@@ -42,14 +42,14 @@
 
     /// Returns the server that holds a key, where one may be sent to.
     #[must_use]
-    pub fn owner(&self, service: &names::ServiceName, key: u16) -> KeyOwner {
+    pub fn owner(&self, service: &names::ServiceName, key: u16) -> KeyOwner<'_> {
         let Some(range) = self.book.find(service, key) else {
             return KeyOwner::None;
         };
         if !range.formers.is_empty() {
-            return KeyOwner::Moving;
+            return KeyOwner::Moving(range);
         }
-        KeyOwner::Server(range.holder.life.clone())
+        KeyOwner::Server(&range.holder.life)
     }
 }
 
@@ -60,12 +60,12 @@
 }
 
 /// Who holds a key.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum KeyOwner {
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum KeyOwner<'a> {
     /// Nobody has held it yet.
     None,
     /// It is on its way to another server.
-    Moving,
+    Moving(&'a book::RangeEntry),
     /// A server holds it.
-    Server(book::ServerLife),
+    Server(&'a book::ServerLife),
 }
--- a/tests/desk.rs
+++ b/tests/desk.rs
@@ -256,42 +256,106 @@
     );
 }
 
-fn holds_requests_for_a_key_that_moves() {
-    let mut case = DeskCase::new(&[("near", "north")]);
-    let holder = book::KeyHolder {
-        life: book::ServerLife {
-            server: name("near"),
-            born: 1,
-        },
-        address: ([10, 0, 0, 1], 80).into(),
-    };
-    let mut range = book::RangeEntry {
-        first: 0,
-        last: book::MAX_KEY,
-        fence: 1,
-        holder: holder.clone(),
-        formers: vec![holder],
-    };
-    let book_of = |range: &book::RangeEntry| {
+// A desk whose one server holds all keys, on their way where `moving` says so.
+struct MoveCase {
+    case: DeskCase,
+    range: book::RangeEntry,
+}
+
+impl MoveCase {
+    fn new() -> Self {
+        let holder = book::KeyHolder {
+            life: book::ServerLife {
+                server: name("near"),
+                born: 1,
+            },
+            address: ([10, 0, 0, 1], 80).into(),
+        };
+        let range = book::RangeEntry {
+            first: 0,
+            last: book::MAX_KEY,
+            fence: 1,
+            holder,
+            formers: Vec::new(),
+        };
+        Self {
+            case: DeskCase::new(&[("near", "north")]),
+            range,
+        }
+    }
+
+    // Begins a move under `fence`, or ends it where there is none.
+    fn note_move(&mut self, fence: Option<u64>, now: clock::MonoTime) {
+        self.range.fence = fence.unwrap_or(self.range.fence);
+        let former = self.range.holder.clone();
+        self.range.formers = fence.map(|_| former).into_iter().collect();
         let mut book = book::GrantBook::default();
-        book.services.insert(name("orders"), vec![range.clone()]);
-        sync::Arc::new(book)
-    };
-    case.view.book = book_of(&range);
-    case.sync(at(0));
-    let mut wish = DeskCase::wish(1, 1_000);
-    wish.key = Some(7);
-    assert_eq!(case.send(wish, at(0)), None, "the key is on its way");
-    range.formers.clear();
-    case.view.book = book_of(&range);
-    case.sync(at(50));
+        book.services
+            .insert(name("orders"), vec![self.range.clone()]);
+        self.case.view.book = sync::Arc::new(book);
+        self.case.sync(now);
+    }
+
+    fn wish(now: clock::MonoTime) -> desk::ServerWish {
+        desk::ServerWish {
+            key: Some(7),
+            objective: now + time::Duration::from_millis(300),
+            deadline: now + time::Duration::from_millis(1_200),
+            ..DeskCase::wish(1, 0)
+        }
+    }
+
+    fn enqueue(&mut self, now: clock::MonoTime) -> Result<(), desk::DeskRefusal> {
+        self.case.desk.enqueue(Self::wish(now), now).map(drop)
+    }
+}
+
+fn holds_requests_for_a_key_that_moves() {
+    let mut moving = MoveCase::new();
+    moving.note_move(Some(2), at(0));
+    let sent = moving.case.send(MoveCase::wish(at(0)), at(0));
+    assert_eq!(sent, None, "the key is on its way");
+    moving.note_move(None, at(50));
     assert_eq!(
-        case.desk.pump(at(50)).len(),
+        moving.case.desk.pump(at(50)).len(),
         1,
         "the request goes to the new holder"
     );
 }
 
+// trouble-3 at Coastline: moves whose former holders had ended took seconds, and requests for their
+// keys were held until their time was nearly over.
+fn refuses_at_once_for_a_key_whose_move_takes_too_long() {
+    let mut moving = MoveCase::new();
+    moving.note_move(Some(2), at(0));
+    let later = at(desk::MOVE_PATIENCE_MS + 1);
+    // Other news of the book change nothing of when the move began.
+    moving.note_move(Some(2), at(500));
+    assert_eq!(moving.enqueue(later), Err(desk::DeskRefusal::NoServer));
+}
+
+fn gives_up_waiting_when_a_move_takes_too_long() {
+    let mut moving = MoveCase::new();
+    moving.note_move(Some(2), at(0));
+    assert_eq!(moving.enqueue(at(400)), Ok(()));
+    let events = moving.case.desk.pump(at(desk::MOVE_PATIENCE_MS + 1));
+    let refusal = events.first();
+    assert!(
+        matches!(
+            refusal,
+            Some(desk::DeskEvent::GivenUp(_, desk::DeskRefusal::NoServer))
+        ),
+        "{events:?}"
+    );
+}
+
+fn waits_anew_for_the_next_move_of_a_key() {
+    let mut moving = MoveCase::new();
+    moving.note_move(Some(2), at(0));
+    moving.note_move(Some(3), at(900));
+    assert_eq!(moving.enqueue(at(1_500)), Ok(()));
+}
+
 macro_rules! desk_cases {
     ($($name:ident),* $(,)?) => {
         mod cases {
@@ -317,4 +381,7 @@
     pauses_a_server_that_cannot_be_reached,
     repeats_within_its_part_of_the_budget,
     holds_requests_for_a_key_that_moves,
+    refuses_at_once_for_a_key_whose_move_takes_too_long,
+    gives_up_waiting_when_a_move_takes_too_long,
+    waits_anew_for_the_next_move_of_a_key,
 }
