Count a former granter's right only until its end is proved

Ruled out: the host's entry in the store as the proof: its incarnations have no order, so an old entry beside a new book would prove the end of a granter that lives; a refused connection, which a cut can cause. Change: a granter asks the hosts of former granters. The book names the granters that may order still, so that a successor's successor asks for each of them. ownership/succession.rs decides; the granter's life in the book has the host's name type and its address. Tests: tests/succession.rs and tests/granting.rs; the virtual world asks and answers, and its checker finds AnswerIsEnd (finds_an_answer_taken_for_an_end). Figures: keys of a silent holder move after more than 14 s without the proof, less than 4.5 s with it (tests/granting.rs).

--- a/lab/src/grant_world.rs
+++ b/lab/src/grant_world.rs
@@ -13,6 +13,7 @@
 use zinniastack::ownership::book;
 use zinniastack::ownership::granter;
 use zinniastack::ownership::order;
+use zinniastack::ownership::succession;
 use zinniastack::serving::directory;
 
 use crate::key_server;
@@ -23,6 +24,8 @@
 pub const READ_MS: u64 = 200;
 /// The interval of a host's joins, in milliseconds.
 pub const JOIN_MS: u64 = 400;
+/// The interval of a granter's questions to former granters, in milliseconds.
+pub const ASK_MS: u64 = 250;
 /// How long a join lasts, in milliseconds.
 pub const JOIN_TTL_MS: u64 = 1_200;
 /// After how long without a sign a server's entry goes, in milliseconds.
@@ -49,6 +52,8 @@
     RepeatedFence,
     /// A server whose entry lapsed is taken for ended.
     LapsedIsDead,
+    /// A former granter's host that answers is taken for its end.
+    AnswerIsEnd,
 }
 
 #[derive(Clone, Debug)]
@@ -96,6 +101,18 @@
         order: order::ReleaseOrder,
         outcome: order::OrderOutcome,
     },
+    Ask(usize),
+    Question {
+        host: usize,
+        from: usize,
+        from_life: u64,
+        asked: clock::MonoTime,
+    },
+    Answer {
+        host: usize,
+        life: u64,
+        answer: succession::HostAnswer,
+    },
     Fault,
 }
 
@@ -299,11 +316,17 @@
         }
     }
 
-    pub(crate) fn new_host(host: usize, life: u64) -> WorldHost {
-        let own = book::GranterLife {
-            host: format!("h{host}"),
+    fn granter_life(host: usize, life: u64) -> book::GranterLife {
+        let port = 7_200 + u16::try_from(host).unwrap_or(0);
+        book::GranterLife {
+            host: name(&format!("h{host}")),
             incarnation: life,
-        };
+            peers: net::SocketAddr::from(([10, 0, 0, 1], port)),
+        }
+    }
+
+    pub(crate) fn new_host(host: usize, life: u64) -> WorldHost {
+        let own = Self::granter_life(host, life);
         let hold = time::Duration::from_secs(10);
         let created = granter::KeyGranter::new(own, hold);
         WorldHost {
@@ -323,6 +346,7 @@
         self.push(spread + 1, WorldEvent::Read(host));
         self.push(spread + 50, WorldEvent::Join(host));
         self.push(spread + TICK_MS, WorldEvent::Tick(host));
+        self.push(spread + ASK_MS, WorldEvent::Ask(host));
     }
 
     pub(crate) fn add_server(&mut self, index: usize, born: u64) {
@@ -380,11 +404,14 @@
 
     fn host_of(event: &WorldEvent) -> Option<(usize, Option<u64>)> {
         match event {
-            WorldEvent::Tick(host) | WorldEvent::Read(host) | WorldEvent::Join(host) => {
-                Some((*host, None))
-            }
+            WorldEvent::Tick(host)
+            | WorldEvent::Read(host)
+            | WorldEvent::Join(host)
+            | WorldEvent::Ask(host)
+            | WorldEvent::Question { host, .. } => Some((*host, None)),
             WorldEvent::Appended { host, life, .. }
             | WorldEvent::Granted { host, life, .. }
+            | WorldEvent::Answer { host, life, .. }
             | WorldEvent::Released { host, life, .. } => Some((*host, Some(*life))),
             _ => None,
         }
@@ -455,10 +482,58 @@
                     .granter
                     .note_released(&order, &outcome, now);
             }
+            WorldEvent::Ask(host) => self.ask(host),
+            WorldEvent::Question {
+                host,
+                from,
+                from_life,
+                asked,
+            } => self.answer(host, from, from_life, asked),
+            WorldEvent::Answer { host, answer, .. } => {
+                let now = self.clock_of(host);
+                self.hosts[host].granter.note_answer(&answer, now);
+            }
             WorldEvent::Fault => self.strike(),
         }
     }
 
+    // A granter asks the hosts of those that granted before. Hosts reach each other always here.
+    fn ask(&mut self, host: usize) {
+        self.push(ASK_MS, WorldEvent::Ask(host));
+        let asked = self.clock_of(host);
+        let from_life = self.hosts[host].life;
+        for former in self.hosts[host].granter.granters_in_doubt(asked) {
+            let delay = self.delay();
+            let position = (0..HOSTS).find(|h| Self::granter_life(*h, 0).host == former.host);
+            let question = WorldEvent::Question {
+                host: position.unwrap_or(host),
+                from: host,
+                from_life,
+                asked,
+            };
+            self.push(delay, question);
+        }
+    }
+
+    fn answer(&mut self, host: usize, from: usize, from_life: u64, asked: clock::MonoTime) {
+        let mut life = Self::granter_life(host, self.hosts[host].life);
+        if self.flaw == GrantFlaw::AnswerIsEnd {
+            life.incarnation += 1_000;
+        }
+        let answer = succession::HostAnswer {
+            life,
+            term: self.hosts[host].granter.book().term,
+            asked,
+        };
+        let delay = self.delay();
+        let answer = WorldEvent::Answer {
+            host: from,
+            life: from_life,
+            answer,
+        };
+        self.push(delay, answer);
+    }
+
     fn thaw(&mut self, host: usize) {
         let delayed = std::mem::take(&mut self.hosts[host].delayed);
         for event in delayed {
--- a/lab/src/grant_world_faults.rs
+++ b/lab/src/grant_world_faults.rs
@@ -83,9 +83,10 @@
             grant_world::WorldEvent::Tick(host),
             grant_world::WorldEvent::Read(host),
             grant_world::WorldEvent::Join(host),
+            grant_world::WorldEvent::Ask(host),
         ];
         let old = std::mem::replace(&mut self.hosts[host], fresh);
-        let kept = |event: &grant_world::QueuedEvent| !matches!(event.event, grant_world::WorldEvent::Tick(h) | grant_world::WorldEvent::Read(h) | grant_world::WorldEvent::Join(h) if h == host);
+        let kept = |event: &grant_world::QueuedEvent| !matches!(event.event, grant_world::WorldEvent::Tick(h) | grant_world::WorldEvent::Read(h) | grant_world::WorldEvent::Join(h) | grant_world::WorldEvent::Ask(h) if h == host);
         self.queue.retain(kept);
         drop(old);
         self.push(501, grant_world::WorldEvent::Thaw(host));
--- a/src/edge/router/control.rs
+++ b/src/edge/router/control.rs
@@ -2,6 +2,8 @@
 //! to the decisions, and what they want done is done here.
 
 use std::cell;
+use std::collections;
+use std::net;
 use std::rc;
 use std::sync;
 use std::time;
@@ -18,6 +20,7 @@
 use crate::ownership::book;
 use crate::ownership::granter;
 use crate::ownership::order;
+use crate::ownership::succession;
 use crate::serving::directory;
 use crate::serving::knowledge;
 use crate::serving::news;
@@ -108,8 +111,9 @@
     /// Fails when a chart is faulty.
     pub fn start(parts: ControlParts<S, O, D>) -> Result<rc::Rc<Self>, chart::ChartError> {
         let life = book::GranterLife {
-            host: parts.own.host.as_str().to_owned(),
+            host: parts.own.host.clone(),
             incarnation: parts.own.incarnation,
+            peers: parts.own.peers,
         };
         let state = ControlState {
             knowledge: knowledge::HostKnowledge::new(parts.own),
@@ -573,25 +577,55 @@
 
     async fn ask_hosts(self: rc::Rc<Self>) {
         loop {
-            let hosts = self.state.borrow().knowledge.hosts_to_ask();
+            let hosts = self.hosts_to_ask();
             let stretch = u32::try_from(hosts.len() / GOSSIP_HOSTS).unwrap_or(0) + 1;
-            for host in hosts {
-                actix::spawn(rc::Rc::clone(&self).ask_host(host));
+            for (peers, host) in hosts {
+                actix::spawn(rc::Rc::clone(&self).ask_host(host, peers));
             }
             tokio::time::sleep(time::Duration::from_millis(GOSSIP_MS) * stretch).await;
         }
     }
 
-    async fn ask_host(self: rc::Rc<Self>, host: news::HostRecord) {
-        let news = self.news_for(&host.host);
-        match self.gossip.exchange(host.peers, news).await {
-            Ok(news) => self.take_news(news),
+    // Each pair of hosts has one that asks; a granter also asks those that granted before.
+    fn hosts_to_ask(&self) -> collections::BTreeMap<net::SocketAddr, names::HostName> {
+        let now = self.clock.now();
+        let state = self.state.borrow();
+        let hosts = state.knowledge.hosts_to_ask().into_iter();
+        let hosts = hosts.map(|host| (host.peers, host.host));
+        let doubted = state.granter.granters_in_doubt(now).into_iter();
+        let doubted = doubted.map(|life| (life.peers, life.host));
+        hosts.chain(doubted).collect()
+    }
+
+    async fn ask_host(self: rc::Rc<Self>, host: names::HostName, peers: net::SocketAddr) {
+        let asked = self.clock.now();
+        let news = self.news_for(&host);
+        match self.gossip.exchange(peers, news).await {
+            Ok(news) => {
+                self.note_answer(&news, asked);
+                self.take_news(news);
+            }
             Err(fault) => {
-                tracing::debug!(event = "host-unreached", host = %host.host, fault = %fault);
+                tracing::debug!(event = "host-unreached", host = %host, fault = %fault);
             }
         }
     }
 
+    fn note_answer(&self, news: &news::HostNews, asked: clock::MonoTime) {
+        let record = &news.record;
+        let answer = succession::HostAnswer {
+            life: book::GranterLife {
+                host: record.host.clone(),
+                incarnation: record.incarnation,
+                peers: record.peers,
+            },
+            term: news.term,
+            asked,
+        };
+        let now = self.clock.now();
+        self.state.borrow_mut().granter.note_answer(&answer, now);
+    }
+
     fn news_for(&self, host: &names::HostName) -> news::HostNews {
         let state = self.state.borrow();
         let grants = knowledge::GrantKnowledge {
--- a/src/ownership/arrival.rs
+++ b/src/ownership/arrival.rs
@@ -38,7 +38,8 @@
 pub struct ArrivalLedger {
     hold: time::Duration,
     foreign_hold: time::Duration,
-    foreign: collections::HashMap<book::ServerLife, clock::MonoTime>,
+    foreign_until: clock::MonoTime,
+    foreign: collections::HashSet<book::ServerLife>,
     marks: collections::HashMap<book::ServerLife, ArrivalMark>,
 }
 
@@ -49,16 +50,16 @@
         Self {
             hold,
             foreign_hold: hold,
-            foreign: collections::HashMap::new(),
+            foreign_until: clock::MonoTime::from_micros(0),
+            foreign: collections::HashSet::new(),
             marks: collections::HashMap::new(),
         }
     }
 
-    /// Takes over a former granter's book: its orders of `hold` may arrive until `until`.
+    /// Takes over former granters' book: their orders to `lives` had holds up to `hold`.
     pub fn take_over(
         &mut self,
         lives: impl Iterator<Item = book::ServerLife>,
-        until: clock::MonoTime,
         hold: time::Duration,
     ) {
         self.foreign_hold = self.foreign_hold.max(hold);
@@ -67,10 +68,12 @@
             mark.failing_since = None;
         }
         // What an earlier take-over waits for still counts.
-        for life in lives {
-            let known = self.foreign.entry(life).or_insert(until);
-            *known = until.max(*known);
-        }
+        self.foreign.extend(lives);
+    }
+
+    /// Notes that orders of former granters may arrive until `until`.
+    pub const fn note_foreign_until(&mut self, until: clock::MonoTime) {
+        self.foreign_until = until;
     }
 
     /// Notes that an order is about to be sent.
@@ -112,9 +115,8 @@
     /// Reports whether no hold of that life can last any longer.
     #[must_use]
     pub fn has_lapsed(&self, life: &book::ServerLife, now: clock::MonoTime) -> bool {
-        let foreign = self.foreign.get(life);
-        let foreign_over =
-            foreign.is_none_or(|until| now >= *until + lapse_span(self.foreign_hold));
+        let foreign_end = self.foreign_until + lapse_span(self.foreign_hold);
+        let foreign_over = !self.foreign.contains(life) || now >= foreign_end;
         let Some(mark) = self.marks.get(life) else {
             return foreign_over;
         };
--- a/src/ownership/book.rs
+++ b/src/ownership/book.rs
@@ -57,14 +57,16 @@
 }
 
 /// One start of a host's process.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 #[derive(serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub struct GranterLife {
-    /// The host, empty in the first book of all.
-    pub host: String,
+    /// The host.
+    pub host: names::HostName,
     /// A random number of the process.
     pub incarnation: u64,
+    /// Where other hosts reach it.
+    pub peers: net::SocketAddr,
 }
 
 /// The whole book.
@@ -74,8 +76,10 @@
 pub struct GrantBook {
     /// The term, one higher with each claim.
     pub term: u64,
-    /// Who wrote it.
-    pub granter: GranterLife,
+    /// Who wrote it; nobody in the first book of all.
+    pub granter: Option<GranterLife>,
+    /// Granters of earlier terms that may order still, as far as the granter knows.
+    pub former_granters: Vec<GranterLife>,
     /// The longest hold that the granter orders, in milliseconds.
     pub longest_hold_millis: u64,
     /// The fence of the next assignment.
--- a/src/ownership/granter.rs
+++ b/src/ownership/granter.rs
@@ -16,6 +16,7 @@
 use crate::ownership::order;
 use crate::ownership::plan;
 use crate::ownership::range_run;
+use crate::ownership::succession;
 use crate::serving::directory;
 
 /// The longest hold of one order, in milliseconds, where the servers allow as much.
@@ -31,9 +32,6 @@
 /// How long no further server of a service registers until its keys are placed for the first time,
 /// in milliseconds.
 pub const FIRST_PLACE_MS: u64 = 1_200;
-/// By how much a claimant's wait exceeds the former granter's right, in milliseconds: an order that
-/// was sent at its last moment is answered or reset by then.
-pub const FOREIGN_ORDER_MS: u64 = 700;
 /// How long orders to most servers go unanswered until the granter takes itself for cut off, in
 /// milliseconds.
 pub const ISOLATION_MS: u64 = 300;
@@ -55,6 +53,7 @@
     table: chart::ChartTable<range_run::RangeVocabulary>,
     duty: duty::GrantDuty,
     ledger: arrival::ArrivalLedger,
+    succession: succession::GranterSuccession,
     book: book::GrantBook,
     end: Option<u64>,
     appending: Option<book::GrantBook>,
@@ -87,6 +86,7 @@
         let hold = max_hold.min(time::Duration::from_millis(HOLD_MS));
         let origin = clock::MonoTime::from_micros(0);
         Ok(Self {
+            succession: succession::GranterSuccession::new(own.clone()),
             own,
             hold,
             table: chart::ChartTable::new()?,
@@ -159,7 +159,7 @@
             );
             return true;
         }
-        let foreign = newest.granter != self.own;
+        let foreign = newest.granter.as_ref() != Some(&self.own);
         self.book = newest;
         self.appending = None;
         match self.duty.state() {
@@ -224,18 +224,39 @@
 
     // Whoever granted before may go on until its right has ended by its own clock.
     fn take_foreign(&mut self, former: &book::GrantBook, now: clock::MonoTime) {
-        let own = former.granter == self.own;
-        let right = duty::RENEWAL_RIGHT_MS + FOREIGN_ORDER_MS;
-        let until = now + time::Duration::from_millis(right);
+        let formers = &self.book.former_granters;
+        self.succession.take_over(self.book.term, formers, now);
+        let foreign = !formers.is_empty();
         let ranges = former.services.values().flatten();
         let holders = ranges.flat_map(|range| range.formers.iter().chain([&range.holder]));
-        let lives = holders.map(|holder| holder.life.clone());
+        let lives = holders
+            .map(|holder| holder.life.clone())
+            .filter(|_| foreign);
         let hold = time::Duration::from_millis(former.longest_hold_millis);
-        let lives: Vec<_> = lives.filter(|_| !own).collect();
-        self.ledger.take_over(lives.into_iter(), until, hold);
+        self.ledger.take_over(lives, hold);
         self.silences.clear();
     }
 
+    /// Takes another host's answer, which may prove that a former granter orders no longer.
+    pub fn note_answer(&mut self, answer: &succession::HostAnswer, now: clock::MonoTime) {
+        if self.is_granting() && self.succession.note_answer(answer, now) {
+            tracing::info!(
+                event = "former-granter-ended",
+                term = self.book.term,
+                host = %answer.life.host,
+                known_term = answer.term
+            );
+        }
+    }
+
+    /// Returns the former granters to ask, while this host grants.
+    #[must_use]
+    pub fn granters_in_doubt(&self, now: clock::MonoTime) -> Vec<book::GranterLife> {
+        let asks = self.is_granting();
+        let doubted = self.succession.in_doubt(now).filter(|_| asks);
+        doubted.cloned().collect()
+    }
+
     fn run_duty(&mut self, event: duty::DutyEvent) {
         let term = self.book.term;
         for action in self.duty.handle(event) {
@@ -334,6 +355,8 @@
         servers: &directory::ServerDirectory,
     ) -> Vec<order::GranterAction> {
         let mut actions = Vec::new();
+        self.ledger
+            .note_foreign_until(self.succession.orders_until());
         if self.is_granting() && !self.duty.has_right(now) {
             self.run_duty(duty::DutyEvent::RightEnded);
         }
@@ -380,7 +403,8 @@
                 self.run_duty(duty::DutyEvent::ClaimDue);
                 let mut claim = self.book.clone();
                 claim.term += 1;
-                claim.granter = self.own.clone();
+                claim.former_granters = self.succession.predecessors(&self.book);
+                claim.granter = Some(self.own.clone());
                 claim.longest_hold_millis =
                     u64::try_from(self.hold.as_millis()).unwrap_or(u64::MAX);
                 Some(claim)
@@ -399,6 +423,7 @@
         let mut next = self.book.clone();
         let mut changed = self.forget_vacated(&mut next);
         changed |= self.raise_refused(&mut next);
+        changed |= self.forget_granters(&mut next, now);
         let settled = now >= self.planned_at + time::Duration::from_millis(PLAN_INTERVAL_MS);
         for service in services {
             let takers = self.takers(now, service, servers);
@@ -548,6 +573,14 @@
         changed
     }
 
+    // Drops former granters whose orders have all arrived: a successor need not ask for them again.
+    fn forget_granters(&self, next: &mut book::GrantBook, now: clock::MonoTime) -> bool {
+        let doubted: Vec<_> = self.succession.in_doubt(now).cloned().collect();
+        let changed = next.former_granters != doubted;
+        next.former_granters = doubted;
+        changed
+    }
+
     fn raise_refused(&self, next: &mut book::GrantBook) -> bool {
         let mut refused = Vec::new();
         for (service, ranges) in &next.services {
--- a/src/ownership/mod.rs
+++ b/src/ownership/mod.rs
@@ -12,3 +12,4 @@
 pub mod order;
 pub mod plan;
 mod range_run;
+pub mod succession;
--- /dev/null
+++ b/src/ownership/succession.rs
@@ -0,0 +1,142 @@
+//! Granters of earlier terms, which may go on ordering until their right to renew has ended.
+//!
+//! A granter that is frozen, or cut from the log, does not learn of a successor. Until its right has
+//! ended, or its end is proved, the holds that it renewed may be longer than the successor knows.
+
+use std::collections;
+use std::time;
+
+use crate::clock;
+use crate::ownership::book;
+use crate::ownership::duty;
+
+/// How long after a granter's last moment its orders may arrive, in milliseconds: they are answered
+/// or reset by then.
+pub const ORDERS_UNDER_WAY_MS: u64 = 700;
+
+/// What another host said of itself when it was asked.
+#[derive(Clone, Debug)]
+pub struct HostAnswer {
+    /// The process that answered.
+    pub life: book::GranterLife,
+    /// The term of the newest book that it knows.
+    pub term: u64,
+    /// When it was asked, by this host's clock.
+    pub asked: clock::MonoTime,
+}
+
+// One former granter.
+#[derive(Clone, Copy, Debug)]
+struct FormerGranter {
+    since: clock::MonoTime,
+    // When the last of its orders has arrived.
+    until: clock::MonoTime,
+}
+
+/// The former granters of which this host, as their successor, must take account.
+#[derive(Debug)]
+pub struct GranterSuccession {
+    own: book::GranterLife,
+    term: u64,
+    formers: collections::BTreeMap<book::GranterLife, FormerGranter>,
+}
+
+impl GranterSuccession {
+    /// Creates the succession of a host that has not claimed yet.
+    #[must_use]
+    pub const fn new(own: book::GranterLife) -> Self {
+        Self {
+            own,
+            term: 0,
+            formers: collections::BTreeMap::new(),
+        }
+    }
+
+    /// Returns the granters that a claim on `book` succeeds.
+    #[must_use]
+    pub fn predecessors(&self, book: &book::GrantBook) -> Vec<book::GranterLife> {
+        let known = book.former_granters.iter().chain(&book.granter);
+        let known = known.filter(|life| **life != self.own);
+        let known: collections::BTreeSet<_> = known.cloned().collect();
+        known.into_iter().collect()
+    }
+
+    /// Notes that this host's claim for `term`, which succeeds `formers`, is in the log.
+    pub fn take_over(&mut self, term: u64, formers: &[book::GranterLife], now: clock::MonoTime) {
+        self.term = term;
+        let span = time::Duration::from_millis(duty::RENEWAL_RIGHT_MS + ORDERS_UNDER_WAY_MS);
+        for life in formers {
+            let former = FormerGranter {
+                since: now,
+                until: now + span,
+            };
+            self.formers.insert(life.clone(), former);
+            if self.is_own_predecessor(life) {
+                self.note_ended(life, now);
+            }
+        }
+    }
+
+    /// Takes another host's answer. Reports whether it proves the end of a former granter.
+    pub fn note_answer(&mut self, answer: &HostAnswer, now: clock::MonoTime) -> bool {
+        let ended: Vec<_> = self
+            .formers
+            .iter()
+            .filter(|(life, former)| self.proves_end(answer, life, former, now))
+            .map(|(life, _)| life.clone())
+            .collect();
+        for life in &ended {
+            self.note_ended(life, now);
+        }
+        !ended.is_empty()
+    }
+
+    // A host runs one process at a time. What answers a question that was asked after the claim was
+    // alive after the former granter was; where it is the former granter itself and knows the claim,
+    // it orders no longer.
+    fn proves_end(
+        &self,
+        answer: &HostAnswer,
+        life: &book::GranterLife,
+        former: &FormerGranter,
+        now: clock::MonoTime,
+    ) -> bool {
+        let in_doubt = now < former.until && answer.asked > former.since;
+        let other = is_same_host(&answer.life, life) && answer.life != *life;
+        let succeeded = answer.life == *life && answer.term >= self.term;
+        in_doubt && (other || succeeded)
+    }
+
+    // An earlier process of this host has ended before this one began.
+    fn is_own_predecessor(&self, life: &book::GranterLife) -> bool {
+        is_same_host(&self.own, life) && self.own != *life
+    }
+
+    fn note_ended(&mut self, life: &book::GranterLife, now: clock::MonoTime) {
+        if let Some(former) = self.formers.get_mut(life) {
+            let arrived = now + time::Duration::from_millis(ORDERS_UNDER_WAY_MS);
+            former.until = former.until.min(arrived);
+        }
+    }
+
+    /// Returns the former granters that may order still at `now`.
+    pub fn in_doubt(&self, now: clock::MonoTime) -> impl Iterator<Item = &book::GranterLife> {
+        let formers = self.formers.iter();
+        let doubted = formers.filter(move |(_, former)| now < former.until);
+        doubted.map(|(life, _)| life)
+    }
+
+    /// Returns the time by which all orders of former granters have arrived.
+    #[must_use]
+    pub fn orders_until(&self) -> clock::MonoTime {
+        let untils = self.formers.values().map(|former| former.until);
+        untils
+            .max()
+            .unwrap_or_else(|| clock::MonoTime::from_micros(0))
+    }
+}
+
+// Whether two processes are of one host: an address alone may go to another host.
+fn is_same_host(one: &book::GranterLife, other: &book::GranterLife) -> bool {
+    one.host == other.host && one.peers == other.peers
+}
--- a/src/serving/knowledge.rs
+++ b/src/serving/knowledge.rs
@@ -188,13 +188,15 @@
     pub fn news_for(&self, host: &names::HostName, grants: &GrantKnowledge<'_>) -> news::HostNews {
         let asked = self.peers.get(host).map(|peer| &peer.news);
         let relay = asked.and_then(|news| self.relay_for(news, grants));
-        let granter = grants.book.granter.host == host.as_str();
+        let granter = grants.book.granter.as_ref();
+        let granter = granter.is_some_and(|granter| granter.host == *host);
         news::HostNews {
             record: self.own.clone(),
             store_lost: self.store_lost(),
             routes_version: self.routes_version(),
             servers_digest: self.directory.digest(),
             book_end: grants.end,
+            term: grants.book.term,
             demand: self.demand.clone(),
             reports: if granter {
                 self.reports.clone()
--- a/src/serving/news.rs
+++ b/src/serving/news.rs
@@ -64,6 +64,8 @@
     pub servers_digest: u64,
     /// Where the book's log ends, as far as it knows.
     pub book_end: u64,
+    /// The term of the newest book that it knows.
+    pub term: u64,
     /// What it has at each server.
     pub demand: view::ServerDemand,
     /// The work of keys, for the host that grants.
--- /dev/null
+++ b/tests/granting.rs
@@ -0,0 +1,238 @@
+//! A granter on its own: what it orders after a claim, and when it gives its duty away.
+
+use std::collections;
+use std::net;
+use std::time;
+
+use zinniastack::clock;
+use zinniastack::names;
+use zinniastack::ownership::book;
+use zinniastack::ownership::granter;
+use zinniastack::ownership::order;
+use zinniastack::ownership::succession;
+use zinniastack::serving::directory;
+
+/// The interval of the granter's decisions, in milliseconds.
+const TICK_MS: u64 = 100;
+
+fn name<T: std::str::FromStr>(text: &str) -> T
+where
+    T::Err: std::fmt::Debug,
+{
+    text.parse().expect("a name")
+}
+
+fn at(millis: u64) -> clock::MonoTime {
+    clock::MonoTime::from_millis(millis)
+}
+
+fn service() -> names::ServiceName {
+    name("stock")
+}
+
+fn granter_life(host: &str, incarnation: u64) -> book::GranterLife {
+    book::GranterLife {
+        host: name(host),
+        incarnation,
+        peers: ([10, 0, 0, 9], 7_200).into(),
+    }
+}
+
+fn address(number: u16) -> net::SocketAddr {
+    ([10, 0, 0, 1], 8_000 + number).into()
+}
+
+fn server_life(number: u16) -> book::ServerLife {
+    book::ServerLife {
+        server: name(&format!("s{number}")),
+        born: 1,
+    }
+}
+
+fn record(number: u16) -> directory::ServerRecord {
+    directory::ServerRecord {
+        life: server_life(number),
+        service: service(),
+        address: address(number),
+        domain: name("north"),
+        slots: 4,
+        state: directory::ServerState::Ready,
+        sequence: 1,
+    }
+}
+
+/// A granter with a log that takes all appends and servers of which some are silent.
+struct GranterCase {
+    granter: granter::KeyGranter,
+    directory: directory::ServerDirectory,
+    silent: collections::BTreeSet<net::SocketAddr>,
+    end: u64,
+    now_ms: u64,
+    yields: u32,
+    // The servers that took an order for the key 0, with the time.
+    first_key: Vec<(String, u64)>,
+}
+
+impl GranterCase {
+    fn new(servers: u16) -> Self {
+        let own = granter_life("own", 9);
+        let granter = granter::KeyGranter::new(own, time::Duration::from_secs(10));
+        let mut directory = directory::ServerDirectory::new();
+        for number in 0..servers {
+            directory.note(record(number));
+        }
+        Self {
+            granter: granter.expect("the charts are sound"),
+            directory,
+            silent: collections::BTreeSet::new(),
+            end: 0,
+            now_ms: 1_000,
+            yields: 0,
+            first_key: Vec::new(),
+        }
+    }
+
+    // Makes `book` the newest of the log.
+    fn read(&mut self, book: book::GrantBook) {
+        self.end += 1;
+        let now = at(self.now_ms);
+        self.granter.note_book(Some(book), self.end, now);
+    }
+
+    fn run(&mut self, span_ms: u64) {
+        self.granter.note_candidate(true);
+        let end = self.now_ms + span_ms;
+        while self.now_ms < end {
+            self.now_ms += TICK_MS;
+            let now = at(self.now_ms);
+            self.granter.note_confirmed(now);
+            if self.end == 0 {
+                self.granter.note_book(None, 0, now);
+            }
+            let actions = self.granter.tick(now, &[service()], &self.directory);
+            for action in actions {
+                self.act(action);
+            }
+        }
+    }
+
+    fn act(&mut self, action: order::GranterAction) {
+        let now = at(self.now_ms);
+        match action {
+            order::GranterAction::Append { at, .. } => {
+                assert_eq!(at, self.end, "the log ends there");
+                self.end += 1;
+                let outcome = order::AppendOutcome::Appended { end: self.end };
+                self.granter.note_appended(outcome, now, now);
+            }
+            order::GranterAction::Grant(order) => {
+                let outcome = self.outcome_of(&order.address);
+                if order.range.first == 0 && outcome == order::OrderOutcome::Done(None) {
+                    let server = order.life.server.to_string();
+                    self.first_key.push((server, self.now_ms));
+                }
+                self.granter.note_granted(&order, &outcome, now);
+            }
+            order::GranterAction::Release(order) => {
+                let outcome = self.outcome_of(&order.address);
+                self.granter.note_released(&order, &outcome, now);
+            }
+            order::GranterAction::Yield => self.yields += 1,
+        }
+    }
+
+    fn outcome_of(&self, address: &net::SocketAddr) -> order::OrderOutcome {
+        if self.silent.contains(address) {
+            return order::OrderOutcome::Unsent;
+        }
+        order::OrderOutcome::Done(None)
+    }
+
+    // When another server than `s0` took the first key, in milliseconds after `from_ms`.
+    fn first_key_moved(&self, from_ms: u64) -> Option<u64> {
+        let moved = self.first_key.iter().find(|(server, _)| server != "s0");
+        moved.map(|(_, taken_ms)| taken_ms - from_ms)
+    }
+}
+
+// A book of another granter, in which a silent server holds all keys.
+fn claim_of_a_silent_holder() -> GranterCase {
+    let mut case = GranterCase::new(3);
+    case.silent.insert(address(0));
+    let range = book::RangeEntry {
+        first: 0,
+        last: book::MAX_KEY,
+        fence: 1,
+        holder: book::KeyHolder {
+            life: server_life(0),
+            address: address(0),
+        },
+        formers: Vec::new(),
+    };
+    case.read(book::GrantBook {
+        term: 1,
+        granter: Some(granter_life("former", 1)),
+        longest_hold_millis: granter::HOLD_MS,
+        next_fence: 2,
+        services: [(service(), vec![range])].into(),
+        ..book::GrantBook::default()
+    });
+    case
+}
+
+fn waits_for_the_right_of_a_granter_that_is_silent() {
+    let mut case = claim_of_a_silent_holder();
+    case.run(20_000);
+    let moved = case.first_key_moved(1_000).expect("the keys move");
+    assert!(moved > 14_000, "{moved} ms");
+}
+
+// trouble-3 at Coastline: all hosts were killed and came back, and keys of servers that had ended
+// waited for the right of a granter that was no more.
+fn moves_keys_soon_where_the_former_granter_runs_another_process() {
+    let mut case = claim_of_a_silent_holder();
+    case.run(500);
+    assert!(case.granter.is_granting());
+    let answer = succession::HostAnswer {
+        life: granter_life("former", 2),
+        term: 0,
+        asked: at(case.now_ms),
+    };
+    case.now_ms += 100;
+    case.granter.note_answer(&answer, at(case.now_ms));
+    case.run(20_000);
+    let moved = case.first_key_moved(1_000).expect("the keys move");
+    assert!(moved < 4_500, "{moved} ms");
+}
+
+fn forgets_former_granters_once_their_orders_have_arrived() {
+    let mut case = claim_of_a_silent_holder();
+    case.run(20_000);
+    assert!(case.granter.book().former_granters.is_empty());
+}
+
+fn gives_the_duty_away_when_most_servers_are_silent() {
+    let mut case = GranterCase::new(8);
+    case.run(4_000);
+    case.silent = (0..5).map(address).collect();
+    case.run(2_000);
+    assert!(case.yields > 0);
+}
+
+macro_rules! granter_cases {
+    ($($name:ident),* $(,)?) => {
+        mod cases {
+            $(#[test]
+            fn $name() {
+                super::$name();
+            })*
+        }
+    };
+}
+
+granter_cases! {
+    waits_for_the_right_of_a_granter_that_is_silent,
+    moves_keys_soon_where_the_former_granter_runs_another_process,
+    forgets_former_granters_once_their_orders_have_arrived,
+    gives_the_duty_away_when_most_servers_are_silent,
+}
--- a/tests/ownership.rs
+++ b/tests/ownership.rs
@@ -105,5 +105,6 @@
     finds_an_order_before_its_append: expect_found(grant_world::GrantFlaw::OrderBeforeAppend);
     finds_a_claim_on_an_old_book: expect_found(grant_world::GrantFlaw::UnreadClaim);
     finds_fences_that_repeat: expect_found(grant_world::GrantFlaw::RepeatedFence);
+    finds_an_answer_taken_for_an_end: expect_stranded_found(false, grant_world::GrantFlaw::AnswerIsEnd);
     finds_a_lapsed_entry_taken_for_an_end: expect_found(grant_world::GrantFlaw::LapsedIsDead);
 }
--- /dev/null
+++ b/tests/succession.rs
@@ -0,0 +1,144 @@
+//! Who may order still after a claim, and what proves that a former granter does not.
+
+use std::time;
+
+use zinniastack::clock;
+use zinniastack::ownership::book;
+use zinniastack::ownership::duty;
+use zinniastack::ownership::succession;
+
+/// The term of the claim under test.
+const TERM: u64 = 5;
+/// When the claim is in the log, in milliseconds.
+const CLAIMED_MS: u64 = 1_000;
+
+fn at(millis: u64) -> clock::MonoTime {
+    clock::MonoTime::from_millis(millis)
+}
+
+fn life(host: &str, incarnation: u64) -> book::GranterLife {
+    book::GranterLife {
+        host: host.parse().expect("a name"),
+        incarnation,
+        peers: ([10, 0, 0, 1], 7_200).into(),
+    }
+}
+
+/// A claim of host `own` on a book of host `former`.
+struct ClaimCase {
+    succession: succession::GranterSuccession,
+}
+
+impl ClaimCase {
+    fn new(formers: &[book::GranterLife]) -> Self {
+        let mut succession = succession::GranterSuccession::new(life("own", 9));
+        succession.take_over(TERM, formers, at(CLAIMED_MS));
+        Self { succession }
+    }
+
+    fn answer(&mut self, life: book::GranterLife, term: u64, asked_ms: u64) -> bool {
+        let answer = succession::HostAnswer {
+            life,
+            term,
+            asked: at(asked_ms),
+        };
+        self.succession.note_answer(&answer, at(asked_ms + 10))
+    }
+
+    // The time after the claim by which all orders have arrived.
+    fn wait(&self) -> time::Duration {
+        self.succession.orders_until().since(at(CLAIMED_MS))
+    }
+}
+
+fn right() -> time::Duration {
+    time::Duration::from_millis(duty::RENEWAL_RIGHT_MS + succession::ORDERS_UNDER_WAY_MS)
+}
+
+fn waits_for_the_right_of_a_former_granter() {
+    let case = ClaimCase::new(&[life("former", 1)]);
+    assert_eq!(case.wait(), right());
+}
+
+fn takes_another_process_at_the_host_for_the_end() {
+    let mut case = ClaimCase::new(&[life("former", 1)]);
+    assert!(case.answer(life("former", 2), 0, CLAIMED_MS + 100));
+    let least = time::Duration::from_millis(succession::ORDERS_UNDER_WAY_MS);
+    assert!(case.wait() >= least, "orders under way count");
+    assert!(case.wait() < least * 2);
+}
+
+fn takes_knowledge_of_the_claim_for_the_end() {
+    let mut case = ClaimCase::new(&[life("former", 1)]);
+    assert!(case.answer(life("former", 1), TERM, CLAIMED_MS + 100));
+    assert!(case.wait() < right());
+}
+
+fn learns_nothing_from_a_granter_that_knows_an_older_term() {
+    let mut case = ClaimCase::new(&[life("former", 1)]);
+    assert!(!case.answer(life("former", 1), TERM - 1, CLAIMED_MS + 100));
+    assert_eq!(case.wait(), right());
+}
+
+// The process may have ended before the former granter began.
+fn learns_nothing_from_an_answer_asked_for_before_the_claim() {
+    let mut case = ClaimCase::new(&[life("former", 1)]);
+    assert!(!case.answer(life("former", 2), TERM, CLAIMED_MS - 100));
+    assert_eq!(case.wait(), right());
+}
+
+fn learns_nothing_from_another_host() {
+    let mut case = ClaimCase::new(&[life("former", 1)]);
+    assert!(!case.answer(life("other", 2), TERM, CLAIMED_MS + 100));
+    let mut moved = life("former", 2);
+    moved.peers = ([10, 0, 0, 2], 7_200).into();
+    assert!(!case.answer(moved, TERM, CLAIMED_MS + 100));
+    assert_eq!(case.wait(), right());
+}
+
+fn waits_for_each_of_several_former_granters() {
+    let mut case = ClaimCase::new(&[life("former", 1), life("earlier", 1)]);
+    assert!(case.answer(life("former", 2), 0, CLAIMED_MS + 100));
+    assert_eq!(case.wait(), right());
+    let doubted: Vec<_> = case.succession.in_doubt(at(5_000)).cloned().collect();
+    assert_eq!(doubted, [life("earlier", 1)]);
+}
+
+fn does_not_wait_for_an_earlier_process_of_its_own_host() {
+    let case = ClaimCase::new(&[life("own", 8)]);
+    assert!(case.wait() < right());
+}
+
+fn names_all_granters_that_a_claim_succeeds() {
+    let case = ClaimCase::new(&[]);
+    let book = book::GrantBook {
+        granter: Some(life("former", 1)),
+        former_granters: vec![life("earlier", 1), life("own", 9)],
+        ..book::GrantBook::default()
+    };
+    let named = case.succession.predecessors(&book);
+    assert_eq!(named, [life("earlier", 1), life("former", 1)]);
+}
+
+macro_rules! succession_cases {
+    ($($name:ident),* $(,)?) => {
+        mod cases {
+            $(#[test]
+            fn $name() {
+                super::$name();
+            })*
+        }
+    };
+}
+
+succession_cases! {
+    waits_for_the_right_of_a_former_granter,
+    takes_another_process_at_the_host_for_the_end,
+    takes_knowledge_of_the_claim_for_the_end,
+    learns_nothing_from_a_granter_that_knows_an_older_term,
+    learns_nothing_from_an_answer_asked_for_before_the_claim,
+    learns_nothing_from_another_host,
+    waits_for_each_of_several_former_granters,
+    does_not_wait_for_an_earlier_process_of_its_own_host,
+    names_all_granters_that_a_claim_succeeds,
+}
