Let servers that were silent before say nothing of a granter's isolation

Ruled out: asking other hosts which servers they reach: they send nothing to servers without keys, so they know less. Change: servers in a pause for silence count neither as silent nor as asked.

--- a/src/ownership/granter.rs
+++ b/src/ownership/granter.rs
@@ -511,7 +511,7 @@
     }
 
     // Finds servers whose orders go unanswered. Where they are most, the fault is taken to be on
-    // this host's side, and the duty goes to another.
+    // this host's side, and the duty goes to another. Those that were silent before say nothing new.
     fn watch_silence(
         &mut self,
         now: clock::MonoTime,
@@ -525,12 +525,11 @@
         let lives: Vec<_> = ours.map(|record| record.life.clone()).collect();
         let failing = |life: &&book::ServerLife| self.ledger.is_failing(life, isolation, now);
         let failing: Vec<_> = lives.iter().filter(failing).collect();
-        if failing.len() * 2 > lives.len() && lives.len() > 1 {
-            tracing::warn!(
-                event = "granter-isolated",
-                silent = failing.len(),
-                of = lives.len()
-            );
+        let is_new = |life: &&&book::ServerLife| !self.silences.contains_key(**life);
+        let newly_silent = failing.iter().filter(is_new).count();
+        let of = lives.iter().filter(|life| is_new(&life)).count();
+        if newly_silent * 2 > of && lives.len() > 1 {
+            tracing::warn!(event = "granter-isolated", silent = newly_silent, of);
             self.run_duty(duty::DutyEvent::Isolated);
             return;
         }
--- a/tests/granting.rs
+++ b/tests/granting.rs
@@ -219,6 +219,18 @@
     assert!(case.yields > 0);
 }
 
+// trouble-3 at Coastline, 32.7 s: six servers had ended while the store was down, and a cut of four
+// further ones made a sound granter give its duty away twice.
+fn keeps_the_duty_when_servers_fall_silent_at_two_times() {
+    let mut case = GranterCase::new(8);
+    case.run(4_000);
+    case.silent = (0..3).map(address).collect();
+    case.run(4_000);
+    case.silent = (0..5).map(address).collect();
+    case.run(20_000);
+    assert_eq!(case.yields, 0);
+}
+
 macro_rules! granter_cases {
     ($($name:ident),* $(,)?) => {
         mod cases {
@@ -235,4 +247,5 @@
     moves_keys_soon_where_the_former_granter_runs_another_process,
     forgets_former_granters_once_their_orders_have_arrived,
     gives_the_duty_away_when_most_servers_are_silent,
+    keeps_the_duty_when_servers_fall_silent_at_two_times,
 }
