Give a server's slot back when its caller leaves between the desk's decision and its own turn

Cause: the desk counts a slot as taken when it assigns it; the caller's task made the guard that gives it back only when it ran next. A caller whose connection closed in between left the slot taken for the life of the process, and an assignment without a waiting caller was lost alike. Ruled out: a test on sockets: both events must fall into one turn of the reactor. Change: what the desk sends to a waiting caller is the guard itself (edge/router/slots.rs); wherever it is dropped, the slot is free again. Asking the desk and waiting for it are one type, so that another front end can use them.

--- a/src/edge/router/front.rs
+++ b/src/edge/router/front.rs
@@ -14,6 +14,7 @@
 use crate::edge::router::body;
 use crate::edge::router::exchange;
 use crate::edge::router::ports;
+use crate::edge::router::slots;
 use crate::edge::router::traffic;
 use crate::edge::router::wire;
 use crate::names;
@@ -177,18 +178,21 @@
         let mut avoid = None;
         let mut again = false;
         loop {
-            let waited = self
-                .wait_for_server(again, avoid.clone(), held.size())
-                .await;
-            let record = match waited {
-                Ok(record) => record,
+            let wish = self.wish(again, avoid.take(), held.size());
+            let slot = match self.thread.ask_desk(wish) {
+                Ok(mut wait) => wait.answer().await,
+                Err(refusal) => Err(refusal),
+            };
+            let mut slot = match slot {
+                Ok(slot) => slot,
                 Err(refusal) => {
                     let action = course.handle(verdict::DeliveryEvent::GivenUp, false);
                     return self.answer_end(action, answer::OwnAnswer::Refused(refusal), None);
                 }
             };
             course.handle(verdict::DeliveryEvent::Assigned, true);
-            let (end, mut slot) = self.attempt(&record, &mut held).await;
+            let record = sync::Arc::clone(&slot.record);
+            let end = self.attempt(&record, &mut held).await;
             let Some(end) = end else {
                 let action = course.handle(verdict::DeliveryEvent::TimeOver, false);
                 return self.answer_end(action, answer::OwnAnswer::Timeout, Some(&record));
@@ -221,33 +225,6 @@
         self.thread.parts.clock.now() < self.deadline
     }
 
-    // Waits at the desk.
-    async fn wait_for_server(
-        &self,
-        again: bool,
-        avoid: Option<names::ServerName>,
-        body_bytes: u64,
-    ) -> traffic::DeskAnswer {
-        let now = self.thread.parts.clock.now();
-        let wish = self.wish(again, avoid, body_bytes);
-        let view = self.thread.parts.view.load_full();
-        let (sender, receiver) = tokio::sync::oneshot::channel();
-        let ticket = {
-            let mut desk = self.thread.desk.borrow_mut();
-            desk.sync(&view, now);
-            desk.enqueue(wish, now)?
-        };
-        self.thread.waiters.borrow_mut().insert(ticket, sender);
-        let _wait = traffic::DeskWait {
-            thread: rc::Rc::clone(&self.thread),
-            service: self.service.clone(),
-            priority: self.route.priority,
-            ticket,
-        };
-        self.thread.pump();
-        receiver.await.unwrap_or(Err(desk::DeskRefusal::NoServer))
-    }
-
     fn wish(
         &self,
         again: bool,
@@ -269,17 +246,10 @@
     // Sends the request to a server; no end where the time was over first.
     async fn attempt(
         &self,
-        record: &sync::Arc<directory::ServerRecord>,
+        record: &directory::ServerRecord,
         held: &mut body::HeldBody,
-    ) -> (Option<exchange::AttemptEnd>, traffic::ServerSlot<C>) {
+    ) -> Option<exchange::AttemptEnd> {
         let now = self.thread.parts.clock.now();
-        let slot = traffic::ServerSlot {
-            _in_flight: traffic::InFlight::new(&self.thread.parts.in_flight),
-            thread: rc::Rc::clone(&self.thread),
-            record: sync::Arc::clone(record),
-            started: now,
-            end: measure::ExchangeEnd::CutShort,
-        };
         let codec = &self.thread.parts.codec;
         let left = self.deadline.since(now);
         let body = held.take();
@@ -287,19 +257,18 @@
         let built = exchange::build_request(codec, &self.caller, left, server, body);
         let request = match built {
             Ok(request) => request,
-            Err(fault) => return (Some(exchange::AttemptEnd::Unsent(fault)), slot),
+            Err(fault) => return Some(exchange::AttemptEnd::Unsent(fault)),
         };
         let id = self.facts.id.as_deref();
         let client = &self.thread.client;
         let sent = exchange::attempt(codec, client, record.address, request, id);
-        let end = tokio::time::timeout(left, sent).await.ok();
-        (end, slot)
+        tokio::time::timeout(left, sent).await.ok()
     }
 
     fn pass_answer(
         &self,
         answer: exchange::ServerAnswer,
-        slot: traffic::ServerSlot<C>,
+        slot: slots::ServerSlot<C>,
     ) -> actix_web::HttpResponse {
         let status = actix_web::http::StatusCode::from_u16(answer.head.status.as_u16());
         let status = status.unwrap_or(actix_web::http::StatusCode::BAD_GATEWAY);
@@ -325,7 +294,7 @@
         }
     }
 
-    fn note_answered(&self, slot: &traffic::ServerSlot<C>, status: u16) {
+    fn note_answered(&self, slot: &slots::ServerSlot<C>, status: u16) {
         let elapsed = self.thread.parts.clock.now().since(self.arrived);
         let failed = status >= 500;
         let end = if failed { "failed" } else { "answered" };
@@ -458,7 +427,7 @@
 fn stream_rest<C: ports::HeaderCodec>(
     first: bytes::Bytes,
     rest: wire::WireRest,
-    slot: traffic::ServerSlot<C>,
+    slot: slots::ServerSlot<C>,
 ) -> impl futures_util::Stream<Item = BodyPart> {
     let head = futures_util::stream::once(async move { Ok(first) });
     let state = Some((rest, slot));
--- a/src/edge/router/traffic.rs
+++ b/src/edge/router/traffic.rs
@@ -13,6 +13,7 @@
 use crate::edge::router::log_budget;
 use crate::edge::router::metrics;
 use crate::edge::router::ports;
+use crate::edge::router::slots;
 use crate::edge::router::wire;
 use crate::names;
 use crate::ownership::book;
@@ -20,7 +21,6 @@
 use crate::routing::specification;
 use crate::routing::split;
 use crate::serving::desk;
-use crate::serving::directory;
 use crate::serving::measure;
 use crate::serving::verdict;
 use crate::serving::view;
@@ -69,15 +69,14 @@
     pub metrics: sync::Arc<metrics::RouterMetrics>,
 }
 
-pub(crate) type DeskAnswer = Result<sync::Arc<directory::ServerRecord>, desk::DeskRefusal>;
-pub(crate) type DeskWaiters =
-    collections::HashMap<desk::WaitTicket, tokio::sync::oneshot::Sender<DeskAnswer>>;
+pub(crate) type DeskWaiters<C> =
+    collections::HashMap<desk::WaitTicket, tokio::sync::oneshot::Sender<slots::DeskAnswer<C>>>;
 
 /// One traffic thread.
 pub struct TrafficThread<C: ports::HeaderCodec> {
     pub(crate) parts: TrafficParts<C>,
     pub(crate) desk: cell::RefCell<desk::ServiceDesk>,
-    pub(crate) waiters: cell::RefCell<DeskWaiters>,
+    pub(crate) waiters: cell::RefCell<DeskWaiters<C>>,
     pub(crate) split: cell::RefCell<split::SplitCounter>,
     pub(crate) patience: cell::RefCell<collections::HashMap<names::RouteName, time::Duration>>,
     pub(crate) heat: cell::RefCell<collections::HashMap<(names::ServiceName, u16), f64>>,
@@ -122,7 +121,7 @@
             self.client.sweep();
             self.tell_left_out();
             let report = TrafficReport {
-                demand: self.desk.borrow().demand(),
+                demand: self.demand(),
                 heat: self.take_heat(),
                 service_times: self.desk.borrow().service_times(),
             };
@@ -155,7 +154,7 @@
     }
 
     // Lets the desk decide and tells the waiting requests.
-    pub(crate) fn pump(&self) {
+    pub(crate) fn pump(self: &rc::Rc<Self>) {
         let now = self.parts.clock.now();
         let view = self.parts.view.load_full();
         let events = {
@@ -165,20 +164,14 @@
         };
         for event in events {
             let (ticket, answer) = match event {
-                desk::DeskEvent::Assigned(ticket, record) => (ticket, Ok(record)),
+                desk::DeskEvent::Assigned(ticket, record) => {
+                    (ticket, Ok(slots::ServerSlot::new(self, record, now)))
+                }
                 desk::DeskEvent::GivenUp(ticket, refusal) => (ticket, Err(refusal)),
             };
             let waiter = self.waiters.borrow_mut().remove(&ticket);
-            let Some(waiter) = waiter else {
-                continue;
-            };
-            if let Err(Ok(record)) = waiter.send(answer) {
-                self.finish(
-                    &record.life,
-                    measure::ExchangeEnd::CutShort,
-                    time::Duration::ZERO,
-                );
-            }
+            // A caller that has left gives its slot back at once.
+            let _ = waiter.map(|waiter| waiter.send(answer));
         }
         if self.desk.borrow().has_waiting() {
             self.waiting.notify_one();
@@ -195,6 +188,35 @@
         self.desk.borrow_mut().finish(life, end, elapsed, now);
     }
 
+    /// Returns what this host has at each server, running or waiting.
+    #[must_use]
+    pub fn demand(&self) -> view::ServerDemand {
+        self.desk.borrow().demand()
+    }
+
+    /// Asks the desk for a server.
+    ///
+    /// # Errors
+    /// Fails at once when it is clear that the request cannot be served.
+    pub fn ask_desk(
+        self: &rc::Rc<Self>,
+        wish: desk::ServerWish,
+    ) -> Result<slots::DeskWait<C>, desk::DeskRefusal> {
+        let now = self.parts.clock.now();
+        let view = self.parts.view.load_full();
+        let (service, priority) = (wish.service.clone(), wish.priority);
+        let ticket = {
+            let mut desk = self.desk.borrow_mut();
+            desk.sync(&view, now);
+            desk.enqueue(wish, now)?
+        };
+        let (sender, answer) = tokio::sync::oneshot::channel();
+        self.waiters.borrow_mut().insert(ticket, sender);
+        let wait = slots::DeskWait::new(self, service, priority, ticket, answer);
+        self.pump();
+        Ok(wait)
+    }
+
     // The time by which an answer counts in full. A caller that comes back has used a part of it:
     // it states less time than the longest that its route's callers have stated.
     pub(crate) fn objective(
@@ -211,44 +233,8 @@
     }
 }
 
-// A slot at a server, given back when it ends.
-pub(crate) struct ServerSlot<C: ports::HeaderCodec> {
-    // Counts as long as the answer is on its way.
-    pub(crate) _in_flight: InFlight,
-    pub(crate) thread: rc::Rc<TrafficThread<C>>,
-    pub(crate) record: sync::Arc<directory::ServerRecord>,
-    pub(crate) started: clock::MonoTime,
-    pub(crate) end: measure::ExchangeEnd,
-}
-
-impl<C: ports::HeaderCodec> Drop for ServerSlot<C> {
-    fn drop(&mut self) {
-        let elapsed = self.thread.parts.clock.now().since(self.started);
-        self.thread.finish(&self.record.life, self.end, elapsed);
-        self.thread.pump();
-    }
-}
-
-// A request that waits, forgotten by the desk when its caller leaves.
-pub(crate) struct DeskWait<C: ports::HeaderCodec> {
-    pub(crate) thread: rc::Rc<TrafficThread<C>>,
-    pub(crate) service: names::ServiceName,
-    pub(crate) priority: u32,
-    pub(crate) ticket: desk::WaitTicket,
-}
-
-impl<C: ports::HeaderCodec> Drop for DeskWait<C> {
-    fn drop(&mut self) {
-        let waiter = self.thread.waiters.borrow_mut().remove(&self.ticket);
-        if waiter.is_some() {
-            let mut desk = self.thread.desk.borrow_mut();
-            desk.forget(&self.service, self.priority, self.ticket);
-        }
-    }
-}
-
 /// Counts a request as under way until it is dropped.
-pub(crate) struct InFlight(sync::Arc<atomic::AtomicI64>);
+pub struct InFlight(sync::Arc<atomic::AtomicI64>);
 
 impl InFlight {
     pub(crate) fn new(count: &sync::Arc<atomic::AtomicI64>) -> Self {
--- /dev/null
+++ b/tests/traffic.rs
@@ -0,0 +1,160 @@
+//! A traffic thread: what a caller that leaves gives back.
+
+use std::rc;
+use std::sync;
+use std::time;
+
+use zinniastack::chart;
+use zinniastack::clock;
+use zinniastack::clock::MonoClock as _;
+use zinniastack::edge::router::metrics;
+use zinniastack::edge::router::ports;
+use zinniastack::edge::router::traffic;
+use zinniastack::names;
+use zinniastack::ownership::book;
+use zinniastack::serving::desk;
+use zinniastack::serving::directory;
+use zinniastack::serving::view;
+
+/// How many requests the only server runs at a time.
+const SLOTS: u32 = 4;
+
+fn name<T: std::str::FromStr>(text: &str) -> T
+where
+    T::Err: std::fmt::Debug,
+{
+    text.parse().expect("a name")
+}
+
+/// A codec that no request of these cases reaches.
+#[derive(Clone)]
+struct UnusedCodec;
+
+impl ports::HeaderCodec for UnusedCodec {
+    fn read_request(&self, _: &actix_web::http::header::HeaderMap) -> ports::CallerFacts {
+        ports::CallerFacts::default()
+    }
+
+    fn is_replaced(&self, _: &str) -> bool {
+        false
+    }
+
+    fn write_request(&self, _: &mut hyper::HeaderMap, _: time::Duration, _: &names::ServerName) {}
+
+    fn read_answer(&self, _: &hyper::HeaderMap, _: Option<&str>) -> ports::AnswerFacts {
+        ports::AnswerFacts::default()
+    }
+
+    fn ready_path(&self) -> &'static str {
+        "/"
+    }
+}
+
+/// A thread that knows one server.
+struct ThreadCase {
+    thread: rc::Rc<traffic::TrafficThread<UnusedCodec>>,
+    clock: clock::SystemClock,
+}
+
+impl ThreadCase {
+    fn new() -> Self {
+        let server = directory::ServerRecord {
+            life: book::ServerLife {
+                server: name("near"),
+                born: 1,
+            },
+            service: name("orders"),
+            address: ([127, 0, 0, 1], 9).into(),
+            domain: name("north"),
+            slots: SLOTS,
+            state: directory::ServerState::Ready,
+            sequence: 1,
+        };
+        let servers = [(name("near"), sync::Arc::new(server))].into();
+        let view = view::ServingView {
+            servers: sync::Arc::new(servers),
+            ..view::ServingView::new()
+        };
+        let (reports, _) = tokio::sync::mpsc::unbounded_channel();
+        let clock = clock::SystemClock::new();
+        let chart = chart::ChartTable::new().expect("the chart is sound");
+        let parts = traffic::TrafficParts {
+            codec: UnusedCodec,
+            view: sync::Arc::new(arc_swap::ArcSwap::from_pointee(view)),
+            desk: desk::DeskSettings {
+                domain: name("north"),
+                retry_ratio: 0.2,
+                retry_slack: 10.0,
+            },
+            chart: sync::Arc::new(chart),
+            stopping: sync::Arc::default(),
+            closed: sync::Arc::default(),
+            in_flight: sync::Arc::default(),
+            reports,
+            clock,
+            metrics: metrics::RouterMetrics::new(),
+        };
+        let thread = traffic::TrafficThread::start(parts);
+        Self { thread, clock }
+    }
+
+    fn wish(&self) -> desk::ServerWish {
+        let now = self.clock.now();
+        desk::ServerWish {
+            service: name("orders"),
+            key: None,
+            priority: 1,
+            objective: now + time::Duration::from_mins(1),
+            deadline: now + time::Duration::from_mins(2),
+            body_bytes: 0,
+            again: false,
+            avoid: None,
+        }
+    }
+}
+
+async fn gives_a_slot_back_that_its_caller_never_took() {
+    let case = ThreadCase::new();
+    let wait = case.thread.ask_desk(case.wish()).expect("it waits");
+    assert_eq!(case.thread.demand().len(), 1, "the server was assigned");
+    drop(wait);
+    assert!(
+        case.thread.demand().is_empty(),
+        "{:?}",
+        case.thread.demand()
+    );
+}
+
+async fn gives_a_slot_back_that_its_caller_took() {
+    let case = ThreadCase::new();
+    let mut wait = case.thread.ask_desk(case.wish()).expect("it waits");
+    let slot = wait.answer().await;
+    assert!(slot.is_ok());
+    drop(slot);
+    assert!(case.thread.demand().is_empty());
+}
+
+async fn gives_the_place_of_a_waiting_caller_back() {
+    let case = ThreadCase::new();
+    let asked = (0..2 * SLOTS).map(|_| case.thread.ask_desk(case.wish()).expect("it waits"));
+    let waits: Vec<_> = asked.collect();
+    drop(waits);
+    assert!(case.thread.demand().is_empty());
+}
+
+macro_rules! thread_cases {
+    ($($name:ident),* $(,)?) => {
+        mod cases {
+            $(#[test]
+            fn $name() {
+                actix::System::new().block_on(super::$name());
+            })*
+        }
+    };
+}
+
+thread_cases! {
+    gives_a_slot_back_that_its_caller_never_took,
+    gives_a_slot_back_that_its_caller_took,
+    gives_the_place_of_a_waiting_caller_back,
+}
