Measure spans without a holder on the platform; count a former granter's end from its successor process's start

Ruled out: a shorter hold: it would let all keys lapse where now a takeover bridges the granter's loss.

--- a/lab/src/cmd/measure.rs
+++ b/lab/src/cmd/measure.rs
@@ -9,6 +9,7 @@
 use crate::capacity;
 use crate::faults;
 use crate::flood;
+use crate::grant_spans;
 use crate::scenario;
 use crate::server_state;
 use crate::world;
@@ -17,10 +18,11 @@
 pub const USAGE: &str = "\
 Measures on virtual time, and prints key=value lines.
 
-Usage: zinnia-lab measure [--seed N] [--phase-ms N] SUBJECT
+Usage: zinnia-lab measure [--seed N] [--phase-ms N] [--platform] SUBJECT
 Subjects:
   flood      service by rank, our policy beside a first-in-first-out queue
-  ownership  time without an owner, moves and messages, for each kind of event
+  ownership  time without an owner, moves and messages, for each kind of event;
+             with --platform, of the front end on the users' platform
   capacity   what tables, renewals, exchanges and the fold cost against their sizes";
 
 /// The arguments.
@@ -36,6 +38,9 @@
     /// The length of each phase of a flood.
     #[options(no_short, default = "20000", help = "the length of each phase, in ms")]
     pub phase_ms: u64,
+    /// Whether the front end on the users' platform is measured.
+    #[options(no_short, help = "measure the front end on the users' platform")]
+    pub platform: bool,
     /// What to measure.
     #[options(free, required, help = "what to measure")]
     pub subject: String,
@@ -51,6 +56,10 @@
     };
     match args.subject.as_str() {
         "flood" => measure_flood(&args),
+        "ownership" if args.platform => {
+            measure_spans(args.seed);
+            Ok(cmd::EXIT_OK)
+        }
         "ownership" => {
             measure_ownership(&args);
             Ok(cmd::EXIT_OK)
@@ -189,6 +198,17 @@
     }
 }
 
+fn measure_spans(seed: u64) {
+    for event in grant_spans::SpanEvent::ALL {
+        println!(
+            "event={} platform=yes seed={seed} unserved_ms={} bound_ms={}",
+            event.as_str(),
+            grant_spans::measure(seed, event).as_millis(),
+            event.bound().as_millis()
+        );
+    }
+}
+
 fn measure_capacity() -> Result<u8, cmd::CommandError> {
     let failed = || cmd::CommandError::failed("the measured site is faulty");
     let mut points = CapacityPoints::default();
--- /dev/null
+++ b/lab/src/grant_spans.rs
@@ -0,0 +1,112 @@
+//! For how long keys are held by no server after one event, in the virtual world of granting.
+
+use std::time;
+
+use crate::grant_world;
+
+/// How long the world runs before the event, in seconds.
+const SETTLE_S: u64 = 10;
+/// How long it runs after the event, in seconds: longer than a former granter's right and a hold.
+const WATCH_S: u64 = 40;
+/// How long the store is away, in seconds.
+const OUTAGE_S: u64 = 10;
+/// How long after a server's end anyone can know of it, in milliseconds: until its entry in the store
+/// is removed.
+pub const KNOWN_MS: u64 = grant_world::ENTRY_MS;
+
+/// What befalls the world.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SpanEvent {
+    /// A server ends.
+    LostServer,
+    /// The granter ends, and its host starts another process.
+    LostGranter,
+    /// Both.
+    LostServerAndGranter,
+    /// The store is away.
+    LostStore,
+    /// The store is away, and the granter ends.
+    LostStoreAndGranter,
+    /// A server drains.
+    DrainedServer,
+    /// All hosts and servers start anew.
+    EverythingAnew,
+}
+
+impl SpanEvent {
+    /// All of them.
+    pub const ALL: [Self; 7] = [
+        Self::LostServer,
+        Self::LostGranter,
+        Self::LostServerAndGranter,
+        Self::LostStore,
+        Self::LostStoreAndGranter,
+        Self::DrainedServer,
+        Self::EverythingAnew,
+    ];
+
+    /// Returns the name in measurements.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::LostServer => "lost-server",
+            Self::LostGranter => "lost-granter",
+            Self::LostServerAndGranter => "lost-server-and-granter",
+            Self::LostStore => "lost-store",
+            Self::LostStoreAndGranter => "lost-store-and-granter",
+            Self::DrainedServer => "drained-server",
+            Self::EverythingAnew => "everything-anew",
+        }
+    }
+
+    /// Returns the longest span without a holder that is aimed at.
+    #[must_use]
+    pub const fn bound(self) -> time::Duration {
+        let millis = match self {
+            Self::LostServer | Self::LostServerAndGranter => KNOWN_MS + 2_000,
+            Self::LostGranter | Self::LostStore => 0,
+            // Nobody can claim the duty before the store is back.
+            Self::LostStoreAndGranter => OUTAGE_S * 1_000 + 2_000,
+            // A server lets keys go once the work on them has ended.
+            Self::DrainedServer => grant_world::MAX_WORK_MS + 100,
+            Self::EverythingAnew => 5_000,
+        };
+        time::Duration::from_millis(millis)
+    }
+}
+
+/// Returns for how long some key was held by no server.
+#[must_use]
+pub fn measure(seed: u64, event: SpanEvent) -> time::Duration {
+    let mut world = grant_world::GrantWorld::with_calm(seed);
+    world.run(time::Duration::from_secs(SETTLE_S));
+    let before = world.unheld();
+    strike(&mut world, event);
+    world.run(time::Duration::from_secs(WATCH_S));
+    world.unheld().saturating_sub(before)
+}
+
+fn strike(world: &mut grant_world::GrantWorld, event: SpanEvent) {
+    match event {
+        SpanEvent::LostServer => world.servers[0].alive = false,
+        SpanEvent::LostGranter => world.kill_granter(),
+        SpanEvent::LostServerAndGranter => {
+            world.servers[0].alive = false;
+            world.kill_granter();
+        }
+        SpanEvent::LostStore => world.lose_store(time::Duration::from_secs(OUTAGE_S)),
+        SpanEvent::LostStoreAndGranter => {
+            world.lose_store(time::Duration::from_secs(OUTAGE_S));
+            world.kill_granter();
+        }
+        SpanEvent::DrainedServer => world.servers[0].draining = true,
+        SpanEvent::EverythingAnew => {
+            for server in 0..world.servers.len() {
+                world.restart_server(server);
+            }
+            for host in 0..grant_world::HOSTS {
+                world.kill_host(host);
+            }
+        }
+    }
+}
--- a/lab/src/grant_world.rs
+++ b/lab/src/grant_world.rs
@@ -30,6 +30,8 @@
 pub const JOIN_TTL_MS: u64 = 1_200;
 /// After how long without a sign a server's entry goes, in milliseconds.
 pub const ENTRY_MS: u64 = 2_600;
+/// The longest work on a key that a release waits for, in milliseconds.
+pub const MAX_WORK_MS: u64 = 400;
 /// How much slower than it should a server's clock may run, in percent.
 pub const SLOW_PERCENT: u32 = 2;
 
@@ -151,12 +153,15 @@
 
 pub(crate) struct WorldHost {
     pub(crate) life: u64,
+    pub(crate) started: clock::MonoTime,
     pub(crate) granter: granter::KeyGranter,
     pub(crate) directory: directory::ServerDirectory,
     pub(crate) frozen_until: clock::MonoTime,
     pub(crate) frozen_for: time::Duration,
     pub(crate) cut_from_store: bool,
     pub(crate) cut_from: collections::BTreeSet<usize>,
+    // Servers to which it keeps a connection.
+    connected: collections::BTreeSet<usize>,
     pub(crate) delayed: Vec<WorldEvent>,
 }
 
@@ -187,6 +192,8 @@
     pub(crate) granted: Vec<(u16, u16, u64, book::ServerLife)>,
     pub(crate) violations: Vec<String>,
     pub(crate) faults: u32,
+    // Whether messages are held up and lost now and then.
+    calm: bool,
     pub(crate) unheld: time::Duration,
 }
 
@@ -227,6 +234,7 @@
             granted: Vec::new(),
             violations: Vec::new(),
             faults,
+            calm: false,
             unheld: time::Duration::ZERO,
         };
         for index in 0..SERVERS {
@@ -241,6 +249,15 @@
         world
     }
 
+    /// Creates a world without faults in which no message is held up or lost.
+    #[must_use]
+    pub fn with_calm(seed: u64) -> Self {
+        Self {
+            calm: true,
+            ..Self::new(seed, 0, GrantFlaw::None)
+        }
+    }
+
     /// Runs for `span`.
     pub fn run(&mut self, span: time::Duration) {
         let end = self.now + span;
@@ -331,12 +348,14 @@
         let created = granter::KeyGranter::new(own, hold);
         WorldHost {
             life,
+            started: clock::MonoTime::from_micros(0),
             granter: created.unwrap_or_else(|fault| unreachable!("{fault}")),
             directory: directory::ServerDirectory::new(),
             frozen_until: clock::MonoTime::from_micros(0),
             frozen_for: time::Duration::ZERO,
             cut_from_store: false,
             cut_from: collections::BTreeSet::new(),
+            connected: collections::BTreeSet::new(),
             delayed: Vec::new(),
         }
     }
@@ -451,6 +470,7 @@
             } => {
                 let now = self.clock_of(host);
                 self.hosts[host].granter.note_appended(outcome, sent, now);
+                self.decide(host);
             }
             WorldEvent::Grant {
                 host,
@@ -468,7 +488,14 @@
                 ..
             } => {
                 let now = self.clock_of(host);
-                self.hosts[host].granter.note_granted(&order, &outcome, now);
+                if outcome == order::OrderOutcome::Done(None) {
+                    let server = self.server_of(&order.address);
+                    self.hosts[host].connected.insert(server);
+                }
+                let news = self.hosts[host].granter.note_granted(&order, &outcome, now);
+                if news {
+                    self.decide(host);
+                }
             }
             WorldEvent::Release { host, life, order } => self.release(host, life, order),
             WorldEvent::Released {
@@ -481,6 +508,7 @@
                 self.hosts[host]
                     .granter
                     .note_released(&order, &outcome, now);
+                self.decide(host);
             }
             WorldEvent::Ask(host) => self.ask(host),
             WorldEvent::Question {
@@ -524,6 +552,7 @@
             life,
             term: self.hosts[host].granter.book().term,
             asked,
+            uptime: self.now.since(self.hosts[host].started),
         };
         let delay = self.delay();
         let answer = WorldEvent::Answer {
@@ -550,6 +579,11 @@
             self.hosts[host].granter.note_confirmed(now);
         }
         self.hosts[host].directory.expire(now);
+        self.decide(host);
+    }
+
+    fn decide(&mut self, host: usize) {
+        let now = self.clock_of(host);
         let state = &mut self.hosts[host];
         let actions = state.granter.tick(now, &[service()], &state.directory);
         for action in actions {
@@ -682,7 +716,8 @@
         let server = self.server_of(&order.address);
         if self.hosts[host].cut_from.contains(&server) || !self.servers[server].alive {
             // A kept connection that went silent takes one order; no further one is made.
-            let sent = self.chance(20);
+            let kept = self.hosts[host].connected.remove(&server);
+            let sent = kept || (!self.calm && self.chance(20));
             let (after, outcome) = if sent {
                 (order::ORDER_TIMEOUT_MS, order::OrderOutcome::Unanswered)
             } else {
@@ -700,12 +735,13 @@
             return;
         }
         let fate = match self.random.random_range(0..40) {
+            _ if self.calm => OrderFate::Answered,
             0 => OrderFate::AnswerLost,
             1 => OrderFate::AppliedLate,
             _ => OrderFate::Answered,
         };
         // Some orders are held up on their way, until shortly before the sender gives up.
-        let held_up = self.chance(6);
+        let held_up = !self.calm && self.chance(6);
         let delay = if held_up {
             self.random.random_range(100..490)
         } else {
@@ -765,6 +801,16 @@
         }
         let server = &mut self.servers[index];
         if !server.alive {
+            if fate == OrderFate::Answered {
+                let outcome = order::OrderOutcome::Unanswered;
+                let ended = WorldEvent::Granted {
+                    host,
+                    life,
+                    order,
+                    outcome,
+                };
+                self.push(order::ORDER_TIMEOUT_MS, ended);
+            }
             return;
         }
         let same = server.server.life == order.life;
@@ -824,7 +870,7 @@
 
     fn release(&mut self, host: usize, life: u64, order: order::ReleaseOrder) {
         let index = self.server_of(&order.address);
-        let working = self.random.random_range(0..400);
+        let working = self.random.random_range(0..MAX_WORK_MS);
         let server = &mut self.servers[index];
         let outcome = if !server.alive {
             order::OrderOutcome::Unanswered
@@ -835,7 +881,7 @@
         } else {
             order::OrderOutcome::Replaced
         };
-        let lost = self.chance(20);
+        let lost = !self.calm && self.chance(20);
         let outcome = if lost {
             order::OrderOutcome::Unanswered
         } else {
--- a/lab/src/grant_world_faults.rs
+++ b/lab/src/grant_world_faults.rs
@@ -45,7 +45,7 @@
             4 => self.cut_servers(host),
             5 => {
                 let span = self.random.random_range(1_000..12_000);
-                self.store_down_until = self.now + time::Duration::from_millis(span);
+                self.lose_store(time::Duration::from_millis(span));
             }
             6 => self.owner = Some(host),
             7 => self.servers[server].alive = false,
@@ -58,6 +58,11 @@
         }
     }
 
+    /// Takes the store away for `span`.
+    pub fn lose_store(&mut self, span: time::Duration) {
+        self.store_down_until = self.now + span;
+    }
+
     fn heal(&mut self) {
         for host in &mut self.hosts {
             host.cut_from_store = false;
@@ -74,10 +79,11 @@
         }
     }
 
-    fn kill_host(&mut self, host: usize) {
+    pub(crate) fn kill_host(&mut self, host: usize) {
         let life = self.hosts[host].life + 1;
         let mut fresh = Self::new_host(host, life);
         fresh.frozen_until = self.now + time::Duration::from_millis(500);
+        fresh.started = fresh.frozen_until;
         // What was delayed belongs to the process; its timers start anew.
         fresh.delayed = vec![
             grant_world::WorldEvent::Tick(host),
@@ -92,7 +98,7 @@
         self.push(501, grant_world::WorldEvent::Thaw(host));
     }
 
-    fn kill_granter(&mut self) {
+    pub(crate) fn kill_granter(&mut self) {
         let granting = self
             .hosts
             .iter()
@@ -125,7 +131,7 @@
         }
     }
 
-    fn restart_server(&mut self, index: usize) {
+    pub(crate) fn restart_server(&mut self, index: usize) {
         let born = self.servers[index].server.life.born + 1;
         self.add_server(index, born);
     }
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod fakes;
 pub mod faults;
 pub mod flood;
+pub mod grant_spans;
 pub mod grant_world;
 mod grant_world_faults;
 pub mod host_list;
--- a/src/edge/router/control.rs
+++ b/src/edge/router/control.rs
@@ -116,7 +116,7 @@
             peers: parts.own.peers,
         };
         let state = ControlState {
-            knowledge: knowledge::HostKnowledge::new(parts.own),
+            knowledge: knowledge::HostKnowledge::new(parts.own, parts.clock.now()),
             granter: granter::KeyGranter::new(life, parts.max_hold)?,
             book: sync::Arc::default(),
             yielded_until: clock::MonoTime::from_micros(0),
@@ -621,6 +621,7 @@
             },
             term: news.term,
             asked,
+            uptime: time::Duration::from_millis(news.uptime_millis),
         };
         let now = self.clock.now();
         self.state.borrow_mut().granter.note_answer(&answer, now);
@@ -632,7 +633,7 @@
             book: state.granter.book(),
             end: state.granter.book_end(),
         };
-        state.knowledge.news_for(host, &grants)
+        state.knowledge.news_for(host, &grants, self.clock.now())
     }
 
     fn take_news(&self, news: news::HostNews) {
--- a/src/ownership/succession.rs
+++ b/src/ownership/succession.rs
@@ -23,6 +23,8 @@
     pub term: u64,
     /// When it was asked, by this host's clock.
     pub asked: clock::MonoTime,
+    /// How long its process had run when it answered.
+    pub uptime: time::Duration,
 }
 
 // One former granter.
@@ -86,7 +88,10 @@
             .map(|(life, _)| life.clone())
             .collect();
         for life in &ended {
-            self.note_ended(life, now);
+            // An earlier process of the host ended before this one began.
+            let other = answer.life != *life;
+            let last = if other { now.back(answer.uptime) } else { now };
+            self.note_ended(life, last);
         }
         !ended.is_empty()
     }
@@ -112,9 +117,10 @@
         is_same_host(&self.own, life) && self.own != *life
     }
 
-    fn note_ended(&mut self, life: &book::GranterLife, now: clock::MonoTime) {
+    // Notes that a former granter sent its last order before `last`.
+    fn note_ended(&mut self, life: &book::GranterLife, last: clock::MonoTime) {
         if let Some(former) = self.formers.get_mut(life) {
-            let arrived = now + time::Duration::from_millis(ORDERS_UNDER_WAY_MS);
+            let arrived = last + time::Duration::from_millis(ORDERS_UNDER_WAY_MS);
             former.until = former.until.min(arrived);
         }
     }
--- a/src/serving/knowledge.rs
+++ b/src/serving/knowledge.rs
@@ -26,6 +26,7 @@
 /// The knowledge of one host.
 pub struct HostKnowledge {
     own: news::HostRecord,
+    started: clock::MonoTime,
     routes: Option<sync::Arc<specification::RouteSet>>,
     directory: directory::ServerDirectory,
     servers_known: bool,
@@ -38,11 +39,12 @@
 }
 
 impl HostKnowledge {
-    /// Creates the knowledge of a host that knows only itself.
+    /// Creates the knowledge of a host that knows only itself and started at `started`.
     #[must_use]
-    pub fn new(own: news::HostRecord) -> Self {
+    pub fn new(own: news::HostRecord, started: clock::MonoTime) -> Self {
         Self {
             own,
+            started,
             routes: None,
             directory: directory::ServerDirectory::new(),
             servers_known: false,
@@ -185,13 +187,20 @@
 
     /// Returns the news for another host.
     #[must_use]
-    pub fn news_for(&self, host: &names::HostName, grants: &GrantKnowledge<'_>) -> news::HostNews {
+    pub fn news_for(
+        &self,
+        host: &names::HostName,
+        grants: &GrantKnowledge<'_>,
+        now: clock::MonoTime,
+    ) -> news::HostNews {
         let asked = self.peers.get(host).map(|peer| &peer.news);
         let relay = asked.and_then(|news| self.relay_for(news, grants));
         let granter = grants.book.granter.as_ref();
         let granter = granter.is_some_and(|granter| granter.host == *host);
+        let uptime = now.since(self.started).as_millis();
         news::HostNews {
             record: self.own.clone(),
+            uptime_millis: u64::try_from(uptime).unwrap_or(u64::MAX),
             store_lost: self.store_lost(),
             routes_version: self.routes_version(),
             servers_digest: self.directory.digest(),
--- a/src/serving/news.rs
+++ b/src/serving/news.rs
@@ -56,6 +56,8 @@
 pub struct HostNews {
     /// Who tells it.
     pub record: HostRecord,
+    /// How long its process has run, in milliseconds.
+    pub uptime_millis: u64,
     /// Whether the store turns it away.
     pub store_lost: bool,
     /// The version of its routes.
--- a/tests/granting.rs
+++ b/tests/granting.rs
@@ -197,6 +197,7 @@
         life: granter_life("former", 2),
         term: 0,
         asked: at(case.now_ms),
+        uptime: time::Duration::ZERO,
     };
     case.now_ms += 100;
     case.granter.note_answer(&answer, at(case.now_ms));
--- a/tests/knowledge.rs
+++ b/tests/knowledge.rs
@@ -21,12 +21,15 @@
 }
 
 fn host(text: &str) -> knowledge::HostKnowledge {
-    knowledge::HostKnowledge::new(news::HostRecord {
-        host: name(text),
-        incarnation: 1,
-        domain: name("north"),
-        peers: ([10, 0, 0, 1], 7_200).into(),
-    })
+    knowledge::HostKnowledge::new(
+        news::HostRecord {
+            host: name(text),
+            incarnation: 1,
+            domain: name("north"),
+            peers: ([10, 0, 0, 1], 7_200).into(),
+        },
+        at(0),
+    )
 }
 
 fn server(
@@ -72,9 +75,9 @@
         book: &book,
         end: 0,
     };
-    let asked = to.news_for(&from.own().host.clone(), &grants);
+    let asked = to.news_for(&from.own().host.clone(), &grants, at(0));
     from.note_news(asked, at(0));
-    let told = from.news_for(&to.own().host.clone(), &grants);
+    let told = from.news_for(&to.own().host.clone(), &grants, at(0));
     let relay = to.note_news(told, at(0));
     if let Some(relay) = &relay {
         to.note_relay(relay, at(0));
--- a/tests/succession.rs
+++ b/tests/succession.rs
@@ -27,13 +27,17 @@
 /// A claim of host `own` on a book of host `former`.
 struct ClaimCase {
     succession: succession::GranterSuccession,
+    uptime: time::Duration,
 }
 
 impl ClaimCase {
     fn new(formers: &[book::GranterLife]) -> Self {
         let mut succession = succession::GranterSuccession::new(life("own", 9));
         succession.take_over(TERM, formers, at(CLAIMED_MS));
-        Self { succession }
+        Self {
+            succession,
+            uptime: time::Duration::ZERO,
+        }
     }
 
     fn answer(&mut self, life: book::GranterLife, term: u64, asked_ms: u64) -> bool {
@@ -41,6 +45,7 @@
             life,
             term,
             asked: at(asked_ms),
+            uptime: self.uptime,
         };
         self.succession.note_answer(&answer, at(asked_ms + 10))
     }
@@ -68,6 +73,14 @@
     assert!(case.wait() < least * 2);
 }
 
+fn counts_from_the_start_of_the_other_process() {
+    let mut case = ClaimCase::new(&[life("former", 1)]);
+    case.uptime = time::Duration::from_millis(500);
+    assert!(case.answer(life("former", 2), 0, CLAIMED_MS + 100));
+    let orders = time::Duration::from_millis(succession::ORDERS_UNDER_WAY_MS);
+    assert!(case.wait() < orders, "it ended before the claim");
+}
+
 fn takes_knowledge_of_the_claim_for_the_end() {
     let mut case = ClaimCase::new(&[life("former", 1)]);
     assert!(case.answer(life("former", 1), TERM, CLAIMED_MS + 100));
@@ -134,6 +147,7 @@
 succession_cases! {
     waits_for_the_right_of_a_former_granter,
     takes_another_process_at_the_host_for_the_end,
+    counts_from_the_start_of_the_other_process,
     takes_knowledge_of_the_claim_for_the_end,
     learns_nothing_from_a_granter_that_knows_an_older_term,
     learns_nothing_from_an_answer_asked_for_before_the_claim,
