--- a/lab/tests/platform.rs
+++ b/lab/tests/platform.rs
@@ -18,6 +18,9 @@
 /// How long a look waits for the next one.
 const LOOK: time::Duration = time::Duration::from_millis(50);
 
+/// Where the first host answers operators; each further one has the next port.
+const METRICS_PORT: u16 = 7_500;
+
 /// A host's process, ended by its id when the test ends.
 struct RouterProcess {
     child: process::Child,
@@ -127,6 +130,7 @@
         std::fs::write(&file, text).expect("the file is written");
         let child = process::Command::new(router_program())
             .env("ZINNIASTACK_CONFIG", &file)
+            .env("ZINNIA_METRICS_PORT", (METRICS_PORT + number).to_string())
             .stdout(process::Stdio::null())
             .spawn()
             .expect("the program starts");
@@ -369,6 +373,39 @@
     assert_eq!(answer.expect("it is answered").status().as_u16(), 503);
 }
 
+// What `zinnia COMMAND` prints of the first host, and its exit code.
+async fn ask_operator(ip: net::IpAddr, words: &[&str]) -> (String, Option<i32>) {
+    let router = net::SocketAddr::new(ip, METRICS_PORT).to_string();
+    let mut words: Vec<_> = words.iter().map(ToString::to_string).collect();
+    words.extend(["--router".to_owned(), router]);
+    let program = router_program().with_file_name("zinnia");
+    let run = move || process::Command::new(program).args(words).output();
+    let ran = tokio::task::spawn_blocking(run).await;
+    let output = ran.expect("the command ends").expect("zinnia runs");
+    let text = String::from_utf8_lossy(&output.stdout).into_owned();
+    (text, output.status.code())
+}
+
+async fn tells_operators_what_it_knows(test: u8) {
+    let case = PlatformCase::start(test).await;
+    let (status, code) = ask_operator(case.ip, &["status"]).await;
+    assert_eq!(code, Some(0));
+    assert!(status.contains("phase          ready"), "{status}");
+    assert!(status.contains("routes         version 3"), "{status}");
+    for worker in ["stock-1", "stock-2", "orders-1", "orders-2"] {
+        assert!(status.contains(worker), "{status}");
+    }
+    until("the key is held", async || {
+        let (key, _) = ask_operator(case.ip, &["explain", "stock", "7"]).await;
+        key.contains("requests go to the holder") && key.contains("held for")
+    })
+    .await;
+    let (_, code) = ask_operator(case.ip, &["explain", "orders", "7"]).await;
+    assert_eq!(code, Some(1), "a pool has no keys");
+    let (_, code) = ask_operator(case.ip, &["explain", "stock", "70000"]).await;
+    assert_eq!(code, Some(1), "the key is too large");
+}
+
 macro_rules! platform_cases {
     ($($name:ident = $number:literal),* $(,)?) => {
         mod cases {
@@ -390,4 +427,5 @@
     passes_no_part_or_cross_of_an_answer_on = 7,
     refuses_what_is_over_a_limit = 8,
     answers_503_before_a_configuration_is_known = 9,
+    tells_operators_what_it_knows = 10,
 }
--- a/src/cmd/explain.rs
+++ b/src/cmd/explain.rs
@@ -1,13 +1,21 @@
 //! `zinnia explain`: where a key's requests go, and why.
 
+use std::net;
+
 use crate::cmd;
 use crate::edge::operators;
+use crate::edge::router::questions;
+use crate::serving::report;
 
 /// The usage text.
 pub const USAGE: &str = "\
 Shows a key's shard, its owner, the fence of the grant and who granted it.
 
 Usage: zinnia explain --operators IP:PORT [--json] SERVICE KEY
+       zinnia explain --router IP:PORT [--json] SERVICE KEY
+
+--router asks a host on the users' platform, at the address where it serves metrics; KEY is a number
+there.
 Exit codes: 0 shown, 1 no such service or no answer";
 
 /// The arguments.
@@ -23,6 +31,9 @@
     /// The host to ask.
     #[options(no_short, help = "an entry host's operator listener")]
     pub operators: Option<String>,
+    /// The host on the users' platform to ask.
+    #[options(no_short, help = "where a host on the users' platform serves metrics")]
+    pub router: Option<String>,
     /// The service.
     #[options(free, required, help = "the service")]
     pub service: String,
@@ -39,8 +50,12 @@
     let Some(args) = cmd::parse_args::<ExplainArgs>(USAGE, arguments)? else {
         return Ok(cmd::EXIT_OK);
     };
+    let router = cmd::find_router(args.router.as_deref())?;
+    let path = format!("{}/{}/{}", questions::EXPLAIN_PATH, args.service, args.key);
+    if let Some(router) = router {
+        return show_router(router, &path, args.json);
+    }
     let host = cmd::find_host(args.operators.as_deref())?;
-    let path = format!("/explain/{}/{}", args.service, args.key);
     let answer: Option<operators::KeyExplanation> = cmd::ask_host(host, &path)?;
     let explanation = answer.ok_or_else(|| cmd::CommandError::Failed {
         message: format!("no service is named '{}'", args.service),
@@ -49,6 +64,39 @@
     Ok(cmd::EXIT_OK)
 }
 
+fn show_router(router: net::SocketAddr, path: &str, json: bool) -> Result<u8, cmd::CommandError> {
+    let answer: Option<report::KeyReport> = cmd::ask_host(router, path)?;
+    let report = answer.ok_or_else(|| cmd::CommandError::Failed {
+        message: "there is no such service with keys, or the key is no number up to 65535".into(),
+    })?;
+    cmd::print_answer(&report, json, print_router)?;
+    Ok(cmd::EXIT_OK)
+}
+
+fn print_router(report: &report::KeyReport) {
+    println!("service   {}", report.service);
+    println!("key       {}", report.key);
+    println!("standing  {}", report.standing.as_str());
+    println!("term      {}", report.term);
+    let Some(range) = &report.range else {
+        return;
+    };
+    let state = report.holder_state.map_or("gone", |state| state.as_str());
+    println!("range     {} to {}", range.first, range.last);
+    println!("fence     {}", range.fence);
+    let holder = &range.holder;
+    println!(
+        "holder    {} at {} ({state})",
+        holder.life.server, holder.address
+    );
+    if let Some(held_ms) = report.held_ms {
+        println!("held for  {held_ms} ms at least");
+    }
+    for former in &range.formers {
+        println!("former    {} at {}", former.life.server, former.address);
+    }
+}
+
 fn print_table(explanation: &operators::KeyExplanation) {
     let none = || "none".to_owned();
     let home = explanation.home.as_ref().map(ToString::to_string);
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -144,6 +144,16 @@
     Ok(source.required()?)
 }
 
+/// Reads the setting `--router` of a client command, the listener for operators of a host on the users'
+/// platform; none where it is not given.
+///
+/// # Errors
+/// Fails when it is faulty.
+pub fn find_router(flag: Option<&str>) -> Result<Option<net::SocketAddr>, CommandError> {
+    let source = settings::SettingSource::new("router", flag, OPERATORS_TAKES);
+    Ok(source.optional()?)
+}
+
 /// Asks a host for what stands at a path; none where there is nothing.
 ///
 /// # Errors
--- a/src/cmd/status.rs
+++ b/src/cmd/status.rs
@@ -1,14 +1,21 @@
 //! `zinnia status`: what one entry host knows of the whole.
 
+use std::net;
+
 use crate::cmd;
+use crate::edge::router::questions;
 use crate::names;
 use crate::report;
+use crate::serving::report as serving_report;
 
 /// The usage text.
 pub const USAGE: &str = "\
 Shows the hosts, domains, granters, servers, shards and the version in force, as one host sees them.
 
-Usage: zinnia status --operators IP:PORT [--json]";
+Usage: zinnia status --operators IP:PORT [--json]
+       zinnia status --router IP:PORT [--json]
+
+--router asks a host on the users' platform, at the address where it serves metrics.";
 
 /// The arguments.
 #[derive(Debug)]
@@ -23,6 +30,9 @@
     /// The host to ask.
     #[options(no_short, help = "an entry host's operator listener")]
     pub operators: Option<String>,
+    /// The host on the users' platform to ask.
+    #[options(no_short, help = "where a host on the users' platform serves metrics")]
+    pub router: Option<String>,
 }
 
 /// Runs the command.
@@ -33,6 +43,9 @@
     let Some(args) = cmd::parse_args::<StatusArgs>(USAGE, arguments)? else {
         return Ok(cmd::EXIT_OK);
     };
+    if let Some(router) = cmd::find_router(args.router.as_deref())? {
+        return show_router(router, args.json);
+    }
     let host = cmd::find_host(args.operators.as_deref())?;
     let answer: Option<report::HostStatus> = cmd::ask_host(host, "/status")?;
     let status = answer.ok_or_else(|| cmd::CommandError::Failed {
@@ -42,6 +55,52 @@
     Ok(cmd::EXIT_OK)
 }
 
+fn show_router(router: net::SocketAddr, json: bool) -> Result<u8, cmd::CommandError> {
+    let answer: Option<serving_report::HostReport> = cmd::ask_host(router, questions::STATUS_PATH)?;
+    let status = answer.ok_or_else(|| cmd::CommandError::Failed {
+        message: "the host has no status".into(),
+    })?;
+    cmd::print_answer(&status, json, print_router)?;
+    Ok(cmd::EXIT_OK)
+}
+
+fn print_router(status: &serving_report::HostReport) {
+    let own = &status.own;
+    let granter = status.granter.as_ref().map(ToString::to_string);
+    println!("host           {} ({})", own.host, own.domain);
+    println!("phase          {}", own.phase.as_str());
+    println!("granting       {}", own.granting);
+    println!("store lost     {}", own.store_lost);
+    println!("in flight      {}", own.in_flight);
+    println!("hosts          {}", status.hosts);
+    println!("routes         version {}", status.routes_version);
+    println!(
+        "grants         term {}, by {}",
+        status.term,
+        granter.unwrap_or_else(|| "nobody".into())
+    );
+    println!(
+        "ranges         {}, {} on their way",
+        status.ranges, status.ranges_moving
+    );
+    println!();
+    println!(
+        "{:<20} {:<16} {:<16} {:>7}  STATE",
+        "SERVER", "SERVICE", "DOMAIN", "RANGES"
+    );
+    for line in &status.servers {
+        let record = &line.record;
+        println!(
+            "{:<20} {:<16} {:<16} {:>7}  {}",
+            record.life.server.to_string(),
+            record.service.to_string(),
+            record.domain.to_string(),
+            line.ranges,
+            record.state.as_str()
+        );
+    }
+}
+
 fn print_table(status: &report::HostStatus) {
     println!("host           {} ({})", status.host, status.life);
     println!("version        {}", status.version);
--- a/src/edge/router/answer.rs
+++ b/src/edge/router/answer.rs
@@ -32,6 +32,24 @@
 }
 
 impl OwnAnswer {
+    /// All of them.
+    pub const ALL: [Self; 14] = [
+        Self::NoRoute,
+        Self::Starting,
+        Self::Stopping,
+        Self::Malformed,
+        Self::HeadTooLarge,
+        Self::BodyTooLarge,
+        Self::BodyTimeout,
+        Self::Refused(desk::DeskRefusal::Crowded),
+        Self::Refused(desk::DeskRefusal::NoServer),
+        Self::Refused(desk::DeskRefusal::TooLate),
+        Self::Refused(desk::DeskRefusal::Budget),
+        Self::NotRun,
+        Self::Broken,
+        Self::Timeout,
+    ];
+
     /// Returns the status.
     #[must_use]
     pub const fn status(self) -> u16 {
--- a/src/edge/router/control.rs
+++ b/src/edge/router/control.rs
@@ -24,6 +24,7 @@
 use crate::serving::directory;
 use crate::serving::knowledge;
 use crate::serving::news;
+use crate::serving::view;
 
 /// The interval of the granter's decisions, in milliseconds.
 pub const TICK_MS: u64 = 100;
@@ -81,7 +82,7 @@
 struct ControlState {
     knowledge: knowledge::HostKnowledge,
     granter: granter::KeyGranter,
-    book: sync::Arc<book::GrantBook>,
+    grants: view::SharedGrants,
     yielded_until: clock::MonoTime,
 }
 
@@ -118,7 +119,7 @@
         let state = ControlState {
             knowledge: knowledge::HostKnowledge::new(parts.own, parts.clock.now()),
             granter: granter::KeyGranter::new(life, parts.max_hold)?,
-            book: sync::Arc::default(),
+            grants: view::SharedGrants::default(),
             yielded_until: clock::MonoTime::from_micros(0),
         };
         let thread = rc::Rc::new(Self {
@@ -330,12 +331,13 @@
     fn publish(&self) {
         let now = self.clock.now();
         let mut state = self.state.borrow_mut();
-        if *state.book != *state.granter.book() {
-            state.book = sync::Arc::new(state.granter.book().clone());
-        }
-        let view = state.knowledge.view(&state.book, now);
+        let ControlState {
+            granter, grants, ..
+        } = &mut *state;
+        grants.sync(granter.book(), now);
+        let view = state.knowledge.view(&state.grants, now);
         self.view.store(sync::Arc::new(view));
-        let ready = state.knowledge.is_ready(&state.book);
+        let ready = state.knowledge.is_ready(&state.grants.book);
         self.show(&state);
         self.ready.store(ready, sync::atomic::Ordering::Relaxed);
     }
@@ -352,7 +354,7 @@
         if metrics.granting.set(granting) == 0 && granting == 1 {
             metrics.takeovers.inc();
         }
-        let ranges = state.book.services.values().flatten();
+        let ranges = state.grants.book.services.values().flatten();
         let moving = ranges.filter(|range| !range.formers.is_empty()).count();
         metrics
             .ranges_moving
--- a/src/edge/router/host.rs
+++ b/src/edge/router/host.rs
@@ -15,6 +15,7 @@
 use crate::edge::router::gossip;
 use crate::edge::router::metrics;
 use crate::edge::router::ports;
+use crate::edge::router::questions;
 use crate::edge::router::traffic;
 use crate::serving::desk;
 use crate::serving::news;
@@ -22,8 +23,6 @@
 
 /// How many connections a listener lets wait.
 pub const LISTEN_BACKLOG: u32 = 2_048;
-/// Where metrics are served.
-pub const METRICS_PATH: &str = "/metrics";
 /// How long an idle connection of a caller is kept, in seconds; longer than callers use one.
 pub const IDLE_TIMEOUT_S: u64 = 120;
 /// How long a caller may take to send a head, in seconds.
@@ -47,7 +46,7 @@
     pub front: net::SocketAddr,
     /// Where the platform asks whether it is ready.
     pub ready: net::SocketAddr,
-    /// Where metrics are served, if anywhere.
+    /// Where operators ask for metrics, status and keys, if anywhere.
     pub metrics: Option<net::SocketAddr>,
     /// The desk's settings.
     pub desk: desk::DeskSettings,
@@ -156,10 +155,17 @@
             clock,
             metrics: sync::Arc::clone(&metrics),
         };
-        if let Some(address) = settings.metrics {
-            listen_metrics(address, metrics)?;
-        }
-        listen_ready(&settings, &traffic, ready)?;
+        let questions = questions::QuestionState {
+            own: settings.own.clone(),
+            ready,
+            stopping: sync::Arc::clone(&stopping),
+            in_flight: sync::Arc::clone(&in_flight),
+            view: sync::Arc::clone(&traffic.view),
+            metrics,
+            clock,
+        };
+        let ready_path = ports::HeaderCodec::ready_path(&traffic.codec);
+        listen_questions(&settings, ready_path, questions)?;
         let front = listen_callers(&settings, traffic)?;
         tracing::info!(
             event = "host-started",
@@ -277,52 +283,17 @@
         .map_err(|source| RouterError::Chart { source })
 }
 
-struct ReadyState {
-    ready: sync::Arc<atomic::AtomicBool>,
-    stopping: sync::Arc<atomic::AtomicBool>,
-}
-
-fn listen_ready<C: ports::HeaderCodec>(
+fn listen_questions(
     settings: &RouterSettings,
-    traffic: &traffic::TrafficParts<C>,
-    ready: sync::Arc<atomic::AtomicBool>,
-) -> Result<(), RouterError> {
-    let path = traffic.codec.ready_path();
-    let state = web::Data::new(ReadyState {
-        ready,
-        stopping: sync::Arc::clone(&traffic.stopping),
-    });
-    listen_quietly(settings.ready, move |app| {
-        app.app_data(state.clone())
-            .route(path, web::get().to(answer_ready));
-    })
-}
-
-fn listen_metrics(
-    address: net::SocketAddr,
-    metrics: sync::Arc<metrics::RouterMetrics>,
+    ready_path: &'static str,
+    state: questions::QuestionState,
 ) -> Result<(), RouterError> {
-    let state = web::Data::from(metrics);
-    listen_quietly(address, move |app| {
-        app.app_data(state.clone())
-            .route(METRICS_PATH, web::get().to(answer_metrics));
-    })
-}
-
-// Listens for the few questions of the platform and of operators, until the process ends.
-fn listen_quietly(
-    address: net::SocketAddr,
-    configure: impl Fn(&mut web::ServiceConfig) + Clone + Send + 'static,
-) -> Result<(), RouterError> {
-    let server =
-        actix_web::HttpServer::new(move || actix_web::App::new().configure(|app| configure(app)))
-            .workers(1)
-            .disable_signals()
-            .bind(address)
-            .map_err(|e| listen_error(address, &e))?
-            .run();
-    drop(listen::spawn(server));
-    Ok(())
+    if let Some(address) = settings.metrics {
+        let listened = questions::listen_operators(address, state.clone());
+        listened.map_err(|e| listen_error(address, &e))?;
+    }
+    let listened = questions::listen_ready(settings.ready, ready_path, state);
+    listened.map_err(|e| listen_error(settings.ready, &e))
 }
 
 fn listen_error(address: net::SocketAddr, fault: &std::io::Error) -> RouterError {
@@ -332,24 +303,6 @@
     }
 }
 
-async fn answer_metrics(metrics: web::Data<metrics::RouterMetrics>) -> actix_web::HttpResponse {
-    match metrics.encode() {
-        Ok(text) => actix_web::HttpResponse::Ok().body(text),
-        Err(fault) => {
-            tracing::warn!(event = "metrics-not-written", fault = %fault);
-            actix_web::HttpResponse::InternalServerError().finish()
-        }
-    }
-}
-
-async fn answer_ready(state: web::Data<ReadyState>) -> actix_web::HttpResponse {
-    let ready = state.ready.load(atomic::Ordering::Relaxed);
-    if ready && !state.stopping.load(atomic::Ordering::Relaxed) {
-        return actix_web::HttpResponse::Ok().finish();
-    }
-    actix_web::HttpResponse::ServiceUnavailable().finish()
-}
-
 fn listen_callers<C: ports::HeaderCodec + Send>(
     settings: &RouterSettings,
     traffic: traffic::TrafficParts<C>,
--- a/src/edge/router/mod.rs
+++ b/src/edge/router/mod.rs
@@ -10,6 +10,7 @@
 pub mod log_budget;
 pub mod metrics;
 pub mod ports;
+pub mod questions;
 pub mod slots;
 pub mod store_reader;
 pub mod traffic;
--- a/src/serving/desk/choice.rs
+++ b/src/serving/desk/choice.rs
@@ -4,6 +4,7 @@
 use std::time;
 
 use crate::clock;
+use crate::serving::ages;
 use crate::serving::desk;
 use crate::serving::desk::lane;
 use crate::serving::directory;
@@ -37,7 +38,7 @@
     fn decide_keyed(&self, waiting: &desk::Waiting, key: u16, now: clock::MonoTime) -> Decision {
         let life = match self.view.owner(&waiting.wish.service, key) {
             view::KeyOwner::Server(life) => life,
-            view::KeyOwner::Moving(range) if self.moves.is_overdue(range, now) => {
+            view::KeyOwner::Moving(range) if self.view.ages.is_overdue(range, now) => {
                 return Decision::GiveUp(desk::DeskRefusal::NoServer);
             }
             view::KeyOwner::Moving(_) => return Decision::Wait,
@@ -55,7 +56,7 @@
 
     // The key's server cannot be sent to at the moment; its keys will move, or it comes back.
     fn decide_ownerless(waiting: &desk::Waiting, now: clock::MonoTime) -> Decision {
-        let patience = time::Duration::from_millis(desk::MOVE_PATIENCE_MS);
+        let patience = time::Duration::from_millis(ages::MOVE_PATIENCE_MS);
         if now.since(waiting.since) > patience {
             return Decision::GiveUp(desk::DeskRefusal::NoServer);
         }
--- a/src/serving/desk/mod.rs
+++ b/src/serving/desk/mod.rs
@@ -7,7 +7,6 @@
 mod choice;
 mod demand;
 mod lane;
-mod moves;
 mod waits;
 
 use std::collections;
@@ -22,8 +21,6 @@
 use crate::serving::measure;
 use crate::serving::view;
 
-pub use crate::serving::desk::moves::MOVE_PATIENCE_MS;
-
 /// How many requests all hosts keep at a server, for each of its slots.
 pub const FILL_RATIO: f64 = 1.2;
 /// The service time that is assumed before one is measured, in milliseconds.
@@ -121,7 +118,6 @@
 pub struct ServiceDesk {
     settings: DeskSettings,
     view: sync::Arc<view::ServingView>,
-    moves: moves::KeyMoves,
     lanes: collections::BTreeMap<names::ServerName, lane::ServerLane>,
     lines: collections::BTreeMap<names::ServiceName, ServiceLine>,
     next: u64,
@@ -134,7 +130,6 @@
         Self {
             settings,
             view: sync::Arc::new(view::ServingView::new()),
-            moves: moves::KeyMoves::default(),
             lanes: collections::BTreeMap::new(),
             lines: collections::BTreeMap::new(),
             next: 0,
@@ -146,9 +141,6 @@
         if sync::Arc::ptr_eq(&self.view, view) {
             return;
         }
-        if !sync::Arc::ptr_eq(&self.view.book, &view.book) {
-            self.moves.sync(&view.book, now);
-        }
         self.view = sync::Arc::clone(view);
         for (name, record) in view.servers.iter() {
             match self.lanes.get_mut(name) {
--- a/src/serving/desk/waits.rs
+++ b/src/serving/desk/waits.rs
@@ -51,7 +51,7 @@
     fn keyed_wait_ms(&self, wish: &desk::ServerWish, key: u16, now: clock::MonoTime) -> f64 {
         let life = match self.view.owner(&wish.service, key) {
             view::KeyOwner::Server(life) => life,
-            view::KeyOwner::Moving(range) if self.moves.is_overdue(range, now) => {
+            view::KeyOwner::Moving(range) if self.view.ages.is_overdue(range, now) => {
                 return f64::INFINITY;
             }
             // Moves take a moment; requests wait for their end.
--- a/src/serving/directory.rs
+++ b/src/serving/directory.rs
@@ -28,6 +28,17 @@
     Draining,
 }
 
+impl ServerState {
+    /// Returns the state's name.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Ready => "ready",
+            Self::Draining => "draining",
+        }
+    }
+}
+
 /// One server's entry.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(serde::Serialize, serde::Deserialize)]
--- a/src/serving/knowledge.rs
+++ b/src/serving/knowledge.rs
@@ -313,11 +313,7 @@
 
     /// Makes the view for the traffic threads.
     #[must_use]
-    pub fn view(
-        &self,
-        book: &sync::Arc<book::GrantBook>,
-        now: clock::MonoTime,
-    ) -> view::ServingView {
+    pub fn view(&self, grants: &view::SharedGrants, now: clock::MonoTime) -> view::ServingView {
         let servers = self.directory.servers();
         let servers = servers.map(|record| (record.life.server.clone(), sync::Arc::clone(record)));
         let heard = self.heard_within(DEMAND_SPAN_MS, now);
@@ -325,7 +321,8 @@
         view::ServingView {
             routes: self.routes.clone(),
             servers: sync::Arc::new(servers.collect()),
-            book: sync::Arc::clone(book),
+            book: sync::Arc::clone(&grants.book),
+            ages: sync::Arc::clone(&grants.ages),
             demand: sync::Arc::new(news::sum_demand(demands)),
             hosts: 1 + self.heard_within(HOST_SPAN_MS, now).count(),
         }
--- a/src/serving/view.rs
+++ b/src/serving/view.rs
@@ -3,14 +3,35 @@
 use std::collections;
 use std::sync;
 
+use crate::clock;
 use crate::names;
 use crate::ownership::book;
 use crate::routing::specification;
+use crate::serving::ages;
 use crate::serving::directory;
 
 /// What the other hosts have under way or waiting at each server, on average.
 pub type ServerDemand = collections::BTreeMap<names::ServerName, f64>;
 
+/// The newest book of grants, shared with the traffic threads.
+#[derive(Clone, Debug, Default)]
+pub struct SharedGrants {
+    /// The book.
+    pub book: sync::Arc<book::GrantBook>,
+    /// Since when its assignments are known.
+    pub ages: sync::Arc<ages::RangeAges>,
+}
+
+impl SharedGrants {
+    /// Takes the newest book.
+    pub fn sync(&mut self, newest: &book::GrantBook, now: clock::MonoTime) {
+        if *self.book != *newest {
+            self.ages = sync::Arc::new(self.ages.with_book(newest, now));
+            self.book = sync::Arc::new(newest.clone());
+        }
+    }
+}
+
 /// The state of the world as one host knows it.
 #[derive(Clone, Debug)]
 pub struct ServingView {
@@ -21,6 +42,8 @@
         sync::Arc<collections::BTreeMap<names::ServerName, sync::Arc<directory::ServerRecord>>>,
     /// The book of grants.
     pub book: sync::Arc<book::GrantBook>,
+    /// Since when its assignments are known.
+    pub ages: sync::Arc<ages::RangeAges>,
     /// What the other hosts want of each server.
     pub demand: sync::Arc<ServerDemand>,
     /// How many hosts there are, this one included.
@@ -35,6 +58,7 @@
             routes: None,
             servers: sync::Arc::default(),
             book: sync::Arc::default(),
+            ages: sync::Arc::default(),
             demand: sync::Arc::default(),
             hosts: 1,
         }
--- a/tests/desk.rs
+++ b/tests/desk.rs
@@ -5,6 +5,7 @@
 
 use zinniastack::clock;
 use zinniastack::ownership::book;
+use zinniastack::serving::ages;
 use zinniastack::serving::desk;
 use zinniastack::serving::directory;
 use zinniastack::serving::measure;
@@ -292,6 +293,8 @@
         let mut book = book::GrantBook::default();
         book.services
             .insert(name("orders"), vec![self.range.clone()]);
+        let ages = self.case.view.ages.with_book(&book, now);
+        self.case.view.ages = sync::Arc::new(ages);
         self.case.view.book = sync::Arc::new(book);
         self.case.sync(now);
     }
@@ -328,7 +331,7 @@
 fn refuses_at_once_for_a_key_whose_move_takes_too_long() {
     let mut moving = MoveCase::new();
     moving.note_move(Some(2), at(0));
-    let later = at(desk::MOVE_PATIENCE_MS + 1);
+    let later = at(ages::MOVE_PATIENCE_MS + 1);
     // Other news of the book change nothing of when the move began.
     moving.note_move(Some(2), at(500));
     assert_eq!(moving.enqueue(later), Err(desk::DeskRefusal::NoServer));
@@ -338,7 +341,7 @@
     let mut moving = MoveCase::new();
     moving.note_move(Some(2), at(0));
     assert_eq!(moving.enqueue(at(400)), Ok(()));
-    let events = moving.case.desk.pump(at(desk::MOVE_PATIENCE_MS + 1));
+    let events = moving.case.desk.pump(at(ages::MOVE_PATIENCE_MS + 1));
     let refusal = events.first();
     assert!(
         matches!(
