Hold bodies without a stated length to the limit; name the cause of a broken connection in logs

Change: what is read and what is passed on is counted; a body over the limit breaks off and its caller gets 413. Errors of connections are logged with their chain of causes. Test: breaks_off_a_body_that_grows_over_the_limit; with the limit taken out it was red (200 where 413 was due).

--- a/lab/src/platform_site/mod.rs
+++ b/lab/src/platform_site/mod.rs
@@ -2,5 +2,6 @@
 //! memory and over HTTP, with the faults of the pages as switches.
 
 pub mod settings;
+pub mod site;
 pub mod store;
 pub mod worker;
--- a/lab/tests/platform.rs
+++ b/lab/tests/platform.rs
@@ -3,14 +3,11 @@
 use std::net;
 use std::path;
 use std::process;
-use std::sync;
 use std::time;
 
 use zinnia_lab::http;
 use zinnia_lab::platform_site::settings;
-use zinnia_lab::platform_site::store;
-use zinnia_lab::platform_site::worker;
-use zinniastack::clock;
+use zinnia_lab::platform_site::site;
 use zinniastack::clock::MonoClock as _;
 
 /// How long a step may take before the test gives up; no test asserts a time.
@@ -18,9 +15,6 @@
 /// How long a look waits for the next one.
 const LOOK: time::Duration = time::Duration::from_millis(50);
 
-/// Where the first host answers operators; each further one has the next port.
-const METRICS_PORT: u16 = 7_500;
-
 /// A host's process, ended by its id when the test ends.
 struct RouterProcess {
     child: process::Child,
@@ -58,42 +52,27 @@
     net::IpAddr::from([127, 64 + test, high, low.max(1)])
 }
 
-/// A store, four workers and two hosts.
+/// A site with hosts.
 struct PlatformCase {
-    ip: net::IpAddr,
-    store: http::Shared<store::StoreState>,
-    store_address: net::SocketAddr,
-    workers: Vec<http::Shared<worker::WorkerState>>,
+    site: site::PlatformSite,
     hosts: Vec<RouterProcess>,
-    clock: clock::SystemClock,
     started: u16,
 }
 
 impl PlatformCase {
     // Only the store.
     fn new(test: u8) -> Self {
-        let ip = own_ip(test);
-        let store = http::shared(store::StoreState::new());
-        let listener = net::TcpListener::bind((ip, 7_000)).expect("the store's port is free");
-        store::serve(listener, sync::Arc::clone(&store)).expect("the store listens");
+        let site = site::PlatformSite::new(own_ip(test));
         Self {
-            ip,
-            store,
-            store_address: (ip, 7_000).into(),
-            workers: Vec::new(),
+            site: site.expect("the store's port is free"),
             hosts: Vec::new(),
-            clock: clock::SystemClock::new(),
             started: 0,
         }
     }
 
     async fn start(test: u8) -> Self {
         let mut case = Self::new(test);
-        case.add_worker("stock-1", "stock", true);
-        case.add_worker("stock-2", "stock", true);
-        case.add_worker("orders-1", "orders", false);
-        case.add_worker("orders-2", "orders", false);
-        case.configure(&settings::configuration(3, false));
+        case.site.fill().expect("the ports are free");
         for _ in 0..2 {
             case.add_host();
         }
@@ -101,95 +80,46 @@
         case
     }
 
-    fn add_worker(&mut self, id: &str, service: &str, sharded: bool) {
-        let state = http::shared(worker::WorkerState::new(id, service, sharded));
-        let port = 7_100 + u16::try_from(self.workers.len()).expect("a few workers");
-        let listener = net::TcpListener::bind((self.ip, port)).expect("the port is free");
-        let store = sync::Arc::clone(&self.store);
-        worker::serve(listener, &state, store, self.clock).expect("the worker listens");
-        self.workers.push(state);
-    }
-
-    fn configure(&self, configuration: &serde_json::Value) {
-        let text = configuration.to_string();
-        http::lock(&self.store).append("keyed.op", "config", text.as_bytes());
-    }
-
     fn add_host(&mut self) {
         let number = self.started;
         self.started += 1;
-        let ports = settings::HostPorts {
-            front: (self.ip, 7_200 + number).into(),
-            ready: (self.ip, 7_300 + number).into(),
-            peers: 7_400 + number,
-        };
-        let name = format!("entry-{number}");
-        let file = format!("zinnia-{}-{}-{name}.json", process::id(), self.ip);
+        let file = format!("zinnia-{}-{}-{number}.json", process::id(), self.site.ip);
         let file = std::env::temp_dir().join(file);
-        let text = settings::settings_file(&name, &ports, self.store_address).to_string();
+        let text = self.site.settings_file(number).to_string();
         std::fs::write(&file, text).expect("the file is written");
+        let port = site::METRICS_PORT + number;
         let child = process::Command::new(router_program())
             .env("ZINNIASTACK_CONFIG", &file)
-            .env("ZINNIA_METRICS_PORT", (METRICS_PORT + number).to_string())
+            .env("ZINNIA_METRICS_PORT", port.to_string())
             .stdout(process::Stdio::null())
             .spawn()
             .expect("the program starts");
+        let ports = self.site.ports(number);
         self.hosts.push(RouterProcess { child, ports, file });
     }
 
     async fn wait_ready(&self) {
         for host in &self.hosts {
-            let address = format!("http://{}/zinniastack/readiness", host.ports.ready);
             until("the host is ready", async || {
-                let answer = awc::Client::default().get(&address).send().await;
-                answer.is_ok_and(|answer| answer.status().is_success())
+                site::is_ready(host.ports.ready).await
             })
             .await;
         }
     }
 
     async fn send(&self, host: usize, path: &str, id: &str, key: u16) -> Option<(u16, String)> {
-        let front = self.hosts[host].ports.front;
-        let request = awc::Client::default()
-            .post(format!("http://{front}{path}"))
-            .insert_header(("host", "desk.example"))
-            .insert_header(("x-request-id", id))
-            .insert_header(("x-request-deadline", "5000"))
-            .insert_header(("x-shard-key", key.to_string()))
-            .timeout(time::Duration::from_secs(10));
-        let mut answer = request.send_body("body").await.ok()?;
-        let status = answer.status().as_u16();
-        let body = answer.body().await.ok()?;
-        Some((status, String::from_utf8_lossy(&body).into_owned()))
+        site::send(self.hosts[host].ports.front, path, id, key).await
     }
 
-    // Sends requests with many keys to both hosts; returns how many were answered as they should.
+    // Sends requests with many keys to all hosts; returns how many were answered as they should.
     async fn send_many(&self, path: &str, prefix: &str, count: u16) -> usize {
-        let mut answered = 0;
-        for number in 0..count {
-            let id = format!("{prefix}-{number}");
-            let key = number.wrapping_mul(1_021);
-            let host = usize::from(number) % self.hosts.len();
-            let expected = format!("POST {path} {id} 4");
-            let answer = self.send(host, path, &id, key).await;
-            answered += usize::from(answer == Some((200, expected)));
-        }
-        answered
+        let fronts: Vec<_> = self.hosts.iter().map(|host| host.ports.front).collect();
+        site::send_many(&fronts, path, prefix, count).await
     }
 
     // No request ran twice, and no key is held twice.
     fn expect_kept(&self) {
-        let now = self.clock.now();
-        let mut held = Vec::new();
-        for worker in &self.workers {
-            let state = http::lock(worker);
-            let twice: Vec<_> = state.runs().iter().filter(|(_, runs)| **runs > 1).collect();
-            assert!(twice.is_empty(), "ran twice: {twice:?}");
-            held.extend(state.held(now));
-        }
-        held.sort_unstable();
-        let apart = held.windows(2).all(|pair| pair[0].1 < pair[1].0);
-        assert!(apart, "held twice: {held:?}");
+        assert_eq!(self.site.check_kept(), Ok(()));
     }
 }
 
@@ -216,7 +146,7 @@
 
 async fn puts_versions_in_force_and_never_takes_one_back(test: u8) {
     let case = PlatformCase::start(test).await;
-    case.configure(&settings::configuration(7, true));
+    case.site.configure(&settings::configuration(7, true));
     for host in 0..2 {
         until("the new route is served", async || {
             let answer = case.send(host, "/extra/a", &format!("e{host}"), 0).await;
@@ -224,8 +154,8 @@
         })
         .await;
     }
-    case.configure(&settings::configuration(5, false));
-    http::lock(&case.store).append("keyed.op", "config", b"{\"version\":9,\"serv");
+    case.site.configure(&settings::configuration(5, false));
+    http::lock(&case.site.store).append("keyed.op", "config", b"{\"version\":9,\"serv");
     tokio::time::sleep(time::Duration::from_secs(1)).await;
     let answer = case.send(0, "/extra/a", "after", 0).await;
     assert_eq!(
@@ -237,10 +167,10 @@
 
 async fn moves_the_keys_of_a_worker_that_drains(test: u8) {
     let case = PlatformCase::start(test).await;
-    http::lock(&case.workers[0]).drain();
+    http::lock(&case.site.workers[0]).drain();
     until("the worker holds no key", async || {
-        http::lock(&case.workers[0])
-            .held(case.clock.now())
+        http::lock(&case.site.workers[0])
+            .held(case.site.clock.now())
             .is_empty()
     })
     .await;
@@ -276,13 +206,13 @@
         case.send_many("/stock/a", "warm", 10).await == 10
     })
     .await;
-    http::lock(&case.store).faults.is_down = true;
+    http::lock(&case.site.store).faults.is_down = true;
     // Longer than a hold.
     tokio::time::sleep(time::Duration::from_secs(4)).await;
     assert_eq!(case.send_many("/stock/a", "away", 40).await, 40);
-    http::lock(&case.store).faults.is_down = false;
-    http::lock(&case.store).compact();
-    http::lock(&case.store).deal_anew();
+    http::lock(&case.site.store).faults.is_down = false;
+    http::lock(&case.site.store).compact();
+    http::lock(&case.site.store).deal_anew();
     until("every key is served", async || {
         case.send_many("/stock/a", "back", 20).await == 20
     })
@@ -292,7 +222,7 @@
 
 async fn stops_without_cutting_a_request(test: u8) {
     let case = PlatformCase::start(test).await;
-    for worker in &case.workers {
+    for worker in &case.site.workers {
         http::lock(worker).work_ms = 800;
     }
     let sent = case.send(0, "/orders/a", "last", 0);
@@ -307,7 +237,7 @@
 
 async fn passes_no_part_or_cross_of_an_answer_on(test: u8) {
     let case = PlatformCase::start(test).await;
-    for worker in &case.workers[2..] {
+    for worker in &case.site.workers[2..] {
         http::lock(worker).faults.cut_answers = 1;
     }
     let answer = case.send(0, "/orders/a", "cut", 0).await;
@@ -316,7 +246,7 @@
         Some(502),
         "a part was passed on"
     );
-    for worker in &case.workers[2..] {
+    for worker in &case.site.workers[2..] {
         let mut state = http::lock(worker);
         state.faults.cut_answers = 0;
         state.faults.cross_answers = 1;
@@ -359,6 +289,28 @@
     case.expect_kept();
 }
 
+// The limit of a body that states no length is found while it is passed on.
+async fn breaks_off_a_body_that_grows_over_the_limit(test: u8) {
+    let case = PlatformCase::start(test).await;
+    let front = case.hosts[0].ports.front;
+    for (id, parts) in [("early", 80), ("late", 200)] {
+        let request = awc::Client::default().post(format!("http://{front}/orders/a"));
+        let request = request
+            .insert_header(("host", "desk.example"))
+            .insert_header(("x-request-id", id));
+        let body = futures_util::stream::iter(
+            (0..parts).map(|_| Ok::<_, std::io::Error>(bytes::Bytes::from(vec![0_u8; 50_000]))),
+        );
+        // A host that answers before it has read all may also close the connection.
+        let answer = request.send_stream(body).await;
+        let status = answer.map_or(413, |answer| answer.status().as_u16());
+        assert_eq!(status, 413, "{id}");
+        for worker in &case.site.workers {
+            assert!(!http::lock(worker).runs().contains_key(id), "{id} ran");
+        }
+    }
+}
+
 async fn answers_503_before_a_configuration_is_known(test: u8) {
     let mut case = PlatformCase::new(test);
     case.add_host();
@@ -375,7 +327,7 @@
 
 // What `zinnia COMMAND` prints of the first host, and its exit code.
 async fn ask_operator(ip: net::IpAddr, words: &[&str]) -> (String, Option<i32>) {
-    let router = net::SocketAddr::new(ip, METRICS_PORT).to_string();
+    let router = net::SocketAddr::new(ip, site::METRICS_PORT).to_string();
     let mut words: Vec<_> = words.iter().map(ToString::to_string).collect();
     words.extend(["--router".to_owned(), router]);
     let program = router_program().with_file_name("zinnia");
@@ -388,7 +340,7 @@
 
 async fn tells_operators_what_it_knows(test: u8) {
     let case = PlatformCase::start(test).await;
-    let (status, code) = ask_operator(case.ip, &["status"]).await;
+    let (status, code) = ask_operator(case.site.ip, &["status"]).await;
     assert_eq!(code, Some(0));
     assert!(status.contains("phase          ready"), "{status}");
     assert!(status.contains("routes         version 3"), "{status}");
@@ -396,13 +348,13 @@
         assert!(status.contains(worker), "{status}");
     }
     until("the key is held", async || {
-        let (key, _) = ask_operator(case.ip, &["explain", "stock", "7"]).await;
+        let (key, _) = ask_operator(case.site.ip, &["explain", "stock", "7"]).await;
         key.contains("requests go to the holder") && key.contains("held for")
     })
     .await;
-    let (_, code) = ask_operator(case.ip, &["explain", "orders", "7"]).await;
+    let (_, code) = ask_operator(case.site.ip, &["explain", "orders", "7"]).await;
     assert_eq!(code, Some(1), "a pool has no keys");
-    let (_, code) = ask_operator(case.ip, &["explain", "stock", "70000"]).await;
+    let (_, code) = ask_operator(case.site.ip, &["explain", "stock", "70000"]).await;
     assert_eq!(code, Some(1), "the key is too large");
 }
 
@@ -428,4 +380,5 @@
     refuses_what_is_over_a_limit = 8,
     answers_503_before_a_configuration_is_known = 9,
     tells_operators_what_it_knows = 10,
+    breaks_off_a_body_that_grows_over_the_limit = 11,
 }
--- a/src/edge/router/body.rs
+++ b/src/edge/router/body.rs
@@ -1,6 +1,8 @@
 //! The body of a request to a server: held whole, or passed on as it comes.
 
+use std::cell;
 use std::pin;
+use std::rc;
 use std::task;
 
 use actix_web::web;
@@ -16,7 +18,7 @@
         /// What was read.
         head: Option<bytes::Bytes>,
         /// The rest.
-        rest: web::Payload,
+        rest: LimitedPayload,
     },
 }
 
@@ -51,8 +53,7 @@
                 if let Some(bytes) = head.take() {
                     return task::Poll::Ready(Some(Ok(body::Frame::data(bytes))));
                 }
-                let polled = pin::Pin::new(rest).poll_next(context);
-                polled.map(|next| next.map(|part| part.map(body::Frame::data)))
+                rest.poll_part(context)
             }
         }
     }
@@ -72,16 +73,77 @@
     }
 }
 
+/// What a caller has still to send, up to a limit.
+pub struct LimitedPayload {
+    payload: web::Payload,
+    // How many bytes may still come.
+    left: u64,
+    over: rc::Rc<cell::Cell<bool>>,
+}
+
+impl LimitedPayload {
+    fn poll_part(&mut self, context: &mut task::Context<'_>) -> FramePoll {
+        let polled = pin::Pin::new(&mut self.payload).poll_next(context);
+        polled.map(|next| next.map(|part| self.count(part?).map(body::Frame::data)))
+    }
+
+    // A body that is longer than it may be breaks off.
+    fn count(
+        &mut self,
+        part: bytes::Bytes,
+    ) -> Result<bytes::Bytes, actix_web::error::PayloadError> {
+        let size = byte_count(&part);
+        if size > self.left {
+            self.over.set(true);
+            return Err(actix_web::error::PayloadError::Overflow);
+        }
+        self.left -= size;
+        Ok(part)
+    }
+}
+
+fn byte_count(bytes: &[u8]) -> u64 {
+    u64::try_from(bytes.len()).unwrap_or(u64::MAX)
+}
+
 /// A caller's body: held, or begun.
 pub(crate) struct HeldBody {
-    pub(crate) head: bytes::Bytes,
-    pub(crate) rest: Option<web::Payload>,
-    pub(crate) passed_on: bool,
+    head: bytes::Bytes,
+    rest: Option<LimitedPayload>,
+    passed_on: bool,
+    over: rc::Rc<cell::Cell<bool>>,
 }
 
 impl HeldBody {
+    // A body that was read whole.
+    pub(crate) fn new(head: bytes::Bytes) -> Self {
+        Self {
+            head,
+            rest: None,
+            passed_on: false,
+            over: rc::Rc::default(),
+        }
+    }
+
+    // A body of which `head` was read, and which may have `limit` bytes.
+    pub(crate) fn with_rest(head: bytes::Bytes, payload: web::Payload, limit: u64) -> Self {
+        let left = limit.saturating_sub(byte_count(&head));
+        let mut begun = Self::new(head);
+        begun.rest = Some(LimitedPayload {
+            payload,
+            left,
+            over: rc::Rc::clone(&begun.over),
+        });
+        begun
+    }
+
+    // Whether it turned out longer than it may be.
+    pub(crate) fn is_over(&self) -> bool {
+        self.over.get()
+    }
+
     pub(crate) fn size(&self) -> u64 {
-        u64::try_from(self.head.len()).unwrap_or(u64::MAX)
+        byte_count(&self.head)
     }
 
     pub(crate) fn take(&mut self) -> RequestBody {
--- a/src/edge/router/front.rs
+++ b/src/edge/router/front.rs
@@ -45,6 +45,8 @@
     service: names::ServiceName,
     key: Option<u16>,
     version: u64,
+    // The longest body that it may have, in bytes.
+    body_limit: u64,
 }
 
 /// Answers a caller's request.
@@ -113,6 +115,7 @@
         let patience = facts.patience.unwrap_or(route.timeout);
         let objective = thread.objective(&route, patience, arrived);
         let version = routes.version;
+        let body_limit = routes.limits.body_bytes;
         drop(view);
         Ok(Self {
             key: facts.key.filter(|_| sharded),
@@ -125,6 +128,7 @@
             route,
             service,
             version,
+            body_limit,
         })
     }
 
@@ -142,6 +146,7 @@
         let mut payload = payload;
         let mut head = bytes::BytesMut::new();
         let left = self.deadline.since(self.thread.parts.clock.now());
+        let limit = self.body_limit;
         let read = async {
             while head.len() <= HELD_BODY_BYTES {
                 match payload.next().await {
@@ -149,6 +154,9 @@
                     Some(Ok(part)) => head.extend_from_slice(&part),
                     Some(Err(_)) => return Err(answer::OwnAnswer::Malformed),
                 }
+                if u64::try_from(head.len()).is_ok_and(|size| size > limit) {
+                    return Err(answer::OwnAnswer::BodyTooLarge);
+                }
             }
             Ok(false)
         };
@@ -156,19 +164,9 @@
         let whole = whole.unwrap_or(Err(answer::OwnAnswer::BodyTimeout))?;
         let head = head.freeze();
         if whole {
-            let rest = None;
-            return Ok(body::HeldBody {
-                head,
-                rest,
-                passed_on: false,
-            });
+            return Ok(body::HeldBody::new(head));
         }
-        let rest = Some(payload);
-        Ok(body::HeldBody {
-            head,
-            rest,
-            passed_on: false,
-        })
+        Ok(body::HeldBody::with_rest(head, payload, limit))
     }
 
     async fn deliver(&self, held: body::HeldBody) -> actix_web::HttpResponse {
@@ -197,6 +195,9 @@
                 let action = course.handle(verdict::DeliveryEvent::TimeOver, false);
                 return self.answer_end(action, answer::OwnAnswer::Timeout, Some(&record));
             };
+            if held.is_over() {
+                return self.answer_own(answer::OwnAnswer::BodyTooLarge, Some(&record));
+            }
             slot.end = end.measure();
             let metrics = &self.thread.parts.metrics;
             metrics.note_attempt(self.service.as_str(), end.as_str());
--- a/src/edge/router/wire.rs
+++ b/src/edge/router/wire.rs
@@ -204,7 +204,7 @@
     /// Fails when the body breaks off.
     pub async fn next_part(&mut self) -> Result<Option<bytes::Bytes>, WireFault> {
         while let Some(frame) = self.body.frame().await {
-            let frame = frame.map_err(|e| self.broken("read-body", &e.to_string()))?;
+            let frame = frame.map_err(|e| self.broken("read-body", &error_chain(&e)))?;
             if let Ok(data) = frame.into_data() {
                 return Ok(Some(data));
             }
@@ -265,12 +265,20 @@
             None => Err(ExchangeFault::Fault(WireFault::Broken {
                 step: "send",
                 peer,
-                fault: error.into_error().to_string(),
+                fault: error_chain(&error.into_error()),
             })),
         },
     }
 }
 
+// An error and its causes, outermost first: hyper's own text names no cause.
+fn error_chain(error: &hyper::Error) -> String {
+    let texts: Vec<_> = snafu::CleanedErrorText::new(error)
+        .map(|(_, text, _)| text)
+        .collect();
+    texts.join(": ")
+}
+
 async fn connect(peer: net::SocketAddr) -> Result<WireConnection, WireFault> {
     let unsent = |step: &'static str, fault: String| WireFault::Unsent { step, peer, fault };
     let limit = time::Duration::from_millis(CONNECT_TIMEOUT_MS);
