Let zinnia-lab try cover the front end on the users' platform

Change: the trial has a file a front end; the platform's one starts two hosts through the adapter beside the stand-ins and tries seven promises: ready, unknown route, versions, an outage of the store longer than a hold, a drain, explain, a clean stop.

--- a/lab/src/cmd/try_site.rs
+++ b/lab/src/cmd/try_site/entry.rs
@@ -1,4 +1,4 @@
-//! `zinnia-lab try`: a whole site in one process, and a line for each promise that it keeps.
+//! The promises of the project's own front end.
 
 use std::collections;
 use std::net;
@@ -14,52 +14,14 @@
 use zinniastack::report;
 
 use crate::caller;
+use crate::cmd::try_site;
 use crate::http;
 use crate::site;
 
-/// The usage text.
-pub const USAGE: &str = "\
-Brings up a whole site on free loopback ports, tries its promises, and prints a line for each.
-
-Usage: zinnia-lab try
-Exit codes: 0 all promises kept, 1 one was not";
-
-/// How long a promise may take to be kept before it counts as broken, in milliseconds.
-pub const PROMISE_WAIT_MS: u64 = 8_000;
 /// How many keys of each service are tried.
 pub const KEYS_TRIED: usize = 24;
 
-const BASE: &str = include_str!("../../../examples/manizales.toml");
-
-/// The arguments.
-#[derive(Debug)]
-#[derive(gumdrop::Options)]
-pub struct TryArgs {
-    /// Whether help is asked for.
-    #[options(help = "print this help")]
-    pub help: bool,
-}
-
-/// Runs the command.
-///
-/// # Errors
-/// Fails when the site cannot be started.
-pub fn run(arguments: &[String]) -> Result<u8, cmd::CommandError> {
-    if cmd::parse_args::<TryArgs>(USAGE, arguments)?.is_none() {
-        return Ok(cmd::EXIT_OK);
-    }
-    actix::System::new().block_on(async {
-        let site = start_site().await.map_err(cmd::CommandError::failed)?;
-        let mut trial = SiteTrial::new(site);
-        trial.run().await;
-        println!("{} passed, {} failed", trial.passed, trial.failed);
-        Ok(if trial.failed == 0 {
-            cmd::EXIT_OK
-        } else {
-            cmd::EXIT_FAILED
-        })
-    })
-}
+const BASE: &str = include_str!("../../../../examples/manizales.toml");
 
 async fn start_site() -> Result<site::LabSite, Box<dyn std::error::Error>> {
     let file = check::check_text(BASE)?;
@@ -79,66 +41,62 @@
     site::LabSite::start(&plan).await
 }
 
-type Checked = Result<String, String>;
-
-struct SiteTrial {
+/// A site of the project's own front end under trial.
+pub struct EntryTrial {
     site: site::LabSite,
     client: caller::CallerClient,
-    passed: u32,
-    failed: u32,
+    tally: try_site::TrialTally,
     counter: u64,
 }
 
-impl SiteTrial {
-    fn new(site: site::LabSite) -> Self {
-        Self {
+impl EntryTrial {
+    /// Starts the site.
+    ///
+    /// # Errors
+    /// Fails when it cannot be started.
+    pub async fn start() -> Result<Self, cmd::CommandError> {
+        let site = start_site().await.map_err(cmd::CommandError::failed)?;
+        Ok(Self {
             site,
             client: caller::CallerClient::new(),
-            passed: 0,
-            failed: 0,
+            tally: try_site::TrialTally::default(),
             counter: 0,
-        }
+        })
     }
 
-    async fn run(&mut self) {
+    /// Tries all promises.
+    pub async fn run(mut self) -> try_site::TrialTally {
         let result = self.try_configuration().await;
-        self.note(
+        self.tally.note(
             "a configuration is accepted and in force at every host",
             result,
         );
         let result = self.try_ranks().await;
-        self.note("a request of each rank is served at every host", result);
+        self.tally
+            .note("a request of each rank is served at every host", result);
         let result = self.try_one_owner().await;
-        self.note("each key has one owner, whichever host is asked", result);
+        self.tally
+            .note("each key has one owner, whichever host is asked", result);
         let result = self.try_operators().await;
-        self.note(
+        self.tally.note(
             "of two patches against one version, one is refused as stale",
             result,
         );
         let result = self.try_bad_record().await;
-        self.note(
+        self.tally.note(
             "a malformed record is skipped and counted by every host",
             result,
         );
         let result = self.try_retirement().await;
-        self.note("a retired feature's job reaches no server", result);
+        self.tally
+            .note("a retired feature's job reaches no server", result);
         let result = self.try_lost_server().await;
-        self.note("a lost server's keys are served again", result);
+        self.tally
+            .note("a lost server's keys are served again", result);
         let result = self.try_stopped_host().await;
-        self.note("a stopping host cuts nothing, and granting goes on", result);
-    }
-
-    fn note(&mut self, promise: &str, result: Checked) {
-        match result {
-            Ok(detail) => {
-                self.passed += 1;
-                println!("passed  {promise}: {detail}");
-            }
-            Err(fault) => {
-                self.failed += 1;
-                println!("FAILED  {promise}: {fault}");
-            }
-        }
+        self.tally
+            .note("a stopping host cuts nothing, and granting goes on", result);
+        self.tally
     }
 
     fn next_id(&mut self) -> String {
@@ -176,18 +134,18 @@
         answer.ok_or_else(|| "no status".into())
     }
 
-    async fn wait_for_version(&self, version: u64) -> Checked {
+    async fn wait_for_version(&self, version: u64) -> try_site::Checked {
         let started = time::Instant::now();
         for host in 0..self.site.hosts.len() {
             while self.status(host).await?.version < version {
-                pause(started)?;
-                tick().await;
+                try_site::pause(started)?;
+                try_site::tick().await;
             }
         }
         Ok(format!("{} ms", started.elapsed().as_millis()))
     }
 
-    async fn try_configuration(&mut self) -> Checked {
+    async fn try_configuration(&mut self) -> try_site::Checked {
         let changes = self.site.configuration.to_changes();
         let standing = self.submit(0, "first", 0, changes).await?;
         if standing.verdict != Some(fold::PatchVerdict::Accepted { version: 1 }) {
@@ -216,12 +174,12 @@
             if answer.ran() {
                 return Ok(answer);
             }
-            pause(started).map_err(|e| format!("{e}: {service}/{key} {answer:?}"))?;
-            tick().await;
+            try_site::pause(started).map_err(|e| format!("{e}: {service}/{key} {answer:?}"))?;
+            try_site::tick().await;
         }
     }
 
-    async fn try_ranks(&mut self) -> Checked {
+    async fn try_ranks(&mut self) -> try_site::Checked {
         let started = time::Instant::now();
         let mut served = 0;
         for host in 0..self.site.hosts.len() {
@@ -236,7 +194,7 @@
         ))
     }
 
-    async fn try_one_owner(&mut self) -> Checked {
+    async fn try_one_owner(&mut self) -> try_site::Checked {
         for service in self.services() {
             for key in 0..KEYS_TRIED {
                 for host in 0..self.site.hosts.len() {
@@ -257,7 +215,7 @@
         Ok(format!("{} shards seen, each at one server", owners.len()))
     }
 
-    async fn try_operators(&mut self) -> Checked {
+    async fn try_operators(&mut self) -> try_site::Checked {
         let put = |name: &str| {
             let name = names::FeatureName::new(name).map_err(|e| e.to_string())?;
             let service = self.site.configuration.service[0].name.clone();
@@ -285,13 +243,13 @@
         Ok("accepted 2 and refused stale (current 2)".into())
     }
 
-    async fn try_bad_record(&mut self) -> Checked {
+    async fn try_bad_record(&mut self) -> try_site::Checked {
         http::lock(&self.site.log).append("{\"id\": 7, \"body\":".into());
         let started = time::Instant::now();
         for host in 0..self.site.hosts.len() {
             while self.status(host).await?.skipped < 1 {
-                pause(started)?;
-                tick().await;
+                try_site::pause(started)?;
+                try_site::tick().await;
             }
         }
         self.send_until_ran(0, "stock", "after-bad-record").await?;
@@ -322,7 +280,7 @@
         Ok(statuses)
     }
 
-    async fn try_retirement(&mut self) -> Checked {
+    async fn try_retirement(&mut self) -> try_site::Checked {
         let feature = names::FeatureName::new("nightly-stock-digest").map_err(|e| e.to_string())?;
         let before = self.fire(&feature).await?;
         if before.iter().any(|status| *status != 200) || self.ran_for(&feature) != before.len() {
@@ -344,13 +302,13 @@
             .iter()
             .any(|status| *status != 410)
         {
-            pause(started)?;
+            try_site::pause(started)?;
         }
         let in_force = started.elapsed().as_millis();
         let ran = self.ran_for(&feature);
         for _ in 0..25 {
             self.fire(&feature).await?;
-            tick().await;
+            try_site::tick().await;
         }
         if self.ran_for(&feature) != ran {
             return Err("a server ran it after the retirement".into());
@@ -360,7 +318,7 @@
         ))
     }
 
-    async fn try_lost_server(&mut self) -> Checked {
+    async fn try_lost_server(&mut self) -> try_site::Checked {
         let owner = |site: &site::LabSite, id: &str| {
             let servers = site.servers.iter();
             let mut ran = servers.filter(|(_, server)| {
@@ -383,7 +341,7 @@
         Ok(format!("moved from {lost} to {next} after {waited} ms"))
     }
 
-    async fn try_stopped_host(&mut self) -> Checked {
+    async fn try_stopped_host(&mut self) -> try_site::Checked {
         let status = self.status(0).await?;
         let granters: Vec<_> = status
             .domains
@@ -414,14 +372,3 @@
         ))
     }
 }
-
-fn pause(started: time::Instant) -> Result<(), String> {
-    if started.elapsed() < time::Duration::from_millis(PROMISE_WAIT_MS) {
-        return Ok(());
-    }
-    Err(format!("not within {PROMISE_WAIT_MS} ms"))
-}
-
-async fn tick() {
-    tokio::time::sleep(time::Duration::from_millis(20)).await;
-}
--- /dev/null
+++ b/lab/src/cmd/try_site/mod.rs
@@ -0,0 +1,99 @@
+//! `zinnia-lab try`: whole sites in one process, and a line for each promise that they keep.
+
+mod entry;
+mod platform;
+
+use std::time;
+
+use zinniastack::cmd;
+
+/// The usage text.
+pub const USAGE: &str = "\
+Brings up two whole sites on free loopback ports, one of the project's own front end and one of the
+front end on the users' platform, tries their promises, and prints a line for each.
+
+Usage: zinnia-lab try
+Exit codes: 0 all promises kept, 1 one was not";
+
+/// How long a promise may take to be kept before it counts as broken, in milliseconds.
+pub const PROMISE_WAIT_MS: u64 = 8_000;
+/// How long a trial sleeps between two looks, in milliseconds.
+const LOOK_MS: u64 = 20;
+
+/// The arguments.
+#[derive(Debug)]
+#[derive(gumdrop::Options)]
+pub struct TryArgs {
+    /// Whether help is asked for.
+    #[options(help = "print this help")]
+    pub help: bool,
+}
+
+/// What became of a promise: a detail, or what was wrong.
+type Checked = Result<String, String>;
+
+/// How many promises were kept.
+#[derive(Clone, Copy, Debug, Default)]
+struct TrialTally {
+    passed: u32,
+    failed: u32,
+}
+
+impl TrialTally {
+    fn note(&mut self, promise: &str, result: Checked) {
+        match result {
+            Ok(detail) => {
+                self.passed += 1;
+                println!("passed  {promise}: {detail}");
+            }
+            Err(fault) => {
+                self.failed += 1;
+                println!("FAILED  {promise}: {fault}");
+            }
+        }
+    }
+}
+
+/// Runs the command.
+///
+/// # Errors
+/// Fails when a site cannot be started.
+pub fn run(arguments: &[String]) -> Result<u8, cmd::CommandError> {
+    if cmd::parse_args::<TryArgs>(USAGE, arguments)?.is_none() {
+        return Ok(cmd::EXIT_OK);
+    }
+    actix::System::new().block_on(async {
+        println!("the project's own front end");
+        let own = entry::EntryTrial::start().await?.run().await;
+        println!("the front end on the users' platform");
+        let platform = platform::PlatformTrial::start().await?.run().await;
+        let failed = own.failed + platform.failed;
+        println!("{} passed, {failed} failed", own.passed + platform.passed);
+        Ok(if failed == 0 {
+            cmd::EXIT_OK
+        } else {
+            cmd::EXIT_FAILED
+        })
+    })
+}
+
+fn pause(started: time::Instant) -> Result<(), String> {
+    if started.elapsed() < time::Duration::from_millis(PROMISE_WAIT_MS) {
+        return Ok(());
+    }
+    Err(format!("not within {PROMISE_WAIT_MS} ms"))
+}
+
+async fn tick() {
+    tokio::time::sleep(time::Duration::from_millis(LOOK_MS)).await;
+}
+
+// Waits until `check` holds; returns how long that took.
+async fn until(check: impl AsyncFn() -> bool) -> Result<time::Duration, String> {
+    let started = time::Instant::now();
+    while !check().await {
+        pause(started)?;
+        tick().await;
+    }
+    Ok(started.elapsed())
+}
--- /dev/null
+++ b/lab/src/cmd/try_site/platform.rs
@@ -0,0 +1,199 @@
+//! The promises of the front end on the users' platform.
+
+use std::cell;
+use std::net;
+
+use zinnia_platform::adapter;
+use zinnia_platform::settings as platform_settings;
+use zinniastack::clock::MonoClock as _;
+use zinniastack::cmd;
+use zinniastack::edge::router::host;
+use zinniastack::edge::router::questions;
+use zinniastack::serving::report;
+
+use crate::cmd::try_site;
+use crate::http;
+use crate::platform_site::settings;
+use crate::platform_site::site;
+use crate::site as free_site;
+
+/// How many hosts there are.
+const HOSTS: u16 = 2;
+/// How many requests are sent for each promise.
+const REQUESTS: u16 = 24;
+/// The key that is explained.
+const EXPLAINED_KEY: u16 = 7;
+
+/// A site of the front end on the users' platform under trial.
+pub struct PlatformTrial {
+    site: site::PlatformSite,
+    hosts: Vec<host::RouterHost>,
+    tally: try_site::TrialTally,
+    counter: cell::Cell<u32>,
+}
+
+impl PlatformTrial {
+    /// Starts the site.
+    ///
+    /// # Errors
+    /// Fails when it cannot be started.
+    pub async fn start() -> Result<Self, cmd::CommandError> {
+        let ip = free_site::free_address().ip();
+        let mut site = site::PlatformSite::new(ip).map_err(cmd::CommandError::failed)?;
+        site.fill().map_err(cmd::CommandError::failed)?;
+        let mut hosts = Vec::new();
+        for number in 0..HOSTS {
+            let file = site.settings_file(number);
+            let settings = platform_settings::PlatformSettings::with_value(file, rand::random());
+            let mut settings = settings.map_err(cmd::CommandError::failed)?;
+            settings.router.metrics = Some(operators(&site, number));
+            let router = settings.router.clone();
+            let adapter = adapter::RouterAdapter::new(settings);
+            let started = host::RouterHost::start(router, adapter).await;
+            hosts.push(started.map_err(cmd::CommandError::failed)?);
+        }
+        Ok(Self {
+            site,
+            hosts,
+            tally: try_site::TrialTally::default(),
+            counter: cell::Cell::new(0),
+        })
+    }
+
+    /// Tries all promises.
+    pub async fn run(mut self) -> try_site::TrialTally {
+        let result = self.try_start().await;
+        self.tally
+            .note("every host is ready and serves keys and pools", result);
+        let result = self.try_unknown().await;
+        self.tally
+            .note("a request that no version allows gets 404", result);
+        let result = self.try_version().await;
+        self.tally
+            .note("a version is in force at every host and stays", result);
+        let result = self.try_outage().await;
+        self.tally.note("keys are served without the store", result);
+        let result = self.try_drain().await;
+        self.tally
+            .note("a draining server's keys move to the other", result);
+        let result = self.try_explain().await;
+        self.tally
+            .note("a host explains where a key's requests go", result);
+        let result = self.try_stop().await;
+        self.tally
+            .note("a stopping host cuts nothing, and granting goes on", result);
+        self.tally
+    }
+
+    fn fronts(&self) -> Vec<net::SocketAddr> {
+        let numbers = 0..HOSTS;
+        numbers.map(|n| self.site.ports(n).front).collect()
+    }
+
+    // An id, or the beginning of ids, that no request had.
+    fn next_id(&self) -> String {
+        self.counter.set(self.counter.get() + 1);
+        format!("try-{}", self.counter.get())
+    }
+
+    async fn serves(&self, path: &str) -> Result<(), String> {
+        let answered = site::send_many(&self.fronts(), path, &self.next_id(), REQUESTS).await;
+        if answered != usize::from(REQUESTS) {
+            return Err(format!("{answered} of {REQUESTS} requests were answered"));
+        }
+        self.site.check_kept()
+    }
+
+    async fn try_start(&self) -> try_site::Checked {
+        let mut longest = std::time::Duration::ZERO;
+        for number in 0..HOSTS {
+            let ready = self.site.ports(number).ready;
+            longest = longest.max(try_site::until(async || site::is_ready(ready).await).await?);
+        }
+        self.serves("/stock/a").await?;
+        self.serves("/orders/a").await?;
+        Ok(format!("ready after {} ms", longest.as_millis()))
+    }
+
+    async fn try_unknown(&self) -> try_site::Checked {
+        let answer = site::send(self.fronts()[0], "/nowhere/", &self.next_id(), 0).await;
+        match answer {
+            Some((404, _)) => Ok("404".into()),
+            other => Err(format!("{other:?}")),
+        }
+    }
+
+    async fn try_version(&self) -> try_site::Checked {
+        self.site.configure(&settings::configuration(7, true));
+        for front in self.fronts() {
+            let served = async || {
+                let answer = site::send(front, "/extra/a", &self.next_id(), 0).await;
+                answer.is_some_and(|(status, _)| status == 200)
+            };
+            try_site::until(served).await?;
+        }
+        self.site.configure(&settings::configuration(5, false));
+        self.serves("/extra/a").await?;
+        Ok("version 7, an older one was ignored".into())
+    }
+
+    async fn try_outage(&self) -> try_site::Checked {
+        http::lock(&self.site.store).faults.is_down = true;
+        // Longer than the hold of a key.
+        tokio::time::sleep(std::time::Duration::from_secs(4)).await;
+        let served = self.serves("/stock/a").await;
+        http::lock(&self.site.store).faults.is_down = false;
+        served.map(|()| "4 s".into())
+    }
+
+    async fn try_drain(&self) -> try_site::Checked {
+        http::lock(&self.site.workers[0]).drain();
+        let empty = async || {
+            let state = http::lock(&self.site.workers[0]);
+            state.held(self.site.clock.now()).is_empty()
+        };
+        let waited = try_site::until(empty).await?;
+        let served = async || self.serves("/stock/a").await.is_ok();
+        try_site::until(served).await?;
+        self.site.check_kept()?;
+        Ok(format!("after {} ms", waited.as_millis()))
+    }
+
+    async fn try_explain(&self) -> try_site::Checked {
+        let path = format!("{}/stock/{EXPLAINED_KEY}", questions::EXPLAIN_PATH);
+        let asked = cmd::call_host::<(), report::KeyReport>(operators(&self.site, 0), &path, None);
+        let answer = asked.await.map_err(|e| e.to_string())?;
+        let report = answer.ok_or("the host knows no such key")?;
+        let range = report.range.ok_or("nobody holds the key")?;
+        Ok(format!(
+            "{}, at {} under fence {}",
+            report.standing.as_str(),
+            range.holder.life.server,
+            range.fence
+        ))
+    }
+
+    async fn try_stop(&mut self) -> try_site::Checked {
+        let stopped = self.hosts.remove(0);
+        let fronts = self.fronts();
+        let id = self.next_id();
+        let in_flight = site::send(fronts[0], "/orders/a", &id, 0);
+        let (answer, ()) = futures_util::future::join(in_flight, stopped.stop()).await;
+        if answer.as_ref().is_none_or(|(status, _)| *status != 200) {
+            return Err(format!("the request in flight got {answer:?}"));
+        }
+        let served = async || {
+            let id = self.next_id();
+            let answered = site::send_many(&fronts[1..], "/stock/a", &id, REQUESTS).await;
+            answered == usize::from(REQUESTS)
+        };
+        try_site::until(served).await?;
+        self.site.check_kept()?;
+        Ok("its request in flight was answered".into())
+    }
+}
+
+// Where the host of a number answers operators.
+const fn operators(site: &site::PlatformSite, number: u16) -> net::SocketAddr {
+    net::SocketAddr::new(site.ip, site::METRICS_PORT + number)
+}
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -13,7 +13,7 @@
   log      serve a stand-in of the platform's log
   hosts    serve a stand-in of the platform's list of hosts
   server   serve a stand-in of a backend server
-  try      bring up a whole site and try its promises
+  try      bring up a site of each front end and try their promises
   load     send requests to entry hosts at a fixed rate
   measure  measure service in floods, ownership, and capacity
   walk     run seeded schedules of faults over a virtual world
