Split the granter, the control thread and the callers' front end by job; make families of modules folders

Change: moves only. granter: plans, orders, silence; control: store, duty, hosts; front: ends. src/grant, src/control, src/configuration and lab/src/grants are folders.

--- a/lab/src/cmd/measure.rs
+++ b/lab/src/cmd/measure.rs
@@ -9,7 +9,7 @@
 use crate::capacity;
 use crate::faults;
 use crate::flood;
-use crate::grant_spans;
+use crate::grants::spans;
 use crate::scenario;
 use crate::server_state;
 use crate::world;
@@ -199,11 +199,11 @@
 }
 
 fn measure_spans(seed: u64) {
-    for event in grant_spans::SpanEvent::ALL {
+    for event in spans::SpanEvent::ALL {
         println!(
             "event={} platform=yes seed={seed} unserved_ms={} bound_ms={}",
             event.as_str(),
-            grant_spans::measure(seed, event).as_millis(),
+            spans::measure(seed, event).as_millis(),
             event.bound().as_millis()
         );
     }
--- a/lab/src/grant_spans.rs
+++ b/lab/src/grants/spans.rs
@@ -2,7 +2,7 @@
 
 use std::time;
 
-use crate::grant_world;
+use crate::grants::world;
 
 /// How long the world runs before the event, in seconds.
 const SETTLE_S: u64 = 10;
@@ -12,7 +12,7 @@
 const OUTAGE_S: u64 = 10;
 /// How long after a server's end anyone can know of it, in milliseconds: until its entry in the store
 /// is removed.
-pub const KNOWN_MS: u64 = grant_world::ENTRY_MS;
+pub const KNOWN_MS: u64 = world::ENTRY_MS;
 
 /// What befalls the world.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -68,7 +68,7 @@
             // Nobody can claim the duty before the store is back.
             Self::LostStoreAndGranter => OUTAGE_S * 1_000 + 2_000,
             // A server lets keys go once the work on them has ended.
-            Self::DrainedServer => grant_world::MAX_WORK_MS + 100,
+            Self::DrainedServer => world::MAX_WORK_MS + 100,
             Self::EverythingAnew => 5_000,
         };
         time::Duration::from_millis(millis)
@@ -78,7 +78,7 @@
 /// Returns for how long some key was held by no server.
 #[must_use]
 pub fn measure(seed: u64, event: SpanEvent) -> time::Duration {
-    let mut world = grant_world::GrantWorld::with_calm(seed);
+    let mut world = world::GrantWorld::with_calm(seed);
     world.run(time::Duration::from_secs(SETTLE_S));
     let before = world.unheld();
     strike(&mut world, event);
@@ -86,7 +86,7 @@
     world.unheld().saturating_sub(before)
 }
 
-fn strike(world: &mut grant_world::GrantWorld, event: SpanEvent) {
+fn strike(world: &mut world::GrantWorld, event: SpanEvent) {
     match event {
         SpanEvent::LostServer => world.servers[0].alive = false,
         SpanEvent::LostGranter => world.kill_granter(),
@@ -104,7 +104,7 @@
             for server in 0..world.servers.len() {
                 world.restart_server(server);
             }
-            for host in 0..grant_world::HOSTS {
+            for host in 0..world::HOSTS {
                 world.kill_host(host);
             }
         }
--- a/lab/src/grant_world.rs
+++ b/lab/src/grants/world.rs
@@ -16,7 +16,7 @@
 use zinniastack::ownership::succession;
 use zinniastack::serving::directory;
 
-use crate::key_server;
+use crate::grants::key_server;
 
 /// The interval of a host's decisions, in milliseconds.
 pub const TICK_MS: u64 = 100;
--- a/lab/src/platform_site/worker.rs
+++ b/lab/src/platform_site/worker.rs
@@ -11,8 +11,8 @@
 use zinniastack::edge::listen;
 use zinniastack::ownership::book;
 
+use crate::grants::key_server;
 use crate::http;
-use crate::key_server;
 use crate::platform_site::store;
 
 /// How often a worker writes its entry, in milliseconds.
--- a/src/configuration.rs
+++ b/src/configuration/mod.rs
@@ -1,5 +1,7 @@
 //! The numbered configuration: what operators declare, and the checks that every host applies alike.
 
+mod check;
+
 use std::fmt;
 use std::net;
 
--- a/src/control.rs
+++ b/src/control/mod.rs
@@ -1,5 +1,8 @@
 //! All control state of one entry host: events and the time in, typed actions out.
 
+mod log;
+mod peers;
+
 use std::collections;
 use std::net;
 use std::sync;
--- /dev/null
+++ b/src/edge/router/control/hosts.rs
@@ -0,0 +1,152 @@
+//! The other entry hosts: this host's entry in the store, and the exchange of news.
+
+use std::collections;
+use std::net;
+use std::rc;
+use std::time;
+
+use crate::clock;
+use crate::clock::MonoClock as _;
+use crate::edge::router::control;
+use crate::edge::router::gossip;
+use crate::edge::router::ports;
+use crate::edge::router::store_reader;
+use crate::names;
+use crate::ownership::book;
+use crate::ownership::order;
+use crate::ownership::succession;
+use crate::serving::knowledge;
+use crate::serving::news;
+
+/// The interval between two exchanges of news with a host, in milliseconds.
+pub const GOSSIP_MS: u64 = 250;
+/// The number of hosts from which on the interval grows in proportion.
+pub const GOSSIP_HOSTS: usize = 8;
+
+impl<S, O, D> control::ControlThread<S, O, D>
+where
+    S: ports::StorePort,
+    O: ports::OrderPort,
+    D: ports::RecordDecoder,
+{
+    // Tells the other hosts of this one, and of its end.
+    pub(super) async fn register(self: rc::Rc<Self>, stopping: tokio::sync::watch::Receiver<bool>) {
+        let own = self.state.borrow().knowledge.own().clone();
+        let Some(record) = control::write_record(own.host.as_str(), &own) else {
+            return;
+        };
+        self.append_host(&record).await;
+        let mut stopping = stopping;
+        if stopping.wait_for(|stopping| *stopping).await.is_ok() {
+            self.append_host(&ports::KeyedRecord {
+                value: None,
+                ..record
+            })
+            .await;
+        }
+    }
+
+    async fn append_host(&self, record: &ports::KeyedRecord) {
+        loop {
+            let outcome = self
+                .store
+                .append(ports::StoreTopic::Hosts, record, None)
+                .await;
+            if let order::AppendOutcome::Appended { .. } = outcome {
+                return;
+            }
+            tracing::warn!(event = "store-call-failed", topic = "hosts", outcome = ?outcome);
+            tokio::time::sleep(time::Duration::from_millis(store_reader::RETRY_MS)).await;
+        }
+    }
+
+    pub(super) async fn ask_hosts(self: rc::Rc<Self>) {
+        loop {
+            let hosts = self.hosts_to_ask();
+            let stretch = u32::try_from(hosts.len() / GOSSIP_HOSTS).unwrap_or(0) + 1;
+            for (peers, host) in hosts {
+                actix::spawn(rc::Rc::clone(&self).ask_host(host, peers));
+            }
+            tokio::time::sleep(time::Duration::from_millis(GOSSIP_MS) * stretch).await;
+        }
+    }
+
+    // Each pair of hosts has one that asks; a granter also asks those that granted before.
+    fn hosts_to_ask(&self) -> collections::BTreeMap<net::SocketAddr, names::HostName> {
+        let now = self.clock.now();
+        let state = self.state.borrow();
+        let hosts = state.knowledge.hosts_to_ask().into_iter();
+        let hosts = hosts.map(|host| (host.peers, host.host));
+        let doubted = state.granter.granters_in_doubt(now).into_iter();
+        let doubted = doubted.map(|life| (life.peers, life.host));
+        hosts.chain(doubted).collect()
+    }
+
+    async fn ask_host(self: rc::Rc<Self>, host: names::HostName, peers: net::SocketAddr) {
+        let asked = self.clock.now();
+        let news = self.news_for(&host);
+        match self.gossip.exchange(peers, news).await {
+            Ok(news) => {
+                self.note_answer(&news, asked);
+                self.take_news(news);
+            }
+            Err(fault) => {
+                tracing::debug!(event = "host-unreached", host = %host, fault = %fault);
+            }
+        }
+    }
+
+    fn note_answer(&self, news: &news::HostNews, asked: clock::MonoTime) {
+        let record = &news.record;
+        let answer = succession::HostAnswer {
+            life: book::GranterLife {
+                host: record.host.clone(),
+                incarnation: record.incarnation,
+                peers: record.peers,
+            },
+            term: news.term,
+            asked,
+            uptime: time::Duration::from_millis(news.uptime_millis),
+        };
+        let now = self.clock.now();
+        self.state.borrow_mut().granter.note_answer(&answer, now);
+    }
+
+    fn news_for(&self, host: &names::HostName) -> news::HostNews {
+        let state = self.state.borrow();
+        let grants = knowledge::GrantKnowledge {
+            book: state.granter.book(),
+            end: state.granter.book_end(),
+        };
+        state.knowledge.news_for(host, &grants, self.clock.now())
+    }
+
+    fn take_news(&self, news: news::HostNews) {
+        let now = self.clock.now();
+        let mut state = self.state.borrow_mut();
+        let Some(relay) = state.knowledge.note_news(news, now) else {
+            return;
+        };
+        let changed = state.knowledge.note_relay(&relay, now);
+        let book = relay
+            .book
+            .is_some_and(|(book, end)| state.granter.note_book(Some(book), end, now));
+        drop(state);
+        if changed || book {
+            self.publish();
+        }
+    }
+
+    pub(super) async fn answer_hosts(
+        self: rc::Rc<Self>,
+        questions: tokio::sync::mpsc::UnboundedReceiver<gossip::GossipQuestion>,
+    ) {
+        let mut questions = questions;
+        while let Some(question) = questions.recv().await {
+            let host = question.news.record.host.clone();
+            self.take_news(question.news);
+            // The asking host may have given up.
+            let _ = question.reply.send(self.news_for(&host));
+        }
+    }
+}
--- a/src/edge/router/front.rs
+++ b/src/edge/router/front/mod.rs
@@ -1,5 +1,7 @@
 //! Callers' requests: from the route to the one answer.
 
+mod ends;
+
 use std::rc;
 use std::sync;
 use std::sync::atomic;
@@ -14,24 +16,17 @@
 use crate::edge::router::body;
 use crate::edge::router::exchange;
 use crate::edge::router::ports;
-use crate::edge::router::slots;
 use crate::edge::router::traffic;
-use crate::edge::router::wire;
 use crate::names;
 use crate::routing::specification;
 use crate::serving::desk;
 use crate::serving::directory;
-use crate::serving::measure;
 use crate::serving::verdict;
 
 /// Bodies up to this size are held whole, in bytes, so that they can be sent again.
 pub const HELD_BODY_BYTES: usize = 1 << 20;
-/// The shortest time after which a refused caller is told to come back, in milliseconds.
-pub const MIN_RETURN_MS: f64 = 40.0;
 /// When a caller whose request was not looked at is told to come back, in milliseconds.
 pub const EARLY_RETURN_MS: u64 = 50;
-/// The part of a caller's time left that it may be told to wait.
-pub const MAX_RETURN_PART: f64 = 0.32;
 
 // One caller's request on its way.
 struct CallerRequest<C: ports::HeaderCodec> {
@@ -63,7 +58,7 @@
     let mut response = match CallerRequest::new(thread, caller) {
         Ok(request) => request.serve(payload).await,
         Err((own, id)) => {
-            note_own(&stopping, own, id.as_deref());
+            ends::note_own(&stopping, own, id.as_deref());
             let back = (own.status() == 503).then(|| time::Duration::from_millis(EARLY_RETURN_MS));
             answer::respond(own, back)
         }
@@ -266,101 +261,6 @@
         tokio::time::timeout(left, sent).await.ok()
     }
 
-    fn pass_answer(
-        &self,
-        answer: exchange::ServerAnswer,
-        slot: slots::ServerSlot<C>,
-    ) -> actix_web::HttpResponse {
-        let status = actix_web::http::StatusCode::from_u16(answer.head.status.as_u16());
-        let status = status.unwrap_or(actix_web::http::StatusCode::BAD_GATEWAY);
-        let mut response = actix_web::HttpResponse::build(status);
-        for (name, value) in &answer.head.headers {
-            let name = name.as_str();
-            if exchange::CONNECTION_HEADERS.contains(&name) || name == "content-length" {
-                continue;
-            }
-            response.append_header((name, value.as_bytes()));
-        }
-        self.note_answered(&slot, status.as_u16());
-        let Some(rest) = answer.rest else {
-            drop(slot);
-            return response.body(answer.first);
-        };
-        let length = answer.head.headers.get(hyper::header::CONTENT_LENGTH);
-        let length = length.and_then(|value| value.to_str().ok()?.parse::<u64>().ok());
-        let parts = stream_rest(answer.first, rest, slot);
-        match length {
-            Some(length) => response.body(actix_web::body::SizedStream::new(length, parts)),
-            None => response.body(actix_web::body::BodyStream::new(parts)),
-        }
-    }
-
-    fn note_answered(&self, slot: &slots::ServerSlot<C>, status: u16) {
-        let elapsed = self.thread.parts.clock.now().since(self.arrived);
-        let failed = status >= 500;
-        let end = if failed { "failed" } else { "answered" };
-        let metrics = &self.thread.parts.metrics;
-        metrics.note_end(self.route.name.as_str(), end, elapsed.as_secs_f64());
-        if (failed || self.thread.lines.samples_answered()) && self.thread.lines.take() {
-            tracing::info!(
-                event = "request-answered",
-                id = self.facts.id.as_deref().unwrap_or(""),
-                route = %self.route.name,
-                service = %self.service,
-                key = self.key,
-                version = self.version,
-                server = %slot.record.life.server,
-                status,
-                after_ms = elapsed.as_millis()
-            );
-        }
-    }
-
-    fn answer_end(
-        &self,
-        action: Option<verdict::DeliveryAction>,
-        refused: answer::OwnAnswer,
-        record: Option<&directory::ServerRecord>,
-    ) -> actix_web::HttpResponse {
-        let own = match action {
-            Some(verdict::DeliveryAction::Refuse) => refused,
-            Some(verdict::DeliveryAction::TellTimeout) => answer::OwnAnswer::Timeout,
-            _ => answer::OwnAnswer::Broken,
-        };
-        self.answer_own(own, record)
-    }
-
-    fn answer_own(
-        &self,
-        own: answer::OwnAnswer,
-        record: Option<&directory::ServerRecord>,
-    ) -> actix_web::HttpResponse {
-        let now = self.thread.parts.clock.now();
-        let elapsed = now.since(self.arrived);
-        let route = self.route.name.as_str();
-        self.thread
-            .parts
-            .metrics
-            .note_end(route, own.as_str(), elapsed.as_secs_f64());
-        if self.thread.lines.take() {
-            tracing::info!(
-                event = "request-ended",
-                id = self.facts.id.as_deref().unwrap_or(""),
-                route,
-                service = %self.service,
-                key = self.key,
-                version = self.version,
-                term = self.thread.parts.view.load().book.term,
-                status = own.status(),
-                cause = own.as_str(),
-                server = record.map_or("", |record| record.life.server.as_str()),
-                after_ms = elapsed.as_millis()
-            );
-        }
-        let back = (own.status() == 503).then(|| self.return_after(now));
-        answer::respond(own, back)
-    }
-
     // Every request counts as work of its key, served or not, by the mean time of the service's
     // servers: so the work does not depend on which server holds the key.
     fn note_work(&self) {
@@ -371,84 +271,6 @@
         let place = (self.service.clone(), key);
         *self.thread.heat.borrow_mut().entry(place).or_default() += service_ms;
     }
-
-    // When a refused caller may come back: when room is likely, spread out, and in time.
-    fn return_after(&self, now: clock::MonoTime) -> time::Duration {
-        let patience = self.facts.patience.unwrap_or(self.route.timeout);
-        let left = (self.arrived + patience).since(now).as_secs_f64() * 1_000.0;
-        let wish = self.wish(false, None, 0);
-        let wait = self.thread.desk.borrow().expected_wait(&wish, now);
-        let wait = wait.as_secs_f64() * 1_000.0 + MIN_RETURN_MS;
-        let spread = wait * rand::random_range(0.8..1.6);
-        let most = (left * MAX_RETURN_PART).max(0.0);
-        time::Duration::from_secs_f64(spread.min(most * rand::random_range(0.7..1.0)) / 1_000.0)
-    }
-
-    fn note_attempt(
-        &self,
-        record: &directory::ServerRecord,
-        end: &exchange::AttemptEnd,
-        action: Option<verdict::DeliveryAction>,
-    ) {
-        if !self.thread.lines.take() {
-            return;
-        }
-        tracing::info!(
-            event = "attempt-ended",
-            id = self.facts.id.as_deref().unwrap_or(""),
-            route = %self.route.name,
-            server = %record.life.server,
-            key = self.key,
-            then = ?action,
-            fault = end.fault()
-        );
-    }
-}
-
-fn note_own<C: ports::HeaderCodec>(
-    thread: &traffic::TrafficThread<C>,
-    own: answer::OwnAnswer,
-    id: Option<&str>,
-) {
-    thread.parts.metrics.note_end("", own.as_str(), 0.0);
-    if thread.lines.take() {
-        let id = id.unwrap_or("");
-        tracing::info!(
-            event = "request-ended",
-            id,
-            status = own.status(),
-            cause = own.as_str()
-        );
-    }
-}
-
-type BodyPart = Result<bytes::Bytes, std::io::Error>;
-
-// Passes the rest of an answer on as it comes; the slot ends with it.
-fn stream_rest<C: ports::HeaderCodec>(
-    first: bytes::Bytes,
-    rest: wire::WireRest,
-    slot: slots::ServerSlot<C>,
-) -> impl futures_util::Stream<Item = BodyPart> {
-    let head = futures_util::stream::once(async move { Ok(first) });
-    let state = Some((rest, slot));
-    let tail = futures_util::stream::unfold(state, |state| async move {
-        let (mut rest, mut slot) = state?;
-        match rest.next_part().await {
-            Ok(Some(part)) => Some((Ok(part), Some((rest, slot)))),
-            Ok(None) => {
-                slot.end = measure::ExchangeEnd::Answered;
-                slot.thread.client.keep(rest);
-                None
-            }
-            Err(fault) => {
-                tracing::info!(event = "answer-cut", fault = %fault);
-                slot.end = measure::ExchangeEnd::Broken;
-                Some((Err(std::io::Error::other(fault.to_string())), None))
-            }
-        }
-    });
-    head.chain(tail)
 }
 
 fn host_of(caller: &actix_web::HttpRequest) -> Option<String> {
--- a/src/grant.rs
+++ b/src/grant/mod.rs
@@ -4,6 +4,10 @@
 //! owner's lease has lapsed for certain. For unchecked servers, which may run what a stale host
 //! sends, the table leases and the longest deadline must have passed as well.
 
+mod moves;
+mod orders;
+mod reports;
+
 use std::collections;
 use std::sync;
 
@@ -73,7 +77,7 @@
     type Event = GrantEvent;
     type Guard = chart::NoGuard;
     type Action = GrantAction;
-    const SOURCE: &'static str = include_str!("../charts/grant.toml");
+    const SOURCE: &'static str = include_str!("../../charts/grant.toml");
 }
 
 /// The charts that a granter works by.
--- a/tests/spans.rs
+++ b/tests/spans.rs
@@ -1,13 +1,13 @@
 //! For how long keys are without a holder after one event, against the aims, on virtual time.
 
-use zinnia_lab::grant_spans;
+use zinnia_lab::grants::spans;
 
 /// How many seeds each event is measured with.
 const SEEDS: u64 = 20;
 
-fn expect_within(event: grant_spans::SpanEvent) {
+fn expect_within(event: spans::SpanEvent) {
     for seed in 1..=SEEDS {
-        let span = grant_spans::measure(seed, event);
+        let span = spans::measure(seed, event);
         assert!(span <= event.bound(), "seed {seed}: {span:?}");
     }
 }
@@ -22,11 +22,11 @@
 }
 
 span_cases! {
-    loses_a_server: grant_spans::SpanEvent::LostServer;
-    loses_the_granter: grant_spans::SpanEvent::LostGranter;
-    loses_a_server_and_the_granter: grant_spans::SpanEvent::LostServerAndGranter;
-    loses_the_store: grant_spans::SpanEvent::LostStore;
-    loses_the_store_and_the_granter: grant_spans::SpanEvent::LostStoreAndGranter;
-    drains_a_server: grant_spans::SpanEvent::DrainedServer;
-    starts_everything_anew: grant_spans::SpanEvent::EverythingAnew;
+    loses_a_server: spans::SpanEvent::LostServer;
+    loses_the_granter: spans::SpanEvent::LostGranter;
+    loses_a_server_and_the_granter: spans::SpanEvent::LostServerAndGranter;
+    loses_the_store: spans::SpanEvent::LostStore;
+    loses_the_store_and_the_granter: spans::SpanEvent::LostStoreAndGranter;
+    drains_a_server: spans::SpanEvent::DrainedServer;
+    starts_everything_anew: spans::SpanEvent::EverythingAnew;
 }
