--- a/lab/src/flood.rs
+++ b/lab/src/flood/mod.rs
@@ -1,6 +1,8 @@
 //! A flood on virtual time: the real queues, limits and flows of several hosts before small fakes of
 //! servers that have slots and shed.
 
+mod course;
+
 use std::collections;
 use std::sync;
 use std::time;
@@ -12,7 +14,6 @@
 use zinniastack::clock;
 use zinniastack::configuration;
 use zinniastack::flow;
-use zinniastack::limit;
 use zinniastack::outcome;
 use zinniastack::queue;
 
@@ -390,162 +391,6 @@
         })
     }
 
-    fn enqueue(&mut self, id: usize, again: bool) {
-        let position = self.position(id);
-        let request = &self.requests[id];
-        let number = u8::try_from(request.rank + 1).unwrap_or(u8::MAX);
-        let Ok(rank) = configuration::WorkRank::new(number) else {
-            return;
-        };
-        let waiting = queue::WaitingRequest {
-            ticket: id,
-            rank,
-            arrived: request.arrived,
-            deadline: request.deadline,
-        };
-        let queue = &mut self.queues[position];
-        let pushed = if again {
-            queue.push_again(waiting, self.now)
-        } else {
-            queue.push(waiting, self.now)
-        };
-        if let Err(dropped) = pushed {
-            self.refuse(dropped.ticket, dropped.reason);
-        }
-        self.pump(position);
-    }
-
-    fn refuse(&mut self, id: usize, reason: outcome::RefusalReason) {
-        let facts = flow::RequestFacts::default();
-        let request = &mut self.requests[id];
-        request.flow.handle(flow::RequestEvent::QueueRefused, facts);
-        request.closed = true;
-        let told_not_run = request.flow.outcome() == outcome::RequestOutcome::NotRun;
-        let (phase, rank, ran) = (request.phase, request.rank, request.runs > 0);
-        let arrived = request.arrived;
-        self.note_missed(phase, arrived);
-        if told_not_run && ran {
-            self.report.not_run_but_ran += 1;
-        }
-        *self.tally(phase, rank).refused.entry(reason).or_default() += 1;
-    }
-
-    fn pump(&mut self, position: usize) {
-        let result = self.queues[position].pump(self.now);
-        for dropped in result.dropped {
-            self.refuse(dropped.ticket, dropped.reason);
-        }
-        for id in result.permitted {
-            let facts = flow::RequestFacts::default();
-            let request = &mut self.requests[id];
-            request.flow.handle(flow::RequestEvent::Permitted, facts);
-            request.sent_at = self.now;
-            if request.flow.retries() == 0 {
-                self.report.sent += 1;
-            } else {
-                self.report.repeated += 1;
-            }
-            let hop = self.hop_to_server();
-            self.push(FloodEvent::AtServer(id), hop);
-        }
-    }
-
-    fn at_server(&mut self, id: usize) {
-        let server = self.requests[id].server;
-        let full = self.servers[server].running >= self.site.slots;
-        if !full {
-            self.start(id);
-        } else if self.policy == queue::QueuePolicy::FirstInFirstOut {
-            self.servers[server].backlog.push_back(id);
-        } else {
-            let hop = self.hop_to_server();
-            self.push(FloodEvent::Shed(id), hop);
-        }
-    }
-
-    fn start(&mut self, id: usize) {
-        let server = self.requests[id].server;
-        self.servers[server].running += 1;
-        self.requests[id].runs += 1;
-        if self.requests[id].runs > 1 {
-            self.report.doubled += 1;
-        }
-        let spread = self.generator.random_range(0.5..1.5);
-        let mean = time::Duration::from_micros(self.site.service_us);
-        self.push(FloodEvent::Served(id), mean.mul_f64(spread));
-    }
-
-    fn served(&mut self, id: usize) {
-        let server = self.requests[id].server;
-        self.servers[server].running -= 1;
-        *self.report.finished.entry(self.phase()).or_default() += 1;
-        if let Some(next) = self.servers[server].backlog.pop_front() {
-            self.start(next);
-        }
-        let hop = self.hop_to_server();
-        self.push(FloodEvent::Answered(id), hop);
-    }
-
-    fn answered(&mut self, id: usize) {
-        let facts = flow::RequestFacts::default();
-        let position = self.position(id);
-        let now = self.now;
-        let request = &mut self.requests[id];
-        request
-            .flow
-            .handle(flow::RequestEvent::AnsweredWhole, facts);
-        request.closed = true;
-        let elapsed = now.since(request.sent_at);
-        let (host, server) = (request.host, request.server);
-        let back = now + self.hop_to_gate(host, server);
-        let request = &self.requests[id];
-        let total = back.since(request.arrived);
-        let on_time = back <= request.deadline;
-        let (phase, rank, arrived) = (request.phase, request.rank, request.arrived);
-        let tally = self.tally(phase, rank);
-        if on_time {
-            tally.on_time += 1;
-            let micros = u64::try_from(total.as_micros()).unwrap_or(u64::MAX);
-            tally.times_us.push(micros);
-        } else {
-            tally.late += 1;
-        }
-        if !on_time {
-            self.note_missed(phase, arrived);
-        }
-        self.queues[position].finish(limit::LimitSignal::Answered, elapsed);
-        self.pump(position);
-    }
-
-    // Recovery is the latest arrival after a flood's end that was not answered in time.
-    fn note_missed(&mut self, phase: FloodPhase, arrived: clock::MonoTime) {
-        if matches!(phase, FloodPhase::AfterLow | FloodPhase::AfterHigh) {
-            let since = arrived.as_millis() % self.phase_ms;
-            let recovery = self.report.recovery_ms.entry(phase).or_default();
-            *recovery = since.max(*recovery);
-        }
-    }
-
-    fn shed(&mut self, id: usize) {
-        let position = self.position(id);
-        let facts = flow::RequestFacts {
-            no_time_left: self.now >= self.requests[id].deadline,
-            ..flow::RequestFacts::default()
-        };
-        let elapsed = self.now.since(self.requests[id].sent_at);
-        let request = &mut self.requests[id];
-        let actions = request
-            .flow
-            .handle(flow::RequestEvent::RefusedNotRun, facts);
-        self.queues[position].finish(limit::LimitSignal::Overloaded, elapsed);
-        if actions.contains(&flow::RequestAction::EnqueueAgain) {
-            self.enqueue(id, true);
-        } else {
-            self.refuse(id, outcome::RefusalReason::ServerShed);
-        }
-        self.pump(position);
-    }
-
     // What is open at the end counts as late if its deadline has passed, else not at all.
     fn close(&mut self) {
         let now = self.now;
--- /dev/null
+++ b/lab/src/grants/world/checks.rs
@@ -0,0 +1,78 @@
+//! What every step of the world is checked for, and how it is described.
+
+use crate::grants::key_server;
+use crate::grants::world;
+use zinniastack::clock;
+use zinniastack::ownership::book;
+
+impl world::GrantWorld {
+    /// Reports whether every key is held.
+    #[must_use]
+    pub fn is_covered(&self) -> bool {
+        let mut held: Vec<_> = self
+            .servers
+            .iter()
+            .filter(|server| server.alive)
+            .flat_map(|server| server.server.held(self.now))
+            .map(|held| (held.first, held.last))
+            .collect();
+        held.sort_unstable();
+        let mut next = 0_u32;
+        for (first, last) in held {
+            if u32::from(first) > next {
+                return false;
+            }
+            next = next.max(u32::from(last) + 1);
+        }
+        next > u32::from(book::MAX_KEY)
+    }
+
+    /// Describes servers and hosts, for a failed case.
+    #[must_use]
+    pub fn describe(&self) -> String {
+        let servers = self.servers.iter().map(|server| {
+            let held: Vec<_> = server.server.held(self.now).collect();
+            format!(
+                "{:?} alive={} held={held:?}",
+                server.server.life, server.alive
+            )
+        });
+        let hosts = self.hosts.iter().map(|host| {
+            let granting = host.granter.is_granting();
+            let (end, frozen) = (host.granter.book_end(), host.frozen_until);
+            format!("granting={granting} end={end} frozen-until={frozen:?}")
+        });
+        let book = format!("{:?}", self.log.last());
+        let lines: Vec<_> = servers.chain(hosts).chain([book]).collect();
+        lines.join("\n")
+    }
+
+    pub(super) fn note_unheld(&mut self, until: clock::MonoTime) {
+        if !self.is_covered() {
+            self.unheld += until.since(self.now);
+        }
+    }
+
+    // No key is held by two servers that are up.
+    pub(super) fn check(&mut self) {
+        let now = self.now;
+        let alive: Vec<_> = self.servers.iter().filter(|server| server.alive).collect();
+        let mut found = None;
+        for (index, one) in alive.iter().enumerate() {
+            for other in &alive[index + 1..] {
+                for held in one.server.held(now) {
+                    let both = other.server.held(now);
+                    let both = both
+                        .filter(|h| key_server::overlaps(h.first, h.last, held.first, held.last));
+                    for second in both {
+                        found = Some(format!(
+                            "{now:?}: {:?} holds {held:?}, {:?} holds {second:?}",
+                            one.server.life, other.server.life
+                        ));
+                    }
+                }
+            }
+        }
+        self.violations.extend(found);
+    }
+}
--- /dev/null
+++ b/lab/src/grants/world/log.rs
@@ -0,0 +1,185 @@
+//! The store of the world: appends, reads, entries and the group of hosts.
+
+use crate::grants::world;
+use rand::RngExt as _;
+use std::time;
+use zinniastack::clock;
+use zinniastack::ownership::book;
+use zinniastack::ownership::order;
+use zinniastack::serving::directory;
+
+impl world::GrantWorld {
+    pub(super) fn send_append(&mut self, host: usize, book: book::GrantBook, at: u64) {
+        let life = self.hosts[host].life;
+        let sent = self.clock_of(host);
+        if self.flaw == world::GrantFlaw::OrderBeforeAppend {
+            let outcome = order::AppendOutcome::Appended { end: at + 1 };
+            self.push(
+                0,
+                world::WorldEvent::Appended {
+                    host,
+                    life,
+                    outcome,
+                    sent,
+                },
+            );
+        }
+        if !self.store_serves(host) {
+            let outcome = order::AppendOutcome::Refused;
+            self.push(
+                5,
+                world::WorldEvent::Appended {
+                    host,
+                    life,
+                    outcome,
+                    sent,
+                },
+            );
+            return;
+        }
+        let lossy = self.now < self.lossy_until;
+        let lost = lossy && self.chance(3);
+        let slow = if lost && self.chance(2) {
+            self.random.random_range(100..4_000)
+        } else {
+            0
+        };
+        let delay = self.delay() + slow;
+        self.push(
+            delay,
+            world::WorldEvent::Append {
+                host,
+                life,
+                book,
+                at,
+                sent,
+                lost,
+            },
+        );
+    }
+
+    pub(super) fn append(
+        &mut self,
+        host: usize,
+        life: u64,
+        book: book::GrantBook,
+        at: u64,
+        sent: clock::MonoTime,
+        lost: bool,
+    ) {
+        let end = u64::try_from(self.log.len()).unwrap_or(u64::MAX);
+        let outcome = if at == end {
+            self.log.push(book);
+            order::AppendOutcome::Appended { end: end + 1 }
+        } else {
+            order::AppendOutcome::Conflict
+        };
+        let outcome = if lost {
+            order::AppendOutcome::Unknown
+        } else {
+            outcome
+        };
+        let delay = if lost { 1_500 } else { self.delay() };
+        self.push(
+            delay,
+            world::WorldEvent::Appended {
+                host,
+                life,
+                outcome,
+                sent,
+            },
+        );
+    }
+
+    pub(super) fn read(&mut self, host: usize) {
+        self.push(world::READ_MS, world::WorldEvent::Read(host));
+        let now = self.clock_of(host);
+        if !self.store_serves(host) {
+            self.hosts[host].directory.note_store_lost(now);
+            return;
+        }
+        let records = self.entries();
+        let end = u64::try_from(self.log.len()).unwrap_or(u64::MAX);
+        let unread = self.flaw == world::GrantFlaw::UnreadClaim && self.chance(3);
+        let newest = if unread {
+            self.log.first().cloned()
+        } else {
+            self.log.last().cloned()
+        };
+        let forgets = self.flaw == world::GrantFlaw::RepeatedFence && self.hosts[host].life > 1;
+        let newest = newest.map(|book| book::GrantBook {
+            next_fence: if forgets { 1 } else { book.next_fence },
+            ..book
+        });
+        let state = &mut self.hosts[host];
+        state.directory.replace(records, now);
+        let known = state.granter.book_end() == end && end > 0;
+        if known || end == 0 {
+            state.granter.note_confirmed(now);
+        }
+        state.granter.note_book(newest, end, now);
+    }
+
+    fn entries(&self) -> Vec<directory::ServerRecord> {
+        let there = self.servers.iter().filter(|server| {
+            let entry = time::Duration::from_millis(world::ENTRY_MS);
+            server.beat.is_some_and(|beat| self.now.since(beat) < entry)
+        });
+        there.map(|server| self.record_of(server)).collect()
+    }
+
+    fn record_of(&self, server: &world::WorldServer) -> directory::ServerRecord {
+        let mut life = server.server.life.clone();
+        if self.flaw == world::GrantFlaw::LapsedIsDead && server.cut_from_store {
+            life.born += 1_000;
+        }
+        directory::ServerRecord {
+            life,
+            service: world::service(),
+            address: server.address,
+            domain: world::name("north"),
+            slots: 4,
+            state: if server.draining {
+                directory::ServerState::Draining
+            } else {
+                directory::ServerState::Ready
+            },
+            sequence: server.sequence,
+        }
+    }
+
+    pub(super) fn join(&mut self, host: usize) {
+        self.push(world::JOIN_MS, world::WorldEvent::Join(host));
+        if !self.store_serves(host) {
+            self.hosts[host].granter.note_candidate(false);
+            return;
+        }
+        self.members.insert(host, self.now);
+        let ttl = time::Duration::from_millis(world::JOIN_TTL_MS);
+        let now = self.now;
+        self.members.retain(|_, joined| now.since(*joined) < ttl);
+        if !self
+            .owner
+            .is_some_and(|owner| self.members.contains_key(&owner))
+        {
+            self.owner = self.members.keys().next().copied();
+        }
+        let candidate = self.owner == Some(host);
+        self.hosts[host].granter.note_candidate(candidate);
+    }
+
+    pub(super) fn beat(&mut self, index: usize) {
+        self.push(870, world::WorldEvent::Beat(index));
+        let down = self.now < self.store_down_until;
+        let now = self.now;
+        let server = &mut self.servers[index];
+        if server.alive && !server.cut_from_store && !down {
+            server.beat = Some(now);
+            server.sequence += 1;
+        }
+    }
+
+    pub(super) fn store_serves(&self, host: usize) -> bool {
+        self.now >= self.store_down_until && !self.hosts[host].cut_from_store
+    }
+}
--- /dev/null
+++ b/lab/src/grants/world/mod.rs
@@ -0,0 +1,487 @@
+//! Granting on the users' platform, on virtual time: hosts with the real decisions, a store with
+//! conditional appends and a group, servers that hold keys, and faults. Every step is checked.
+
+mod checks;
+mod event;
+mod log;
+mod orders;
+
+use std::collections;
+use std::net;
+use std::time;
+
+use rand::RngExt as _;
+use rand::SeedableRng as _;
+use zinniastack::clock;
+use zinniastack::names;
+use zinniastack::ownership::book;
+use zinniastack::ownership::granter;
+use zinniastack::ownership::order;
+use zinniastack::ownership::succession;
+use zinniastack::serving::directory;
+
+use crate::grants::key_server;
+
+pub(crate) use crate::grants::world::event::OrderFate;
+pub(crate) use crate::grants::world::event::QueuedEvent;
+pub(crate) use crate::grants::world::event::WorldEvent;
+
+/// The interval of a host's decisions, in milliseconds.
+pub const TICK_MS: u64 = 100;
+/// The interval of a host's reads of the store, in milliseconds.
+pub const READ_MS: u64 = 200;
+/// The interval of a host's joins, in milliseconds.
+pub const JOIN_MS: u64 = 400;
+/// The interval of a granter's questions to former granters, in milliseconds.
+pub const ASK_MS: u64 = 250;
+/// How long a join lasts, in milliseconds.
+pub const JOIN_TTL_MS: u64 = 1_200;
+/// After how long without a sign a server's entry goes, in milliseconds.
+pub const ENTRY_MS: u64 = 2_600;
+/// The longest work on a key that a release waits for, in milliseconds.
+pub const MAX_WORK_MS: u64 = 400;
+/// How much slower than it should a server's clock may run, in percent.
+pub const SLOW_PERCENT: u32 = 2;
+
+/// A deliberate flaw, which the checker must find.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum GrantFlaw {
+    /// None.
+    None,
+    /// A lapse counts from the sending of the last order.
+    LapseFromSending,
+    /// The hosts' clocks stop while they are frozen.
+    SteadyClock,
+    /// A granter orders after its right to renew has ended.
+    EndlessRight,
+    /// Orders go out before the append that they rest on.
+    OrderBeforeAppend,
+    /// A successor claims without having read the newest book.
+    UnreadClaim,
+    /// Fences begin anew with each claim.
+    RepeatedFence,
+    /// A server whose entry lapsed is taken for ended.
+    LapsedIsDead,
+    /// A former granter's host that answers is taken for its end.
+    AnswerIsEnd,
+}
+
+pub(crate) struct WorldHost {
+    pub(crate) life: u64,
+    pub(crate) started: clock::MonoTime,
+    pub(crate) granter: granter::KeyGranter,
+    pub(crate) directory: directory::ServerDirectory,
+    pub(crate) frozen_until: clock::MonoTime,
+    pub(crate) frozen_for: time::Duration,
+    pub(crate) cut_from_store: bool,
+    pub(crate) cut_from: collections::BTreeSet<usize>,
+    // Servers to which it keeps a connection.
+    connected: collections::BTreeSet<usize>,
+    pub(crate) delayed: Vec<WorldEvent>,
+}
+
+pub(crate) struct WorldServer {
+    pub(crate) server: key_server::KeyServer,
+    pub(crate) address: net::SocketAddr,
+    pub(crate) alive: bool,
+    pub(crate) draining: bool,
+    pub(crate) cut_from_store: bool,
+    pub(crate) beat: Option<clock::MonoTime>,
+    pub(crate) sequence: u64,
+}
+
+/// The virtual world.
+pub struct GrantWorld {
+    pub(crate) now: clock::MonoTime,
+    pub(crate) random: rand::rngs::StdRng,
+    pub(crate) flaw: GrantFlaw,
+    pub(crate) number: u64,
+    pub(crate) queue: collections::BinaryHeap<QueuedEvent>,
+    pub(crate) hosts: Vec<WorldHost>,
+    pub(crate) servers: Vec<WorldServer>,
+    pub(crate) log: Vec<book::GrantBook>,
+    pub(crate) store_down_until: clock::MonoTime,
+    pub(crate) lossy_until: clock::MonoTime,
+    pub(crate) members: collections::BTreeMap<usize, clock::MonoTime>,
+    pub(crate) owner: Option<usize>,
+    pub(crate) granted: Vec<(u16, u16, u64, book::ServerLife)>,
+    pub(crate) violations: Vec<String>,
+    pub(crate) faults: u32,
+    // Whether messages are held up and lost now and then.
+    calm: bool,
+    pub(crate) unheld: time::Duration,
+}
+
+pub(crate) const HOSTS: usize = 4;
+const SERVERS: usize = 5;
+
+fn name<T: std::str::FromStr>(text: &str) -> T {
+    text.parse()
+        .unwrap_or_else(|_| unreachable!("'{text}' is a name"))
+}
+
+fn service() -> names::ServiceName {
+    name("stock")
+}
+
+fn address(index: usize) -> net::SocketAddr {
+    let port = 8_000 + u16::try_from(index).unwrap_or(0);
+    net::SocketAddr::from(([10, 0, 0, 1], port))
+}
+
+impl GrantWorld {
+    /// Creates a world that starts now, with `faults` faults to come.
+    #[must_use]
+    pub fn new(seed: u64, faults: u32, flaw: GrantFlaw) -> Self {
+        let mut world = Self {
+            now: clock::MonoTime::from_millis(1_000),
+            random: rand::rngs::StdRng::seed_from_u64(seed),
+            flaw,
+            number: 0,
+            queue: collections::BinaryHeap::new(),
+            hosts: Vec::new(),
+            servers: Vec::new(),
+            log: Vec::new(),
+            store_down_until: clock::MonoTime::from_micros(0),
+            lossy_until: clock::MonoTime::from_micros(0),
+            members: collections::BTreeMap::new(),
+            owner: None,
+            granted: Vec::new(),
+            violations: Vec::new(),
+            faults,
+            calm: false,
+            unheld: time::Duration::ZERO,
+        };
+        for index in 0..SERVERS {
+            world.add_server(index, 1);
+        }
+        for host in 0..HOSTS {
+            let created = Self::new_host(host, 1);
+            world.hosts.push(created);
+            world.schedule_host(host);
+        }
+        world.push(2_000, WorldEvent::Fault);
+        world
+    }
+
+    /// Creates a world without faults in which no message is held up or lost.
+    #[must_use]
+    pub fn with_calm(seed: u64) -> Self {
+        Self {
+            calm: true,
+            ..Self::new(seed, 0, GrantFlaw::None)
+        }
+    }
+
+    /// Runs for `span`.
+    pub fn run(&mut self, span: time::Duration) {
+        let end = self.now + span;
+        while self.violations.is_empty() {
+            let due = self.queue.peek().is_some_and(|next| next.at <= end);
+            let Some(next) = due.then(|| self.queue.pop()).flatten() else {
+                break;
+            };
+            self.note_unheld(next.at);
+            self.now = next.at;
+            self.handle(next.event);
+            self.check();
+        }
+        self.now = end;
+    }
+
+    /// Returns what went wrong.
+    #[must_use]
+    pub fn violations(&self) -> &[String] {
+        &self.violations
+    }
+
+    /// Returns for how long some key was held by no server.
+    #[must_use]
+    pub const fn unheld(&self) -> time::Duration {
+        self.unheld
+    }
+
+    fn granter_life(host: usize, life: u64) -> book::GranterLife {
+        let port = 7_200 + u16::try_from(host).unwrap_or(0);
+        book::GranterLife {
+            host: name(&format!("h{host}")),
+            incarnation: life,
+            peers: net::SocketAddr::from(([10, 0, 0, 1], port)),
+        }
+    }
+
+    pub(crate) fn new_host(host: usize, life: u64) -> WorldHost {
+        let own = Self::granter_life(host, life);
+        let hold = time::Duration::from_secs(10);
+        let created = granter::KeyGranter::new(own, hold);
+        WorldHost {
+            life,
+            started: clock::MonoTime::from_micros(0),
+            granter: created.unwrap_or_else(|fault| unreachable!("{fault}")),
+            directory: directory::ServerDirectory::new(),
+            frozen_until: clock::MonoTime::from_micros(0),
+            frozen_for: time::Duration::ZERO,
+            cut_from_store: false,
+            cut_from: collections::BTreeSet::new(),
+            connected: collections::BTreeSet::new(),
+            delayed: Vec::new(),
+        }
+    }
+
+    fn schedule_host(&mut self, host: usize) {
+        let spread = u64::try_from(host).unwrap_or(0) * 7;
+        self.push(spread + 1, WorldEvent::Read(host));
+        self.push(spread + 50, WorldEvent::Join(host));
+        self.push(spread + TICK_MS, WorldEvent::Tick(host));
+        self.push(spread + ASK_MS, WorldEvent::Ask(host));
+    }
+
+    pub(crate) fn add_server(&mut self, index: usize, born: u64) {
+        let life = book::ServerLife {
+            server: name(&format!("s{index}")),
+            born,
+        };
+        let server = WorldServer {
+            server: key_server::KeyServer::new(life, SLOW_PERCENT),
+            address: address(index),
+            alive: true,
+            draining: false,
+            cut_from_store: false,
+            beat: None,
+            sequence: 0,
+        };
+        if index < self.servers.len() {
+            self.servers[index] = server;
+        } else {
+            self.servers.push(server);
+            self.push(1, WorldEvent::Beat(index));
+        }
+    }
+
+    pub(crate) fn push(&mut self, after_ms: u64, event: WorldEvent) {
+        let at = self.now + time::Duration::from_millis(after_ms);
+        self.push_at(at, event);
+    }
+
+    fn push_at(&mut self, at: clock::MonoTime, event: WorldEvent) {
+        self.number += 1;
+        let number = self.number;
+        self.queue.push(QueuedEvent { at, number, event });
+    }
+
+    pub(crate) fn chance(&mut self, one_in: u32) -> bool {
+        self.random.random_ratio(1, one_in)
+    }
+
+    fn delay(&mut self) -> u64 {
+        self.random.random_range(1..6)
+    }
+
+    // The time by a host's own clock.
+    fn clock_of(&self, host: usize) -> clock::MonoTime {
+        if self.flaw == GrantFlaw::SteadyClock {
+            return self.now.back(self.hosts[host].frozen_for);
+        }
+        self.now
+    }
+
+    fn host_of(event: &WorldEvent) -> Option<(usize, Option<u64>)> {
+        match event {
+            WorldEvent::Tick(host)
+            | WorldEvent::Read(host)
+            | WorldEvent::Join(host)
+            | WorldEvent::Ask(host)
+            | WorldEvent::Question { host, .. } => Some((*host, None)),
+            WorldEvent::Appended { host, life, .. }
+            | WorldEvent::Granted { host, life, .. }
+            | WorldEvent::Answer { host, life, .. }
+            | WorldEvent::Released { host, life, .. } => Some((*host, Some(*life))),
+            _ => None,
+        }
+    }
+
+    fn handle(&mut self, event: WorldEvent) {
+        if let Some((host, life)) = Self::host_of(&event) {
+            if life.is_some_and(|life| life != self.hosts[host].life) {
+                return;
+            }
+            if self.now < self.hosts[host].frozen_until {
+                self.hosts[host].delayed.push(event);
+                return;
+            }
+        }
+        match event {
+            WorldEvent::Tick(host) => self.tick(host),
+            WorldEvent::Read(host) => self.read(host),
+            WorldEvent::Join(host) => self.join(host),
+            WorldEvent::Beat(server) => self.beat(server),
+            WorldEvent::Thaw(host) => self.thaw(host),
+            WorldEvent::Append {
+                host,
+                life,
+                book,
+                at,
+                sent,
+                lost,
+            } => {
+                self.append(host, life, book, at, sent, lost);
+            }
+            WorldEvent::Appended {
+                host,
+                outcome,
+                sent,
+                ..
+            } => {
+                let now = self.clock_of(host);
+                self.hosts[host].granter.note_appended(outcome, sent, now);
+                self.decide(host);
+            }
+            WorldEvent::Grant {
+                host,
+                life,
+                order,
+                fate,
+                arrived,
+            } => {
+                self.grant(host, life, order, fate, arrived);
+            }
+            WorldEvent::Granted {
+                host,
+                order,
+                outcome,
+                ..
+            } => {
+                let now = self.clock_of(host);
+                if outcome == order::OrderOutcome::Done(None) {
+                    let server = self.server_of(&order.address);
+                    self.hosts[host].connected.insert(server);
+                }
+                let news = self.hosts[host].granter.note_granted(&order, &outcome, now);
+                if news {
+                    self.decide(host);
+                }
+            }
+            WorldEvent::Release { host, life, order } => self.release(host, life, order),
+            WorldEvent::Released {
+                host,
+                order,
+                outcome,
+                ..
+            } => {
+                let now = self.clock_of(host);
+                self.hosts[host]
+                    .granter
+                    .note_released(&order, &outcome, now);
+                self.decide(host);
+            }
+            WorldEvent::Ask(host) => self.ask(host),
+            WorldEvent::Question {
+                host,
+                from,
+                from_life,
+                asked,
+            } => self.answer(host, from, from_life, asked),
+            WorldEvent::Answer { host, answer, .. } => {
+                let now = self.clock_of(host);
+                self.hosts[host].granter.note_answer(&answer, now);
+            }
+            WorldEvent::Fault => self.strike(),
+        }
+    }
+
+    // A granter asks the hosts of those that granted before. Hosts reach each other always here.
+    fn ask(&mut self, host: usize) {
+        self.push(ASK_MS, WorldEvent::Ask(host));
+        let asked = self.clock_of(host);
+        let from_life = self.hosts[host].life;
+        for former in self.hosts[host].granter.granters_in_doubt(asked) {
+            let delay = self.delay();
+            let position = (0..HOSTS).find(|h| Self::granter_life(*h, 0).host == former.host);
+            let question = WorldEvent::Question {
+                host: position.unwrap_or(host),
+                from: host,
+                from_life,
+                asked,
+            };
+            self.push(delay, question);
+        }
+    }
+
+    fn answer(&mut self, host: usize, from: usize, from_life: u64, asked: clock::MonoTime) {
+        let mut life = Self::granter_life(host, self.hosts[host].life);
+        if self.flaw == GrantFlaw::AnswerIsEnd {
+            life.incarnation += 1_000;
+        }
+        let answer = succession::HostAnswer {
+            life,
+            term: self.hosts[host].granter.book().term,
+            asked,
+            uptime: self.now.since(self.hosts[host].started),
+        };
+        let delay = self.delay();
+        let answer = WorldEvent::Answer {
+            host: from,
+            life: from_life,
+            answer,
+        };
+        self.push(delay, answer);
+    }
+
+    fn thaw(&mut self, host: usize) {
+        let delayed = std::mem::take(&mut self.hosts[host].delayed);
+        for event in delayed {
+            // What waited for the process is found in any order.
+            let after = self.random.random_range(0..5);
+            self.push(after, event);
+        }
+    }
+
+    fn tick(&mut self, host: usize) {
+        self.push(TICK_MS, WorldEvent::Tick(host));
+        let now = self.clock_of(host);
+        if self.flaw == GrantFlaw::EndlessRight {
+            self.hosts[host].granter.note_confirmed(now);
+        }
+        self.hosts[host].directory.expire(now);
+        self.decide(host);
+    }
+
+    fn decide(&mut self, host: usize) {
+        let now = self.clock_of(host);
+        let state = &mut self.hosts[host];
+        let actions = state.granter.tick(now, &[service()], &state.directory);
+        for action in actions {
+            self.act(host, action);
+        }
+    }
+
+    fn act(&mut self, host: usize, action: order::GranterAction) {
+        let life = self.hosts[host].life;
+        match action {
+            order::GranterAction::Append { book, at } => self.send_append(host, book, at),
+            order::GranterAction::Grant(order) => self.send_grant(host, order),
+            order::GranterAction::Release(order) => {
+                let server = self.server_of(&order.address);
+                if self.hosts[host].cut_from.contains(&server) {
+                    let outcome = order::OrderOutcome::Unsent;
+                    self.push(
+                        300,
+                        WorldEvent::Released {
+                            host,
+                            life,
+                            order,
+                            outcome,
+                        },
+                    );
+                } else {
+                    let delay = self.delay();
+                    self.push(delay, WorldEvent::Release { host, life, order });
+                }
+            }
+            order::GranterAction::Yield => {
+                self.members.remove(&host);
+                self.hosts[host].granter.note_candidate(false);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/lab/src/grants/world/orders.rs
@@ -0,0 +1,210 @@
+//! The orders of granters on their way to servers, and what the servers make of them.
+
+use crate::grants::key_server;
+use crate::grants::world;
+use rand::RngExt as _;
+use std::net;
+use zinniastack::clock;
+use zinniastack::ownership::order;
+
+impl world::GrantWorld {
+    pub(super) fn send_grant(&mut self, host: usize, order: order::GrantOrder) {
+        let life = self.hosts[host].life;
+        let server = self.server_of(&order.address);
+        if self.hosts[host].cut_from.contains(&server) || !self.servers[server].alive {
+            // A kept connection that went silent takes one order; no further one is made.
+            let kept = self.hosts[host].connected.remove(&server);
+            let sent = kept || (!self.calm && self.chance(20));
+            let (after, outcome) = if sent {
+                (order::ORDER_TIMEOUT_MS, order::OrderOutcome::Unanswered)
+            } else {
+                (300, order::OrderOutcome::Unsent)
+            };
+            self.push(
+                after,
+                world::WorldEvent::Granted {
+                    host,
+                    life,
+                    order,
+                    outcome,
+                },
+            );
+            return;
+        }
+        let fate = match self.random.random_range(0..40) {
+            _ if self.calm => world::OrderFate::Answered,
+            0 => world::OrderFate::AnswerLost,
+            1 => world::OrderFate::AppliedLate,
+            _ => world::OrderFate::Answered,
+        };
+        // Some orders are held up on their way, until shortly before the sender gives up.
+        let held_up = !self.calm && self.chance(6);
+        let delay = if held_up {
+            self.random.random_range(100..490)
+        } else {
+            self.delay()
+        };
+        if self.flaw == world::GrantFlaw::LapseFromSending {
+            let now = self.clock_of(host);
+            let outcome = order::OrderOutcome::Done(None);
+            self.hosts[host].granter.note_granted(&order, &outcome, now);
+        }
+        let unanswered = order::OrderOutcome::Unanswered;
+        let known = world::WorldEvent::Granted {
+            host,
+            life,
+            order: order.clone(),
+            outcome: unanswered,
+        };
+        if fate != world::OrderFate::Answered {
+            self.push(order::ORDER_TIMEOUT_MS, known);
+        }
+        self.push(
+            delay,
+            world::WorldEvent::Grant {
+                host,
+                life,
+                order,
+                fate,
+                arrived: None,
+            },
+        );
+    }
+
+    pub(super) fn grant(
+        &mut self,
+        host: usize,
+        life: u64,
+        order: order::GrantOrder,
+        fate: world::OrderFate,
+        arrived: Option<clock::MonoTime>,
+    ) {
+        let index = self.server_of(&order.address);
+        let late = fate == world::OrderFate::AppliedLate && arrived.is_none();
+        if late {
+            let arrived = Some(self.now);
+            let after = self.random.random_range(2_000..9_000);
+            self.push(
+                after,
+                world::WorldEvent::Grant {
+                    host,
+                    life,
+                    order,
+                    fate,
+                    arrived,
+                },
+            );
+            return;
+        }
+        let server = &mut self.servers[index];
+        if !server.alive {
+            if fate == world::OrderFate::Answered {
+                let outcome = order::OrderOutcome::Unanswered;
+                let ended = world::WorldEvent::Granted {
+                    host,
+                    life,
+                    order,
+                    outcome,
+                };
+                self.push(order::ORDER_TIMEOUT_MS, ended);
+            }
+            return;
+        }
+        let same = server.server.life == order.life;
+        let outcome = if same {
+            let taken = server.server.grant(&key_server::HoldOrder {
+                first: order.range.first,
+                last: order.range.last,
+                fence: order.range.fence,
+                hold: order.hold,
+                arrived: arrived.unwrap_or(self.now),
+                now: self.now,
+            });
+            if taken == key_server::GrantTaken::Held {
+                self.note_granted_keys(&order);
+            }
+            match taken {
+                key_server::GrantTaken::Refused => order::OrderOutcome::Refused,
+                _ => order::OrderOutcome::Done(None),
+            }
+        } else {
+            order::OrderOutcome::Replaced
+        };
+        if fate == world::OrderFate::Answered && self.flaw != world::GrantFlaw::LapseFromSending {
+            let delay = self.delay();
+            self.push(
+                delay,
+                world::WorldEvent::Granted {
+                    host,
+                    life,
+                    order,
+                    outcome,
+                },
+            );
+        }
+    }
+
+    // A key goes to another life only under a fence above all that other lives had.
+    fn note_granted_keys(&mut self, order: &order::GrantOrder) {
+        let range = &order.range;
+        let higher = self.granted.iter().find(|(first, last, fence, life)| {
+            key_server::overlaps(*first, *last, range.first, range.last)
+                && *life != order.life
+                && *fence >= range.fence
+        });
+        if let Some((_, _, fence, life)) = higher {
+            let text = format!(
+                "{:?}: {:?} takes {}..{} under {}, {:?} had {}",
+                self.now, order.life, range.first, range.last, range.fence, life, fence
+            );
+            self.violations.push(text);
+        }
+        let entry = (range.first, range.last, range.fence, order.life.clone());
+        if !self.granted.contains(&entry) {
+            self.granted.push(entry);
+        }
+    }
+
+    pub(super) fn release(&mut self, host: usize, life: u64, order: order::ReleaseOrder) {
+        let index = self.server_of(&order.address);
+        let working = self.random.random_range(0..world::MAX_WORK_MS);
+        let server = &mut self.servers[index];
+        let outcome = if !server.alive {
+            order::OrderOutcome::Unanswered
+        } else if server.server.life == order.life {
+            let range = &order.range;
+            server.server.release(range.first, range.last, range.fence);
+            order::OrderOutcome::Done(None)
+        } else {
+            order::OrderOutcome::Replaced
+        };
+        let lost = !self.calm && self.chance(20);
+        let outcome = if lost {
+            order::OrderOutcome::Unanswered
+        } else {
+            outcome
+        };
+        let after = if lost {
+            order::RELEASE_TIMEOUT_MS
+        } else {
+            working + 2
+        };
+        self.push(
+            after,
+            world::WorldEvent::Released {
+                host,
+                life,
+                order,
+                outcome,
+            },
+        );
+    }
+
+    pub(super) fn server_of(&self, address: &net::SocketAddr) -> usize {
+        let position = self
+            .servers
+            .iter()
+            .position(|server| server.address == *address);
+        position.unwrap_or_else(|| unreachable!("{address} is a server's"))
+    }
+}
--- a/src/authority.rs
+++ b/src/authority/mod.rs
@@ -4,6 +4,8 @@
 //! authority time, counted from when the acknowledged order was *sent*. A successor first asks the
 //! witnesses whether they have been silent for that long, then claims a higher term of them.
 
+mod rounds;
+
 use std::collections;
 use std::sync;
 use std::time;
@@ -67,7 +69,7 @@
     type Event = TermEvent;
     type Guard = TermGuard;
     type Action = TermAction;
-    const SOURCE: &'static str = include_str!("../charts/term.toml");
+    const SOURCE: &'static str = include_str!("../../charts/term.toml");
 }
 
 /// What the caller has to do for a claim.
@@ -338,82 +340,4 @@
             }
         }
     }
-
-    fn start_round(&mut self, view: &ClaimView<'_>, probe: bool) -> contract::ClaimOrder {
-        let number = if probe {
-            self.next_number(view)
-        } else {
-            self.highest
-        };
-        let host = self.claimant.host.clone();
-        let order = contract::ClaimOrder {
-            term: fence::TermId::new(number, host, self.claimant.incarnation),
-            witness_set: view.witnesses.number,
-            version: view.version,
-            probe,
-        };
-        self.round = Some(ClaimRound {
-            order: order.clone(),
-            sent_at: view.now,
-            answers: collections::BTreeMap::new(),
-            newest_ack: clock::MonoTime::default(),
-        });
-        order
-    }
-
-    fn next_number(&self, view: &ClaimView<'_>) -> u64 {
-        self.highest.max(view.known_number) + 1
-    }
-
-    fn start_grants(&mut self) -> Option<AuthorityAction> {
-        let round = self.round.as_ref()?;
-        let term = self.term.clone()?;
-        Some(AuthorityAction::StartGrants(GrantStart {
-            term,
-            former_end: round.newest_ack + self.timing.authority + self.timing.margin,
-            reports: round.answers.values().cloned().collect(),
-        }))
-    }
-
-    fn note_answer(&mut self, answer: ClaimAnswer, now: clock::MonoTime) {
-        let Some(round) = &mut self.round else {
-            return;
-        };
-        let reply = &answer.reply;
-        let promised = reply.status.promised.as_ref().map(|term| term.number);
-        let granted = reply.held.iter().map(|grant| grant.fence.term.number);
-        let seen = granted.chain(promised).max().unwrap_or(0);
-        self.highest = self.highest.max(seen);
-        // A restarted server has forgotten what it acknowledged, so its start stands for that.
-        let age_ms = reply.ack_age_ms.unwrap_or(reply.status.up_ms);
-        let acked_at = now.back(time::Duration::from_millis(age_ms));
-        round.newest_ack = round.newest_ack.max(acked_at);
-        round.answers.insert(answer.server.clone(), answer);
-    }
-
-    fn note_ack(
-        &mut self,
-        server: &names::ServerName,
-        sent_at: clock::MonoTime,
-        status: &contract::ServerStatus,
-    ) {
-        let needed = self.timing.authority + self.timing.margin;
-        if time::Duration::from_millis(status.up_ms) < needed {
-            return;
-        }
-        let newest = self.acks.entry(server.clone()).or_insert(sent_at);
-        *newest = (*newest).max(sent_at);
-    }
-
-    fn authority_end(&self, witnesses: &fold::WitnessView) -> clock::MonoTime {
-        let mut times: Vec<_> = self.acks.values().copied().collect();
-        times.sort_unstable_by(|a, b| b.cmp(a));
-        let newest = times.into_iter().find(|time| {
-            let counts = |name: &names::ServerName| self.acks.get(name).is_some_and(|t| t >= time);
-            witnesses.has_majority(counts)
-        });
-        newest.map_or(clock::MonoTime::default(), |time| {
-            time + self.timing.authority
-        })
-    }
 }
--- a/src/chart.rs
+++ b/src/chart/mod.rs
@@ -4,7 +4,8 @@
 //! ties each word to a variant of an enum, so that a decision module handles typed values only.
 //! [`ChartTable`] is the compiled, dense form: one row a state, one column an event.
 
-use std::collections;
+mod check;
+
 use std::fmt;
 use std::marker;
 
@@ -272,9 +273,9 @@
     /// Fails on the first fault of the text; see [`ChartError`].
     pub fn with_source(source: &str) -> Result<Self, ChartError> {
         let file = ChartFile::parse(source)?;
-        check_words::<V>(&file)?;
-        check_events::<V>(&file)?;
-        check_reachable(&file)?;
+        check::check_words::<V>(&file)?;
+        check::check_events::<V>(&file)?;
+        check::check_reachable(&file)?;
         Self::compile(&file)
     }
 
@@ -283,13 +284,13 @@
         let mut cells = Vec::new();
         cells.resize_with(V::State::ALL.len() * events, Vec::new);
         for state in &file.state {
-            let row = find::<V::State>(file, "state", &state.name)?.index();
+            let row = check::find::<V::State>(file, "state", &state.name)?.index();
             for entry in &state.on {
-                let column = find::<V::Event>(file, "event", &entry.event)?.index();
+                let column = check::find::<V::Event>(file, "event", &entry.event)?.index();
                 cells[row * events + column].push(compile_step(file, entry)?);
             }
         }
-        let initial = find::<V::State>(file, "state", &file.initial)?;
+        let initial = check::find::<V::State>(file, "state", &file.initial)?;
         Ok(Self {
             initial,
             cells,
@@ -331,139 +332,29 @@
     let guard = entry
         .guard
         .as_ref()
-        .map(|word| find::<V::Guard>(file, "guard", word))
+        .map(|word| check::find::<V::Guard>(file, "guard", word))
         .transpose()?;
     let actions: Result<Vec<_>, _> = entry
         .actions
         .iter()
-        .map(|word| find::<V::Action>(file, "action", word))
+        .map(|word| check::find::<V::Action>(file, "action", word))
         .collect();
     Ok(ChartStep {
         guard,
-        next: find::<V::State>(file, "state", &entry.next)?,
+        next: check::find::<V::State>(file, "state", &entry.next)?,
         actions: actions?.into_boxed_slice(),
     })
 }
 
-fn find<W: ChartWord>(file: &ChartFile, kind: &'static str, word: &str) -> Result<W, ChartError> {
-    let found = W::ALL.iter().copied().find(|w| w.word() == word);
-    found.ok_or_else(|| ChartError::UnknownWord {
-        chart: file.name.clone(),
-        kind,
-        word: word.into(),
-    })
-}
-
-fn check_words<V: ChartVocabulary>(file: &ChartFile) -> Result<(), ChartError> {
-    let transitions = || file.state.iter().flat_map(|s| &s.on);
-    let named = file.state.iter().map(|s| s.name.as_str());
-    let nexts = transitions().map(|t| t.next.as_str());
-    let states = named.chain(nexts).chain([file.initial.as_str()]);
-    let events = transitions().map(|t| t.event.as_str());
-    let guards = transitions().filter_map(|t| t.guard.as_deref());
-    let actions = transitions().flat_map(|t| t.actions.iter().map(String::as_str));
-    check_kind::<V::State>(file, "state", states)?;
-    check_kind::<V::Event>(file, "event", events)?;
-    check_kind::<V::Guard>(file, "guard", guards)?;
-    check_kind::<V::Action>(file, "action", actions)
-}
-
-fn check_kind<'a, W: ChartWord>(
-    file: &ChartFile,
-    kind: &'static str,
-    words: impl Iterator<Item = &'a str>,
-) -> Result<(), ChartError> {
-    let used: collections::BTreeSet<&str> = words.collect();
-    for word in &used {
-        find::<W>(file, kind, word)?;
-    }
-    let unused = W::ALL.iter().find(|w| !used.contains(w.word()));
-    match unused {
-        None => Ok(()),
-        Some(word) => Err(ChartError::UnusedWord {
-            chart: file.name.clone(),
-            kind,
-            word: word.word().into(),
-        }),
-    }
-}
-
-fn check_events<V: ChartVocabulary>(file: &ChartFile) -> Result<(), ChartError> {
-    for state in &file.state {
-        for word in &state.ignores {
-            find::<V::Event>(file, "event", word)?;
-        }
-        for event in V::Event::ALL {
-            check_event(file, state, event.word())?;
-        }
-    }
-    Ok(())
-}
-
-fn check_event(file: &ChartFile, state: &StateEntry, event: &str) -> Result<(), ChartError> {
-    let ignored = state.ignores.iter().any(|word| word == event);
-    let guards: Vec<bool> = state
-        .on
-        .iter()
-        .filter(|entry| entry.event == event)
-        .map(|entry| entry.guard.is_some())
-        .collect();
-    if guards.is_empty() != ignored {
-        return Err(ChartError::Unhandled {
-            chart: file.name.clone(),
-            state: state.name.clone(),
-            event: event.into(),
-        });
-    }
-    let unguarded = guards.iter().filter(|guarded| !**guarded).count();
-    let well_formed = ignored || (unguarded == 1 && guards.last() == Some(&false));
-    if well_formed {
-        return Ok(());
-    }
-    Err(ChartError::BadGuards {
-        chart: file.name.clone(),
-        state: state.name.clone(),
-        event: event.into(),
-    })
-}
-
-fn check_reachable(file: &ChartFile) -> Result<(), ChartError> {
-    let mut reached = collections::BTreeSet::from([file.initial.as_str()]);
-    loop {
-        let next: Vec<&str> = file
-            .state
-            .iter()
-            .filter(|state| reached.contains(state.name.as_str()))
-            .flat_map(|state| state.on.iter().map(|entry| entry.next.as_str()))
-            .collect();
-        let before = reached.len();
-        reached.extend(next);
-        if reached.len() == before {
-            break;
-        }
-    }
-    let lost = file
-        .state
-        .iter()
-        .find(|state| !reached.contains(state.name.as_str()));
-    match lost {
-        None => Ok(()),
-        Some(state) => Err(ChartError::Unreachable {
-            chart: file.name.clone(),
-            state: state.name.clone(),
-        }),
-    }
-}
-
 /// The charts that the program holds, by name.
 pub const CHART_SOURCES: [&str; 9] = [
-    include_str!("../charts/delivery.toml"),
-    include_str!("../charts/grant.toml"),
-    include_str!("../charts/granting.toml"),
-    include_str!("../charts/host.toml"),
-    include_str!("../charts/key-range.toml"),
-    include_str!("../charts/lease.toml"),
-    include_str!("../charts/patch.toml"),
-    include_str!("../charts/request.toml"),
-    include_str!("../charts/term.toml"),
+    include_str!("../../charts/delivery.toml"),
+    include_str!("../../charts/grant.toml"),
+    include_str!("../../charts/granting.toml"),
+    include_str!("../../charts/host.toml"),
+    include_str!("../../charts/key-range.toml"),
+    include_str!("../../charts/lease.toml"),
+    include_str!("../../charts/patch.toml"),
+    include_str!("../../charts/request.toml"),
+    include_str!("../../charts/term.toml"),
 ];
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -1,5 +1,7 @@
 //! All control state of one entry host: events and the time in, typed actions out.
 
+mod domains;
+mod follow;
 mod log;
 mod peers;
 
@@ -16,8 +18,6 @@
 use crate::domain;
 use crate::fence;
 use crate::fold;
-use crate::gate;
-use crate::grant;
 use crate::journal;
 use crate::lifecycle;
 use crate::load;
@@ -295,197 +295,6 @@
         actions
     }
 
-    fn tick_domains(&mut self, now: clock::MonoTime, actions: &mut Vec<ControlAction>) {
-        let names: Vec<_> = self.domains.keys().cloned().collect();
-        for name in names {
-            self.with_domain(&name, now, actions, domain::DomainControl::tick);
-            if let Some(book) = self.domains.get_mut(&name).and_then(|d| d.book_mut()) {
-                let unlogged = book.take_unlogged();
-                self.journal.push_assignments(&unlogged);
-            }
-        }
-    }
-
-    pub(crate) fn with_domain(
-        &mut self,
-        name: &names::DomainName,
-        now: clock::MonoTime,
-        actions: &mut Vec<ControlAction>,
-        step: impl FnOnce(
-            &mut domain::DomainControl,
-            &domain::DomainView<'_>,
-        ) -> Vec<domain::DomainOrder>,
-    ) {
-        let patience = self.patience(name, now);
-        let Some(control) = self.domains.get_mut(name) else {
-            return;
-        };
-        let view = domain::DomainView {
-            now,
-            fold: self.fold.state(),
-            leaving: &self.leaving,
-            wall_ms: self.settings.wall_origin_ms + now.as_millis(),
-            patience,
-        };
-        let orders = step(control, &view);
-        let granting = control.is_granting(&view);
-        let term = control.book().map(|book| (**book.term()).clone());
-        self.note_granting(name, term.filter(|_| granting), actions);
-        for order in orders {
-            self.translate(name, order, actions);
-        }
-    }
-
-    fn note_granting(
-        &mut self,
-        name: &names::DomainName,
-        term: Option<fence::TermId>,
-        actions: &mut Vec<ControlAction>,
-    ) {
-        let domain = name.clone();
-        let note = match term {
-            Some(term) if self.granting.insert(domain.clone()) => {
-                Some(ControlNote::TermStarted { domain, term })
-            }
-            None if self.granting.remove(name) => Some(ControlNote::TermEnded { domain }),
-            _ => None,
-        };
-        actions.extend(note.map(ControlAction::Note));
-    }
-
-    fn translate(
-        &mut self,
-        name: &names::DomainName,
-        order: domain::DomainOrder,
-        actions: &mut Vec<ControlAction>,
-    ) {
-        let domain = name.clone();
-        match order {
-            domain::DomainOrder::Record(body) => self.journal.push(body),
-            domain::DomainOrder::RecordOnce(record) => self.journal.push_record(record),
-            domain::DomainOrder::Grant(addressed) => {
-                let server = addressed.server;
-                actions.push(match addressed.order {
-                    grant::GrantOrder::Claim(order) => ControlAction::Claim {
-                        domain,
-                        server,
-                        order,
-                    },
-                    grant::GrantOrder::Lease(order) => ControlAction::Lease {
-                        domain,
-                        server,
-                        order,
-                    },
-                });
-            }
-            domain::DomainOrder::Claim(servers, order) => {
-                let configuration = &self.fold.state().configuration;
-                let known = servers.iter().filter_map(|n| configuration.find_server(n));
-                actions.extend(known.map(|server| ControlAction::Claim {
-                    domain: domain.clone(),
-                    server: server.clone(),
-                    order: order.clone(),
-                }));
-            }
-        }
-    }
-
-    // Hosts of the domain claim first, in order of name; then the others. While a host of the domain
-    // is heard of, the others leave it to claim, unless the domain stays without a granter for long.
-    fn patience(&self, domain: &names::DomainName, now: clock::MonoTime) -> time::Duration {
-        let hosts = &self.fold.state().configuration.host;
-        let inside = self.settings.domain == *domain;
-        let (own, others): (Vec<_>, Vec<_>) = hosts.iter().partition(|h| h.domain == *domain);
-        let rivals = if inside { &own } else { &others };
-        let before = rivals.iter().filter(|h| h.name < *self.host()).count();
-        let window = time::Duration::from_millis(timing::HEARD_MS);
-        let claimable = own
-            .iter()
-            .any(|h| self.roster.is_heard(&h.name, window, now));
-        let base_ms = match (inside, claimable) {
-            (true, _) => 0,
-            (false, false) => timing::OUTSIDE_STEP_MS,
-            (false, true) => timing::OUTSIDE_HEARD_MS,
-        };
-        let jitter = self.jitters.get(domain).copied().unwrap_or_default();
-        let step = time::Duration::from_millis(timing::CANDIDATE_STEP_MS);
-        let place = u32::try_from(before.min(MAX_PLACES)).unwrap_or(u32::MAX);
-        time::Duration::from_millis(base_ms) + jitter + step * place
-    }
-
-    pub(crate) fn note_contact(&mut self, now: clock::MonoTime) {
-        self.routing.fresh_until = now + time::Duration::from_millis(timing::CONTACT_MS);
-    }
-
-    pub(crate) fn follow_configuration(&mut self, now: clock::MonoTime) {
-        let state = self.fold.state();
-        let configuration = sync::Arc::clone(&state.configuration);
-        let fresh_until = self.routing.fresh_until;
-        self.routing = table::RoutingTable::new(state.version, &configuration);
-        self.routing.fresh_until = fresh_until;
-        self.applied.clear();
-        self.gates_version = 0;
-        for spec in &configuration.domain {
-            if self.domains.contains_key(&spec.name) {
-                continue;
-            }
-            let control = domain::DomainControl::new(
-                spec.name.clone(),
-                self.charts.clone(),
-                &self.settings.identity,
-                self.settings.timing,
-                now,
-            );
-            let limit = time::Duration::from_millis(JITTER_MS);
-            self.jitters
-                .insert(spec.name.clone(), self.roster.jitter(limit));
-            self.domains.insert(spec.name.clone(), control);
-        }
-        self.lifecycle
-            .handle(lifecycle::HostEvent::ConfigurationKnown);
-    }
-
-    fn refresh_gates(&mut self, now: clock::MonoTime) {
-        let state = self.fold.state();
-        let usable = self.roster.usable(now);
-        if usable == self.usable && state.version == self.gates_version {
-            return;
-        }
-        let gates = gate::GateMap::new(&state.configuration, &usable, self.host());
-        self.gates_version = state.version;
-        self.usable = usable;
-        self.routing.set_gates(sync::Arc::new(gates));
-    }
-
-    pub(crate) fn refresh_routing(
-        &mut self,
-        now: clock::MonoTime,
-        actions: &mut Vec<ControlAction>,
-    ) {
-        self.refresh_gates(now);
-        for (name, control) in &self.domains {
-            let Some(table) = control.table() else {
-                continue;
-            };
-            let applied = self.applied.get(name);
-            if let Some(update) = table.update_since(name, applied) {
-                if update.base.is_none() {
-                    self.routing.clear_domain(name);
-                }
-                self.routing.set_routes(&update.changes);
-                self.applied.insert(name.clone(), update.mark);
-            }
-            if self.granting.contains(name) {
-                let until = now + self.settings.timing.table_lease;
-                self.routing.set_table_lease(name.clone(), until);
-            }
-        }
-        if self.fold.state().version > 0 {
-            let table = sync::Arc::new(self.routing.clone());
-            actions.push(ControlAction::Publish(table));
-        }
-    }
-
     /// Takes a server's answer to a claim.
     pub fn on_claim_reply(
         &mut self,
--- /dev/null
+++ b/src/edge/controller/handle.rs
@@ -0,0 +1,78 @@
+//! The way from other threads to the control thread.
+
+use crate::edge::controller;
+use crate::fence;
+use crate::fold;
+use crate::lifecycle;
+use crate::names;
+use crate::peer;
+use crate::record;
+use crate::report;
+
+/// The way to the control thread.
+#[derive(Clone)]
+pub struct ControlHandle {
+    recipient: actix::Recipient<controller::ControlRequest>,
+}
+
+impl ControlHandle {
+    /// Creates a handle.
+    #[must_use]
+    pub const fn new(recipient: actix::Recipient<controller::ControlRequest>) -> Self {
+        Self { recipient }
+    }
+
+    async fn ask<A>(
+        &self,
+        request: impl FnOnce(tokio::sync::oneshot::Sender<A>) -> controller::ControlRequest,
+    ) -> Option<A> {
+        let (sender, receiver) = tokio::sync::oneshot::channel();
+        self.recipient.do_send(request(sender));
+        receiver.await.ok()
+    }
+
+    /// Answers a peer; none when the host is stopping.
+    pub async fn exchange(&self, request: peer::ExchangeRequest) -> Option<peer::ExchangeReply> {
+        let request = Box::new(request);
+        self.ask(|sender| controller::ControlRequest::Exchange(request, sender))
+            .await
+    }
+
+    /// Submits a patch and waits for its verdict; none where it is not known in time.
+    pub async fn submit(&self, record: record::LogRecord) -> Option<fold::PatchVerdict> {
+        self.ask(|sender| controller::ControlRequest::Submit(record, sender))
+            .await
+    }
+
+    /// Returns where a patch stands; none where the host does not know it.
+    pub async fn standing(&self, id: names::RecordId) -> Option<controller::PatchStanding> {
+        let known = self
+            .ask(|sender| controller::ControlRequest::Verdict(id, sender))
+            .await;
+        known.flatten()
+    }
+
+    /// Returns the fence under which the log has a shard assigned.
+    pub async fn assigned(&self, shard: names::ShardId) -> Option<fence::GrantFence> {
+        let known = self.ask(|sender| controller::ControlRequest::Assigned(shard, sender));
+        known.await.flatten()
+    }
+
+    /// Tells of the shards' loads.
+    pub fn note_loads(&self, loads: Vec<peer::ShardLoad>) {
+        self.recipient
+            .do_send(controller::ControlRequest::Loads(loads));
+    }
+
+    /// Returns the host's status; none when it is stopping.
+    pub async fn status(&self) -> Option<report::HostStatus> {
+        self.ask(controller::ControlRequest::Status).await
+    }
+
+    /// Begins to stop; returns what the host's chart asks for.
+    pub async fn stop(&self) -> Vec<lifecycle::HostAction> {
+        self.ask(controller::ControlRequest::Stop)
+            .await
+            .unwrap_or_default()
+    }
+}
--- a/src/edge/controller.rs
+++ b/src/edge/controller/mod.rs
@@ -1,22 +1,19 @@
 //! The control thread: one actix arbiter that owns [`control::ControlState`] and performs what it
 //! asks for.
 
+mod calls;
+mod handle;
+
 use std::collections;
 use std::sync;
 use std::time;
 
 use actix::ActorContext as _;
-use actix::ActorFutureExt as _;
 use actix::AsyncContext as _;
-use actix::WrapFuture as _;
 
-use crate::authority;
 use crate::clock;
 use crate::clock::MonoClock as _;
-use crate::configuration;
-use crate::contract;
 use crate::control;
-use crate::domain;
 use crate::edge::metrics;
 use crate::edge::ports;
 use crate::fence;
@@ -29,6 +26,8 @@
 use crate::report;
 use crate::table;
 
+pub use crate::edge::controller::handle::ControlHandle;
+
 /// The interval between two looks at the clock, in milliseconds.
 pub const TICK_MS: u64 = 20;
 /// The interval between two reads of the platform's host list, in milliseconds.
@@ -148,133 +147,6 @@
             }
         }
     }
-
-    fn read_log(&self, from: u64, ctx: &mut actix::Context<Self>) {
-        let platform = self.ports.platform.clone();
-        let call = async move { platform.read(from).await };
-        let step = call.into_actor(self).map(|result, actor, ctx| {
-            let now = actor.clock.now();
-            match result {
-                Ok(page) => {
-                    let actions = actor.state.on_log_page(&page, now);
-                    actor.perform_all(actions, ctx);
-                }
-                Err(error) => {
-                    actor.metrics.count_port_error(&error);
-                    actor.state.on_log_failed(now);
-                }
-            }
-        });
-        ctx.spawn(step);
-    }
-
-    fn append(&self, record: record::LogRecord, ctx: &mut actix::Context<Self>) {
-        let platform = self.ports.platform.clone();
-        let id = record.id.clone();
-        let call = async move { platform.append(&record).await };
-        let step = call.into_actor(self).map(move |result, actor, _| {
-            let now = actor.clock.now();
-            match result {
-                Ok(_) => actor.state.on_appended(&id, now),
-                Err(error) => {
-                    actor.metrics.count_port_error(&error);
-                    actor.state.on_append_failed(now);
-                }
-            }
-        });
-        ctx.spawn(step);
-    }
-
-    fn claim(
-        &self,
-        domain: names::DomainName,
-        server: configuration::ServerSpec,
-        order: contract::ClaimOrder,
-        ctx: &mut actix::Context<Self>,
-    ) {
-        let servers = self.ports.servers.clone();
-        let sent_at = self.clock.now();
-        let name = server.name.clone();
-        let sent = order.clone();
-        let call = async move { servers.claim(&server, &order).await };
-        let step = call.into_actor(self).map(move |result, actor, ctx| {
-            let reply = match result {
-                Ok(reply) => reply,
-                Err(error) => return actor.metrics.count_port_error(&error),
-            };
-            let answer = authority::ClaimAnswer {
-                server: name,
-                sent_at,
-                reply,
-            };
-            let now = actor.clock.now();
-            let actions = actor.state.on_claim_reply(&domain, &sent, &answer, now);
-            actor.perform_all(actions, ctx);
-        });
-        ctx.spawn(step);
-    }
-
-    fn lease(
-        &self,
-        domain: names::DomainName,
-        server: configuration::ServerSpec,
-        order: contract::LeaseOrder,
-        ctx: &mut actix::Context<Self>,
-    ) {
-        let servers = self.ports.servers.clone();
-        let sent_at = self.clock.now();
-        let name = server.name.clone();
-        let sent = order.clone();
-        let call = async move { servers.lease(&server, &sent).await };
-        let step = call.into_actor(self).map(move |result, actor, ctx| {
-            let reply = match result {
-                Ok(reply) => reply,
-                Err(error) => return actor.metrics.count_port_error(&error),
-            };
-            let answer = domain::LeaseAnswer {
-                server: name,
-                order,
-                sent_at,
-                reply,
-            };
-            let now = actor.clock.now();
-            let actions = actor.state.on_lease_reply(&domain, &answer, now);
-            actor.perform_all(actions, ctx);
-        });
-        ctx.spawn(step);
-    }
-
-    fn exchange(
-        &self,
-        peer: std::net::SocketAddr,
-        request: peer::ExchangeRequest,
-        ctx: &mut actix::Context<Self>,
-    ) {
-        let peers = self.ports.peers.clone();
-        let sent_at = self.clock.now();
-        let call = async move { peers.exchange(peer, &request).await };
-        let step = call
-            .into_actor(self)
-            .map(move |result, actor, ctx| match result {
-                Ok(reply) => {
-                    let now = actor.clock.now();
-                    let actions = actor.state.on_exchange_reply(sent_at, &reply, now);
-                    actor.perform_all(actions, ctx);
-                }
-                Err(error) => actor.metrics.count_port_error(&error),
-            });
-        ctx.spawn(step);
-    }
-
-    fn read_hosts(&self, ctx: &mut actix::Context<Self>) {
-        let platform = self.ports.platform.clone();
-        let call = async move { platform.list().await };
-        let step = call.into_actor(self).map(|result, actor, _| match result {
-            Ok(listing) => actor.state.on_host_listing(&listing),
-            Err(error) => actor.metrics.count_port_error(&error),
-        });
-        ctx.spawn(step);
-    }
 }
 
 impl<L, S, P> actix::Actor for ControlActor<L, S, P>
@@ -417,66 +289,3 @@
         })
     }
 }
-
-/// The way to the control thread.
-#[derive(Clone)]
-pub struct ControlHandle {
-    recipient: actix::Recipient<ControlRequest>,
-}
-
-impl ControlHandle {
-    /// Creates a handle.
-    #[must_use]
-    pub const fn new(recipient: actix::Recipient<ControlRequest>) -> Self {
-        Self { recipient }
-    }
-
-    async fn ask<A>(
-        &self,
-        request: impl FnOnce(tokio::sync::oneshot::Sender<A>) -> ControlRequest,
-    ) -> Option<A> {
-        let (sender, receiver) = tokio::sync::oneshot::channel();
-        self.recipient.do_send(request(sender));
-        receiver.await.ok()
-    }
-
-    /// Answers a peer; none when the host is stopping.
-    pub async fn exchange(&self, request: peer::ExchangeRequest) -> Option<peer::ExchangeReply> {
-        let request = Box::new(request);
-        self.ask(|sender| ControlRequest::Exchange(request, sender))
-            .await
-    }
-
-    /// Submits a patch and waits for its verdict; none where it is not known in time.
-    pub async fn submit(&self, record: record::LogRecord) -> Option<fold::PatchVerdict> {
-        self.ask(|sender| ControlRequest::Submit(record, sender))
-            .await
-    }
-
-    /// Returns where a patch stands; none where the host does not know it.
-    pub async fn standing(&self, id: names::RecordId) -> Option<PatchStanding> {
-        let known = self.ask(|sender| ControlRequest::Verdict(id, sender)).await;
-        known.flatten()
-    }
-
-    /// Returns the fence under which the log has a shard assigned.
-    pub async fn assigned(&self, shard: names::ShardId) -> Option<fence::GrantFence> {
-        let known = self.ask(|sender| ControlRequest::Assigned(shard, sender));
-        known.await.flatten()
-    }
-
-    /// Tells of the shards' loads.
-    pub fn note_loads(&self, loads: Vec<peer::ShardLoad>) {
-        self.recipient.do_send(ControlRequest::Loads(loads));
-    }
-
-    /// Returns the host's status; none when it is stopping.
-    pub async fn status(&self) -> Option<report::HostStatus> {
-        self.ask(ControlRequest::Status).await
-    }
-
-    /// Begins to stop; returns what the host's chart asks for.
-    pub async fn stop(&self) -> Vec<lifecycle::HostAction> {
-        self.ask(ControlRequest::Stop).await.unwrap_or_default()
-    }
-}
--- /dev/null
+++ b/src/fold/checkpoint.rs
@@ -0,0 +1,86 @@
+//! Checkpoints of the fold: written in parts, and joined again.
+
+use crate::fold;
+use crate::record;
+
+impl fold::LogFold {
+    pub(super) fn apply_checkpoint(&mut self, body: &record::CheckpointBody) -> fold::FoldEffect {
+        if body.part + 1 == body.parts {
+            self.state.checkpoints += 1;
+            self.state.checkpoint_offset = self.state.next_offset;
+        }
+        fold::FoldEffect::CheckpointSeen
+    }
+
+    /// Writes the state as the parts of a checkpoint.
+    ///
+    /// # Panics
+    /// Never: the state has a JSON form.
+    #[must_use]
+    pub fn to_checkpoint(&self) -> Vec<record::CheckpointBody> {
+        let text = serde_json::to_string(&self.state).expect("the state has a JSON form");
+        let digest = xxhash_rust::xxh3::xxh3_64(text.as_bytes());
+        let pieces = split_text(&text, fold::CHECKPOINT_PART_BYTES);
+        let parts = u32::try_from(pieces.len()).unwrap_or(u32::MAX);
+        (0..parts)
+            .zip(pieces)
+            .map(|(part, piece)| record::CheckpointBody {
+                covered: self.state.next_offset,
+                digest,
+                part,
+                parts,
+                text: piece.into(),
+            })
+            .collect()
+    }
+}
+
+fn split_text(text: &str, bytes: usize) -> Vec<&str> {
+    let mut pieces = Vec::new();
+    let mut rest = text;
+    while rest.len() > bytes {
+        let cut = rest.floor_char_boundary(bytes);
+        let (piece, tail) = rest.split_at(cut);
+        pieces.push(piece);
+        rest = tail;
+    }
+    pieces.push(rest);
+    pieces
+}
+
+/// Joins the parts of checkpoints as they come by.
+#[derive(Debug, Default)]
+pub struct CheckpointJoin {
+    digest: u64,
+    parts: Vec<String>,
+}
+
+impl CheckpointJoin {
+    /// Creates a joiner that has no part.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Takes the next part; returns the state once its last part has come and the digest fits.
+    pub fn add(&mut self, body: &record::CheckpointBody) -> Option<fold::FoldState> {
+        if body.part == 0 {
+            self.parts.clear();
+            self.digest = body.digest;
+        }
+        let in_order = self.parts.len() == body.part as usize && self.digest == body.digest;
+        if !in_order {
+            return None;
+        }
+        self.parts.push(body.text.clone());
+        if body.part + 1 != body.parts {
+            return None;
+        }
+        let text = self.parts.concat();
+        if xxhash_rust::xxh3::xxh3_64(text.as_bytes()) != body.digest {
+            return None;
+        }
+        let state: fold::FoldState = serde_json::from_str(&text).ok()?;
+        (state.next_offset == body.covered).then_some(state)
+    }
+}
--- a/src/grant/mod.rs
+++ b/src/grant/mod.rs
@@ -4,6 +4,7 @@
 //! owner's lease has lapsed for certain. For unchecked servers, which may run what a stale host
 //! sends, the table leases and the longest deadline must have passed as well.
 
+mod follow;
 mod moves;
 mod orders;
 mod reports;
@@ -227,67 +228,6 @@
         std::mem::take(&mut self.unlogged)
     }
 
-    /// Takes over a new version of the configuration.
-    pub fn follow(&mut self, fold: &fold::FoldState) {
-        let witness_set = fold.witnesses.get(&self.domain).map_or(0, |w| w.number);
-        self.witness_set = witness_set;
-        self.term_logged |= fold.terms.contains_key(&self.domain);
-        if self.version == fold.version && self.version > 0 {
-            return;
-        }
-        self.version = fold.version;
-        self.configuration = sync::Arc::clone(&fold.configuration);
-        self.follow_servers();
-        self.follow_shards();
-    }
-
-    pub(crate) fn follow_servers(&mut self) {
-        let configuration = sync::Arc::clone(&self.configuration);
-        for spec in configuration.servers_of(&self.domain) {
-            if let Some(lease) = self.servers.get_mut(&spec.name) {
-                lease.spec = spec.clone();
-                continue;
-            }
-            let chart = sync::Arc::clone(&self.charts.lease);
-            let lease = lease::ServerLease::new(chart, spec.clone());
-            self.servers.insert(spec.name.clone(), lease);
-        }
-        for (name, lease) in &mut self.servers {
-            lease.removed = configuration.find_server(name).is_none();
-        }
-    }
-
-    // A server that an operator removed is forgotten once nothing of it can be in force.
-    pub(crate) fn forget_removed(&mut self) {
-        let configuration = sync::Arc::clone(&self.configuration);
-        let owned = &self.owned;
-        self.servers.retain(|name, lease| {
-            let owns = owned.get(name).is_some_and(|set| !set.is_empty());
-            let unknown = lease.state() == lease::LeaseState::Unknown;
-            owns || unknown || configuration.find_server(name).is_some()
-        });
-    }
-
-    pub(crate) fn follow_shards(&mut self) {
-        let configuration = sync::Arc::clone(&self.configuration);
-        for shard in configuration.shards_of(&self.domain) {
-            if self.shards.contains_key(&shard) {
-                continue;
-            }
-            self.vacant.insert(shard.clone());
-            let record = ShardRecord {
-                state: self.charts.grant.initial(),
-                owner: None,
-                fence: None,
-                revision: 0,
-                free_at: clock::MonoTime::default(),
-                load: IDLE_LOAD,
-                load_at: clock::MonoTime::default(),
-            };
-            self.shards.insert(shard, record);
-        }
-    }
-
     pub(crate) fn owned_by<'a>(
         &'a self,
         server: &'a names::ServerName,
@@ -312,13 +252,6 @@
         former
     }
 
-    /// Takes over which servers the platform lists as leaving.
-    pub fn follow_listing(&mut self, leaving: &collections::BTreeSet<names::ServerName>) {
-        for (name, lease) in &mut self.servers {
-            lease.listed_leaving = leaving.contains(name);
-        }
-    }
-
     /// Takes the load that a host measured for a shard. All of a server's requests pass one gate, so
     /// one host's measure is the shard's load.
     pub fn note_load(&mut self, load: &peer::ShardLoad, now: clock::MonoTime) {
