Derive what leaving servers get from the settings' drain time

Cause: how long a lapsed entry may come back (1.3 s) and a leaving server gets requests for its keys (1.2 s) were fixed for the drain time of the two sites, 2 s; on a site with 1 s both would outlast it. Change: parts of the settings' drain time (0.65, at most 1.3 s, and 0.6), the same figures as before at 2 s. Tests: keeps_a_lapsed_server_no_longer_than_it_serves_on was red with the fixed span; sends_keys_to_a_leaving_server_for_a_part_of_its_time.

--- a/src/edge/router/control/mod.rs
+++ b/src/edge/router/control/mod.rs
@@ -52,6 +52,8 @@
     pub max_hold: time::Duration,
     /// Who this host is.
     pub own: news::HostRecord,
+    /// How long servers serve on after they have left.
+    pub drain: time::Duration,
     /// Told when the host stops.
     pub stopping: tokio::sync::watch::Receiver<bool>,
     /// The metrics.
@@ -96,7 +98,7 @@
             peers: parts.own.peers,
         };
         let state = ControlState {
-            knowledge: knowledge::HostKnowledge::new(parts.own, parts.clock.now()),
+            knowledge: knowledge::HostKnowledge::new(parts.own, parts.clock.now(), parts.drain),
             granter: granter::KeyGranter::new(life, parts.max_hold)?,
             grants: view::SharedGrants::default(),
             yielded_until: clock::MonoTime::from_micros(0),
--- a/src/edge/router/host.rs
+++ b/src/edge/router/host.rs
@@ -274,6 +274,7 @@
         join_interval: settings.join_interval,
         max_hold: settings.max_hold,
         own: settings.own,
+        drain: settings.desk.drain,
         stopping: shared.stopping,
         metrics: shared.metrics,
     };
--- a/src/serving/desk/lane.rs
+++ b/src/serving/desk/lane.rs
@@ -1,7 +1,6 @@
 //! One server at the desk of this host: what runs there, and what is known of it.
 
 use std::sync;
-use std::time;
 
 use crate::clock;
 use crate::names;
@@ -14,7 +13,8 @@
     pub(super) record: sync::Arc<directory::ServerRecord>,
     // Whether the view still has the server.
     pub(super) listed: bool,
-    pub(super) drains_since: Option<clock::MonoTime>,
+    // When a server that leaves gets nothing any longer.
+    pub(super) drained_at: Option<clock::MonoTime>,
     pub(super) running: u32,
     pub(super) waiting: u32,
     pub(super) measure: measure::ServerMeasure,
@@ -25,7 +25,7 @@
         Self {
             record,
             listed: true,
-            drains_since: None,
+            drained_at: None,
             running: 0,
             waiting: 0,
             measure: measure::ServerMeasure::new(),
@@ -41,10 +41,9 @@
     // Whether a request for a key that it holds may still go there. A server that leaves serves its
     // keys until they have moved, but not for long.
     pub(super) fn serves_keys(&self, life: &book::ServerLife, now: clock::MonoTime) -> bool {
-        let patience = time::Duration::from_millis(desk::DRAIN_PATIENCE_MS);
         self.listed
             && self.record.life == *life
-            && self.drains_since.is_none_or(|since| now < since + patience)
+            && self.drained_at.is_none_or(|until| now < until)
             && !self.measure.is_paused(now)
     }
 
--- a/src/serving/desk/mod.rs
+++ b/src/serving/desk/mod.rs
@@ -25,8 +25,9 @@
 pub const FILL_RATIO: f64 = 1.2;
 /// The service time that is assumed before one is measured, in milliseconds.
 pub const ASSUMED_SERVICE_MS: f64 = 100.0;
-/// How long a server that leaves still gets requests for keys that it holds, in milliseconds.
-pub const DRAIN_PATIENCE_MS: u64 = 1_200;
+/// The part of the time for which a leaving server serves on in which it still gets requests for keys
+/// that it holds.
+pub const DRAIN_PART: f64 = 0.6;
 /// The longest wait that is accepted for a request that is late already, as a part of its time left.
 pub const LATE_WAIT_PART: f64 = 0.15;
 /// The part of the expected service time that must be left for a start to pay.
@@ -112,6 +113,8 @@
     pub retry_ratio: f64,
     /// How many repeats all hosts may send besides.
     pub retry_slack: f64,
+    /// How long servers serve on after they have said that they leave.
+    pub drain: time::Duration,
 }
 
 /// The desk of one traffic thread.
@@ -156,7 +159,8 @@
         for (name, lane) in &mut self.lanes {
             lane.listed = view.servers.contains_key(name);
             let drains = lane.record.state == directory::ServerState::Draining;
-            lane.drains_since = lane.drains_since.or(Some(now)).filter(|_| drains);
+            let until = now + self.settings.drain.mul_f64(DRAIN_PART);
+            lane.drained_at = lane.drained_at.or(Some(until)).filter(|_| drains);
         }
         self.lanes.retain(|_, lane| lane.running > 0 || lane.listed);
     }
--- a/src/serving/directory.rs
+++ b/src/serving/directory.rs
@@ -11,9 +11,11 @@
 use crate::names;
 use crate::ownership::book;
 
-/// How long entries that lapsed while the store was away have to come back, in milliseconds. With
-/// the time to read the removal it stays below what leaving servers serve on for.
+/// How long entries that lapsed while the store was away have to come back, in milliseconds, at most.
 pub const RETURN_SPAN_MS: u64 = 1_300;
+/// The part of the time for which leaving servers serve on that such an entry has at most; the rest
+/// is for reading its removal.
+pub const RETURN_PART: f64 = 0.65;
 /// How long after a failure of the store its removals are not taken at their word, in milliseconds.
 pub const DOUBT_SPAN_MS: u64 = 2_000;
 
@@ -74,13 +76,27 @@
     lapsed: collections::BTreeMap<names::ServerName, (sync::Arc<ServerRecord>, clock::MonoTime)>,
     removed: collections::BTreeMap<names::ServerName, (u64, u64)>,
     doubt_until: clock::MonoTime,
+    return_span: time::Duration,
 }
 
 impl ServerDirectory {
     /// Creates an empty directory.
     #[must_use]
     pub fn new() -> Self {
-        Self::default()
+        Self {
+            return_span: time::Duration::from_millis(RETURN_SPAN_MS),
+            ..Self::default()
+        }
+    }
+
+    /// Creates an empty directory of servers that serve on for `drain` after they have left.
+    #[must_use]
+    pub fn with_drain(drain: time::Duration) -> Self {
+        let longest = time::Duration::from_millis(RETURN_SPAN_MS);
+        Self {
+            return_span: longest.min(drain.mul_f64(RETURN_PART)),
+            ..Self::default()
+        }
     }
 
     /// Takes a server's entry, unless it is older than what is known.
@@ -104,7 +120,7 @@
         };
         self.removed.insert(name.clone(), record.place());
         if now < self.doubt_until && record.state == ServerState::Ready {
-            let until = now + time::Duration::from_millis(RETURN_SPAN_MS);
+            let until = now + self.return_span;
             self.lapsed.insert(name.clone(), (record, until));
         }
     }
--- a/src/serving/knowledge.rs
+++ b/src/serving/knowledge.rs
@@ -39,14 +39,15 @@
 }
 
 impl HostKnowledge {
-    /// Creates the knowledge of a host that knows only itself and started at `started`.
+    /// Creates the knowledge of a host that knows only itself and started at `started`, where servers
+    /// serve on for `drain` after they have left.
     #[must_use]
-    pub fn new(own: news::HostRecord, started: clock::MonoTime) -> Self {
+    pub fn new(own: news::HostRecord, started: clock::MonoTime, drain: time::Duration) -> Self {
         Self {
             own,
             started,
             routes: None,
-            directory: directory::ServerDirectory::new(),
+            directory: directory::ServerDirectory::with_drain(drain),
             servers_known: false,
             hosts: collections::BTreeMap::new(),
             peers: collections::BTreeMap::new(),
--- a/tests/desk.rs
+++ b/tests/desk.rs
@@ -29,6 +29,7 @@
         domain: name("north"),
         retry_ratio: 0.2,
         retry_slack: 10.0,
+        drain: time::Duration::from_secs(2),
     }
 }
 
@@ -326,6 +327,18 @@
     );
 }
 
+// A leaving server serves the keys that it holds until they have moved, but not to the last moment.
+fn sends_keys_to_a_leaving_server_for_a_part_of_its_time() {
+    let mut moving = MoveCase::new();
+    moving.note_move(None, at(0));
+    let leaving = record("near", "north", directory::ServerState::Draining);
+    moving.case.view.servers = sync::Arc::new([(name("near"), sync::Arc::new(leaving))].into());
+    moving.case.sync(at(100));
+    let end = at(100) + settings().drain.mul_f64(desk::DRAIN_PART);
+    assert_eq!(moving.enqueue(at(200)), Ok(()));
+    assert_eq!(moving.enqueue(end), Err(desk::DeskRefusal::NoServer));
+}
+
 // trouble-3 at Coastline: moves whose former holders had ended took seconds, and requests for their
 // keys were held until their time was nearly over.
 fn refuses_at_once_for_a_key_whose_move_takes_too_long() {
@@ -387,4 +400,5 @@
     refuses_at_once_for_a_key_whose_move_takes_too_long,
     gives_up_waiting_when_a_move_takes_too_long,
     waits_anew_for_the_next_move_of_a_key,
+    sends_keys_to_a_leaving_server_for_a_part_of_its_time,
 }
--- a/tests/knowledge.rs
+++ b/tests/knowledge.rs
@@ -21,6 +21,10 @@
 }
 
 fn host(text: &str) -> knowledge::HostKnowledge {
+    host_with_drain(text, time::Duration::from_secs(2))
+}
+
+fn host_with_drain(text: &str, drain: time::Duration) -> knowledge::HostKnowledge {
     knowledge::HostKnowledge::new(
         news::HostRecord {
             host: name(text),
@@ -29,6 +33,7 @@
             peers: ([10, 0, 0, 1], 7_200).into(),
         },
         at(0),
+        drain,
     )
 }
 
@@ -140,6 +145,18 @@
     assert_eq!(knowledge.directory().servers().count(), 0);
 }
 
+// A site whose servers serve on for a second only.
+fn keeps_a_lapsed_server_no_longer_than_it_serves_on() {
+    let drain = time::Duration::from_secs(1);
+    let mut knowledge = host_with_drain("a", drain);
+    knowledge.note_server(server("s1", 1, 1, READY));
+    knowledge.note_store("servers", true, at(10));
+    knowledge.remove_server(&name("s1"), at(20));
+    assert_eq!(knowledge.directory().servers().count(), 1);
+    assert!(knowledge.expire(at(20) + drain.mul_f64(directory::RETURN_PART)));
+    assert_eq!(knowledge.directory().servers().count(), 0);
+}
+
 fn keeps_no_leaving_server_that_lapsed() {
     let mut knowledge = host("a");
     knowledge.note_server(server("s1", 1, 1, DRAINING));
@@ -196,6 +213,7 @@
     counts_the_store_as_back_when_every_call_is_answered,
     drops_a_removed_server_at_once,
     keeps_a_lapsed_server_for_a_moment_after_an_outage,
+    keeps_a_lapsed_server_no_longer_than_it_serves_on,
     keeps_no_leaving_server_that_lapsed,
     ignores_an_entry_that_comes_late,
     ignores_a_late_entry_of_a_removed_server,
--- a/tests/traffic.rs
+++ b/tests/traffic.rs
@@ -85,6 +85,7 @@
                 domain: name("north"),
                 retry_ratio: 0.2,
                 retry_slack: 10.0,
+                drain: time::Duration::from_secs(2),
             },
             chart: sync::Arc::new(chart),
             stopping: sync::Arc::default(),
