--- a/lab/src/grants/world/log.rs
+++ b/lab/src/grants/world/log.rs
@@ -1,5 +1,6 @@
 //! The store of the world: appends, reads, entries and the group of hosts.
 
+use crate::fixtures;
 use crate::grants::world;
 use rand::RngExt as _;
 use std::time;
@@ -137,7 +138,7 @@
             life,
             service: world::service(),
             address: server.address,
-            domain: world::name("north"),
+            domain: fixtures::name("north"),
             slots: 4,
             state: if server.draining {
                 directory::ServerState::Draining
--- a/lab/src/grants/world/mod.rs
+++ b/lab/src/grants/world/mod.rs
@@ -10,6 +10,7 @@
 use std::net;
 use std::time;
 
+use crate::fixtures;
 use rand::RngExt as _;
 use rand::SeedableRng as _;
 use zinniastack::clock;
@@ -115,13 +116,8 @@
 pub(crate) const HOSTS: usize = 4;
 const SERVERS: usize = 5;
 
-fn name<T: std::str::FromStr>(text: &str) -> T {
-    text.parse()
-        .unwrap_or_else(|_| unreachable!("'{text}' is a name"))
-}
-
 fn service() -> names::ServiceName {
-    name("stock")
+    fixtures::name("stock")
 }
 
 fn address(index: usize) -> net::SocketAddr {
@@ -204,7 +200,7 @@
     fn granter_life(host: usize, life: u64) -> book::GranterLife {
         let port = 7_200 + u16::try_from(host).unwrap_or(0);
         book::GranterLife {
-            host: name(&format!("h{host}")),
+            host: fixtures::name(&format!("h{host}")),
             incarnation: life,
             peers: net::SocketAddr::from(([10, 0, 0, 1], port)),
         }
@@ -238,7 +234,7 @@
 
     pub(crate) fn add_server(&mut self, index: usize, born: u64) {
         let life = book::ServerLife {
-            server: name(&format!("s{index}")),
+            server: fixtures::name(&format!("s{index}")),
             born,
         };
         let server = WorldServer {
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod cmd;
 pub mod fakes;
 pub mod faults;
+pub mod fixtures;
 pub mod flood;
 pub mod grants;
 pub mod host_list;
--- a/tests/contracts.rs
+++ b/tests/contracts.rs
@@ -6,6 +6,7 @@
 use actix_web::web;
 
 use zinnia_lab::fakes;
+use zinnia_lab::fixtures;
 use zinnia_lab::host_list;
 use zinnia_lab::http;
 use zinnia_lab::log_state;
@@ -26,19 +27,12 @@
 use zinniastack::record;
 use zinniastack::timing;
 
-fn name<T: std::str::FromStr>(text: &str) -> T
-where
-    T::Err: std::fmt::Debug,
-{
-    text.parse().expect("a name")
-}
-
 fn record(id: &str) -> record::LogRecord {
     let body = record::PatchBody {
         base: 0,
         changes: Vec::new(),
     };
-    record::LogRecord::new(name(id), record::RecordBody::Patch(body))
+    record::LogRecord::new(fixtures::name(id), record::RecordBody::Patch(body))
 }
 
 async fn log_contract(log: impl ports::PlatformLog, state: http::Shared<log_state::LogState>) {
@@ -77,21 +71,21 @@
     assert_eq!(empty, platform::HostListing::default());
     let leaving = platform::ListedState::Leaving;
     let long_ago = clock::MonoTime::default();
-    http::lock(&state).set(name("s1"), platform::ListedState::Live, long_ago);
-    http::lock(&state).set(name("s1"), leaving, long_ago);
+    http::lock(&state).set(fixtures::name("s1"), platform::ListedState::Live, long_ago);
+    http::lock(&state).set(fixtures::name("s1"), leaving, long_ago);
     let listing = list.list().await.expect("it is read");
     assert_eq!(listing.servers[0].state, leaving);
     assert_eq!(listing.servers.len(), 1, "the latest state of each");
     let not_yet = clock::MonoTime::from_millis(u64::MAX / 4_000);
-    http::lock(&state).set(name("s2"), leaving, not_yet);
+    http::lock(&state).set(fixtures::name("s2"), leaving, not_yet);
     assert_eq!(list.list().await.expect("it is read").servers.len(), 1);
 }
 
 fn spec(address: net::SocketAddr) -> configuration::ServerSpec {
     configuration::ServerSpec {
-        name: name("s1"),
-        service: name("stock"),
-        domain: name("north"),
+        name: fixtures::name("s1"),
+        service: fixtures::name("stock"),
+        domain: fixtures::name("north"),
         address,
         fences: configuration::FenceMode::Checked,
         slots: 6,
@@ -102,7 +96,7 @@
 
 fn claim(number: u64) -> contract::ClaimOrder {
     contract::ClaimOrder {
-        term: fence::TermId::new(number, name("h1"), 7),
+        term: fence::TermId::new(number, fixtures::name("h1"), 7),
         witness_set: 1,
         version: 1,
         probe: false,
@@ -111,7 +105,7 @@
 
 fn lease(number: u64, sequence: u64, token: contract::LeaseToken) -> contract::LeaseOrder {
     contract::LeaseOrder {
-        term: fence::TermId::new(number, name("h1"), 7),
+        term: fence::TermId::new(number, fixtures::name("h1"), 7),
         witness_set: 1,
         version: 1,
         sequence,
@@ -124,8 +118,8 @@
 
 fn with_grant(order: contract::LeaseOrder) -> contract::LeaseOrder {
     let grant = contract::ShardGrant {
-        shard: name("stock/3"),
-        fence: name("5.h1.7.1"),
+        shard: fixtures::name("stock/3"),
+        fence: fixtures::name("5.h1.7.1"),
     };
     contract::LeaseOrder {
         grants: Some(vec![grant]),
@@ -199,12 +193,12 @@
 
 async fn peer_contract(port: impl ports::PeerPort, address: net::SocketAddr) {
     let request = peer::ExchangeRequest {
-        from: name("h2"),
+        from: fixtures::name("h2"),
         next_offset: 0,
         version: 0,
         tables: Vec::new(),
         hosts: vec![peer::HostNews {
-            host: name("h2"),
+            host: fixtures::name("h2"),
             version: 0,
             draining: false,
             age_ms: 0,
@@ -257,10 +251,10 @@
     pub async fn exchange() {
         let settings = control::ControlSettings {
             identity: peer::HostIdentity {
-                host: name("h1"),
+                host: fixtures::name("h1"),
                 incarnation: 1,
             },
-            domain: name("north"),
+            domain: fixtures::name("north"),
             bootstrap: Vec::new(),
             timing: timing::LeaseTiming::new(),
             wall_origin_ms: 0,
@@ -315,8 +309,8 @@
         let (_, log) = listener();
         let address = || site::free_address();
         let settings = host::HostSettings {
-            name: name("h1"),
-            domain: name("north"),
+            name: fixtures::name("h1"),
+            domain: fixtures::name("north"),
             callers: address(),
             operators: address(),
             peers: address(),
--- a/tests/desk.rs
+++ b/tests/desk.rs
@@ -3,6 +3,7 @@
 use std::sync;
 use std::time;
 
+use zinnia_lab::fixtures;
 use zinniastack::clock;
 use zinniastack::ownership::book;
 use zinniastack::serving::ages;
@@ -13,20 +14,9 @@
 
 const SLOTS: u32 = 4;
 
-fn name<T: std::str::FromStr>(text: &str) -> T
-where
-    T::Err: std::fmt::Debug,
-{
-    text.parse().expect("a name")
-}
-
-fn at(millis: u64) -> clock::MonoTime {
-    clock::MonoTime::from_millis(millis)
-}
-
 fn settings() -> desk::DeskSettings {
     desk::DeskSettings {
-        domain: name("north"),
+        domain: fixtures::name("north"),
         retry_ratio: 0.2,
         retry_slack: 10.0,
         drain: time::Duration::from_secs(2),
@@ -36,12 +26,12 @@
 fn record(server: &str, domain: &str, state: directory::ServerState) -> directory::ServerRecord {
     directory::ServerRecord {
         life: book::ServerLife {
-            server: name(server),
+            server: fixtures::name(server),
             born: 1,
         },
-        service: name("orders"),
+        service: fixtures::name("orders"),
         address: ([10, 0, 0, 1], 80).into(),
-        domain: name(domain),
+        domain: fixtures::name(domain),
         slots: SLOTS,
         state,
         sequence: 1,
@@ -58,7 +48,7 @@
     fn new(servers: &[(&str, &str)]) -> Self {
         let records = servers.iter().map(|(server, domain)| {
             let record = record(server, domain, directory::ServerState::Ready);
-            (name(server), sync::Arc::new(record))
+            (fixtures::name(server), sync::Arc::new(record))
         });
         let view = view::ServingView {
             servers: sync::Arc::new(records.collect()),
@@ -68,7 +58,7 @@
             desk: desk::ServiceDesk::new(settings()),
             view,
         };
-        case.sync(at(0));
+        case.sync(fixtures::at(0));
         case
     }
 
@@ -78,11 +68,11 @@
 
     fn wish(priority: u32, deadline_ms: u64) -> desk::ServerWish {
         desk::ServerWish {
-            service: name("orders"),
+            service: fixtures::name("orders"),
             key: None,
             priority,
-            objective: at(300),
-            deadline: at(deadline_ms),
+            objective: fixtures::at(300),
+            deadline: fixtures::at(deadline_ms),
             body_bytes: 0,
             again: false,
             avoid: None,
@@ -103,16 +93,20 @@
 
     fn finish(&mut self, server: &str, end: measure::ExchangeEnd, millis: u64) {
         let life = book::ServerLife {
-            server: name(server),
+            server: fixtures::name(server),
             born: 1,
         };
-        self.desk
-            .finish(&life, end, time::Duration::from_millis(millis), at(0));
+        self.desk.finish(
+            &life,
+            end,
+            time::Duration::from_millis(millis),
+            fixtures::at(0),
+        );
     }
 
     fn fill(&mut self) -> usize {
         let mut sent = 0;
-        while self.send(Self::wish(1, 1_000), at(0)).is_some() {
+        while self.send(Self::wish(1, 1_000), fixtures::at(0)).is_some() {
             sent += 1;
         }
         sent
@@ -122,7 +116,8 @@
 fn prefers_its_own_domain() {
     let mut case = DeskCase::new(&[("far", "south"), ("near", "north")]);
     assert_eq!(
-        case.send(DeskCase::wish(1, 1_000), at(0)).as_deref(),
+        case.send(DeskCase::wish(1, 1_000), fixtures::at(0))
+            .as_deref(),
         Some("near")
     );
 }
@@ -130,7 +125,7 @@
 fn uses_another_domain_when_its_own_is_full() {
     let mut case = DeskCase::new(&[("far", "south"), ("near", "north")]);
     case.fill();
-    let events = case.desk.pump(at(50));
+    let events = case.desk.pump(fixtures::at(50));
     let far = events.iter().any(|event| {
         matches!(event, desk::DeskEvent::Assigned(_, record) if record.life.server.as_str() == "far")
     });
@@ -149,28 +144,35 @@
 
 fn leaves_the_others_their_share() {
     let mut case = DeskCase::new(&[("near", "north")]);
-    let demand = [(name("near"), 40.0)].into_iter().collect();
+    let demand = [(fixtures::name("near"), 40.0)].into_iter().collect();
     case.view.demand = sync::Arc::new(demand);
-    case.sync(at(0));
+    case.sync(fixtures::at(0));
     assert_eq!(case.fill(), 1);
 }
 
 fn sends_nothing_to_a_server_that_drains() {
     let mut case = DeskCase::new(&[("near", "north")]);
     let draining = record("near", "north", directory::ServerState::Draining);
-    case.view.servers = sync::Arc::new([(name("near"), sync::Arc::new(draining))].into());
-    case.sync(at(10));
-    let refused = case.desk.enqueue(DeskCase::wish(1, 1_000), at(10));
+    case.view.servers = sync::Arc::new([(fixtures::name("near"), sync::Arc::new(draining))].into());
+    case.sync(fixtures::at(10));
+    let refused = case
+        .desk
+        .enqueue(DeskCase::wish(1, 1_000), fixtures::at(10));
     assert_eq!(refused, Err(desk::DeskRefusal::NoServer));
 }
 
 // scale-1 at EMOV, seed 384130632242: requests went to a removed server while others ran there.
 fn sends_nothing_to_a_removed_server_at_which_requests_run() {
     let mut case = DeskCase::new(&[("near", "north")]);
-    assert!(case.send(DeskCase::wish(1, 1_000), at(0)).is_some());
+    assert!(
+        case.send(DeskCase::wish(1, 1_000), fixtures::at(0))
+            .is_some()
+    );
     case.view.servers = sync::Arc::default();
-    case.sync(at(10));
-    let refused = case.desk.enqueue(DeskCase::wish(1, 1_000), at(10));
+    case.sync(fixtures::at(10));
+    let refused = case
+        .desk
+        .enqueue(DeskCase::wish(1, 1_000), fixtures::at(10));
     assert_eq!(refused, Err(desk::DeskRefusal::NoServer));
 }
 
@@ -179,7 +181,10 @@
     case.fill();
     let mut last = Ok(());
     for _ in 0..100 {
-        last = case.desk.enqueue(DeskCase::wish(1, 1_000), at(0)).map(drop);
+        last = case
+            .desk
+            .enqueue(DeskCase::wish(1, 1_000), fixtures::at(0))
+            .map(drop);
         if last.is_err() {
             break;
         }
@@ -192,14 +197,14 @@
     case.fill();
     let later = case
         .desk
-        .enqueue(DeskCase::wish(2, 1_000), at(0))
+        .enqueue(DeskCase::wish(2, 1_000), fixtures::at(0))
         .expect("it waits");
     let urgent = case
         .desk
-        .enqueue(DeskCase::wish(0, 1_000), at(1))
+        .enqueue(DeskCase::wish(0, 1_000), fixtures::at(1))
         .expect("it waits");
     case.finish("near", measure::ExchangeEnd::Answered, 100);
-    let events = case.desk.pump(at(2));
+    let events = case.desk.pump(fixtures::at(2));
     let first = events.iter().find_map(|event| match event {
         desk::DeskEvent::Assigned(ticket, _) => Some(*ticket),
         desk::DeskEvent::GivenUp(..) => None,
@@ -211,9 +216,9 @@
     let mut case = DeskCase::new(&[("near", "north")]);
     case.fill();
     case.desk
-        .enqueue(DeskCase::wish(1, 400), at(0))
+        .enqueue(DeskCase::wish(1, 400), fixtures::at(0))
         .expect("it waits");
-    let events = case.desk.pump(at(380));
+    let events = case.desk.pump(fixtures::at(380));
     let late = events.iter().any(|event| {
         matches!(
             event,
@@ -230,7 +235,8 @@
         case.finish("sound", measure::ExchangeEnd::Answered, 100);
     }
     assert_eq!(
-        case.send(DeskCase::wish(1, 1_000), at(0)).as_deref(),
+        case.send(DeskCase::wish(1, 1_000), fixtures::at(0))
+            .as_deref(),
         Some("sound")
     );
 }
@@ -238,9 +244,9 @@
 fn pauses_a_server_that_cannot_be_reached() {
     let mut case = DeskCase::new(&[("near", "north")]);
     case.finish("near", measure::ExchangeEnd::Unsent, 300);
-    let refused = case.desk.enqueue(DeskCase::wish(1, 1_000), at(1));
+    let refused = case.desk.enqueue(DeskCase::wish(1, 1_000), fixtures::at(1));
     assert_eq!(refused, Err(desk::DeskRefusal::NoServer));
-    let back = at(measure::PAUSE_MS + 1);
+    let back = fixtures::at(measure::PAUSE_MS + 1);
     assert!(case.desk.enqueue(DeskCase::wish(1, 1_000), back).is_ok());
 }
 
@@ -249,7 +255,7 @@
     let mut again = DeskCase::wish(1, 1_000);
     again.again = true;
     let taken = (0..100)
-        .filter(|_| case.desk.enqueue(again.clone(), at(0)).is_ok())
+        .filter(|_| case.desk.enqueue(again.clone(), fixtures::at(0)).is_ok())
         .count();
     let taken = u32::try_from(taken).expect("a few");
     assert!(
@@ -268,7 +274,7 @@
     fn new() -> Self {
         let holder = book::KeyHolder {
             life: book::ServerLife {
-                server: name("near"),
+                server: fixtures::name("near"),
                 born: 1,
             },
             address: ([10, 0, 0, 1], 80).into(),
@@ -293,7 +299,7 @@
         self.range.formers = fence.map(|_| former).into_iter().collect();
         let mut book = book::GrantBook::default();
         book.services
-            .insert(name("orders"), vec![self.range.clone()]);
+            .insert(fixtures::name("orders"), vec![self.range.clone()]);
         let ages = self.case.view.ages.with_book(&book, now);
         self.case.view.ages = sync::Arc::new(ages);
         self.case.view.book = sync::Arc::new(book);
@@ -316,12 +322,14 @@
 
 fn holds_requests_for_a_key_that_moves() {
     let mut moving = MoveCase::new();
-    moving.note_move(Some(2), at(0));
-    let sent = moving.case.send(MoveCase::wish(at(0)), at(0));
+    moving.note_move(Some(2), fixtures::at(0));
+    let sent = moving
+        .case
+        .send(MoveCase::wish(fixtures::at(0)), fixtures::at(0));
     assert_eq!(sent, None, "the key is on its way");
-    moving.note_move(None, at(50));
+    moving.note_move(None, fixtures::at(50));
     assert_eq!(
-        moving.case.desk.pump(at(50)).len(),
+        moving.case.desk.pump(fixtures::at(50)).len(),
         1,
         "the request goes to the new holder"
     );
@@ -330,12 +338,13 @@
 // A leaving server serves the keys that it holds until they have moved, but not to the last moment.
 fn sends_keys_to_a_leaving_server_for_a_part_of_its_time() {
     let mut moving = MoveCase::new();
-    moving.note_move(None, at(0));
+    moving.note_move(None, fixtures::at(0));
     let leaving = record("near", "north", directory::ServerState::Draining);
-    moving.case.view.servers = sync::Arc::new([(name("near"), sync::Arc::new(leaving))].into());
-    moving.case.sync(at(100));
-    let end = at(100) + settings().drain.mul_f64(desk::DRAIN_PART);
-    assert_eq!(moving.enqueue(at(200)), Ok(()));
+    moving.case.view.servers =
+        sync::Arc::new([(fixtures::name("near"), sync::Arc::new(leaving))].into());
+    moving.case.sync(fixtures::at(100));
+    let end = fixtures::at(100) + settings().drain.mul_f64(desk::DRAIN_PART);
+    assert_eq!(moving.enqueue(fixtures::at(200)), Ok(()));
     assert_eq!(moving.enqueue(end), Err(desk::DeskRefusal::NoServer));
 }
 
@@ -343,18 +352,21 @@
 // keys were held until their time was nearly over.
 fn refuses_at_once_for_a_key_whose_move_takes_too_long() {
     let mut moving = MoveCase::new();
-    moving.note_move(Some(2), at(0));
-    let later = at(ages::MOVE_PATIENCE_MS + 1);
+    moving.note_move(Some(2), fixtures::at(0));
+    let later = fixtures::at(ages::MOVE_PATIENCE_MS + 1);
     // Other news of the book change nothing of when the move began.
-    moving.note_move(Some(2), at(500));
+    moving.note_move(Some(2), fixtures::at(500));
     assert_eq!(moving.enqueue(later), Err(desk::DeskRefusal::NoServer));
 }
 
 fn gives_up_waiting_when_a_move_takes_too_long() {
     let mut moving = MoveCase::new();
-    moving.note_move(Some(2), at(0));
-    assert_eq!(moving.enqueue(at(400)), Ok(()));
-    let events = moving.case.desk.pump(at(ages::MOVE_PATIENCE_MS + 1));
+    moving.note_move(Some(2), fixtures::at(0));
+    assert_eq!(moving.enqueue(fixtures::at(400)), Ok(()));
+    let events = moving
+        .case
+        .desk
+        .pump(fixtures::at(ages::MOVE_PATIENCE_MS + 1));
     let refusal = events.first();
     assert!(
         matches!(
@@ -367,9 +379,9 @@
 
 fn waits_anew_for_the_next_move_of_a_key() {
     let mut moving = MoveCase::new();
-    moving.note_move(Some(2), at(0));
-    moving.note_move(Some(3), at(900));
-    assert_eq!(moving.enqueue(at(1_500)), Ok(()));
+    moving.note_move(Some(2), fixtures::at(0));
+    moving.note_move(Some(3), fixtures::at(900));
+    assert_eq!(moving.enqueue(fixtures::at(1_500)), Ok(()));
 }
 
 macro_rules! desk_cases {
--- a/tests/fold.rs
+++ b/tests/fold.rs
@@ -1,23 +1,17 @@
 //! The fold of the log: patches, assignments, witnesses, checkpoints, and records of any kind.
 
+use zinnia_lab::fixtures;
 use zinniastack::configuration;
 use zinniastack::fold;
 use zinniastack::names;
 use zinniastack::record;
 
-fn name<T: std::str::FromStr>(text: &str) -> T
-where
-    T::Err: std::fmt::Debug,
-{
-    text.parse().expect("a name")
-}
-
 fn server(number: u32) -> configuration::ConfigurationChange {
     configuration::ConfigurationChange::PutServer(configuration::ServerSpec {
-        name: name(&format!("s{number}")),
-        service: name("stock"),
-        domain: name("north"),
-        address: name(&format!("127.0.0.1:{}", 7_000 + number)),
+        name: fixtures::name(&format!("s{number}")),
+        service: fixtures::name("stock"),
+        domain: fixtures::name("north"),
+        address: fixtures::name(&format!("127.0.0.1:{}", 7_000 + number)),
         fences: configuration::FenceMode::Checked,
         slots: 6,
         connections: 130,
@@ -28,25 +22,25 @@
 fn base_changes() -> Vec<configuration::ConfigurationChange> {
     vec![
         configuration::ConfigurationChange::PutDomain(configuration::DomainSpec {
-            name: name("north"),
+            name: fixtures::name("north"),
             gone: None,
         }),
         configuration::ConfigurationChange::PutDomain(configuration::DomainSpec {
-            name: name("south"),
+            name: fixtures::name("south"),
             gone: None,
         }),
         configuration::ConfigurationChange::PutService(configuration::ServiceSpec {
-            name: name("stock"),
+            name: fixtures::name("stock"),
             rank: configuration::WorkRank::new(1).expect("a rank"),
             shards: 4,
             deadline_ms: 500,
             floor_percent: 0,
             max_body_bytes: 1_024,
-            homes: vec![name("north"), name("south")],
+            homes: vec![fixtures::name("north"), fixtures::name("south")],
         }),
         configuration::ConfigurationChange::PutFeature(configuration::FeatureSpec {
-            name: name("digest"),
-            service: name("stock"),
+            name: fixtures::name("digest"),
+            service: fixtures::name("stock"),
             rank: None,
             status: configuration::FeatureStatus::Live,
             when_stale: configuration::StalePolicy::Hold,
@@ -59,27 +53,27 @@
 
 fn patch(id: &str, base: u64, changes: Vec<configuration::ConfigurationChange>) -> String {
     let body = record::RecordBody::Patch(record::PatchBody { base, changes });
-    record::LogRecord::new(name(id), body).encode()
+    record::LogRecord::new(fixtures::name(id), body).encode()
 }
 
 fn assign(id: &str, shard: &str, server: &str, fence: &str) -> String {
     let entry = record::AssignmentEntry {
-        shard: name(shard),
-        server: name(server),
-        fence: name(fence),
+        shard: fixtures::name(shard),
+        server: fixtures::name(server),
+        fence: fixtures::name(fence),
     };
     let body = record::AssignBody {
         entries: vec![entry],
     };
-    record::LogRecord::new(name(id), record::RecordBody::Assign(body)).encode()
+    record::LogRecord::new(fixtures::name(id), record::RecordBody::Assign(body)).encode()
 }
 
 fn settle(set: u64) -> String {
     let body = record::RecordBody::Settle(record::SettleBody {
-        domain: name("north"),
+        domain: fixtures::name("north"),
         witness_set: set,
     });
-    record::LogRecord::new(name(&format!("settle-{set}")), body).encode()
+    record::LogRecord::new(fixtures::name(&format!("settle-{set}")), body).encode()
 }
 
 fn folded(texts: &[String]) -> fold::LogFold {
@@ -98,13 +92,13 @@
 
 fn retire() -> Vec<configuration::ConfigurationChange> {
     vec![configuration::ConfigurationChange::RetireFeature {
-        name: name("digest"),
+        name: fixtures::name("digest"),
     }]
 }
 
 fn expect_verdict(texts: &[String], id: &str, expected: &str) {
     let fold = with_base(texts);
-    let verdict = format!("{:?}", fold.verdict(&name(id)));
+    let verdict = format!("{:?}", fold.verdict(&fixtures::name(id)));
     assert!(verdict.contains(expected), "{verdict}");
 }
 
@@ -121,7 +115,7 @@
     assert!(
         fold.state()
             .configuration
-            .find_server(&name("s4"))
+            .find_server(&fixtures::name("s4"))
             .is_none()
     );
 }
@@ -131,7 +125,7 @@
     let fold = with_base(&[again.clone(), again]);
     assert_eq!(fold.state().version, 2);
     assert_eq!(
-        fold.verdict(&name("again")),
+        fold.verdict(&fixtures::name("again")),
         Some(&fold::PatchVerdict::Accepted { version: 2 })
     );
 }
@@ -141,8 +135,8 @@
         assign("new", "stock/0", "s2", "5.h1.a.1"),
         assign("late", "stock/0", "s1", "4.h2.b.9"),
     ]);
-    let assignment = &fold.state().assignments[&name("stock/0")];
-    assert_eq!(assignment.server, name("s2"));
+    let assignment = &fold.state().assignments[&fixtures::name("stock/0")];
+    assert_eq!(assignment.server, fixtures::name("s2"));
 }
 
 fn witnesses_change_one_at_a_time() {
@@ -156,7 +150,7 @@
 
 fn both_sets_count_until_settled() {
     let fold = with_base(&[patch("one", 1, vec![server(4)])]);
-    let view = &fold.state().witnesses[&name::<names::DomainName>("north")];
+    let view = &fold.state().witnesses[&fixtures::name::<names::DomainName>("north")];
     let of = |list: &[&str]| view.has_majority(|n| list.contains(&n.as_str()));
     assert!(of(&["s1", "s2", "s4"]));
     assert!(!of(&["s1", "s4"]), "no majority of the settled set");
@@ -165,10 +159,10 @@
 
 fn a_given_up_domain_never_returns() {
     let give_up = configuration::ConfigurationChange::GiveUpDomain {
-        name: name("south"),
+        name: fixtures::name("south"),
     };
     let back = configuration::ConfigurationChange::PutDomain(configuration::DomainSpec {
-        name: name("south"),
+        name: fixtures::name("south"),
         gone: None,
     });
     let texts = [
@@ -278,19 +272,19 @@
     any_damage: any_damaged_record_is_survived();
     oversize: oversize_is_skipped();
     unknown_feature: expect_invalid(
-        configuration::ConfigurationChange::RetireFeature { name: name("other") },
+        configuration::ConfigurationChange::RetireFeature { name: fixtures::name("other") },
         "unknown feature",
     );
     unknown_server: expect_invalid(
-        configuration::ConfigurationChange::WithdrawServer { name: name("s9") },
+        configuration::ConfigurationChange::WithdrawServer { name: fixtures::name("s9") },
         "unknown server",
     );
     removal_before_withdrawal: expect_invalid(
-        configuration::ConfigurationChange::RemoveServer { name: name("s1") },
+        configuration::ConfigurationChange::RemoveServer { name: fixtures::name("s1") },
         "withdraw the server first",
     );
     unknown_host: expect_invalid(
-        configuration::ConfigurationChange::RemoveHost { name: name("h9") },
+        configuration::ConfigurationChange::RemoveHost { name: fixtures::name("h9") },
         "unknown host",
     );
 }
--- a/tests/granting.rs
+++ b/tests/granting.rs
@@ -4,7 +4,7 @@
 use std::net;
 use std::time;
 
-use zinniastack::clock;
+use zinnia_lab::fixtures;
 use zinniastack::names;
 use zinniastack::ownership::book;
 use zinniastack::ownership::granter;
@@ -15,24 +15,13 @@
 /// The interval of the granter's decisions, in milliseconds.
 const TICK_MS: u64 = 100;
 
-fn name<T: std::str::FromStr>(text: &str) -> T
-where
-    T::Err: std::fmt::Debug,
-{
-    text.parse().expect("a name")
-}
-
-fn at(millis: u64) -> clock::MonoTime {
-    clock::MonoTime::from_millis(millis)
-}
-
 fn service() -> names::ServiceName {
-    name("stock")
+    fixtures::name("stock")
 }
 
 fn granter_life(host: &str, incarnation: u64) -> book::GranterLife {
     book::GranterLife {
-        host: name(host),
+        host: fixtures::name(host),
         incarnation,
         peers: ([10, 0, 0, 9], 7_200).into(),
     }
@@ -44,7 +33,7 @@
 
 fn server_life(number: u16) -> book::ServerLife {
     book::ServerLife {
-        server: name(&format!("s{number}")),
+        server: fixtures::name(&format!("s{number}")),
         born: 1,
     }
 }
@@ -54,7 +43,7 @@
         life: server_life(number),
         service: service(),
         address: address(number),
-        domain: name("north"),
+        domain: fixtures::name("north"),
         slots: 4,
         state: directory::ServerState::Ready,
         sequence: 1,
@@ -95,7 +84,7 @@
     // Makes `book` the newest of the log.
     fn read(&mut self, book: book::GrantBook) {
         self.end += 1;
-        let now = at(self.now_ms);
+        let now = fixtures::at(self.now_ms);
         self.granter.note_book(Some(book), self.end, now);
     }
 
@@ -104,7 +93,7 @@
         let end = self.now_ms + span_ms;
         while self.now_ms < end {
             self.now_ms += TICK_MS;
-            let now = at(self.now_ms);
+            let now = fixtures::at(self.now_ms);
             self.granter.note_confirmed(now);
             if self.end == 0 {
                 self.granter.note_book(None, 0, now);
@@ -117,7 +106,7 @@
     }
 
     fn act(&mut self, action: order::GranterAction) {
-        let now = at(self.now_ms);
+        let now = fixtures::at(self.now_ms);
         match action {
             order::GranterAction::Append { at, .. } => {
                 assert_eq!(at, self.end, "the log ends there");
@@ -196,11 +185,11 @@
     let answer = succession::HostAnswer {
         life: granter_life("former", 2),
         term: 0,
-        asked: at(case.now_ms),
+        asked: fixtures::at(case.now_ms),
         uptime: time::Duration::ZERO,
     };
     case.now_ms += 100;
-    case.granter.note_answer(&answer, at(case.now_ms));
+    case.granter.note_answer(&answer, fixtures::at(case.now_ms));
     case.run(20_000);
     let moved = case.first_key_moved(1_000).expect("the keys move");
     assert!(moved < 4_500, "{moved} ms");
--- a/tests/grants.rs
+++ b/tests/grants.rs
@@ -3,9 +3,9 @@
 
 use std::sync;
 
+use zinnia_lab::fixtures;
 use zinniastack::authority;
 use zinniastack::chart;
-use zinniastack::clock;
 use zinniastack::configuration;
 use zinniastack::contract;
 use zinniastack::fence;
@@ -19,22 +19,11 @@
 const FORMER_END_MS: u64 = 10_400;
 const NOW_MS: u64 = 10_450;
 
-fn name<T: std::str::FromStr>(text: &str) -> T
-where
-    T::Err: std::fmt::Debug,
-{
-    text.parse().expect("a name")
-}
-
-fn at(millis: u64) -> clock::MonoTime {
-    clock::MonoTime::from_millis(millis)
-}
-
 fn configuration(servers: u16) -> configuration::Configuration {
     let server = |number: u16| configuration::ServerSpec {
-        name: name(&format!("s{number}")),
-        service: name("stock"),
-        domain: name("north"),
+        name: fixtures::name(&format!("s{number}")),
+        service: fixtures::name("stock"),
+        domain: fixtures::name("north"),
         address: ([127, 0, 0, 1], number).into(),
         fences: configuration::FenceMode::Checked,
         slots: 6,
@@ -43,18 +32,18 @@
     };
     configuration::Configuration {
         domain: vec![configuration::DomainSpec {
-            name: name("north"),
+            name: fixtures::name("north"),
             gone: None,
         }],
         host: Vec::new(),
         service: vec![configuration::ServiceSpec {
-            name: name("stock"),
+            name: fixtures::name("stock"),
             rank: configuration::WorkRank::new(1).expect("a rank"),
             shards: 1,
             deadline_ms: 500,
             floor_percent: 0,
             max_body_bytes: 1_024,
-            homes: vec![name("north")],
+            homes: vec![fixtures::name("north")],
         }],
         server: (1..=servers).map(server).collect(),
         feature: Vec::new(),
@@ -68,16 +57,16 @@
         base: 0,
         changes: configuration(servers).to_changes(),
     });
-    fold.apply(&record::LogRecord::new(name("first"), body).encode());
+    fold.apply(&record::LogRecord::new(fixtures::name("first"), body).encode());
     let entry = record::AssignmentEntry {
-        shard: name("stock/0"),
-        server: name("s3"),
-        fence: name("5.h1.7.4"),
+        shard: fixtures::name("stock/0"),
+        server: fixtures::name("s3"),
+        fence: fixtures::name("5.h1.7.4"),
     };
     let body = record::RecordBody::Assign(record::AssignBody {
         entries: vec![entry],
     });
-    fold.apply(&record::LogRecord::new(name("assign"), body).encode());
+    fold.apply(&record::LogRecord::new(fixtures::name("assign"), body).encode());
     fold
 }
 
@@ -99,12 +88,12 @@
 
 fn answer(server: &str, lease_left_ms: u64, held: &[(&str, &str)]) -> authority::ClaimAnswer {
     let held = held.iter().map(|(shard, fence)| contract::ShardGrant {
-        shard: name(shard),
-        fence: name(fence),
+        shard: fixtures::name(shard),
+        fence: fixtures::name(fence),
     });
     authority::ClaimAnswer {
-        server: name(server),
-        sent_at: at(NOW_MS),
+        server: fixtures::name(server),
+        sent_at: fixtures::at(NOW_MS),
         reply: contract::ClaimReply {
             accepted: true,
             ack_age_ms: Some(500),
@@ -126,19 +115,19 @@
     fn new(reports: Vec<authority::ClaimAnswer>) -> Self {
         let fold = folded(3);
         let start = authority::GrantStart {
-            term: sync::Arc::new(fence::TermId::new(9, name("h2"), 8)),
-            former_end: at(FORMER_END_MS),
+            term: sync::Arc::new(fence::TermId::new(9, fixtures::name("h2"), 8)),
+            former_end: fixtures::at(FORMER_END_MS),
             reports,
         };
         let setup = grant::GrantSetup {
-            domain: name("north"),
+            domain: fixtures::name("north"),
             timing: timing::LeaseTiming::new(),
             start: &start,
             fold: fold.state(),
             former: None,
         };
         let charts = grant::GrantCharts::new().expect("the charts are sound");
-        let book = grant::GrantBook::new(charts, &setup, at(NOW_MS));
+        let book = grant::GrantBook::new(charts, &setup, fixtures::at(NOW_MS));
         Self {
             book,
             fold,
@@ -148,10 +137,10 @@
 
     fn tick(&mut self) -> Vec<grant::AddressedOrder> {
         self.now_ms += timing::RENEW_INTERVAL_MS;
-        let domain: names::DomainName = name("north");
+        let domain: names::DomainName = fixtures::name("north");
         let witnesses = self.fold.state().witnesses[&domain].clone();
-        self.book.tick(at(self.now_ms), &witnesses);
-        self.book.due_orders(at(self.now_ms))
+        self.book.tick(fixtures::at(self.now_ms), &witnesses);
+        self.book.due_orders(fixtures::at(self.now_ms))
     }
 
     fn order_to(&mut self, server: &str) -> contract::LeaseOrder {
@@ -179,8 +168,12 @@
     ) {
         let verdict = contract::LeaseVerdict::Renewed;
         let reply = contract::LeaseReply { verdict, status };
-        self.book
-            .on_lease_reply(&name(server), order, &reply, at(self.now_ms));
+        self.book.on_lease_reply(
+            &fixtures::name(server),
+            order,
+            &reply,
+            fixtures::at(self.now_ms),
+        );
     }
 
     fn owner(&self) -> Option<String> {
@@ -188,7 +181,7 @@
             .book
             .routes()
             .routes()
-            .get(&name::<names::ShardId>("stock/0"));
+            .get(&fixtures::name::<names::ShardId>("stock/0"));
         route.map(|route| route.server.to_string())
     }
 
@@ -227,7 +220,7 @@
 // The former granter may still act and count the lease as lapsed, so the report is not taken yet.
 fn a_lease_that_ends_too_soon_is_asked_again() {
     let mut report = answer("s3", 20, &[("stock/0", "5.h1.7.4")]);
-    report.sent_at = at(FORMER_END_MS - 100);
+    report.sent_at = fixtures::at(FORMER_END_MS - 100);
     let mut trial = BookTrial::new(vec![empty("s1"), empty("s2"), report]);
     let orders = trial.tick();
     let to_s3 = orders
@@ -290,7 +283,7 @@
     let before = trial.order_to("s3");
     trial.acknowledge("s3", &before);
     let older = trial.order_to("s3");
-    trial.book.follow_listing(&[name("s3")].into());
+    trial.book.follow_listing(&[fixtures::name("s3")].into());
     let release = trial.order_to("s3");
     assert_eq!(release.grants, Some(Vec::new()));
     trial.acknowledge("s3", &older);
@@ -311,10 +304,10 @@
         answer("s3", 700, &[("stock/0", "5.h1.7.4")]),
     ];
     let mut trial = BookTrial::new(reports);
-    trial.book.follow_listing(&[name("s3")].into());
+    trial.book.follow_listing(&[fixtures::name("s3")].into());
     let release = trial.order_to("s3");
     let mut busy = status(1, 1);
-    busy.releasing = vec![name("stock/0")];
+    busy.releasing = vec![fixtures::name("stock/0")];
     trial.reply("s3", &release, busy);
     let s1 = trial.order_to("s1");
     assert!(s1.grants.is_none_or(|grants| grants.is_empty()));
@@ -378,12 +371,12 @@
     fn new() -> Self {
         let chart = chart::ChartTable::new().expect("the chart is sound");
         let claimant = peer::HostIdentity {
-            host: name("h2"),
+            host: fixtures::name("h2"),
             incarnation: 8,
         };
         let timing = timing::LeaseTiming::new();
         let fold = folded(3);
-        let domain: names::DomainName = name("north");
+        let domain: names::DomainName = fixtures::name("north");
         Self {
             authority: authority::DomainAuthority::new(sync::Arc::new(chart), claimant, timing),
             witnesses: fold.state().witnesses[&domain].clone(),
@@ -411,7 +404,7 @@
 
 fn view(witnesses: &fold::WitnessView) -> authority::ClaimView<'_> {
     authority::ClaimView {
-        now: at(NOW_MS),
+        now: fixtures::at(NOW_MS),
         witnesses,
         version: 1,
         known_number: 5,
--- a/tests/knowledge.rs
+++ b/tests/knowledge.rs
@@ -2,24 +2,13 @@
 
 use std::time;
 
-use zinniastack::clock;
+use zinnia_lab::fixtures;
 use zinniastack::ownership::book;
 use zinniastack::routing::specification;
 use zinniastack::serving::directory;
 use zinniastack::serving::knowledge;
 use zinniastack::serving::news;
 
-fn name<T: std::str::FromStr>(text: &str) -> T
-where
-    T::Err: std::fmt::Debug,
-{
-    text.parse().expect("a name")
-}
-
-fn at(millis: u64) -> clock::MonoTime {
-    clock::MonoTime::from_millis(millis)
-}
-
 fn host(text: &str) -> knowledge::HostKnowledge {
     host_with_drain(text, time::Duration::from_secs(2))
 }
@@ -27,12 +16,12 @@
 fn host_with_drain(text: &str, drain: time::Duration) -> knowledge::HostKnowledge {
     knowledge::HostKnowledge::new(
         news::HostRecord {
-            host: name(text),
+            host: fixtures::name(text),
             incarnation: 1,
-            domain: name("north"),
+            domain: fixtures::name("north"),
             peers: ([10, 0, 0, 1], 7_200).into(),
         },
-        at(0),
+        fixtures::at(0),
         drain,
     )
 }
@@ -45,12 +34,12 @@
 ) -> directory::ServerRecord {
     directory::ServerRecord {
         life: book::ServerLife {
-            server: name(text),
+            server: fixtures::name(text),
             born,
         },
-        service: name("stock"),
+        service: fixtures::name("stock"),
         address: ([10, 0, 0, 2], 80).into(),
-        domain: name("north"),
+        domain: fixtures::name("north"),
         slots: 4,
         state,
         sequence,
@@ -80,12 +69,12 @@
         book: &book,
         end: 0,
     };
-    let asked = to.news_for(&from.own().host.clone(), &grants, at(0));
-    from.note_news(asked, at(0));
-    let told = from.news_for(&to.own().host.clone(), &grants, at(0));
-    let relay = to.note_news(told, at(0));
+    let asked = to.news_for(&from.own().host.clone(), &grants, fixtures::at(0));
+    from.note_news(asked, fixtures::at(0));
+    let told = from.news_for(&to.own().host.clone(), &grants, fixtures::at(0));
+    let relay = to.note_news(told, fixtures::at(0));
     if let Some(relay) = &relay {
-        to.note_relay(relay, at(0));
+        to.note_relay(relay, fixtures::at(0));
     }
     relay
 }
@@ -109,9 +98,9 @@
 
 fn passes_servers_on_to_a_host_that_the_store_turns_away() {
     let (mut from, mut to) = (host("a"), host("b"));
-    from.replace_servers(vec![server("s1", 1, 1, READY)], at(0));
+    from.replace_servers(vec![server("s1", 1, 1, READY)], fixtures::at(0));
     assert!(tell(&mut from, &mut to).is_none(), "its own store tells it");
-    to.note_store("servers", true, at(0));
+    to.note_store("servers", true, fixtures::at(0));
     assert!(tell(&mut from, &mut to).is_some());
     assert_eq!(to.directory().servers().count(), 1);
     // incident inc-b3f4: the same list went between zones four times a second.
@@ -120,28 +109,28 @@
 
 fn counts_the_store_as_back_when_every_call_is_answered() {
     let mut knowledge = host("a");
-    assert!(knowledge.note_store("servers", true, at(0)));
-    assert!(!knowledge.note_store("routes", true, at(0)));
-    assert!(!knowledge.note_store("servers", false, at(0)));
+    assert!(knowledge.note_store("servers", true, fixtures::at(0)));
+    assert!(!knowledge.note_store("routes", true, fixtures::at(0)));
+    assert!(!knowledge.note_store("servers", false, fixtures::at(0)));
     assert!(knowledge.store_lost());
-    assert!(knowledge.note_store("routes", false, at(0)));
+    assert!(knowledge.note_store("routes", false, fixtures::at(0)));
     assert!(!knowledge.store_lost());
 }
 
 fn drops_a_removed_server_at_once() {
     let mut knowledge = host("a");
     knowledge.note_server(server("s1", 1, 1, READY));
-    knowledge.remove_server(&name("s1"), at(10));
+    knowledge.remove_server(&fixtures::name("s1"), fixtures::at(10));
     assert_eq!(knowledge.directory().servers().count(), 0);
 }
 
 fn keeps_a_lapsed_server_for_a_moment_after_an_outage() {
     let mut knowledge = host("a");
     knowledge.note_server(server("s1", 1, 1, READY));
-    knowledge.note_store("servers", true, at(10));
-    knowledge.remove_server(&name("s1"), at(20));
+    knowledge.note_store("servers", true, fixtures::at(10));
+    knowledge.remove_server(&fixtures::name("s1"), fixtures::at(20));
     assert_eq!(knowledge.directory().servers().count(), 1);
-    assert!(knowledge.expire(at(20 + directory::RETURN_SPAN_MS)));
+    assert!(knowledge.expire(fixtures::at(20 + directory::RETURN_SPAN_MS)));
     assert_eq!(knowledge.directory().servers().count(), 0);
 }
 
@@ -150,18 +139,18 @@
     let drain = time::Duration::from_secs(1);
     let mut knowledge = host_with_drain("a", drain);
     knowledge.note_server(server("s1", 1, 1, READY));
-    knowledge.note_store("servers", true, at(10));
-    knowledge.remove_server(&name("s1"), at(20));
+    knowledge.note_store("servers", true, fixtures::at(10));
+    knowledge.remove_server(&fixtures::name("s1"), fixtures::at(20));
     assert_eq!(knowledge.directory().servers().count(), 1);
-    assert!(knowledge.expire(at(20) + drain.mul_f64(directory::RETURN_PART)));
+    assert!(knowledge.expire(fixtures::at(20) + drain.mul_f64(directory::RETURN_PART)));
     assert_eq!(knowledge.directory().servers().count(), 0);
 }
 
 fn keeps_no_leaving_server_that_lapsed() {
     let mut knowledge = host("a");
     knowledge.note_server(server("s1", 1, 1, DRAINING));
-    knowledge.note_store("servers", true, at(10));
-    knowledge.remove_server(&name("s1"), at(20));
+    knowledge.note_store("servers", true, fixtures::at(10));
+    knowledge.remove_server(&fixtures::name("s1"), fixtures::at(20));
     assert_eq!(knowledge.directory().servers().count(), 0);
 }
 
@@ -171,7 +160,7 @@
     knowledge.note_server(server("s1", 1, 4, READY));
     let state = knowledge
         .directory()
-        .find(&name("s1"))
+        .find(&fixtures::name("s1"))
         .map(|record| record.state);
     assert_eq!(state, Some(DRAINING));
 }
@@ -179,7 +168,7 @@
 fn ignores_a_late_entry_of_a_removed_server() {
     let mut knowledge = host("a");
     knowledge.note_server(server("s1", 1, 5, READY));
-    knowledge.remove_server(&name("s1"), at(10));
+    knowledge.remove_server(&fixtures::name("s1"), fixtures::at(10));
     knowledge.note_server(server("s1", 1, 4, READY));
     assert_eq!(knowledge.directory().servers().count(), 0);
 }
@@ -190,7 +179,7 @@
     knowledge.note_server(server("s1", 2, 1, READY));
     let born = knowledge
         .directory()
-        .find(&name("s1"))
+        .find(&fixtures::name("s1"))
         .map(|record| record.life.born);
     assert_eq!(born, Some(2));
 }
--- a/tests/placements.rs
+++ b/tests/placements.rs
@@ -1,5 +1,6 @@
 //! Placement: the fewest moves that even out the load, hot shards, hysteresis, and measured loads.
 
+use zinnia_lab::fixtures;
 use zinniastack::load;
 use zinniastack::names;
 use zinniastack::peer;
@@ -8,13 +9,6 @@
 /// The users' bound on the greatest load over the mean.
 const PEAK_TO_MEAN: f64 = 1.25;
 
-fn name<T: std::str::FromStr>(text: &str) -> T
-where
-    T::Err: std::fmt::Debug,
-{
-    text.parse().expect("a name")
-}
-
 /// Twelve shards of which one is tenfold hot: less than a server's mean, so that it can be evened out.
 const TENFOLD: [f64; 12] = [10.0, 1.0, 1.0, 1.0, 1.0, 1.0, 1.0, 1.0, 1.0, 1.0, 1.0, 1.0];
 
@@ -31,9 +25,9 @@
             servers: Vec::new(),
         };
         for (position, loads) in servers.iter().enumerate() {
-            let server: names::ServerName = name(&format!("s{position}"));
+            let server: names::ServerName = fixtures::name(&format!("s{position}"));
             for load in *loads {
-                let shard = name(&format!("stock/{}", placed.shards.len()));
+                let shard = fixtures::name(&format!("stock/{}", placed.shards.len()));
                 let server = server.clone();
                 let load = *load;
                 placed.shards.push(placement::PlacedShard {
@@ -125,7 +119,7 @@
 
 fn loads_rise_fall_and_are_forgotten() {
     let counted = [peer::ShardLoad {
-        shard: name("stock/1"),
+        shard: fixtures::name("stock/1"),
         rate: 100.0,
     }];
     let mut book = load::LoadBook::new();
--- a/tests/plans.rs
+++ b/tests/plans.rs
@@ -2,6 +2,7 @@
 
 use rand::RngExt as _;
 use rand::SeedableRng as _;
+use zinnia_lab::fixtures;
 use zinniastack::names;
 use zinniastack::ownership::book;
 use zinniastack::ownership::heat;
@@ -9,22 +10,15 @@
 
 const SLOTS: f64 = 4.0;
 
-fn name<T: std::str::FromStr>(text: &str) -> T
-where
-    T::Err: std::fmt::Debug,
-{
-    text.parse().expect("a name")
-}
-
 fn service() -> names::ServiceName {
-    name("stock")
+    fixtures::name("stock")
 }
 
 fn taker(number: u32, speed: f64) -> plan::KeyTaker {
     plan::KeyTaker {
         holder: book::KeyHolder {
             life: book::ServerLife {
-                server: name(&format!("s{number}")),
+                server: fixtures::name(&format!("s{number}")),
                 born: 1,
             },
             address: ([10, 0, 0, 1], 80).into(),
--- a/tests/queues.rs
+++ b/tests/queues.rs
@@ -2,7 +2,7 @@
 
 use std::time;
 
-use zinniastack::clock;
+use zinnia_lab::fixtures;
 use zinniastack::configuration;
 use zinniastack::limit;
 use zinniastack::outcome;
@@ -14,16 +14,12 @@
     configuration::WorkRank::new(number).expect("a rank")
 }
 
-fn at(millis: u64) -> clock::MonoTime {
-    clock::MonoTime::from_millis(millis)
-}
-
 fn waiting(ticket: u32, number: u8, arrived: u64, deadline: u64) -> queue::WaitingRequest<u32> {
     queue::WaitingRequest {
         ticket,
         rank: rank(number),
-        arrived: at(arrived),
-        deadline: at(deadline),
+        arrived: fixtures::at(arrived),
+        deadline: fixtures::at(deadline),
     }
 }
 
@@ -31,9 +27,9 @@
 fn one_slot() -> queue::ServerQueue<u32> {
     let mut queue = queue::ServerQueue::new(1, 1).with_floors([0, 20, 10]);
     queue
-        .push(waiting(0, 1, 0, 1_000), at(0))
+        .push(waiting(0, 1, 0, 1_000), fixtures::at(0))
         .expect("it is taken");
-    queue.pump(at(0));
+    queue.pump(fixtures::at(0));
     finish(&mut queue);
     queue
 }
@@ -47,7 +43,7 @@
     let mut served = Vec::new();
     let mut now = from;
     while queue.waiting() > 0 {
-        for ticket in queue.pump(at(now)).permitted {
+        for ticket in queue.pump(fixtures::at(now)).permitted {
             served.push(ticket);
             finish(queue);
         }
@@ -60,7 +56,7 @@
     let mut queue = one_slot();
     for (ticket, number) in [(1, 3), (2, 2), (3, 1), (4, 1)] {
         let request = waiting(ticket, number, 20, 5_000);
-        queue.push(request, at(20)).expect("it is taken");
+        queue.push(request, fixtures::at(20)).expect("it is taken");
     }
     assert_eq!(serve_all(&mut queue, 20), [3, 4, 2, 1]);
 }
@@ -70,7 +66,7 @@
     for ticket in 0..300_u32 {
         let number = u8::try_from(ticket % 3).expect("small") + 1;
         let request = waiting(ticket, number, 20, 60_000);
-        queue.push(request, at(20)).expect("it is taken");
+        queue.push(request, fixtures::at(20)).expect("it is taken");
     }
     let served = serve_all(&mut queue, 20);
     // Two floors that fall due at once are paid one after the other, so the hundredth request's
@@ -84,9 +80,9 @@
 fn late_work_is_dropped_before_it_is_sent() {
     let mut queue = one_slot();
     queue
-        .push(waiting(1, 1, 20, 40), at(20))
+        .push(waiting(1, 1, 20, 40), fixtures::at(20))
         .expect("it is taken");
-    let result = queue.pump(at(35));
+    let result = queue.pump(fixtures::at(35));
     assert!(result.permitted.is_empty());
     assert_eq!(result.dropped[0].ticket, 1);
     assert_eq!(
@@ -99,10 +95,10 @@
     let mut queue = one_slot();
     for ticket in 0..9 {
         queue
-            .push(waiting(ticket, 1, 20, 120), at(20))
+            .push(waiting(ticket, 1, 20, 120), fixtures::at(20))
             .expect("it is taken");
     }
-    let refused = queue.push(waiting(9, 1, 20, 100), at(20));
+    let refused = queue.push(waiting(9, 1, 20, 100), fixtures::at(20));
     let reason = refused.expect_err("it is refused").reason;
     assert_eq!(reason, outcome::RefusalReason::QueueHopeless);
 }
@@ -111,22 +107,22 @@
     let mut queue = one_slot();
     for ticket in 0..1_000 {
         let request = waiting(ticket, 3, 20, 100_000);
-        queue.push(request, at(20)).expect("it is taken");
+        queue.push(request, fixtures::at(20)).expect("it is taken");
     }
     let urgent = waiting(9_999, 1, 20, 60);
-    queue.push(urgent, at(20)).expect("it is taken");
-    assert_eq!(queue.pump(at(20)).permitted, [9_999]);
+    queue.push(urgent, fixtures::at(20)).expect("it is taken");
+    assert_eq!(queue.pump(fixtures::at(20)).permitted, [9_999]);
 }
 
 fn the_newest_goes_first_under_overload() {
     let mut queue = one_slot();
     queue
-        .push(waiting(1, 1, 20, 220), at(20))
+        .push(waiting(1, 1, 20, 220), fixtures::at(20))
         .expect("it is taken");
     queue
-        .push(waiting(2, 1, 130, 330), at(130))
+        .push(waiting(2, 1, 130, 330), fixtures::at(130))
         .expect("it is taken");
-    assert_eq!(queue.pump(at(140)).permitted, [2]);
+    assert_eq!(queue.pump(fixtures::at(140)).permitted, [2]);
 }
 
 fn retries_are_a_fraction_of_fresh_requests() {
@@ -134,9 +130,9 @@
     let mut repeated = 0;
     for ticket in 0..1_000 {
         queue
-            .push(waiting(ticket, 1, 0, 60_000), at(0))
+            .push(waiting(ticket, 1, 0, 60_000), fixtures::at(0))
             .expect("it is taken");
-        let again = queue.push_again(waiting(ticket, 1, 0, 60_000), at(0));
+        let again = queue.push_again(waiting(ticket, 1, 0, 60_000), fixtures::at(0));
         repeated += u32::from(again.is_ok());
     }
     assert!(repeated <= 110, "{repeated} of 1,000 were repeated");
@@ -163,14 +159,14 @@
     let mut queue = queue::ServerQueue::new(1, 1);
     for ticket in 0..u32::try_from(queue::MAX_WAITING).expect("small") {
         queue
-            .push(waiting(ticket, 2, 0, 1_000), at(0))
+            .push(waiting(ticket, 2, 0, 1_000), fixtures::at(0))
             .expect("it is taken");
     }
-    let refused = queue.push(waiting(0, 2, 0, 1_000), at(0));
+    let refused = queue.push(waiting(0, 2, 0, 1_000), fixtures::at(0));
     let reason = refused.expect_err("it is refused").reason;
     assert_eq!(reason, outcome::RefusalReason::QueueFull);
     queue
-        .push(waiting(0, 1, 0, 1_000), at(0))
+        .push(waiting(0, 1, 0, 1_000), fixtures::at(0))
         .expect("other ranks have room");
 }
 
--- a/tests/routing.rs
+++ b/tests/routing.rs
@@ -3,26 +3,20 @@
 use std::sync;
 use std::time;
 
+use zinnia_lab::fixtures;
 use zinniastack::names;
 use zinniastack::routing::specification;
 use zinniastack::routing::split;
 
-fn name<T: std::str::FromStr>(text: &str) -> T
-where
-    T::Err: std::fmt::Debug,
-{
-    text.parse().expect("a name")
-}
-
 fn route(route: &str, prefix: &str, parts: &[(&str, u32)]) -> specification::RouteSpec {
     let parts = parts
         .iter()
         .map(|(service, weight)| specification::SplitPart {
-            service: name(service),
+            service: fixtures::name(service),
             weight: *weight,
         });
     specification::RouteSpec {
-        name: name(route),
+        name: fixtures::name(route),
         prefix: sync::Arc::from(prefix),
         kind: specification::RequestKind::Once,
         timeout: time::Duration::from_secs(1),
@@ -44,7 +38,7 @@
 
 fn service(text: &str) -> specification::ServiceSpec {
     specification::ServiceSpec {
-        name: name(text),
+        name: fixtures::name(text),
         sharded: false,
         max_connections: 10,
     }
@@ -80,7 +74,7 @@
     ($($name:ident: $host:literal, $path:literal => $route:expr;)*) => {$(
         #[test]
         fn $name() {
-            assert_eq!(found($host, $path), $route.map(name::<names::RouteName>));
+            assert_eq!(found($host, $path), $route.map(fixtures::name::<names::RouteName>));
         }
     )*};
 }
@@ -105,7 +99,7 @@
 
 fault_cases! {
     refuses_an_unknown_service:
-        |r| r.parts[0].service = name("z") => UnknownService;
+        |r| r.parts[0].service = fixtures::name("z") => UnknownService;
     refuses_a_route_without_weight:
         |r| r.parts[0].weight = 0 => NoWeight;
     refuses_a_route_without_parts:
--- a/tests/succession.rs
+++ b/tests/succession.rs
@@ -2,7 +2,7 @@
 
 use std::time;
 
-use zinniastack::clock;
+use zinnia_lab::fixtures;
 use zinniastack::ownership::book;
 use zinniastack::ownership::duty;
 use zinniastack::ownership::succession;
@@ -12,10 +12,6 @@
 /// When the claim is in the log, in milliseconds.
 const CLAIMED_MS: u64 = 1_000;
 
-fn at(millis: u64) -> clock::MonoTime {
-    clock::MonoTime::from_millis(millis)
-}
-
 fn life(host: &str, incarnation: u64) -> book::GranterLife {
     book::GranterLife {
         host: host.parse().expect("a name"),
@@ -33,7 +29,7 @@
 impl ClaimCase {
     fn new(formers: &[book::GranterLife]) -> Self {
         let mut succession = succession::GranterSuccession::new(life("own", 9));
-        succession.take_over(TERM, formers, at(CLAIMED_MS));
+        succession.take_over(TERM, formers, fixtures::at(CLAIMED_MS));
         Self {
             succession,
             uptime: time::Duration::ZERO,
@@ -44,15 +40,18 @@
         let answer = succession::HostAnswer {
             life,
             term,
-            asked: at(asked_ms),
+            asked: fixtures::at(asked_ms),
             uptime: self.uptime,
         };
-        self.succession.note_answer(&answer, at(asked_ms + 10))
+        self.succession
+            .note_answer(&answer, fixtures::at(asked_ms + 10))
     }
 
     // The time after the claim by which all orders have arrived.
     fn wait(&self) -> time::Duration {
-        self.succession.orders_until().since(at(CLAIMED_MS))
+        self.succession
+            .orders_until()
+            .since(fixtures::at(CLAIMED_MS))
     }
 }
 
@@ -113,7 +112,11 @@
     let mut case = ClaimCase::new(&[life("former", 1), life("earlier", 1)]);
     assert!(case.answer(life("former", 2), 0, CLAIMED_MS + 100));
     assert_eq!(case.wait(), right());
-    let doubted: Vec<_> = case.succession.in_doubt(at(5_000)).cloned().collect();
+    let doubted: Vec<_> = case
+        .succession
+        .in_doubt(fixtures::at(5_000))
+        .cloned()
+        .collect();
     assert_eq!(doubted, [life("earlier", 1)]);
 }
 
--- a/tests/traffic.rs
+++ b/tests/traffic.rs
@@ -4,6 +4,7 @@
 use std::sync;
 use std::time;
 
+use zinnia_lab::fixtures;
 use zinniastack::chart;
 use zinniastack::clock;
 use zinniastack::clock::MonoClock as _;
@@ -19,13 +20,6 @@
 /// How many requests the only server runs at a time.
 const SLOTS: u32 = 4;
 
-fn name<T: std::str::FromStr>(text: &str) -> T
-where
-    T::Err: std::fmt::Debug,
-{
-    text.parse().expect("a name")
-}
-
 /// A codec that no request of these cases reaches.
 #[derive(Clone)]
 struct UnusedCodec;
@@ -60,17 +54,17 @@
     fn new() -> Self {
         let server = directory::ServerRecord {
             life: book::ServerLife {
-                server: name("near"),
+                server: fixtures::name("near"),
                 born: 1,
             },
-            service: name("orders"),
+            service: fixtures::name("orders"),
             address: ([127, 0, 0, 1], 9).into(),
-            domain: name("north"),
+            domain: fixtures::name("north"),
             slots: SLOTS,
             state: directory::ServerState::Ready,
             sequence: 1,
         };
-        let servers = [(name("near"), sync::Arc::new(server))].into();
+        let servers = [(fixtures::name("near"), sync::Arc::new(server))].into();
         let view = view::ServingView {
             servers: sync::Arc::new(servers),
             ..view::ServingView::new()
@@ -82,7 +76,7 @@
             codec: UnusedCodec,
             view: sync::Arc::new(arc_swap::ArcSwap::from_pointee(view)),
             desk: desk::DeskSettings {
-                domain: name("north"),
+                domain: fixtures::name("north"),
                 retry_ratio: 0.2,
                 retry_slack: 10.0,
                 drain: time::Duration::from_secs(2),
@@ -102,7 +96,7 @@
     fn wish(&self) -> desk::ServerWish {
         let now = self.clock.now();
         desk::ServerWish {
-            service: name("orders"),
+            service: fixtures::name("orders"),
             key: None,
             priority: 1,
             objective: now + time::Duration::from_mins(1),
