Pass an early answer on where the body turns out too long afterwards

Cause: a server may answer before it has the whole body; its answer was replaced by 413 where the rest of the body went over the limit. Ruled out: nothing of the body's count is at fault. Change: only a broken exchange is told as 413. Found by reading the change once more; breaks_off_a_body_that_grows_over_the_limit holds the other side.

--- a/src/edge/router/front/mod.rs
+++ b/src/edge/router/front/mod.rs
@@ -190,7 +190,8 @@
                 let action = course.handle(verdict::DeliveryEvent::TimeOver, false);
                 return self.answer_end(action, answer::OwnAnswer::Timeout, Some(&record));
             };
-            if held.is_over() {
+            // An answer that the server gave before it had the whole body is passed on.
+            if held.is_over() && matches!(end, exchange::AttemptEnd::Broken(_)) {
                 return self.answer_own(answer::OwnAnswer::BodyTooLarge, Some(&record));
             }
             slot.end = end.measure();
