Read the change once more: one way to show a host's answer, one to name a host's process

Cause: status and explain asked, failed and printed in four copies; the control thread made a host's process from its entry in two places; the count of newly silent servers went through three references. Change: cmd::show_answer, HostRecord::granter_life, and the plainer count; behaviour as before, no test changed.

--- a/src/cmd/explain.rs
+++ b/src/cmd/explain.rs
@@ -1,7 +1,5 @@
 //! `zinnia explain`: where a key's requests go, and why.
 
-use std::net;
-
 use crate::cmd;
 use crate::edge::operators;
 use crate::edge::router::questions;
@@ -53,24 +51,12 @@
     let router = cmd::find_router(args.router.as_deref())?;
     let path = format!("{}/{}/{}", questions::EXPLAIN_PATH, args.service, args.key);
     if let Some(router) = router {
-        return show_router(router, &path, args.json);
+        let absent = "there is no such service with keys, or the key is no number up to 65535";
+        return cmd::show_answer(router, &path, absent, args.json, print_router);
     }
     let host = cmd::find_host(args.operators.as_deref())?;
-    let answer: Option<operators::KeyExplanation> = cmd::ask_host(host, &path)?;
-    let explanation = answer.ok_or_else(|| cmd::CommandError::Failed {
-        message: format!("no service is named '{}'", args.service),
-    })?;
-    cmd::print_answer(&explanation, args.json, print_table)?;
-    Ok(cmd::EXIT_OK)
-}
-
-fn show_router(router: net::SocketAddr, path: &str, json: bool) -> Result<u8, cmd::CommandError> {
-    let answer: Option<report::KeyReport> = cmd::ask_host(router, path)?;
-    let report = answer.ok_or_else(|| cmd::CommandError::Failed {
-        message: "there is no such service with keys, or the key is no number up to 65535".into(),
-    })?;
-    cmd::print_answer(&report, json, print_router)?;
-    Ok(cmd::EXIT_OK)
+    let absent = format!("no service is named '{}'", args.service);
+    cmd::show_answer(host, &path, &absent, args.json, print_table)
 }
 
 fn print_router(report: &report::KeyReport) {
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -181,6 +181,23 @@
     Ok(())
 }
 
+/// Asks a host for what stands at a path and prints it; `absent` tells that there is nothing.
+///
+/// # Errors
+/// Fails like [`ask_host`] and [`print_answer`], and where there is nothing.
+pub fn show_answer<A: serde::Serialize + serde::de::DeserializeOwned>(
+    host: net::SocketAddr,
+    path: &str,
+    absent: &str,
+    json: bool,
+    print_table: impl FnOnce(&A),
+) -> Result<u8, CommandError> {
+    let answer: Option<A> = ask_host(host, path)?;
+    let answer = answer.ok_or_else(|| CommandError::failed(absent))?;
+    print_answer(&answer, json, print_table)?;
+    Ok(EXIT_OK)
+}
+
 /// Runs a program: hands its arguments on, prints an error, and returns the exit code.
 #[must_use]
 pub fn run_program(run: impl FnOnce(&[String]) -> Result<u8, CommandError>) -> process::ExitCode {
--- a/src/cmd/status.rs
+++ b/src/cmd/status.rs
@@ -1,7 +1,5 @@
 //! `zinnia status`: what one entry host knows of the whole.
 
-use std::net;
-
 use crate::cmd;
 use crate::edge::router::questions;
 use crate::names;
@@ -43,25 +41,13 @@
     let Some(args) = cmd::parse_args::<StatusArgs>(USAGE, arguments)? else {
         return Ok(cmd::EXIT_OK);
     };
+    let absent = "the host has no status";
     if let Some(router) = cmd::find_router(args.router.as_deref())? {
-        return show_router(router, args.json);
+        let path = questions::STATUS_PATH;
+        return cmd::show_answer(router, path, absent, args.json, print_router);
     }
     let host = cmd::find_host(args.operators.as_deref())?;
-    let answer: Option<report::HostStatus> = cmd::ask_host(host, "/status")?;
-    let status = answer.ok_or_else(|| cmd::CommandError::Failed {
-        message: "the host has no status".into(),
-    })?;
-    cmd::print_answer(&status, args.json, print_table)?;
-    Ok(cmd::EXIT_OK)
-}
-
-fn show_router(router: net::SocketAddr, json: bool) -> Result<u8, cmd::CommandError> {
-    let answer: Option<serving_report::HostReport> = cmd::ask_host(router, questions::STATUS_PATH)?;
-    let status = answer.ok_or_else(|| cmd::CommandError::Failed {
-        message: "the host has no status".into(),
-    })?;
-    cmd::print_answer(&status, json, print_router)?;
-    Ok(cmd::EXIT_OK)
+    cmd::show_answer(host, "/status", absent, args.json, print_table)
 }
 
 fn print_router(status: &serving_report::HostReport) {
--- a/src/edge/router/control/hosts.rs
+++ b/src/edge/router/control/hosts.rs
@@ -12,7 +12,6 @@
 use crate::edge::router::ports;
 use crate::edge::router::store_reader;
 use crate::names;
-use crate::ownership::book;
 use crate::ownership::order;
 use crate::ownership::succession;
 use crate::serving::knowledge;
@@ -97,13 +96,8 @@
     }
 
     fn note_answer(&self, news: &news::HostNews, asked: clock::MonoTime) {
-        let record = &news.record;
         let answer = succession::HostAnswer {
-            life: book::GranterLife {
-                host: record.host.clone(),
-                incarnation: record.incarnation,
-                peers: record.peers,
-            },
+            life: news.record.granter_life(),
             term: news.term,
             asked,
             uptime: time::Duration::from_millis(news.uptime_millis),
--- a/src/edge/router/control/mod.rs
+++ b/src/edge/router/control/mod.rs
@@ -17,7 +17,6 @@
 use crate::edge::router::metrics;
 use crate::edge::router::ports;
 use crate::edge::router::traffic;
-use crate::ownership::book;
 use crate::ownership::granter;
 use crate::serving::knowledge;
 use crate::serving::news;
@@ -93,11 +92,7 @@
     /// # Errors
     /// Fails when a chart is faulty.
     pub fn start(parts: ControlParts<S, O, D>) -> Result<rc::Rc<Self>, chart::ChartError> {
-        let life = book::GranterLife {
-            host: parts.own.host.clone(),
-            incarnation: parts.own.incarnation,
-            peers: parts.own.peers,
-        };
+        let life = parts.own.granter_life();
         let state = ControlState {
             knowledge: knowledge::HostKnowledge::new(parts.own, parts.clock.now(), parts.drain),
             granter: granter::KeyGranter::new(life, parts.max_hold)?,
--- a/src/ownership/granter/orders.rs
+++ b/src/ownership/granter/orders.rs
@@ -11,6 +11,7 @@
 
 /// How many orders a hold is renewed by.
 pub const RENEWALS_PER_HOLD: u32 = 4;
+
 impl granter::KeyGranter {
     /// Takes the end of an order. Reports whether it was the first to be done.
     pub fn note_granted(
--- a/src/ownership/granter/plans.rs
+++ b/src/ownership/granter/plans.rs
@@ -17,6 +17,7 @@
 /// How long no further server of a service registers until its keys are placed for the first time,
 /// in milliseconds.
 pub const FIRST_PLACE_MS: u64 = 1_200;
+
 impl granter::KeyGranter {
     // The next book to append: a claim, or a plan.
     pub(super) fn next_book(
--- a/src/ownership/granter/silence.rs
+++ b/src/ownership/granter/silence.rs
@@ -61,11 +61,11 @@
         let lives: Vec<_> = ours.map(|record| record.life.clone()).collect();
         let failing = |life: &&book::ServerLife| self.ledger.is_failing(life, isolation, now);
         let failing: Vec<_> = lives.iter().filter(failing).collect();
-        let is_new = |life: &&&book::ServerLife| !self.silences.contains_key(**life);
-        let newly_silent = failing.iter().filter(is_new).count();
-        let of = lives.iter().filter(|life| is_new(&life)).count();
-        if newly_silent * 2 > of && lives.len() > 1 {
-            tracing::warn!(event = "granter-isolated", silent = newly_silent, of);
+        let is_known = |life: &book::ServerLife| self.silences.contains_key(life);
+        let silent = failing.iter().filter(|life| !is_known(life)).count();
+        let of = lives.iter().filter(|life| !is_known(life)).count();
+        if silent * 2 > of && lives.len() > 1 {
+            tracing::warn!(event = "granter-isolated", silent, of);
             self.run_duty(duty::DutyEvent::Isolated);
             return;
         }
--- a/src/serving/news.rs
+++ b/src/serving/news.rs
@@ -25,6 +25,18 @@
     pub peers: net::SocketAddr,
 }
 
+impl HostRecord {
+    /// Returns the host's process as the book of grants names it.
+    #[must_use]
+    pub fn granter_life(&self) -> book::GranterLife {
+        book::GranterLife {
+            host: self.host.clone(),
+            incarnation: self.incarnation,
+            peers: self.peers,
+        }
+    }
+}
+
 /// The work of the keys of one service.
 #[derive(Clone, Debug, PartialEq)]
 #[derive(serde::Serialize, serde::Deserialize)]
