Count the exchanges between hosts and the bytes that they relay

The logs could not tell whether the links of slow hosts are filled by other hosts or by callers. New: status_exchanges{outcome}, relayed_bytes, and a line hosts-exchanged every 5 s.

--- a/src/edge/router/control/hosts.rs
+++ b/src/edge/router/control/hosts.rs
@@ -24,6 +24,22 @@
 /// the load of a host does not grow with their number.
 pub const STATUS_EXCHANGE_HOSTS_PER_INTERVAL: usize = 8;
 
+/// The interval of the log lines about the exchanges, in milliseconds.
+pub const EXCHANGE_LOG_INTERVAL_MS: u64 = 5_000;
+
+// What this host has exchanged with other hosts since it started.
+struct ExchangeCounts {
+    done: u64,
+    failed: u64,
+    relayed_bytes: u64,
+}
+
+// The size of a message as it is sent to another host, in bytes; 0 where it cannot be encoded.
+fn encoded_size(message: &impl serde::Serialize) -> u64 {
+    let encoded = serde_json::to_vec(message).unwrap_or_default();
+    u64::try_from(encoded.len()).unwrap_or(u64::MAX)
+}
+
 impl<S, O, D> control::ControlThread<S, O, D>
 where
     S: ports::StorePort,
@@ -91,10 +107,12 @@
         let status = self.status_for(&host);
         match self.status_client.exchange(peers, status).await {
             Ok(status) => {
+                self.metrics.note_status_exchange("done");
                 self.note_response(&status, asked);
                 self.apply_status(status);
             }
             Err(error) => {
+                self.metrics.note_status_exchange("failed");
                 tracing::debug!(event = "host-unreached", host = %host, fault = %error);
             }
         }
@@ -120,7 +138,35 @@
             table: state.granter.table(),
             end: state.granter.log_end(),
         };
-        state.cluster.status_for(host, &grants, self.clock.now())
+        let status = state.cluster.status_for(host, &grants, self.clock.now());
+        if let Some(relay) = &status.relay {
+            self.metrics.relayed_bytes.inc_by(encoded_size(relay));
+        }
+        status
+    }
+
+    // Logs what was exchanged with other hosts since the last line.
+    pub(super) async fn log_exchanges(self: rc::Rc<Self>) {
+        let mut logged = self.exchange_counts();
+        loop {
+            tokio::time::sleep(time::Duration::from_millis(EXCHANGE_LOG_INTERVAL_MS)).await;
+            let counts = self.exchange_counts();
+            tracing::info!(
+                event = "hosts-exchanged",
+                done = counts.done - logged.done,
+                failed = counts.failed - logged.failed,
+                relayed_bytes = counts.relayed_bytes - logged.relayed_bytes
+            );
+            logged = counts;
+        }
+    }
+
+    fn exchange_counts(&self) -> ExchangeCounts {
+        ExchangeCounts {
+            done: self.metrics.status_exchange_count("done"),
+            failed: self.metrics.status_exchange_count("failed"),
+            relayed_bytes: self.metrics.relayed_bytes.get(),
+        }
     }
 
     fn apply_status(&self, status: status::HostStatusUpdate) {
--- a/src/edge/router/control/mod.rs
+++ b/src/edge/router/control/mod.rs
@@ -121,6 +121,7 @@
         actix::spawn(rc::Rc::clone(&thread).tick());
         actix::spawn(rc::Rc::clone(&thread).report_key_loads());
         actix::spawn(rc::Rc::clone(&thread).exchange_with_hosts());
+        actix::spawn(rc::Rc::clone(&thread).log_exchanges());
         actix::spawn(rc::Rc::clone(&thread).receive_reports(parts.reports));
         actix::spawn(rc::Rc::clone(&thread).serve_status_requests(parts.status_requests));
         Ok(thread)
--- a/src/edge/router/metrics.rs
+++ b/src/edge/router/metrics.rs
@@ -44,6 +44,14 @@
     pub outcome: &'static str,
 }
 
+/// The label of an exchange of status updates.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+#[derive(prometheus_client::encoding::EncodeLabelSet)]
+pub struct OutcomeLabel {
+    /// How the exchange ended: `done` or `failed`.
+    pub outcome: &'static str,
+}
+
 /// The label of a refused record.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 #[derive(prometheus_client::encoding::EncodeLabelSet)]
@@ -70,6 +78,10 @@
     pub store_calls: family::Family<CallLabel, counter::Counter>,
     /// Orders to servers.
     pub orders: family::Family<CallLabel, counter::Counter>,
+    /// Exchanges of status updates that this host started, by outcome.
+    pub status_exchanges: family::Family<OutcomeLabel, counter::Counter>,
+    /// The size of the store records that this host sent to other hosts, in bytes.
+    pub relayed_bytes: counter::Counter<u64, atomic::AtomicU64>,
     /// Records that could not be decoded.
     pub records_refused: family::Family<TopicLabel, counter::Counter>,
     /// How often this host took up the granter role.
@@ -98,6 +110,8 @@
             attempts: family::Family::default(),
             store_calls: family::Family::default(),
             orders: family::Family::default(),
+            status_exchanges: family::Family::default(),
+            relayed_bytes: counter::Counter::default(),
             records_refused: family::Family::default(),
             takeovers: counter::Counter::default(),
             granting: gauge::Gauge::default(),
@@ -138,6 +152,18 @@
         registry.register("store_calls", "Calls to the store, by outcome", store_calls);
         let orders = self.orders.clone();
         registry.register("orders", "Orders to servers, by outcome", orders);
+        let exchanges = self.status_exchanges.clone();
+        registry.register(
+            "status_exchanges",
+            "Exchanges of status updates that this host started, by outcome",
+            exchanges,
+        );
+        let relayed = self.relayed_bytes.clone();
+        registry.register(
+            "relayed_bytes",
+            "Bytes of store records that this host sent to other hosts",
+            relayed,
+        );
         let refused = self.records_refused.clone();
         registry.register("records_refused", "Records that could not be read", refused);
         let takeovers = self.takeovers.clone();
@@ -194,6 +220,21 @@
             .inc();
     }
 
+    /// Counts an exchange of status updates that this host started.
+    pub fn note_status_exchange(&self, outcome: &'static str) {
+        self.status_exchanges
+            .get_or_create(&OutcomeLabel { outcome })
+            .inc();
+    }
+
+    /// Returns how many exchanges of status updates ended with `outcome`.
+    #[must_use]
+    pub fn status_exchange_count(&self, outcome: &'static str) -> u64 {
+        self.status_exchanges
+            .get_or_create(&OutcomeLabel { outcome })
+            .get()
+    }
+
     /// Counts a record that could not be decoded.
     pub fn note_record_refused(&self, topic: &'static str) {
         self.records_refused
--- a/tests/metrics.rs
+++ b/tests/metrics.rs
@@ -42,6 +42,7 @@
     metrics.note_store_call("routes", "done");
     metrics.note_order("grant", "done");
     metrics.note_record_refused("routes");
+    metrics.note_status_exchange("done");
     let text = metrics.encode().expect("the metrics are encoded as text");
     let with_prefix = documented("## What to watch").into_iter();
     let documented: NameSet = with_prefix.map(|n| format!("{ROUTER_PREFIX}{n}")).collect();
