Let a host that lags request records from one host at a time

What callers saw, on the grown sites: requests routed by old versions (CONFIG), work sent to servers that were leaving (DRAIN), and a host in four that answered hardly anything.

Cause: a status update carried the whole assignment table, the routes and the servers whenever the receiver's last update was behind, so 30 hosts each sent all of it to every host that lagged, with each exchange: 4.6 MB a second over links of 1.25 MB/s. The link filled, the exchange timed out after 400 ms and the store could not be reached, so the host stayed behind and got it all again. The class: load that grows with the number of peers and with the lag that it causes (congestion collapse that keeps itself up). The exchange added to it: its interval followed the exchanges that a host starts, so the last hosts by name took part in 62 a second where the first took part in 30, all sent at once.

Ruled out: callers' bodies (not there yet), processor time (0.08 of a core), the waiting read (connections failed, not reads).

Change: updates carry versions only. A host that knows of something newer waits 250 ms for the store, or not at all where the store rejects it, and then requests what it lacks from one host: one request in flight, two a second at most, spread over the hosts by a hash, another one after a failure. The exchange takes as many rounds as the number of all hosts demands, and each round a part of them.

--- a/src/edge/router/control/hosts.rs
+++ b/src/edge/router/control/hosts.rs
@@ -20,8 +20,9 @@
 
 /// The interval of the status exchange with each host, in milliseconds.
 pub const STATUS_EXCHANGE_INTERVAL_MS: u64 = 250;
-/// The interval is extended by one for each full set of this many hosts to exchange with, so that
-/// the load of a host does not grow with their number.
+/// The number of other hosts above which the exchange with all of them takes more than one
+/// interval: one more for each full set of this many hosts. So the exchanges of a host in one
+/// interval do not grow with the number of hosts.
 pub const STATUS_EXCHANGE_HOSTS_PER_INTERVAL: usize = 8;
 
 /// The interval of the log lines about the exchanges, in milliseconds.
@@ -34,12 +35,6 @@
     relayed_bytes: u64,
 }
 
-// The size of a message as it is sent to another host, in bytes; 0 where it cannot be encoded.
-fn encoded_size(message: &impl serde::Serialize) -> u64 {
-    let encoded = serde_json::to_vec(message).unwrap_or_default();
-    u64::try_from(encoded.len()).unwrap_or(u64::MAX)
-}
-
 impl<S, O, D> control::ControlThread<S, O, D>
 where
     S: ports::StorePort,
@@ -78,25 +73,29 @@
     }
 
     pub(super) async fn exchange_with_hosts(self: rc::Rc<Self>) {
+        let mut round = 0;
         loop {
-            let hosts = self.exchange_targets();
-            let scale =
-                u32::try_from(hosts.len() / STATUS_EXCHANGE_HOSTS_PER_INTERVAL).unwrap_or(0) + 1;
-            for (peers, host) in hosts {
+            for (peers, host) in self.exchange_targets(round) {
                 actix::spawn(rc::Rc::clone(&self).exchange_with_host(host, peers));
             }
-            tokio::time::sleep(time::Duration::from_millis(STATUS_EXCHANGE_INTERVAL_MS) * scale)
-                .await;
+            round += 1;
+            tokio::time::sleep(time::Duration::from_millis(STATUS_EXCHANGE_INTERVAL_MS)).await;
         }
     }
 
-    // The host of the lower name of each pair starts the exchange. A granter also queries former
-    // granters whose orders may still arrive.
-    fn exchange_targets(&self) -> collections::BTreeMap<net::SocketAddr, names::HostName> {
+    // The host of the lower name of each pair starts the exchange. Where there are many hosts, each
+    // round takes a part of them, so that the messages of one exchange do not delay those of the
+    // others. A granter also queries former granters whose orders may still arrive, in each round.
+    fn exchange_targets(
+        &self,
+        round: usize,
+    ) -> collections::BTreeMap<net::SocketAddr, names::HostName> {
         let now = self.clock.now();
         let state = self.state.borrow();
-        let hosts = state.cluster.hosts_to_query().into_iter();
-        let hosts = hosts.map(|host| (host.peers, host.host));
+        let rounds = state.cluster.other_host_count() / STATUS_EXCHANGE_HOSTS_PER_INTERVAL + 1;
+        let hosts = state.cluster.hosts_to_query().into_iter().enumerate();
+        let hosts = hosts.filter(|(index, _)| index % rounds == round % rounds);
+        let hosts = hosts.map(|(_, host)| (host.peers, host.host));
         let possibly_active = state.granter.former_granters_to_query(now).into_iter();
         let possibly_active = possibly_active.map(|granter| (granter.peers, granter.host));
         hosts.chain(possibly_active).collect()
@@ -138,11 +137,7 @@
             table: state.granter.table(),
             end: state.granter.log_end(),
         };
-        let status = state.cluster.status_for(host, &grants, self.clock.now());
-        if let Some(relay) = &status.relay {
-            self.metrics.relayed_bytes.inc_by(encoded_size(relay));
-        }
-        status
+        state.cluster.status_for(host, &grants, self.clock.now())
     }
 
     // Logs what was exchanged with other hosts since the last line.
@@ -171,30 +166,26 @@
 
     fn apply_status(&self, status: status::HostStatusUpdate) {
         let now = self.clock.now();
-        let mut state = self.state.borrow_mut();
-        let Some(relay) = state.cluster.note_status(status, now) else {
-            return;
-        };
-        let changed = state.cluster.note_relay(&relay, now);
-        let table_changed = relay
-            .book
-            .is_some_and(|(table, end)| state.granter.note_table(Some(table), end, now));
-        drop(state);
-        if changed || table_changed {
-            self.publish();
-        }
+        self.state.borrow_mut().cluster.note_status(status, now);
     }
 
-    pub(super) async fn serve_status_requests(
+    pub(super) async fn serve_host_calls(
         self: rc::Rc<Self>,
-        requests: tokio::sync::mpsc::UnboundedReceiver<status_exchange::StatusExchangeRequest>,
+        calls: tokio::sync::mpsc::UnboundedReceiver<status_exchange::HostCall>,
     ) {
-        let mut requests = requests;
-        while let Some(request) = requests.recv().await {
-            let host = request.status.record.host.clone();
-            self.apply_status(request.status);
-            // The other host may have stopped waiting.
-            let _ = request.reply.send(self.status_for(&host));
+        let mut calls = calls;
+        while let Some(call) = calls.recv().await {
+            // The other host may have stopped waiting for the reply.
+            match call {
+                status_exchange::HostCall::Status { status, reply } => {
+                    let host = status.record.host.clone();
+                    self.apply_status(*status);
+                    let _ = reply.send(self.status_for(&host));
+                }
+                status_exchange::HostCall::Records { request, reply } => {
+                    let _ = reply.send(self.relay_for(&request));
+                }
+            }
         }
     }
 }
--- a/src/edge/router/control/mod.rs
+++ b/src/edge/router/control/mod.rs
@@ -3,6 +3,7 @@
 
 mod granting;
 mod hosts;
+mod records;
 pub mod store;
 
 use std::cell;
@@ -43,9 +44,8 @@
     pub ready: sync::Arc<sync::atomic::AtomicBool>,
     /// The reports of the traffic threads.
     pub reports: tokio::sync::mpsc::UnboundedReceiver<traffic::TrafficReport>,
-    /// The status updates of other hosts.
-    pub status_requests:
-        tokio::sync::mpsc::UnboundedReceiver<status_exchange::StatusExchangeRequest>,
+    /// The calls of other hosts.
+    pub host_calls: tokio::sync::mpsc::UnboundedReceiver<status_exchange::HostCall>,
     /// The interval at which the host renews its membership in the group of hosts that may grant.
     pub join_interval: time::Duration,
     /// The longest hold that servers accept.
@@ -123,7 +123,7 @@
         actix::spawn(rc::Rc::clone(&thread).exchange_with_hosts());
         actix::spawn(rc::Rc::clone(&thread).log_exchanges());
         actix::spawn(rc::Rc::clone(&thread).receive_reports(parts.reports));
-        actix::spawn(rc::Rc::clone(&thread).serve_status_requests(parts.status_requests));
+        actix::spawn(rc::Rc::clone(&thread).serve_host_calls(parts.host_calls));
         Ok(thread)
     }
 
@@ -165,6 +165,7 @@
         loop {
             tokio::time::sleep(time::Duration::from_millis(TICK_MS)).await;
             self.decide();
+            self.request_records();
             let now = self.clock.now();
             let mut state = self.state.borrow_mut();
             let expired = state.cluster.expire(now);
--- a/src/edge/router/host.rs
+++ b/src/edge/router/host.rs
@@ -257,9 +257,9 @@
     adapter: A,
     shared: ControlShared,
 ) -> Result<(), RouterError> {
-    let (status_requests, status_requests_in) = tokio::sync::mpsc::unbounded_channel();
+    let (host_calls, host_calls_in) = tokio::sync::mpsc::unbounded_channel();
     let address = settings.own.peers;
-    let server = status_exchange::StatusExchangeServer::new(status_requests);
+    let server = status_exchange::StatusExchangeServer::new(host_calls);
     let listened = server.listen(address).await;
     listened.map_err(|e| RouterError::Listen {
         address,
@@ -273,7 +273,7 @@
         view: shared.view,
         ready: shared.ready,
         reports: shared.reports,
-        status_requests: status_requests_in,
+        host_calls: host_calls_in,
         join_interval: settings.join_interval,
         max_hold: settings.max_hold,
         own: settings.own,
--- a/src/edge/router/status_exchange.rs
+++ b/src/edge/router/status_exchange.rs
@@ -2,6 +2,7 @@
 
 use std::cell;
 use std::collections;
+use std::future;
 use std::net;
 use std::rc;
 use std::time;
@@ -12,6 +13,9 @@
 
 /// Time-out of connecting to a host and of a call to it, in milliseconds.
 pub const STATUS_EXCHANGE_TIMEOUT_MS: u64 = 400;
+/// Time-out of a request for store records, in milliseconds: several hundred kilobytes over the
+/// slowest links.
+pub const RECORDS_TIMEOUT_MS: u64 = 1_500;
 /// The largest message between hosts, in bytes.
 pub const MAX_FRAME_BYTES: usize = 16 << 20;
 
@@ -21,28 +25,42 @@
     /// Delivers a host's status update and returns this host's. Returns `None` when this host is
     /// stopping.
     async fn exchange(news: status::HostStatusUpdate) -> Option<status::HostStatusUpdate>;
+
+    /// Returns the store records that the calling host lacks. Returns `None` when this host is
+    /// stopping.
+    async fn records(request: status::RecordRequest) -> Option<status::StoreRelay>;
 }
 
-/// A status update of another host, for the control thread to apply and respond to.
+/// A call of another host, for the control thread to handle.
 #[derive(Debug)]
-pub struct StatusExchangeRequest {
-    /// The other host's status update.
-    pub status: status::HostStatusUpdate,
-    /// Receives this host's status update.
-    pub reply: tokio::sync::oneshot::Sender<status::HostStatusUpdate>,
+pub enum HostCall {
+    /// An exchange of status updates.
+    Status {
+        /// The other host's status update.
+        status: Box<status::HostStatusUpdate>,
+        /// Receives this host's status update.
+        reply: tokio::sync::oneshot::Sender<status::HostStatusUpdate>,
+    },
+    /// A request for store records.
+    Records {
+        /// The records that the other host has.
+        request: status::RecordRequest,
+        /// Receives the records that it lacks.
+        reply: tokio::sync::oneshot::Sender<status::StoreRelay>,
+    },
 }
 
 /// Serves the status exchange by handing the calls to the control thread.
 #[derive(Clone)]
 pub struct StatusExchangeServer {
-    requests: tokio::sync::mpsc::UnboundedSender<StatusExchangeRequest>,
+    calls: tokio::sync::mpsc::UnboundedSender<HostCall>,
 }
 
 impl StatusExchangeServer {
-    /// Creates a server that sends the calls to `requests`.
+    /// Creates a server that sends the calls to `calls`.
     #[must_use]
-    pub const fn new(requests: tokio::sync::mpsc::UnboundedSender<StatusExchangeRequest>) -> Self {
-        Self { requests }
+    pub const fn new(calls: tokio::sync::mpsc::UnboundedSender<HostCall>) -> Self {
+        Self { calls }
     }
 
     /// Serves other hosts' connections until the process ends.
@@ -61,8 +79,18 @@
         status: status::HostStatusUpdate,
     ) -> Option<status::HostStatusUpdate> {
         let (reply, response) = tokio::sync::oneshot::channel();
-        let request = StatusExchangeRequest { status, reply };
-        self.requests.send(request).ok()?;
+        let status = Box::new(status);
+        self.calls.send(HostCall::Status { status, reply }).ok()?;
+        response.await.ok()
+    }
+
+    async fn records(
+        self,
+        _: tarpc::context::Context,
+        request: status::RecordRequest,
+    ) -> Option<status::StoreRelay> {
+        let (reply, response) = tokio::sync::oneshot::channel();
+        self.calls.send(HostCall::Records { request, reply }).ok()?;
         response.await.ok()
     }
 }
@@ -92,17 +120,41 @@
     ) -> Result<status::HostStatusUpdate, ports::PortError> {
         let client = self.connect(peer).await?;
         let limit = time::Duration::from_millis(STATUS_EXCHANGE_TIMEOUT_MS);
-        let mut context = tarpc::context::current();
-        context.deadline = time::Instant::now() + limit;
-        let response = tokio::time::timeout(limit, client.exchange(context, status)).await;
-        let error = match response {
-            Ok(Ok(Some(status))) => return Ok(status),
+        let response = client.exchange(context(limit), status);
+        self.wait("ask-peer", peer, limit, response).await
+    }
+
+    /// Requests the store records that this host lacks. After a failure the next call connects
+    /// anew.
+    ///
+    /// # Errors
+    /// Fails when the host cannot be reached or does not respond in time.
+    pub async fn records(
+        &self,
+        peer: net::SocketAddr,
+        request: status::RecordRequest,
+    ) -> Result<status::StoreRelay, ports::PortError> {
+        let client = self.connect(peer).await?;
+        let limit = time::Duration::from_millis(RECORDS_TIMEOUT_MS);
+        let response = client.records(context(limit), request);
+        self.wait("request-records", peer, limit, response).await
+    }
+
+    async fn wait<T>(
+        &self,
+        step: &'static str,
+        peer: net::SocketAddr,
+        limit: time::Duration,
+        response: impl future::Future<Output = Result<Option<T>, tarpc::client::RpcError>>,
+    ) -> Result<T, ports::PortError> {
+        let error = match tokio::time::timeout(limit, response).await {
+            Ok(Ok(Some(response))) => return Ok(response),
             Ok(Ok(None)) => "the host is stopping".to_owned(),
             Ok(Err(e)) => e.to_string(),
             Err(_) => "timeout".to_owned(),
         };
         self.connections.borrow_mut().remove(&peer);
-        Err(rpc::port_error("ask-peer", peer, error))
+        Err(rpc::port_error(step, peer, error))
     }
 
     async fn connect(
@@ -121,3 +173,10 @@
         Ok(client)
     }
 }
+
+// The context of a call that ends after `limit`.
+fn context(limit: time::Duration) -> tarpc::context::Context {
+    let mut context = tarpc::context::current();
+    context.deadline = time::Instant::now() + limit;
+    context
+}
--- a/src/serving/cluster.rs
+++ b/src/serving/cluster.rs
@@ -5,11 +5,14 @@
 use std::sync;
 use std::time;
 
+use xxhash_rust::xxh3;
+
 use crate::clock;
 use crate::names;
 use crate::ownership::assignment;
 use crate::ownership::key_load;
 use crate::routing::specification;
+use crate::serving::catch_up;
 use crate::serving::directory;
 use crate::serving::status;
 use crate::serving::view;
@@ -25,6 +28,20 @@
     received_at: clock::MonoTime,
 }
 
+impl PeerState {
+    fn versions(&self) -> catch_up::RecordVersions {
+        catch_up::RecordVersions {
+            routes: self.status.routes_version,
+            table_end: self.status.book_end,
+        }
+    }
+
+    // Whether the host reads the store and knows other servers than those with the hash given.
+    fn has_other_servers(&self, digest: Option<u64>) -> bool {
+        !self.status.store_lost && digest.is_some_and(|digest| digest != self.status.servers_digest)
+    }
+}
+
 /// The cluster as one host knows it.
 pub struct ClusterState {
     own: status::HostRecord,
@@ -38,6 +55,7 @@
     demand: view::ServerDemand,
     reports: Vec<status::ServiceReport>,
     service_times: Vec<(names::ServerName, f64)>,
+    catch_up: catch_up::CatchUpState,
 }
 
 impl ClusterState {
@@ -57,6 +75,7 @@
             demand: view::ServerDemand::new(),
             reports: Vec::new(),
             service_times: Vec::new(),
+            catch_up: catch_up::CatchUpState::new(),
         }
     }
 
@@ -148,17 +167,11 @@
         self.service_times = service_times;
     }
 
-    /// Applies another host's status update; returns the store records that it relays.
-    pub fn note_status(
-        &mut self,
-        status: status::HostStatusUpdate,
-        now: clock::MonoTime,
-    ) -> Option<status::StoreRelay> {
-        let mut status = status;
-        let relay = status.relay.take();
+    /// Applies another host's status update.
+    pub fn note_status(&mut self, status: status::HostStatusUpdate, now: clock::MonoTime) {
         let host = status.record.host.clone();
         if host == self.own.host {
-            return None;
+            return;
         }
         self.hosts.insert(host.clone(), status.record.clone());
         self.peers.insert(
@@ -168,10 +181,9 @@
                 received_at: now,
             },
         );
-        relay
     }
 
-    /// Applies store records that another host relays. Reports whether anything was applied.
+    /// Applies store records of another host. Reports whether anything was applied.
     pub fn note_relay(&mut self, relay: &status::StoreRelay, now: clock::MonoTime) -> bool {
         let mut changed = false;
         if let Some(routes) = &relay.routes {
@@ -195,6 +207,12 @@
             .collect()
     }
 
+    /// Returns the number of other hosts that are registered or have sent a status update.
+    #[must_use]
+    pub fn other_host_count(&self) -> usize {
+        self.hosts.len()
+    }
+
     /// Returns the status update for another host.
     #[must_use]
     pub fn status_for(
@@ -203,8 +221,6 @@
         grants: &GrantSnapshot<'_>,
         now: clock::MonoTime,
     ) -> status::HostStatusUpdate {
-        let asked = self.peers.get(host).map(|peer| &peer.status);
-        let relay = asked.and_then(|status| self.relay_for(status, grants));
         let granter = grants.table.granter.as_ref();
         let granter = granter.is_some_and(|granter| granter.host == *host);
         let uptime = now.since(self.started).as_millis();
@@ -227,32 +243,97 @@
             } else {
                 Vec::new()
             },
-            relay,
         }
     }
 
-    // The store records that another host lacks. A host can lack them although the store answers
-    // it, because a waiting read can miss a new record for as long as it waits.
-    fn relay_for(
+    /// Returns the store records that another host requests and lacks.
+    #[must_use]
+    pub fn relay_for(
         &self,
-        asked: &status::HostStatusUpdate,
+        request: &status::RecordRequest,
         grants: &GrantSnapshot<'_>,
-    ) -> Option<status::StoreRelay> {
-        let newer = self.routes_version() > asked.routes_version;
+    ) -> status::StoreRelay {
+        let newer = self.routes_version() > request.routes_version;
         let routes = self.routes.as_ref().filter(|_| newer);
-        let differ = asked.servers_digest != self.directory.digest();
-        let lost = asked.store_lost && !self.store_lost() && differ;
-        let servers = self.directory.servers().filter(|_| lost);
-        let servers: Vec<_> = servers.map(|record| (**record).clone()).collect();
-        let table = (grants.end > asked.book_end).then(|| (grants.table.clone(), grants.end));
-        if routes.is_none() && servers.is_empty() && table.is_none() {
-            return None;
-        }
-        Some(status::StoreRelay {
+        let digest = request.servers_digest.filter(|_| !self.store_lost());
+        let differ = digest.is_some_and(|digest| digest != self.directory.digest());
+        let servers = self.directory.servers().filter(|_| differ);
+        let table = (grants.end > request.book_end).then(|| (grants.table.clone(), grants.end));
+        status::StoreRelay {
             routes: routes.map(|routes| (**routes).clone()),
-            servers,
+            servers: servers.map(|record| (**record).clone()).collect(),
             book: table,
-        })
+        }
+    }
+
+    /// Returns the request for store records that is due at `now`, and the host to send it to.
+    /// [`Self::note_request_ended`] must be called when it has ended.
+    pub fn next_record_request(
+        &mut self,
+        grants: &GrantSnapshot<'_>,
+        now: clock::MonoTime,
+    ) -> Option<(status::HostRecord, status::RecordRequest)> {
+        let own = catch_up::RecordVersions {
+            routes: self.routes_version(),
+            table_end: grants.end,
+        };
+        let peers = self.fresh_peers(HOST_STALE_MS, now);
+        let newest = peers.fold(own, |newest, peer| newest.max(peer.versions()));
+        self.catch_up.note_versions(own, newest, now);
+        let store_lost = self.store_lost();
+        let servers_digest = store_lost.then(|| self.directory.digest());
+        let servers_differ = self
+            .fresh_peers(HOST_STALE_MS, now)
+            .any(|peer| peer.has_other_servers(servers_digest));
+        if !self.catch_up.is_due(store_lost, servers_differ, now) {
+            return None;
+        }
+        let request = status::RecordRequest {
+            routes_version: own.routes,
+            book_end: own.table_end,
+            servers_digest,
+        };
+        let source = self.record_source(own, newest, servers_digest, now)?;
+        self.catch_up.note_sent(now);
+        Some((source, request))
+    }
+
+    /// Records that the request for store records has ended, and whether it was answered.
+    pub fn note_request_ended(&mut self, is_answered: bool) {
+        self.catch_up.note_ended(is_answered);
+    }
+
+    // The host to request records from: one with the newest routes where this host lacks them, or
+    // else any that has something newer. The first attempt prefers this host's failure domain. A
+    // hash spreads the requests of many hosts, and those of one host after failures.
+    fn record_source(
+        &self,
+        own: catch_up::RecordVersions,
+        newest: catch_up::RecordVersions,
+        servers_digest: Option<u64>,
+        now: clock::MonoTime,
+    ) -> Option<status::HostRecord> {
+        let failures = self.catch_up.failures();
+        let offers = |peer: &&PeerState| {
+            let versions = peer.versions();
+            if own.routes < newest.routes {
+                return versions.routes == newest.routes;
+            }
+            own.is_behind(versions) || peer.has_other_servers(servers_digest)
+        };
+        let rank = |peer: &&PeerState| {
+            let record = &peer.status.record;
+            let is_remote = failures == 0 && record.domain != self.own.domain;
+            let pair = format!("{} {}", self.own.host, record.host);
+            (
+                is_remote,
+                xxh3::xxh3_64_with_seed(pair.as_bytes(), failures),
+            )
+        };
+        let peers = self.fresh_peers(HOST_STALE_MS, now).filter(offers);
+        peers
+            .min_by_key(rank)
+            .map(|peer| peer.status.record.clone())
     }
 
     /// Returns the load of each service's keys, summed over all hosts.
--- a/src/serving/mod.rs
+++ b/src/serving/mod.rs
@@ -1,6 +1,7 @@
 //! Request serving: the known servers, and the scheduling, delivery and refusal of requests.
 
 pub mod ages;
+pub mod catch_up;
 pub mod cluster;
 pub mod delivery;
 pub mod directory;
--- a/src/serving/status.rs
+++ b/src/serving/status.rs
@@ -48,14 +48,27 @@
     pub heat: Vec<key_load::KeyLoad>,
 }
 
-/// Store records that one host relays to another, which lacks them.
+/// A host's request for the store records that it lacks.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct RecordRequest {
+    /// The version of the routes that it has, 0 for none.
+    pub routes_version: u64,
+    /// The offset at which the log of the assignment table ends, as far as it knows.
+    pub book_end: u64,
+    /// The hash of the servers that it knows, where the store rejects it.
+    pub servers_digest: Option<u64>,
+}
+
+/// Store records that one host sends to another, which lacks them.
 #[derive(Clone, Debug, PartialEq)]
 #[derive(serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub struct StoreRelay {
     /// The routes, where the sender has a newer version.
     pub routes: Option<specification::RouteSet>,
-    /// All servers, where the receiver has lost the store and knows others; else empty.
+    /// All servers, where the receiver asked for them and knows others; else empty.
     pub servers: Vec<directory::ServerRecord>,
     /// The assignment table and the offset at which its log ends, where the sender has a newer one.
     pub book: Option<(assignment::AssignmentTable, u64)>,
@@ -86,8 +99,6 @@
     pub reports: Vec<ServiceReport>,
     /// The measured service times of servers, in milliseconds; sent to the granter only.
     pub service_times: Vec<(names::ServerName, f64)>,
-    /// Store records that the receiver lacks.
-    pub relay: Option<StoreRelay>,
 }
 
 /// Returns the sum of the demand of several hosts.
