Read the newest records after a failed read of the store

Cause: a reader went on at the offset where it had failed, so a host that lagged read every table, 60 to 80 KB each, that newer ones had replaced, 512 KB a call. It also read the tables again that another host had sent it.

Evidence: with reads from the old offset the slowest EMOV hosts had version 9 12.4 s after the first; the test reads_the_newest_records_after_a_failed_read failed before (second read from the old offset). Change: start over with the newest records after any failed read, and skip records older than the table that another host sent.

--- a/src/edge/router/control/store.rs
+++ b/src/edge/router/control/store.rs
@@ -37,7 +37,8 @@
     }
 
     fn read_timing(&self, topic: ports::StoreTopic) -> store_reader::ReadTiming {
-        let granting = self.state.borrow().granter.is_granting();
+        let state = self.state.borrow();
+        let granting = state.granter.is_granting();
         let wait_ms = match topic {
             ports::StoreTopic::Assignments if granting => GRANTER_READ_WAIT_MS,
             ports::StoreTopic::Hosts => HOSTS_WAIT_MS,
@@ -47,9 +48,16 @@
             ports::StoreTopic::Servers => servers_pause(self.drain),
             _ => time::Duration::ZERO,
         };
+        // A record of the assignment table replaces all earlier ones, which another host may have
+        // sent meanwhile.
+        let outdated_before = match topic {
+            ports::StoreTopic::Assignments => state.granter.log_end(),
+            _ => 0,
+        };
         store_reader::ReadTiming {
             wait: time::Duration::from_millis(wait_ms),
             pause,
+            outdated_before,
         }
     }
 
--- a/src/edge/router/store_reader.rs
+++ b/src/edge/router/store_reader.rs
@@ -29,10 +29,13 @@
     pub wait: time::Duration,
     /// The pause after a read that returned records, so that the next read returns more at once.
     pub pause: time::Duration,
+    /// The offset below which all records are outdated: the next read starts there at the earliest.
+    pub outdated_before: u64,
 }
 
 /// Follows a topic until the process ends. Starts over with a snapshot where the store no longer
-/// keeps the next records.
+/// keeps the next records, and after a failed read: by then the snapshot is shorter than the records
+/// that it replaces.
 pub async fn follow<S: ports::StorePort>(
     store: S,
     topic: ports::StoreTopic,
@@ -53,17 +56,20 @@
         on_update(StoreUpdate::Snapshot(snapshot));
         loop {
             let sent = clock.now();
-            match store.read(topic, from, timing().wait).await {
+            let timing = timing();
+            from = from.max(timing.outdated_before);
+            match store.read(topic, from, timing.wait).await {
                 Ok(batch) if batch.records.is_empty() => on_update(StoreUpdate::Unchanged(sent)),
                 Ok(batch) => {
                     from = batch.next;
                     on_update(StoreUpdate::Batch(batch));
-                    tokio::time::sleep(timing().pause).await;
+                    tokio::time::sleep(timing.pause).await;
                 }
                 Err(ports::StoreError::Gone { .. }) => break,
                 Err(error) => {
                     on_update(StoreUpdate::Failed(error));
                     tokio::time::sleep(time::Duration::from_millis(RETRY_DELAY_MS)).await;
+                    break;
                 }
             }
         }
