Report waiting requests by service to the other hosts

Change: an update has the requests that run at a server or wait for a certain one, and the number that wait for a service; the receiver spreads that number over the servers that it knows. Updates of earlier builds are understood.

Tests: reports_waiting_requests_of_a_pool_by_service (before: 101 servers named), counts_other_hosts_waiting_requests_in_equal_parts_at_all_servers.

--- a/src/edge/router/traffic.rs
+++ b/src/edge/router/traffic.rs
@@ -38,8 +38,8 @@
 /// A traffic thread's report to the control thread.
 #[derive(Debug, Default)]
 pub struct TrafficReport {
-    /// The requests that this host has running or waiting for each server.
-    pub demand: view::ServerDemand,
+    /// The requests that this host has running or waiting.
+    pub demand: view::HostDemand,
     /// The load of each service's keys.
     pub key_loads: Vec<(names::ServiceName, Vec<key_load::KeyLoad>)>,
     /// The estimated service time of each server, in milliseconds.
@@ -195,9 +195,9 @@
             .finish(incarnation, end, elapsed, now);
     }
 
-    /// Returns the requests that this host has running or waiting for each server.
+    /// Returns the requests that this host has running or waiting.
     #[must_use]
-    pub fn demand(&self) -> view::ServerDemand {
+    pub fn demand(&self) -> view::HostDemand {
         self.scheduler.borrow().demand()
     }
 
--- a/src/serving/cluster.rs
+++ b/src/serving/cluster.rs
@@ -52,7 +52,7 @@
     hosts: collections::BTreeMap<names::HostName, status::HostRecord>,
     peers: collections::BTreeMap<names::HostName, PeerState>,
     lost: collections::BTreeSet<&'static str>,
-    demand: view::ServerDemand,
+    demand: view::HostDemand,
     reports: Vec<status::ServiceReport>,
     service_times: Vec<(names::ServerName, f64)>,
     catch_up: catch_up::CatchUpState,
@@ -72,7 +72,7 @@
             hosts: collections::BTreeMap::new(),
             peers: collections::BTreeMap::new(),
             lost: collections::BTreeSet::new(),
-            demand: view::ServerDemand::new(),
+            demand: view::HostDemand::default(),
             reports: Vec::new(),
             service_times: Vec::new(),
             catch_up: catch_up::CatchUpState::new(),
@@ -158,7 +158,7 @@
     /// Sets the demand, key load and service times that the traffic threads report.
     pub fn note_traffic(
         &mut self,
-        demand: view::ServerDemand,
+        demand: view::HostDemand,
         reports: Vec<status::ServiceReport>,
         service_times: Vec<(names::ServerName, f64)>,
     ) {
@@ -232,7 +232,8 @@
             servers_digest: self.directory.digest(),
             book_end: grants.end,
             term: grants.table.term,
-            demand: self.demand.clone(),
+            demand: self.demand.servers.clone(),
+            pool_waiting: Some(self.demand.pool_waiting.clone()),
             reports: if granter {
                 self.reports.clone()
             } else {
@@ -417,13 +418,13 @@
         let servers = self.directory.servers();
         let servers = servers.map(|record| (record.life.server.clone(), sync::Arc::clone(record)));
         let peers = self.fresh_peers(DEMAND_STALE_MS, now);
-        let demands = peers.map(|peer| &peer.status.demand);
+        let updates = peers.map(|peer| &peer.status);
         view::ServingView {
             routes: self.routes.clone(),
             servers: sync::Arc::new(servers.collect()),
             table: sync::Arc::clone(&grants.table),
             ages: sync::Arc::clone(&grants.ages),
-            demand: sync::Arc::new(status::sum_demand(demands)),
+            demand: sync::Arc::new(status::sum_demand(updates, &self.directory)),
             hosts: 1 + self.fresh_peers(HOST_STALE_MS, now).count(),
         }
     }
--- a/src/serving/scheduler/demand.rs
+++ b/src/serving/scheduler/demand.rs
@@ -1,51 +1,32 @@
-//! The demand of this host at each server, which it reports to the other hosts.
+//! The demand of this host, which it reports to the other hosts.
 
-use crate::names;
 use crate::serving::scheduler;
 use crate::serving::view;
 
 impl scheduler::RequestScheduler {
-    /// Returns the number of running and waiting requests for each server.
+    /// Returns the numbers of running and waiting requests.
     #[must_use]
-    pub fn demand(&self) -> view::ServerDemand {
+    pub fn demand(&self) -> view::HostDemand {
         let busy = self
             .servers
             .iter()
             .filter(|(_, server)| server.running + server.waiting > 0);
-        let mut demand: view::ServerDemand = busy
-            .map(|(name, server)| (name.clone(), f64::from(server.running + server.waiting)))
-            .collect();
-        for (service, queue) in &self.queues {
-            self.add_pool_demand(service, queue, &mut demand);
+        let servers =
+            busy.map(|(name, server)| (name.clone(), f64::from(server.running + server.waiting)));
+        let services = self.queues.iter();
+        let waiting =
+            services.map(|(service, queue)| (service.clone(), queue.waiting_without_key()));
+        view::HostDemand {
+            servers: servers.collect(),
+            pool_waiting: waiting.filter(|(_, count)| *count > 0).collect(),
         }
-        demand
     }
+}
 
-    // Waiting requests without a key count in equal parts at all servers of the service.
-    fn add_pool_demand(
-        &self,
-        service: &names::ServiceName,
-        queue: &scheduler::ServiceQueue,
-        demand: &mut view::ServerDemand,
-    ) {
-        let waiting = queue
-            .entries
-            .values()
-            .filter(|w| w.request.key.is_none())
-            .count();
-        let servers = self
-            .servers
-            .values()
-            .filter(|server| server.record.service == *service);
-        let names: Vec<_> = servers
-            .map(|server| server.record.life.server.clone())
-            .collect();
-        if waiting == 0 || names.is_empty() {
-            return;
-        }
-        let each = scheduler::to_f64(waiting) / scheduler::to_f64(names.len());
-        for name in names {
-            *demand.entry(name).or_default() += each;
-        }
+impl scheduler::ServiceQueue {
+    fn waiting_without_key(&self) -> u32 {
+        let waiting = self.entries.values();
+        let count = waiting.filter(|w| w.request.key.is_none()).count();
+        u32::try_from(count).unwrap_or(u32::MAX)
     }
 }
--- a/src/serving/status.rs
+++ b/src/serving/status.rs
@@ -1,6 +1,5 @@
 //! The status updates that entry hosts exchange.
 
-use std::collections;
 use std::net;
 
 use crate::names;
@@ -93,22 +92,41 @@
     pub book_end: u64,
     /// The term of the newest assignment table that it knows.
     pub term: u64,
-    /// Its running and waiting requests for each server.
+    /// Its requests that run at a server or wait for a certain one, by server.
     pub demand: view::ServerDemand,
+    /// Its requests that wait for any server of a service. Hosts of earlier builds have none: they
+    /// count these in `demand`.
+    pub pool_waiting: Option<view::PoolDemand>,
     /// The load of keys; sent to the granter only.
     pub reports: Vec<ServiceReport>,
     /// The measured service times of servers, in milliseconds; sent to the granter only.
     pub service_times: Vec<(names::ServerName, f64)>,
 }
 
-/// Returns the sum of the demand of several hosts.
+/// Returns the sum of the demand in several hosts' status updates, by server. Requests that wait for
+/// any server of a service count in equal parts at all its servers.
 #[must_use]
-pub fn sum_demand<'a>(demands: impl Iterator<Item = &'a view::ServerDemand>) -> view::ServerDemand {
-    let mut sum = collections::BTreeMap::new();
-    for demand in demands {
-        for (server, wanted) in demand {
+pub fn sum_demand<'a>(
+    updates: impl Iterator<Item = &'a HostStatusUpdate>,
+    servers: &directory::ServerDirectory,
+) -> view::ServerDemand {
+    let mut sum = view::ServerDemand::new();
+    let mut pool_waiting = view::PoolDemand::new();
+    for update in updates {
+        for (server, wanted) in &update.demand {
             *sum.entry(server.clone()).or_default() += wanted;
         }
+        for (service, waiting) in update.pool_waiting.iter().flatten() {
+            *pool_waiting.entry(service.clone()).or_default() += waiting;
+        }
+    }
+    for (service, waiting) in pool_waiting {
+        let pool = servers.servers().filter(|record| record.service == service);
+        let names: Vec<_> = pool.map(|record| record.life.server.clone()).collect();
+        let count = u32::try_from(names.len()).unwrap_or(u32::MAX);
+        for name in names {
+            *sum.entry(name).or_default() += f64::from(waiting) / f64::from(count);
+        }
     }
     sum
 }
--- a/src/serving/view.rs
+++ b/src/serving/view.rs
@@ -13,6 +13,26 @@
 /// The number of running and waiting requests for each server.
 pub type ServerDemand = collections::BTreeMap<names::ServerName, f64>;
 
+/// The number of waiting requests without a key for each service.
+pub type PoolDemand = collections::BTreeMap<names::ServiceName, u32>;
+
+/// The running and waiting requests of one host.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct HostDemand {
+    /// Those that run at a server or wait for a certain one, by server.
+    pub servers: ServerDemand,
+    /// Those that wait for any server of a service, by service.
+    pub pool_waiting: PoolDemand,
+}
+
+impl HostDemand {
+    /// Reports whether no request runs or waits.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.servers.is_empty() && self.pool_waiting.is_empty()
+    }
+}
+
 /// The newest assignment table, shared with the traffic threads.
 #[derive(Clone, Debug, Default)]
 pub struct SharedGrants {
--- a/tests/cluster.rs
+++ b/tests/cluster.rs
@@ -9,6 +9,7 @@
 use zinniastack::serving::cluster;
 use zinniastack::serving::directory;
 use zinniastack::serving::status;
+use zinniastack::serving::view;
 
 fn host(text: &str) -> cluster::ClusterState {
     host_with_drain(text, time::Duration::from_secs(2))
@@ -128,6 +129,23 @@
     );
 }
 
+fn counts_other_hosts_waiting_requests_in_equal_parts_at_all_servers() {
+    let (mut from, mut to) = (host("a"), host("b"));
+    to.replace_servers(
+        vec![server("s1", 1, 1, READY), server("s2", 1, 1, READY)],
+        fixtures::at(0),
+    );
+    let demand = view::HostDemand {
+        servers: [(fixtures::name("s1"), 2.0)].into(),
+        pool_waiting: [(fixtures::name("stock"), 3)].into(),
+    };
+    from.note_traffic(demand, Vec::new(), Vec::new());
+    exchange_at(&mut from, &mut to, 0);
+    let view = to.view(&view::SharedGrants::default(), fixtures::at(0));
+    let expected = [(fixtures::name("s1"), 3.5), (fixtures::name("s2"), 1.5)];
+    assert_eq!(*view.demand, expected.into());
+}
+
 fn counts_the_store_as_back_when_every_call_is_answered() {
     let mut cluster = host("a");
     assert!(cluster.note_store("servers", true, fixtures::at(0)));
@@ -222,6 +240,7 @@
     never_takes_a_version_back,
     passes_a_newer_version_on_whatever_the_store_does,
     passes_servers_on_to_a_host_that_the_store_turns_away,
+    counts_other_hosts_waiting_requests_in_equal_parts_at_all_servers,
     counts_the_store_as_back_when_every_call_is_answered,
     drops_a_removed_server_at_once,
     keeps_a_lapsed_server_for_a_moment_after_an_outage,
--- a/tests/scheduler.rs
+++ b/tests/scheduler.rs
@@ -161,6 +161,22 @@
     assert_eq!(case.fill(), 1);
 }
 
+// Guards against status updates that name every server of a service for each waiting request, so that
+// under overload the updates of many hosts fill their links.
+fn reports_waiting_requests_of_a_pool_by_service() {
+    let servers: Vec<_> = (0..100).map(|number| format!("s{number}")).collect();
+    let servers: Vec<_> = servers.iter().map(|s| (s.as_str(), "south")).collect();
+    let mut case = SchedulerCase::new(&[&servers[..], &[("near", "north")]].concat());
+    let sent = case.fill();
+    let demand = case.scheduler.demand();
+    let running = [(
+        fixtures::name("near"),
+        f64::from(u32::try_from(sent).expect("a small number")),
+    )];
+    assert_eq!(demand.servers, running.into());
+    assert_eq!(demand.pool_waiting, [(fixtures::name("orders"), 1)].into());
+}
+
 fn sends_nothing_to_a_server_that_drains() {
     let mut case = SchedulerCase::new(&[("near", "north")]);
     let draining = record("near", "north", directory::ServerState::Draining);
@@ -452,6 +468,7 @@
     uses_another_domain_when_its_own_is_full,
     keeps_to_the_room_of_a_server,
     leaves_the_others_their_share,
+    reports_waiting_requests_of_a_pool_by_service,
     sends_nothing_to_a_server_that_drains,
     sends_nothing_to_a_removed_server_at_which_requests_run,
     refuses_at_once_what_would_wait_past_its_objective,
--- a/tests/traffic.rs
+++ b/tests/traffic.rs
@@ -115,7 +115,11 @@
         .thread
         .request_slot(case.request())
         .expect("the request is queued");
-    assert_eq!(case.thread.demand().len(), 1, "the server was not assigned");
+    assert_eq!(
+        case.thread.demand().servers.len(),
+        1,
+        "the server was not assigned"
+    );
     drop(wait);
     assert!(
         case.thread.demand().is_empty(),
