Break off a response body that does not end by the caller's deadline

The users' news about servers in trouble: bytes that are no answer may come without end, in a head or a body, until the caller closes.

What callers would see: a streamed body without end was forwarded for as long as the caller left its connection open, and held a slot of the server. Heads, bytes that are no response, and buffered bodies were bounded already; five cases in tests/clients.rs show it and passed at once.

Change: a streamed body breaks off at the caller's deadline, so that it doesn't look whole, and its connection to the server is reset. The test breaks_off_a_response_without_end failed before (the body went on until the test's own time-out).

--- a/lab/src/platform_site/worker.rs
+++ b/lab/src/platform_site/worker.rs
@@ -26,6 +26,8 @@
     pub truncate_responses: u32,
     /// The number of coming responses that carry another request's id.
     pub swap_response_ids: u32,
+    /// The number of coming responses whose body never ends.
+    pub endless_responses: u32,
 }
 
 /// The state of a worker.
@@ -240,6 +242,7 @@
         let faults = state.faults;
         state.faults.truncate_responses = faults.truncate_responses.saturating_sub(1);
         state.faults.swap_response_ids = faults.swap_response_ids.saturating_sub(1);
+        state.faults.endless_responses = faults.endless_responses.saturating_sub(1);
         (state.work_ms, faults)
     };
     tokio::time::sleep(time::Duration::from_millis(work_ms)).await;
@@ -251,6 +254,9 @@
     let mut response = actix_web::HttpResponse::Ok();
     response.insert_header(("x-request-id", echoed));
     response.insert_header(("x-response-signature", format!("s-{id}")));
+    if faults.endless_responses > 0 {
+        return response.streaming(endless_body());
+    }
     let whole = format!(
         "{} {} {id} {}",
         request.method(),
@@ -265,3 +271,10 @@
     }
     response.body(whole)
 }
+
+fn endless_body() -> impl futures_util::Stream<Item = Result<web::Bytes, std::io::Error>> {
+    futures_util::stream::unfold((), |()| async {
+        tokio::time::sleep(time::Duration::from_millis(1)).await;
+        Some((Ok(web::Bytes::from_static(&[b'x'; 16_384])), ()))
+    })
+}
--- a/lab/tests/platform.rs
+++ b/lab/tests/platform.rs
@@ -6,6 +6,7 @@
 use std::process;
 use std::time;
 
+use futures_util::StreamExt as _;
 use zinnia_lab::http;
 use zinnia_lab::platform_site::settings;
 use zinnia_lab::platform_site::site;
@@ -261,6 +262,31 @@
     case.expect_invariants();
 }
 
+// Guards against a server whose response never ends: it would occupy the host, the link and a slot for
+// as long as the caller leaves its connection open.
+async fn breaks_off_a_response_without_end(test: u8) {
+    let case = PlatformCase::start(test).await;
+    for worker in &case.site.workers {
+        http::lock(worker).faults.endless_responses = 1;
+    }
+    let front = case.hosts[0].ports.front;
+    let request = awc::Client::default().get(format!("http://{front}/orders/a"));
+    let request = request
+        .insert_header(("host", "desk.example"))
+        .insert_header(("x-request-id", "endless"))
+        .insert_header(("x-request-deadline", "700"));
+    let mut response = request.send().await.expect("the host responds");
+    let ended = tokio::time::timeout(STEP_TIMEOUT, async {
+        while let Some(Ok(_)) = response.next().await {}
+    });
+    assert!(ended.await.is_ok(), "the host forwards an endless body");
+    for worker in &case.site.workers {
+        http::lock(worker).faults.endless_responses = 0;
+    }
+    let next = case.send(0, "/orders/a", "next", 0).await;
+    assert_eq!(next.map(|response| response.0), Some(200));
+}
+
 async fn refuses_what_is_over_a_limit(test: u8) {
     let case = PlatformCase::start(test).await;
     let front = case.hosts[0].ports.front;
@@ -382,4 +408,5 @@
     answers_503_before_a_configuration_is_known = 9,
     tells_operators_what_it_knows = 10,
     breaks_off_a_body_that_grows_over_the_limit = 11,
+    breaks_off_a_response_without_end = 12,
 }
--- a/src/edge/router/front/responses.rs
+++ b/src/edge/router/front/responses.rs
@@ -49,7 +49,7 @@
             .headers
             .get(hyper::header::CONTENT_LENGTH);
         let length = length.and_then(|value| value.to_str().ok()?.parse::<u64>().ok());
-        let chunks = stream_body(server_response.prefix, body, slot);
+        let chunks = stream_body(server_response.prefix, body, slot, self.caller_deadline());
         match length {
             Some(length) => response.body(actix_web::body::SizedStream::new(length, chunks)),
             None => response.body(actix_web::body::BodyStream::new(chunks)),
@@ -123,12 +123,16 @@
         local_response::respond(response, retry_after)
     }
 
+    // The time until which the caller waits, which may be later than the route's time-out.
+    fn caller_deadline(&self) -> clock::MonoTime {
+        self.arrived + self.headers.timeout.unwrap_or(self.route.timeout)
+    }
+
     // The `retry-after` of a refused request: the expected wait for a slot, randomized so that
     // refused callers do not return all at once, and early enough for a retry within the caller's
     // time-out.
     fn retry_after(&self, now: clock::MonoTime) -> time::Duration {
-        let timeout = self.headers.timeout.unwrap_or(self.route.timeout);
-        let left_ms = (self.arrived + timeout).since(now).as_secs_f64() * 1_000.0;
+        let left_ms = self.caller_deadline().since(now).as_secs_f64() * 1_000.0;
         let request = self.dispatch_request(false, None, 0);
         let wait = self.thread.scheduler.borrow().expected_wait(&request, now);
         let wait_ms = wait.as_secs_f64() * 1_000.0 + MIN_RETRY_AFTER_MS;
@@ -179,17 +183,21 @@
 
 type BodyChunk = Result<bytes::Bytes, std::io::Error>;
 
-// Streams a response's body to the caller; the slot is released with the end of the stream.
+// Streams a response's body to the caller; the slot is released with the end of the stream. The
+// stream breaks off at `deadline`, since a server may send a body that never ends.
 fn stream_body<C: ports::HeaderCodec>(
     prefix: bytes::Bytes,
     body: http_client::ResponseBody,
     slot: slots::ServerSlot<C>,
+    deadline: clock::MonoTime,
 ) -> impl futures_util::Stream<Item = BodyChunk> {
     let first_chunk = futures_util::stream::once(async move { Ok(prefix) });
     let state = Some((body, slot));
-    let other_chunks = futures_util::stream::unfold(state, |state| async move {
+    let other_chunks = futures_util::stream::unfold(state, move |state| async move {
         let (mut body, mut slot) = state?;
-        match body.next_chunk().await {
+        let left = deadline.since(slot.thread.parts.clock.now());
+        let chunk = tokio::time::timeout(left, body.next_chunk()).await;
+        match chunk.unwrap_or_else(|_| Err(body.deadline_error())) {
             Ok(Some(chunk)) => Some((Ok(chunk), Some((body, slot)))),
             Ok(None) => {
                 slot.end = estimate::ExchangeEnd::Answered;
--- a/src/edge/router/http_client.rs
+++ b/src/edge/router/http_client.rs
@@ -251,6 +251,12 @@
         Ok(whole.freeze())
     }
 
+    /// Returns the error of a body that has not ended by the caller's deadline.
+    #[must_use]
+    pub fn deadline_error(&self) -> HttpError {
+        self.broken_error("read-body", "no end by the deadline")
+    }
+
     fn broken_error(&self, step: &'static str, error: &str) -> HttpError {
         HttpError::Broken {
             step,
