--- a/src/edge/router/status_exchange.rs
+++ b/src/edge/router/status_exchange.rs
@@ -122,7 +122,7 @@
         let client = self.connect(peer).await?;
         let limit = time::Duration::from_millis(STATUS_EXCHANGE_TIMEOUT_MS);
         let response = client.exchange(context(limit), status);
-        self.wait("ask-peer", peer, limit, response).await
+        self.finish_call("ask-peer", peer, limit, response).await
     }
 
     /// Requests the store records that this host lacks. After a failure the next call connects
@@ -138,10 +138,12 @@
         let client = self.connect(peer).await?;
         let limit = time::Duration::from_millis(RECORDS_TIMEOUT_MS);
         let response = client.records(context(limit), request);
-        self.wait("request-records", peer, limit, response).await
+        self.finish_call("request-records", peer, limit, response)
+            .await
     }
 
-    async fn wait<T>(
+    // Waits for the response of a call until `limit`; drops the connection after a failure.
+    async fn finish_call<T>(
         &self,
         step: &'static str,
         peer: net::SocketAddr,
