Let the reader's cases end at the first call without a response

Cause: the case ended when the store had received four calls, looked up every millisecond, while the reader went on.

--- a/tests/store_reader.rs
+++ b/tests/store_reader.rs
@@ -90,13 +90,10 @@
     }
 }
 
-// Follows a topic until the store has received `count` calls; returns the calls.
-async fn follow(
-    responses: impl IntoIterator<Item = Option<u64>>,
-    outdated_before: u64,
-    count: usize,
-) -> Vec<StoreCall> {
-    let store = ScriptedStore::new(responses);
+// Follows a topic until the store has no response left; returns all calls, the last of which is
+// unanswered.
+async fn follow(responses: &[Option<u64>], outdated_before: u64) -> Vec<StoreCall> {
+    let store = ScriptedStore::new(responses.iter().copied());
     let timing = move || store_reader::ReadTiming {
         wait: time::Duration::ZERO,
         pause: time::Duration::ZERO,
@@ -106,7 +103,7 @@
     let clock = clock::SystemClock::new();
     let reader = store_reader::follow(store.clone(), topic, clock, timing, |_| ());
     let received = async {
-        while store.calls.borrow().len() < count {
+        while store.calls.borrow().len() <= responses.len() {
             tokio::time::sleep(time::Duration::from_millis(1)).await;
         }
     };
@@ -119,24 +116,25 @@
 
 // Guards against a host that lags and reads every outdated record, so that it falls further behind.
 async fn reads_the_newest_records_after_a_failed_read() {
-    let calls = follow([Some(3), None, Some(40), Some(41)], 0, 4).await;
+    let calls = follow(&[Some(3), None, Some(40), Some(41)], 0).await;
     let expected = [
         StoreCall::Newest,
         StoreCall::Read { from: 3 },
         StoreCall::Newest,
         StoreCall::Read { from: 40 },
+        StoreCall::Read { from: 41 },
     ];
     assert_eq!(calls, expected);
 }
 
 // Guards against a host that reads records which another host's newer record has replaced.
 async fn skips_outdated_records() {
-    let calls = follow([Some(3)], 20, 2).await;
+    let calls = follow(&[Some(3)], 20).await;
     assert_eq!(calls, [StoreCall::Newest, StoreCall::Read { from: 20 }]);
 }
 
 async fn continues_where_the_last_read_ended() {
-    let calls = follow([Some(3), Some(5), Some(9)], 0, 4).await;
+    let calls = follow(&[Some(3), Some(5), Some(9)], 0).await;
     let expected = [
         StoreCall::Newest,
         StoreCall::Read { from: 3 },
