--- a/lab/src/fixtures.rs
+++ b/lab/src/fixtures.rs
@@ -2,8 +2,10 @@
 
 use std::fmt;
 use std::str;
+use std::time;
 
 use zinniastack::clock;
+use zinniastack::routing::specification;
 
 /// Parses a name, fence or other value.
 ///
@@ -23,3 +25,19 @@
 pub const fn at(millis: u64) -> clock::MonoTime {
     clock::MonoTime::from_millis(millis)
 }
+
+/// Returns an empty set of routes with the version given.
+///
+/// # Panics
+/// Panics if the set is not valid.
+#[must_use]
+pub fn routes(version: u64) -> specification::RouteSet {
+    let limits = specification::CallerLimits {
+        head_bytes: 1,
+        body_bytes: 1,
+        head_timeout: time::Duration::from_secs(1),
+        idle_timeout: time::Duration::from_secs(1),
+    };
+    specification::RouteSet::new(version, Vec::new(), Vec::new(), limits)
+        .expect("the route set is valid")
+}
--- a/tests/catch_up.rs
+++ b/tests/catch_up.rs
@@ -7,7 +7,6 @@
 use zinnia_lab::fixtures;
 use zinniastack::names;
 use zinniastack::ownership::assignment;
-use zinniastack::routing::specification;
 use zinniastack::serving::catch_up;
 use zinniastack::serving::cluster;
 use zinniastack::serving::directory;
@@ -76,31 +75,20 @@
     }
 }
 
-fn routes(version: u64) -> specification::RouteSet {
-    let limits = specification::CallerLimits {
-        head_bytes: 1,
-        body_bytes: 1,
-        head_timeout: time::Duration::from_secs(1),
-        idle_timeout: time::Duration::from_secs(1),
-    };
-    specification::RouteSet::new(version, Vec::new(), Vec::new(), limits)
-        .expect("the route set is valid")
-}
-
 fn encoded_bytes(message: &impl serde::Serialize) -> usize {
     let encoded = serde_json::to_vec(message);
     encoded.expect("the message is encoded").len()
 }
 
-// What `lagging` receives in a second of status updates and requests for records, in bytes; returns
-// the hosts that it requested records from.
+// What a lagging host receives in a second: the size of all status updates and records, in bytes, the
+// hosts that it requested records from, and the records.
 struct CatchUpRound {
     received: usize,
     sources: Vec<names::HostName>,
     relays: Vec<status::StoreRelay>,
 }
 
-// A host that the store rejects, and all other hosts, which know `routes`, servers and a table.
+// A host that the store rejects, and all other hosts, which know routes, servers and a table.
 struct LaggingCase {
     lagging: cluster::ClusterState,
     others: Vec<cluster::ClusterState>,
@@ -114,7 +102,7 @@
         let others = (1..HOSTS).map(|number| {
             let mut other = host(number);
             other.replace_servers((0..SERVERS).map(server).collect(), fixtures::at(0));
-            other.note_routes(routes(5));
+            other.note_routes(fixtures::routes(5));
             other
         });
         Self {
--- a/tests/cluster.rs
+++ b/tests/cluster.rs
@@ -4,7 +4,6 @@
 
 use zinnia_lab::fixtures;
 use zinniastack::ownership::assignment;
-use zinniastack::routing::specification;
 use zinniastack::serving::catch_up;
 use zinniastack::serving::cluster;
 use zinniastack::serving::directory;
@@ -51,17 +50,6 @@
 const READY: directory::ServerState = directory::ServerState::Ready;
 const DRAINING: directory::ServerState = directory::ServerState::Draining;
 
-fn routes(version: u64) -> specification::RouteSet {
-    let limits = specification::CallerLimits {
-        head_bytes: 1,
-        body_bytes: 1,
-        head_timeout: time::Duration::from_secs(1),
-        idle_timeout: time::Duration::from_secs(1),
-    };
-    specification::RouteSet::new(version, Vec::new(), Vec::new(), limits)
-        .expect("the route set is valid")
-}
-
 // Exchanges status updates between `from` and `to` at `now_ms`; returns the store records that `to`
 // then requests from it, if a request is due.
 fn exchange_at(
@@ -89,9 +77,9 @@
 
 fn never_takes_a_version_back() {
     let mut cluster = host("a");
-    assert!(cluster.note_routes(routes(5)));
-    assert!(!cluster.note_routes(routes(3)));
-    assert!(!cluster.note_routes(routes(5)));
+    assert!(cluster.note_routes(fixtures::routes(5)));
+    assert!(!cluster.note_routes(fixtures::routes(3)));
+    assert!(!cluster.note_routes(fixtures::routes(5)));
     assert_eq!(cluster.routes_version(), 5);
 }
 
@@ -99,7 +87,7 @@
 // waited.
 fn passes_a_newer_version_on_whatever_the_store_does() {
     let (mut from, mut to) = (host("a"), host("b"));
-    from.note_routes(routes(5));
+    from.note_routes(fixtures::routes(5));
     assert!(exchange_at(&mut from, &mut to, 0).is_none());
     assert!(exchange_at(&mut from, &mut to, catch_up::STORE_WAIT_MS).is_some());
     assert_eq!(to.routes_version(), 5);
