Refuse an unknown route with 503 while the store rejects the host

A 404 is final, so the caller does not try another host.

Cause: a host that knows that it cannot read the store still answered as if its routes were the newest. Evidence: store-lost and timeouts of the topic routes at caldas-norte-5 and -7 from 9 s on, 404 by version 7 at 26 s.

A known route is served as before.

Test: refuses_an_unknown_route_for_a_while_when_the_store_is_away. What remains: requests on known routes that such a host sends by the old version.

--- a/lab/tests/platform.rs
+++ b/lab/tests/platform.rs
@@ -365,6 +365,20 @@
     (text, output.status.code())
 }
 
+// Guards against a final 404 for a route that was added while the store rejects this host: the caller
+// may try again elsewhere.
+async fn refuses_an_unknown_route_for_a_while_when_the_store_is_away(test: u8) {
+    let case = PlatformCase::start(test).await;
+    let known = case.send(0, "/added/a", "before", 0).await;
+    assert_eq!(known.map(|response| response.0), Some(404));
+    http::lock(&case.site.store).faults.is_down = true;
+    wait_until("the routes are unconfirmed", async || {
+        let response = case.send(0, "/added/a", "lost", 0).await;
+        response == Some((503, "routes-unconfirmed".to_owned()))
+    })
+    .await;
+}
+
 async fn tells_operators_what_it_knows(test: u8) {
     let case = PlatformCase::start(test).await;
     let (status, code) = ask_operator(case.site.ip, &["status"]).await;
@@ -409,4 +423,5 @@
     tells_operators_what_it_knows = 10,
     breaks_off_a_body_that_grows_over_the_limit = 11,
     breaks_off_a_response_without_end = 12,
+    refuses_an_unknown_route_for_a_while_when_the_store_is_away = 13,
 }
--- a/src/edge/router/front/mod.rs
+++ b/src/edge/router/front/mod.rs
@@ -101,8 +101,12 @@
         let host =
             request_host(&caller).ok_or_else(|| early(local_response::LocalResponse::Malformed))?;
         let route = routes.find(&host, caller.uri().path());
-        let route =
-            sync::Arc::clone(route.ok_or_else(|| early(local_response::LocalResponse::NoRoute))?);
+        let no_route = if view.store_lost {
+            local_response::LocalResponse::RoutesUnconfirmed
+        } else {
+            local_response::LocalResponse::NoRoute
+        };
+        let route = sync::Arc::clone(route.ok_or_else(|| early(no_route))?);
         let part = thread.split.borrow_mut().choose(&route);
         let service = route.parts[part].service.clone();
         let sharded = routes
--- a/src/edge/router/local_response.rs
+++ b/src/edge/router/local_response.rs
@@ -9,6 +9,8 @@
 pub enum LocalResponse {
     /// No route matches.
     NoRoute,
+    /// No route matches, but newer routes may exist: the store rejects this host.
+    RoutesUnconfirmed,
     /// No set of routes is known yet.
     Starting,
     /// The host is about to end.
@@ -33,8 +35,9 @@
 
 impl LocalResponse {
     /// All local responses.
-    pub const ALL: [Self; 14] = [
+    pub const ALL: [Self; 15] = [
         Self::NoRoute,
+        Self::RoutesUnconfirmed,
         Self::Starting,
         Self::Stopping,
         Self::Malformed,
@@ -59,7 +62,11 @@
             Self::HeadTooLarge => 431,
             Self::BodyTooLarge => 413,
             Self::BodyTimeout => 408,
-            Self::Starting | Self::Stopping | Self::Refused(_) | Self::NotRun => 503,
+            Self::RoutesUnconfirmed
+            | Self::Starting
+            | Self::Stopping
+            | Self::Refused(_)
+            | Self::NotRun => 503,
             Self::Broken => 502,
             Self::Timeout => 504,
         }
@@ -70,6 +77,7 @@
     pub const fn as_str(self) -> &'static str {
         match self {
             Self::NoRoute => "no-route",
+            Self::RoutesUnconfirmed => "routes-unconfirmed",
             Self::Starting => "starting",
             Self::Stopping => "stopping",
             Self::Malformed => "malformed",
--- a/src/serving/cluster/mod.rs
+++ b/src/serving/cluster/mod.rs
@@ -304,6 +304,7 @@
         let updates = peers.map(|peer| &peer.status);
         view::ServingView {
             routes: self.routes.clone(),
+            store_lost: self.store_lost(),
             servers: sync::Arc::new(servers.collect()),
             table: sync::Arc::clone(&grants.table),
             ages: sync::Arc::clone(&grants.ages),
--- a/src/serving/view.rs
+++ b/src/serving/view.rs
@@ -57,6 +57,8 @@
 pub struct ServingView {
     /// The routes, once a version is known.
     pub routes: Option<sync::Arc<specification::RouteSet>>,
+    /// Whether store calls fail at this host, so that newer routes may exist.
+    pub store_lost: bool,
     /// The servers, by name.
     pub servers:
         sync::Arc<collections::BTreeMap<names::ServerName, sync::Arc<directory::ServerRecord>>>,
@@ -76,6 +78,7 @@
     pub fn new() -> Self {
         Self {
             routes: None,
+            store_lost: false,
             servers: sync::Arc::default(),
             table: sync::Arc::default(),
             ages: sync::Arc::default(),
