--- a/src/edge/router/control/hosts.rs
+++ b/src/edge/router/control/hosts.rs
@@ -15,7 +15,6 @@
 use crate::names;
 use crate::ownership::former_granters;
 use crate::ownership::order;
-use crate::serving::cluster;
 use crate::serving::status;
 
 /// The interval of the status exchange with each host, in milliseconds.
@@ -133,10 +132,7 @@
 
     fn status_for(&self, host: &names::HostName) -> status::HostStatusUpdate {
         let state = self.state.borrow();
-        let grants = cluster::GrantSnapshot {
-            table: state.granter.table(),
-            end: state.granter.log_end(),
-        };
+        let grants = control::grant_snapshot(&state.granter);
         state.cluster.status_for(host, &grants, self.clock.now())
     }
 
--- a/src/edge/router/control/mod.rs
+++ b/src/edge/router/control/mod.rs
@@ -212,6 +212,14 @@
     }
 }
 
+// The newest assignment table that the granter has read, for the exchange with other hosts.
+fn grant_snapshot(granter: &granter::KeyGranter) -> cluster::GrantSnapshot<'_> {
+    cluster::GrantSnapshot {
+        table: granter.table(),
+        end: granter.log_end(),
+    }
+}
+
 fn encode_record(key: &str, value: &impl serde::Serialize) -> Option<ports::KeyedRecord> {
     match serde_json::to_vec(value) {
         Ok(value) => Some(ports::KeyedRecord {
--- a/src/edge/router/control/records.rs
+++ b/src/edge/router/control/records.rs
@@ -5,7 +5,6 @@
 use crate::clock::MonoClock as _;
 use crate::edge::router::control;
 use crate::edge::router::ports;
-use crate::serving::cluster;
 use crate::serving::status;
 
 impl<S, O, D> control::ControlThread<S, O, D>
@@ -22,11 +21,7 @@
             let control::ControlState {
                 cluster, granter, ..
             } = &mut *state;
-            let grants = cluster::GrantSnapshot {
-                table: granter.table(),
-                end: granter.log_end(),
-            };
-            cluster.next_record_request(&grants, now)
+            cluster.next_record_request(&control::grant_snapshot(granter), now)
         };
         if let Some((host, request)) = next {
             actix::spawn(rc::Rc::clone(self).receive_records(host, request));
@@ -75,10 +70,7 @@
     // The store records that another host requests.
     pub(super) fn relay_for(&self, request: &status::RecordRequest) -> status::StoreRelay {
         let state = self.state.borrow();
-        let grants = cluster::GrantSnapshot {
-            table: state.granter.table(),
-            end: state.granter.log_end(),
-        };
+        let grants = control::grant_snapshot(&state.granter);
         let relay = state.cluster.relay_for(request, &grants);
         self.metrics.relayed_bytes.inc_by(encoded_size(&relay));
         relay
--- a/tests/clients.rs
+++ b/tests/clients.rs
@@ -34,15 +34,18 @@
     address
 }
 
-async fn is_whole_by_hyper(response: &'static str) -> bool {
-    let peer = serve_once(response);
-    let request = hyper::Request::builder()
+fn empty_request() -> hyper::Request<body::RequestBody> {
+    hyper::Request::builder()
         .uri("/")
         .header("host", "a")
         .body(body::RequestBody::with_nothing())
-        .expect("a valid request");
+        .expect("a valid request")
+}
+
+async fn is_whole_by_hyper(response: &'static str) -> bool {
+    let peer = serve_once(response);
     let client = http_client::HttpClient::new();
-    let Ok(mut response) = client.send(peer, request).await else {
+    let Ok(mut response) = client.send(peer, empty_request()).await else {
         return false;
     };
     response.body.read_whole(1_000).await.is_ok()
@@ -77,14 +80,9 @@
 // Whether the client gives up an endless response before `MAX_WAIT`.
 async fn ends(start: &'static str, part: &'static str) -> bool {
     let peer = serve_endlessly(start, part);
-    let request = hyper::Request::builder()
-        .uri("/")
-        .header("host", "a")
-        .body(body::RequestBody::with_nothing())
-        .expect("a valid request");
     let client = http_client::HttpClient::new();
     let exchange = async {
-        let mut response = client.send(peer, request).await?;
+        let mut response = client.send(peer, empty_request()).await?;
         response.body.read_whole(100_000).await
     };
     let ended = tokio::time::timeout(MAX_WAIT, exchange).await;
