--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod flood;
 pub mod grants;
 pub mod host_list;
+pub mod host_simulation;
 pub mod http;
 pub mod log_state;
 pub mod platform_site;
--- a/src/edge/router/control/granting.rs
+++ b/src/edge/router/control/granting.rs
@@ -9,6 +9,7 @@
 use crate::edge::router::ports;
 use crate::ownership::assignment;
 use crate::ownership::order;
+use crate::serving::topic;
 
 /// How long a host that yielded the granter role stays out of the group, in milliseconds.
 pub const YIELD_BACKOFF_MS: u64 = 4_000;
@@ -22,30 +23,42 @@
     D: ports::RecordDecoder,
 {
     pub(super) async fn join(self: rc::Rc<Self>, stopping: tokio::sync::watch::Receiver<bool>) {
+        let mut has_joined = false;
         loop {
             tokio::time::sleep(self.join_interval).await;
             if *stopping.borrow() {
                 self.leave().await;
                 return;
             }
-            let yielding = self.clock.now() < self.state.borrow().yielded_until;
-            if yielding {
+            if !self.is_eligible() {
+                if std::mem::take(&mut has_joined) {
+                    self.leave().await;
+                }
                 continue;
             }
+            has_joined = true;
             match self.store.join().await {
                 Ok(candidate) => {
-                    self.note_store(ELECTION_CALL, false);
+                    self.note_store(ELECTION_CALL, "join", false);
                     self.state.borrow_mut().granter.note_candidate(candidate);
                 }
                 Err(error) => {
                     tracing::warn!(event = "store-call-failed", topic = "duty", fault = %error);
-                    self.note_store(ELECTION_CALL, true);
+                    self.note_store(ELECTION_CALL, "join", true);
                     self.state.borrow_mut().granter.note_candidate(false);
                 }
             }
         }
     }
 
+    // Whether this host is a member of the group of hosts that may grant.
+    fn is_eligible(&self) -> bool {
+        let now = self.clock.now();
+        let state = self.state.borrow();
+        let may_grant = state.cluster.may_grant(now) || state.granter.is_granting();
+        may_grant && now >= state.yielded_until
+    }
+
     async fn leave(&self) {
         self.state.borrow_mut().granter.note_candidate(false);
         if let Err(error) = self.store.leave().await {
@@ -90,13 +103,21 @@
 
     async fn append_table(self: rc::Rc<Self>, table: assignment::AssignmentTable, at: u64) {
         let sent = self.clock.now();
-        let Some(record) = control::encode_record("book", &table) else {
-            return;
+        let records = self.state.borrow().assembly.changed_records(&table);
+        let records = match records {
+            Ok(records) => records,
+            Err(error) => {
+                tracing::error!(event = "record-not-written", key = "book", fault = %error);
+                return;
+            }
         };
-        let outcome = self
-            .store
-            .append(ports::StoreTopic::Assignments, &record, Some(at))
-            .await;
+        let count = records.len();
+        let assignments = topic::StoreTopic::Assignments;
+        let outcome = self.store.append(assignments, &records, Some(at)).await;
+        self.note_append(assignments, outcome);
+        if let order::AppendOutcome::Appended { end } = outcome {
+            self.apply_appended(records, at, end);
+        }
         let moving = table
             .services
             .values()
@@ -106,6 +127,7 @@
             event = "book-appended",
             term = table.term,
             at,
+            records = count,
             moving = moving.count(),
             outcome = ?outcome
         );
@@ -118,6 +140,24 @@
         self.decide();
     }
 
+    // Adds the records of a successful append to this host's copy, so that it need not read them.
+    fn apply_appended(&self, records: Vec<topic::KeyedRecord>, at: u64, end: u64) {
+        let records = (at..).zip(records);
+        let records = records.map(|(offset, record)| topic::LogRecord { offset, record });
+        self.apply_records(topic::StoreTopic::Assignments, at, records.collect(), end);
+    }
+
+    // Counts an append to the store.
+    pub(super) fn note_append(&self, topic: topic::StoreTopic, outcome: order::AppendOutcome) {
+        let outcome = match outcome {
+            order::AppendOutcome::Appended { .. } => "done",
+            order::AppendOutcome::Conflict => "conflict",
+            order::AppendOutcome::Refused | order::AppendOutcome::Unknown => "failed",
+        };
+        self.metrics
+            .note_store_call(topic.as_str(), "append", outcome);
+    }
+
     async fn send_grant(self: rc::Rc<Self>, order: order::GrantOrder) {
         let outcome = self.orders.grant(&order).await;
         self.metrics.note_order("grant", outcome.as_str());
--- a/src/edge/router/control/hosts.rs
+++ b/src/edge/router/control/hosts.rs
@@ -1,8 +1,6 @@
 //! The other entry hosts: this host's registration in the store, and the exchange of status
 //! updates.
 
-use std::collections;
-use std::net;
 use std::rc;
 use std::time;
 
@@ -12,17 +10,14 @@
 use crate::edge::router::ports;
 use crate::edge::router::status_exchange;
 use crate::edge::router::store_reader;
-use crate::names;
 use crate::ownership::former_granters;
 use crate::ownership::order;
+use crate::serving::cluster::exchange;
 use crate::serving::status;
+use crate::serving::topic;
 
 /// The interval of the status exchange with each host, in milliseconds.
 pub const STATUS_EXCHANGE_INTERVAL_MS: u64 = 250;
-/// The number of other hosts above which the exchange with all of them takes more than one
-/// interval: one more for each full set of this many hosts. So the exchanges of a host in one
-/// interval do not grow with the number of hosts.
-pub const STATUS_EXCHANGE_HOSTS_PER_INTERVAL: usize = 8;
 
 /// The interval of the log lines about the exchanges, in milliseconds.
 pub const EXCHANGE_LOG_INTERVAL_MS: u64 = 5_000;
@@ -49,7 +44,7 @@
         self.append_host(&record).await;
         let mut stopping = stopping;
         if stopping.wait_for(|stopping| *stopping).await.is_ok() {
-            self.append_host(&ports::KeyedRecord {
+            self.append_host(&topic::KeyedRecord {
                 value: None,
                 ..record
             })
@@ -57,12 +52,12 @@
         }
     }
 
-    async fn append_host(&self, record: &ports::KeyedRecord) {
+    async fn append_host(&self, record: &topic::KeyedRecord) {
         loop {
-            let outcome = self
-                .store
-                .append(ports::StoreTopic::Hosts, record, None)
-                .await;
+            let records = std::slice::from_ref(record);
+            let hosts = topic::StoreTopic::Hosts;
+            let outcome = self.store.append(hosts, records, None).await;
+            self.note_append(hosts, outcome);
             if let order::AppendOutcome::Appended { .. } = outcome {
                 return;
             }
@@ -72,51 +67,61 @@
     }
 
     pub(super) async fn exchange_with_hosts(self: rc::Rc<Self>) {
-        let mut round = 0;
         loop {
-            for (peers, host) in self.exchange_targets(round) {
-                actix::spawn(rc::Rc::clone(&self).exchange_with_host(host, peers));
+            for target in self.exchange_targets() {
+                // A slow host is not asked again before it has responded.
+                if self.exchanging.borrow_mut().insert(target.host.clone()) {
+                    actix::spawn(rc::Rc::clone(&self).exchange_with_host(target));
+                }
             }
-            round += 1;
             tokio::time::sleep(time::Duration::from_millis(STATUS_EXCHANGE_INTERVAL_MS)).await;
         }
     }
 
-    // The host of the lower name of each pair starts the exchange. Where there are many hosts, each
-    // round takes a part of them, so that the messages of one exchange do not delay those of the
-    // others. A granter also queries former granters whose orders may still arrive, in each round.
-    fn exchange_targets(
-        &self,
-        round: usize,
-    ) -> collections::BTreeMap<net::SocketAddr, names::HostName> {
+    // A granter also queries former granters whose orders may still arrive, in each round.
+    fn exchange_targets(&self) -> Vec<exchange::ExchangeTarget> {
         let now = self.clock.now();
         let state = self.state.borrow();
-        let rounds = state.cluster.other_host_count() / STATUS_EXCHANGE_HOSTS_PER_INTERVAL + 1;
-        let hosts = state.cluster.hosts_to_query().into_iter().enumerate();
-        let hosts = hosts.filter(|(index, _)| index % rounds == round % rounds);
-        let hosts = hosts.map(|(_, host)| (host.peers, host.host));
-        let possibly_active = state.granter.former_granters_to_query(now).into_iter();
-        let possibly_active = possibly_active.map(|granter| (granter.peers, granter.host));
-        hosts.chain(possibly_active).collect()
+        let mut targets = state.cluster.exchange_targets(&state.grant_snapshot(), now);
+        for granter in state.granter.former_granters_to_query(now) {
+            targets.push(exchange::ExchangeTarget {
+                host: granter.host,
+                peers: granter.peers,
+                purpose: status::ExchangePurpose::Query,
+            });
+        }
+        targets
     }
 
-    async fn exchange_with_host(self: rc::Rc<Self>, host: names::HostName, peers: net::SocketAddr) {
+    async fn exchange_with_host(self: rc::Rc<Self>, target: exchange::ExchangeTarget) {
         let asked = self.clock.now();
-        let status = self.status_for(&host);
-        match self.status_client.exchange(peers, status).await {
-            Ok(status) => {
+        let request = {
+            let state = self.state.borrow();
+            let grants = state.grant_snapshot();
+            state.cluster.request_for(&target, &grants, asked)
+        };
+        let response = self.status_client.exchange(target.peers, request).await;
+        self.exchanging.borrow_mut().remove(&target.host);
+        match response {
+            Ok(response) => {
                 self.metrics.note_status_exchange("done");
-                self.note_response(&status, asked);
-                self.apply_status(status);
+                self.note_former_granter(&response, asked);
+                let now = self.clock.now();
+                self.state.borrow_mut().cluster.note_response(response, now);
             }
             Err(error) => {
                 self.metrics.note_status_exchange("failed");
-                tracing::debug!(event = "host-unreached", host = %host, fault = %error);
+                tracing::debug!(event = "host-unreached", host = %target.host, fault = %error);
+                let now = self.clock.now();
+                let cluster = &mut self.state.borrow_mut().cluster;
+                cluster.note_exchange_failed(&target.host, now);
             }
         }
+        self.update_reading();
     }
 
-    fn note_response(&self, status: &status::HostStatusUpdate, asked: clock::MonoTime) {
+    // A response may prove that a former granter has stopped.
+    fn note_former_granter(&self, status: &status::HostStatusUpdate, asked: clock::MonoTime) {
         let response = former_granters::HostResponse {
             life: status.record.granter_incarnation(),
             term: status.term,
@@ -130,12 +135,6 @@
             .note_host_response(&response, now);
     }
 
-    fn status_for(&self, host: &names::HostName) -> status::HostStatusUpdate {
-        let state = self.state.borrow();
-        let grants = control::grant_snapshot(&state.granter);
-        state.cluster.status_for(host, &grants, self.clock.now())
-    }
-
     // Logs what was exchanged with other hosts since the last line.
     pub(super) async fn log_exchanges(self: rc::Rc<Self>) {
         let mut logged = self.exchange_counts();
@@ -160,28 +159,30 @@
         }
     }
 
-    fn apply_status(&self, status: status::HostStatusUpdate) {
-        let now = self.clock.now();
-        self.state.borrow_mut().cluster.note_status(status, now);
-    }
-
     pub(super) async fn serve_host_calls(
         self: rc::Rc<Self>,
         calls: tokio::sync::mpsc::UnboundedReceiver<status_exchange::HostCall>,
     ) {
         let mut calls = calls;
         while let Some(call) = calls.recv().await {
-            // The other host may have stopped waiting for the reply.
             match call {
                 status_exchange::HostCall::Status { status, reply } => {
-                    let host = status.record.host.clone();
-                    self.apply_status(*status);
-                    let _ = reply.send(self.status_for(&host));
+                    // The other host may have stopped waiting for the reply.
+                    let _ = reply.send(self.respond_to(*status));
                 }
                 status_exchange::HostCall::Records { request, reply } => {
-                    let _ = reply.send(self.relay_for(&request));
+                    actix::spawn(rc::Rc::clone(&self).send_relay(request, reply));
                 }
             }
         }
     }
+
+    fn respond_to(&self, request: status::HostStatusUpdate) -> status::HostStatusUpdate {
+        let now = self.clock.now();
+        let mut state = self.state.borrow_mut();
+        let grants = state.grant_snapshot();
+        let response = state.cluster.response_to(&request, &grants, now);
+        state.cluster.note_request(request, now);
+        response
+    }
 }
--- a/src/edge/router/control/mod.rs
+++ b/src/edge/router/control/mod.rs
@@ -7,6 +7,7 @@
 pub mod store;
 
 use std::cell;
+use std::collections;
 use std::rc;
 use std::sync;
 use std::time;
@@ -18,9 +19,13 @@
 use crate::edge::router::ports;
 use crate::edge::router::status_exchange;
 use crate::edge::router::traffic;
+use crate::names;
 use crate::ownership::granter;
+use crate::ownership::table_records;
 use crate::serving::cluster;
+use crate::serving::replica;
 use crate::serving::status;
+use crate::serving::topic;
 use crate::serving::view;
 
 /// The interval of the granter's decisions, in milliseconds.
@@ -63,10 +68,31 @@
 struct ControlState {
     cluster: cluster::ClusterState,
     granter: granter::KeyGranter,
+    // In the order of `StoreTopic::ALL`.
+    replicas: [replica::TopicReplica; 4],
+    assembly: table_records::TableAssembly,
     grants: view::SharedGrants,
     yielded_until: clock::MonoTime,
 }
 
+impl ControlState {
+    // The offsets at which this host's copies of the topics end.
+    fn ends(&self) -> topic::TopicEnds {
+        let ends = topic::StoreTopic::ALL.map(|topic| self.replicas[topic.index()].end());
+        topic::TopicEnds { ends }
+    }
+
+    // What this host knows of the assignments, for the exchange with other hosts.
+    fn grant_snapshot(&self) -> cluster::GrantSnapshot {
+        let table = self.granter.table();
+        cluster::GrantSnapshot {
+            granter: table.granter.clone(),
+            term: table.term,
+            ends: self.ends(),
+        }
+    }
+}
+
 /// The state of the control thread.
 pub struct ControlThread<S, O, D> {
     state: cell::RefCell<ControlState>,
@@ -77,6 +103,12 @@
     view: traffic::SharedView,
     ready: sync::Arc<sync::atomic::AtomicBool>,
     status_client: status_exchange::StatusExchangeClient,
+    // The hosts to which a status update is under way.
+    exchanging: cell::RefCell<collections::BTreeSet<names::HostName>>,
+    // Whether this host reads each topic of the store, in the order of `StoreTopic::ALL`.
+    reading: [tokio::sync::watch::Sender<bool>; 4],
+    // Counts the changes of this host's copies of the topics.
+    changes: tokio::sync::watch::Sender<u64>,
     join_interval: time::Duration,
     drain: time::Duration,
     metrics: sync::Arc<metrics::RouterMetrics>,
@@ -97,6 +129,8 @@
         let state = ControlState {
             cluster: cluster::ClusterState::new(parts.own, parts.clock.now(), parts.drain),
             granter: granter::KeyGranter::new(incarnation, parts.max_hold)?,
+            replicas: topic::StoreTopic::ALL.map(|_| replica::TopicReplica::new()),
+            assembly: table_records::TableAssembly::new(),
             grants: view::SharedGrants::default(),
             yielded_until: clock::MonoTime::from_micros(0),
         };
@@ -109,13 +143,19 @@
             view: parts.view,
             ready: parts.ready,
             status_client: status_exchange::StatusExchangeClient::new(),
+            exchanging: cell::RefCell::default(),
+            reading: topic::StoreTopic::ALL.map(|_| tokio::sync::watch::Sender::new(false)),
+            changes: tokio::sync::watch::Sender::new(0),
             join_interval: parts.join_interval,
             drain: parts.drain,
             metrics: parts.metrics,
         });
-        for topic in ports::StoreTopic::ALL {
-            actix::spawn(rc::Rc::clone(&thread).follow(topic));
+        for topic in topic::StoreTopic::ALL {
+            let is_reading = thread.reading[topic.index()].subscribe();
+            actix::spawn(rc::Rc::clone(&thread).follow(topic, is_reading));
         }
+        thread.update_reading();
+        actix::spawn(rc::Rc::clone(&thread).follow_supplier());
         actix::spawn(rc::Rc::clone(&thread).join(parts.stopping.clone()));
         actix::spawn(rc::Rc::clone(&thread).register(parts.stopping));
         actix::spawn(rc::Rc::clone(&thread).tick());
@@ -165,11 +205,16 @@
         loop {
             tokio::time::sleep(time::Duration::from_millis(TICK_MS)).await;
             self.decide();
+            self.update_reading();
             self.request_records();
             let now = self.clock.now();
             let mut state = self.state.borrow_mut();
             let expired = state.cluster.expire(now);
+            let supply_lost = state.cluster.check_supply(now);
             drop(state);
+            if supply_lost {
+                tracing::warn!(event = "supply-lost");
+            }
             if expired
                 || now.since(last)
                     >= time::Duration::from_millis(hosts::STATUS_EXCHANGE_INTERVAL_MS)
@@ -188,10 +233,9 @@
             if !state.granter.is_granting() {
                 continue;
             }
-            let reports = state.cluster.key_loads(now);
-            let times = state.cluster.service_times(now);
-            state.granter.note_service_times(times);
-            for report in &reports {
+            let loads = state.cluster.sum_loads(now);
+            state.granter.note_service_times(&loads.service_times);
+            for report in &loads.reports {
                 state.granter.note_load(&report.service, &report.heat);
             }
         }
@@ -203,26 +247,15 @@
     ) {
         let mut reports = reports;
         while let Some(report) = reports.recv().await {
-            let loads = report.key_loads.into_iter();
-            let loads = loads.map(|(service, heat)| status::ServiceReport { service, heat });
             let mut state = self.state.borrow_mut();
-            let cluster = &mut state.cluster;
-            cluster.note_traffic(report.demand, loads.collect(), report.service_times);
+            state.cluster.note_traffic(report.demand, report.loads);
         }
     }
 }
 
-// The newest assignment table that the granter has read, for the exchange with other hosts.
-fn grant_snapshot(granter: &granter::KeyGranter) -> cluster::GrantSnapshot<'_> {
-    cluster::GrantSnapshot {
-        table: granter.table(),
-        end: granter.log_end(),
-    }
-}
-
-fn encode_record(key: &str, value: &impl serde::Serialize) -> Option<ports::KeyedRecord> {
+fn encode_record(key: &str, value: &impl serde::Serialize) -> Option<topic::KeyedRecord> {
     match serde_json::to_vec(value) {
-        Ok(value) => Some(ports::KeyedRecord {
+        Ok(value) => Some(topic::KeyedRecord {
             key: sync::Arc::from(key),
             value: Some(bytes::Bytes::from(value)),
         }),
--- a/src/edge/router/control/records.rs
+++ b/src/edge/router/control/records.rs
@@ -1,11 +1,37 @@
-//! Store records that hosts request from one another.
+//! Store records that hosts send to one another: the copies of the host that supplies this one, and
+//! records that this host lacks for other reasons.
 
+use std::collections;
 use std::rc;
+use std::time;
 
 use crate::clock::MonoClock as _;
 use crate::edge::router::control;
 use crate::edge::router::ports;
+use crate::names;
+use crate::serving::replica;
 use crate::serving::status;
+use crate::serving::topic;
+use crate::serving::upstream;
+
+/// How long a host waits for new records of the one that supplies it, in milliseconds.
+pub const SUPPLY_WAIT_MS: u64 = 1_000;
+/// The pause after a request for records that failed, in milliseconds.
+pub const SUPPLY_RETRY_MS: u64 = 200;
+/// The size of the records of one topic from which a response is split, in bytes.
+pub const MAX_PAGE_BYTES: usize = 128 * 1_024;
+/// The largest record that is accepted from another host, in bytes.
+pub const MAX_RECORD_BYTES: usize = 1 << 20;
+
+/// Pages of topics that will replace this host's copies once they are complete.
+type PendingPages = collections::BTreeMap<topic::StoreTopic, PendingTopic>;
+
+/// The pages of one topic that have been received.
+#[derive(Debug, Default)]
+struct PendingTopic {
+    records: Vec<topic::LogRecord>,
+    next: u64,
+}
 
 impl<S, O, D> control::ControlThread<S, O, D>
 where
@@ -13,77 +39,177 @@
     O: ports::OrderPort,
     D: ports::RecordDecoder,
 {
-    // Starts the request for store records that is due, if any.
+    // Requests the records of the host that supplies this one, as long as there is one.
+    pub(super) async fn follow_supplier(self: rc::Rc<Self>) {
+        let mut pending = PendingPages::new();
+        let mut last = None;
+        loop {
+            let source = self.state.borrow().cluster.source();
+            let upstream::RecordSource::Host(host) = source else {
+                tokio::time::sleep(time::Duration::from_millis(control::TICK_MS)).await;
+                continue;
+            };
+            if last.replace(host.host.clone()).as_ref() != Some(&host.host) {
+                tracing::info!(event = "supplier-changed", host = %host.host);
+                pending.clear();
+            }
+            let request = self.record_request(&pending, SUPPLY_WAIT_MS);
+            match self.status_client.records(host.peers, request).await {
+                Ok(relay) => self.apply_relay(&host.host, relay, &mut pending),
+                Err(error) => {
+                    tracing::debug!(event = "records-not-received", host = %host.host, fault = %error);
+                    tokio::time::sleep(time::Duration::from_millis(SUPPLY_RETRY_MS)).await;
+                }
+            }
+        }
+    }
+
+    // Starts the request for store records that is due because this host lags, if any.
     pub(super) fn request_records(self: &rc::Rc<Self>) {
         let now = self.clock.now();
         let next = {
             let mut state = self.state.borrow_mut();
-            let control::ControlState {
-                cluster, granter, ..
-            } = &mut *state;
-            cluster.next_record_request(&control::grant_snapshot(granter), now)
+            let ends = state.ends();
+            state.cluster.next_record_source(&ends, now)
         };
-        if let Some((host, request)) = next {
-            actix::spawn(rc::Rc::clone(self).receive_records(host, request));
+        if let Some(host) = next {
+            actix::spawn(rc::Rc::clone(self).receive_records(host));
         }
     }
 
-    async fn receive_records(
-        self: rc::Rc<Self>,
-        host: status::HostRecord,
-        request: status::RecordRequest,
+    async fn receive_records(self: rc::Rc<Self>, host: status::HostRecord) {
+        let mut pending = PendingPages::new();
+        loop {
+            let request = self.record_request(&pending, 0);
+            let response = self.status_client.records(host.peers, request).await;
+            let is_answered = response.is_ok();
+            match response {
+                Ok(relay) => {
+                    tracing::info!(
+                        event = "records-received",
+                        host = %host.host,
+                        records = relay.pages.iter().map(|page| page.records.len()).sum::<usize>()
+                    );
+                    self.apply_relay(&host.host, relay, &mut pending);
+                }
+                Err(error) => {
+                    tracing::warn!(event = "records-not-received", host = %host.host, fault = %error);
+                }
+            }
+            if pending.is_empty() || !is_answered {
+                let mut state = self.state.borrow_mut();
+                state.cluster.note_request_ended(is_answered);
+                return;
+            }
+        }
+    }
+
+    fn record_request(&self, pending: &PendingPages, wait_millis: u64) -> status::RecordRequest {
+        let ends = self.state.borrow().ends();
+        let pages = topic::StoreTopic::ALL.iter().map(|topic| {
+            let pending = pending.get(topic);
+            status::PageRequest {
+                topic: *topic,
+                from: pending.map_or(ends.end(*topic), |pending| pending.next),
+                is_continued: pending.is_some(),
+            }
+        });
+        status::RecordRequest {
+            pages: pages.collect(),
+            wait_millis,
+        }
+    }
+
+    fn apply_relay(
+        &self,
+        host: &names::HostName,
+        relay: status::StoreRelay,
+        pending: &mut PendingPages,
     ) {
-        let response = self.status_client.records(host.peers, request).await;
-        let is_answered = response.is_ok();
-        self.state
-            .borrow_mut()
-            .cluster
-            .note_request_ended(is_answered);
-        match response {
-            Ok(relay) => self.apply_relay(&host, relay),
-            Err(error) => {
-                tracing::warn!(event = "records-not-received", host = %host.host, fault = %error);
+        for page in relay.pages {
+            if let Some(size) = too_large(&page) {
+                let topic = page.topic.as_str();
+                self.metrics.note_record_refused(topic);
+                tracing::warn!(event = "record-refused", topic, host = %host, size);
+                continue;
             }
+            self.apply_page(page, pending);
         }
     }
 
-    fn apply_relay(&self, host: &status::HostRecord, relay: status::StoreRelay) {
-        tracing::info!(
-            event = "records-received",
-            host = %host.host,
-            routes_version = relay.routes.as_ref().map(|routes| routes.version),
-            book_end = relay.book.as_ref().map(|(_, end)| end),
-            servers = relay.servers.len()
-        );
-        let now = self.clock.now();
-        let mut state = self.state.borrow_mut();
-        let changed = state.cluster.note_relay(&relay, now);
-        let table_changed = relay
-            .book
-            .is_some_and(|(table, end)| state.granter.note_table(Some(table), end, now));
-        drop(state);
-        if changed || table_changed {
-            self.publish();
+    // Applies a page: records that follow those of this host's copy, or a part of all records, which
+    // replace the copy once the last part is there.
+    fn apply_page(&self, page: replica::RecordPage, pending: &mut PendingPages) {
+        let replica::RecordPage {
+            topic,
+            from,
+            records,
+            next,
+            end,
+        } = page;
+        let records = records.into_iter().map(topic::LogRecord::from);
+        let collected = pending.get(&topic).map(|pending| pending.next);
+        if from > 0 && collected.is_none() {
+            self.apply_records(topic, from, records.collect(), next);
+            return;
+        }
+        if from > 0 && collected != Some(from) {
+            pending.remove(&topic);
+            return;
+        }
+        let parts = pending.entry(topic).or_default();
+        if from == 0 {
+            parts.records.clear();
+        }
+        parts.records.extend(records);
+        parts.next = next;
+        if next >= end
+            && let Some(parts) = pending.remove(&topic)
+        {
+            self.replace_records(topic, parts.records, end);
+        }
+    }
+
+    // The store records that another host requests, once there are any.
+    pub(super) async fn send_relay(
+        self: rc::Rc<Self>,
+        request: status::RecordRequest,
+        reply: tokio::sync::oneshot::Sender<status::StoreRelay>,
+    ) {
+        let mut changes = self.changes.subscribe();
+        let wait = time::Duration::from_millis(request.wait_millis.min(SUPPLY_WAIT_MS));
+        let until = tokio::time::Instant::now() + wait;
+        loop {
+            changes.mark_unchanged();
+            let relay = self.relay_for(&request);
+            let next_change = tokio::time::timeout_at(until, changes.changed());
+            if !relay.pages.is_empty() || next_change.await.is_err() {
+                // The other host may have stopped waiting for the reply.
+                let _ = reply.send(relay);
+                return;
+            }
         }
     }
 
-    // The store records that another host requests.
-    pub(super) fn relay_for(&self, request: &status::RecordRequest) -> status::StoreRelay {
+    fn relay_for(&self, request: &status::RecordRequest) -> status::StoreRelay {
         let state = self.state.borrow();
-        let grants = control::grant_snapshot(&state.granter);
-        let relay = state.cluster.relay_for(request, &grants);
-        self.metrics.relayed_bytes.inc_by(encoded_size(&relay));
-        relay
+        let pages = request.pages.iter().filter_map(|request| {
+            let replica = &state.replicas[request.topic.index()];
+            let has_newer = replica.is_filled() && replica.end() > request.from;
+            let (from, is_continued) = (request.from, request.is_continued);
+            has_newer.then(|| replica.page(request.topic, from, is_continued, MAX_PAGE_BYTES))
+        });
+        let pages: Vec<_> = pages.collect();
+        let sizes = pages.iter().flat_map(|page| &page.records);
+        let size: usize = sizes.map(replica::PageRecord::size).sum();
+        let size = u64::try_from(size).unwrap_or(u64::MAX);
+        self.metrics.relayed_bytes.inc_by(size);
+        status::StoreRelay { pages }
     }
 }
 
-// The size of a message as it is sent to another host, in bytes.
-fn encoded_size(message: &impl serde::Serialize) -> u64 {
-    match serde_json::to_vec(message) {
-        Ok(encoded) => u64::try_from(encoded.len()).unwrap_or(u64::MAX),
-        Err(error) => {
-            tracing::error!(event = "records-not-encoded", fault = %error);
-            0
-        }
-    }
+// The size of a record that is larger than the store accepts, in bytes.
+fn too_large(page: &replica::RecordPage) -> Option<usize> {
+    let sizes = page.records.iter().map(replica::PageRecord::size);
+    sizes.filter(|size| *size > MAX_RECORD_BYTES).max()
 }
--- a/src/edge/router/control/store.rs
+++ b/src/edge/router/control/store.rs
@@ -8,9 +8,10 @@
 use crate::edge::router::ports;
 use crate::edge::router::store_reader;
 use crate::names;
-use crate::ownership::assignment;
 use crate::serving::directory;
+use crate::serving::replica;
 use crate::serving::status;
+use crate::serving::topic;
 
 /// The long-poll wait of reads of the assignment table on the granter, in milliseconds. It bounds
 /// the age of the granter's confirmation that no other host has claimed the role.
@@ -19,10 +20,15 @@
 pub const READ_WAIT_MS: u64 = 3_000;
 /// The long-poll wait of reads of the hosts, in milliseconds.
 pub const HOSTS_WAIT_MS: u64 = 20_000;
+/// The pause between two reads of the hosts, in milliseconds. Hosts that start together register
+/// meanwhile.
+pub const HOSTS_PAUSE_MS: u64 = 300;
 /// The upper bound of the pause between two reads of the servers, in milliseconds.
-pub const SERVERS_PAUSE_MS: u64 = 400;
+pub const SERVERS_PAUSE_MS: u64 = 250;
 /// The part of the servers' drain time that this pause takes up at most.
 pub const SERVERS_PAUSE_RATIO: f64 = 0.2;
+/// The pause between two reads of the assignment table, in milliseconds.
+pub const ASSIGNMENTS_PAUSE_MS: u64 = 50;
 
 impl<S, O, D> control::ControlThread<S, O, D>
 where
@@ -30,67 +36,82 @@
     O: ports::OrderPort,
     D: ports::RecordDecoder,
 {
-    pub(super) async fn follow(self: rc::Rc<Self>, topic: ports::StoreTopic) {
-        let timing = || self.read_timing(topic);
-        let on_update = |update| self.apply_update(topic, update);
-        store_reader::follow(self.store.clone(), topic, self.clock, timing, on_update).await;
+    pub(super) async fn follow(
+        self: rc::Rc<Self>,
+        topic: topic::StoreTopic,
+        is_reading: tokio::sync::watch::Receiver<bool>,
+    ) {
+        let position = || self.read_position(topic);
+        let on_update = |purpose, update| self.apply_update(topic, purpose, update);
+        let (store, clock) = (self.store.clone(), self.clock);
+        store_reader::follow(store, topic, clock, is_reading, position, on_update).await;
     }
 
-    fn read_timing(&self, topic: ports::StoreTopic) -> store_reader::ReadTiming {
+    // Starts and stops the reads of the topics as this host's part in reading the store changes.
+    pub(super) fn update_reading(&self) {
+        let now = self.clock.now();
+        let state = self.state.borrow();
+        for (topic, reading) in topic::StoreTopic::ALL.iter().zip(&self.reading) {
+            // A granter has to read for itself that no other host has claimed the role.
+            let grants = *topic == topic::StoreTopic::Assignments && state.granter.is_granting();
+            let reads = grants || state.cluster.reads(*topic, now);
+            reading.send_if_modified(|is_reading| std::mem::replace(is_reading, reads) != reads);
+        }
+    }
+
+    fn read_position(&self, topic: topic::StoreTopic) -> store_reader::ReadPosition {
         let state = self.state.borrow();
         let granting = state.granter.is_granting();
         let wait_ms = match topic {
-            ports::StoreTopic::Assignments if granting => GRANTER_READ_WAIT_MS,
-            ports::StoreTopic::Hosts => HOSTS_WAIT_MS,
+            topic::StoreTopic::Assignments if granting => GRANTER_READ_WAIT_MS,
+            topic::StoreTopic::Hosts => HOSTS_WAIT_MS,
             _ => READ_WAIT_MS,
         };
         let pause = match topic {
-            ports::StoreTopic::Servers => servers_pause(self.drain),
-            _ => time::Duration::ZERO,
+            topic::StoreTopic::Servers => servers_pause(self.drain),
+            topic::StoreTopic::Hosts => time::Duration::from_millis(HOSTS_PAUSE_MS),
+            topic::StoreTopic::Assignments => time::Duration::from_millis(ASSIGNMENTS_PAUSE_MS),
+            topic::StoreTopic::Routes => time::Duration::ZERO,
         };
-        // A record of the assignment table replaces all earlier ones, which another host may have
-        // sent meanwhile.
-        let outdated_before = match topic {
-            ports::StoreTopic::Assignments => state.granter.log_end(),
-            _ => 0,
-        };
-        store_reader::ReadTiming {
+        let replica = &state.replicas[topic.index()];
+        store_reader::ReadPosition {
             wait: time::Duration::from_millis(wait_ms),
             pause,
-            outdated_before,
+            from: replica.is_filled().then(|| replica.end()),
         }
     }
 
-    fn apply_update(&self, topic: ports::StoreTopic, update: store_reader::StoreUpdate) {
+    fn apply_update(
+        &self,
+        topic: topic::StoreTopic,
+        purpose: store_reader::ReadPurpose,
+        update: store_reader::StoreUpdate,
+    ) {
+        let failed = matches!(update, store_reader::StoreUpdate::Failed(_));
+        self.note_store(topic.as_str(), purpose.as_str(), failed);
         match update {
-            store_reader::StoreUpdate::Snapshot(snapshot) => {
-                self.note_store(topic.as_str(), false);
-                self.apply_snapshot(topic, &snapshot);
-            }
+            store_reader::StoreUpdate::Snapshot(snapshot) => self.apply_snapshot(topic, snapshot),
             store_reader::StoreUpdate::Batch(batch) => {
-                self.note_store(topic.as_str(), false);
-                self.apply_batch(topic, &batch);
+                self.apply_records(topic, batch.from, batch.records, batch.next);
             }
             store_reader::StoreUpdate::Unchanged(sent) => {
-                self.note_store(topic.as_str(), false);
-                if topic == ports::StoreTopic::Assignments {
+                if topic == topic::StoreTopic::Assignments {
                     self.state.borrow_mut().granter.note_confirmed(sent);
                 }
             }
             store_reader::StoreUpdate::Failed(error) => {
                 tracing::warn!(event = "store-call-failed", topic = topic.as_str(), fault = %error);
-                self.note_store(topic.as_str(), true);
             }
         }
     }
 
-    pub(super) fn note_store(&self, call: &'static str, lost: bool) {
+    pub(super) fn note_store(&self, call: &'static str, purpose: &'static str, lost: bool) {
         let now = self.clock.now();
         let outcome = if lost { "failed" } else { "done" };
-        self.metrics.note_store_call(call, outcome);
+        self.metrics.note_store_call(call, purpose, outcome);
         // A read of the hosts waits for up to `HOSTS_WAIT_MS`, too long to detect that the store is
         // back.
-        if call == ports::StoreTopic::Hosts.as_str() {
+        if call == topic::StoreTopic::Hosts.as_str() {
             return;
         }
         let changed = self.state.borrow_mut().cluster.note_store(call, lost, now);
@@ -101,42 +122,77 @@
         }
     }
 
-    fn apply_snapshot(&self, topic: ports::StoreTopic, snapshot: &ports::StoreSnapshot) {
-        let now = self.clock.now();
-        match topic {
-            ports::StoreTopic::Routes => self.apply_routes(&snapshot.records),
-            ports::StoreTopic::Servers => {
-                let records = snapshot.records.iter();
-                let records = records.filter_map(|record| self.decode_server(record));
-                let records: Vec<_> = records.collect();
-                let mut state = self.state.borrow_mut();
-                state.cluster.replace_servers(records, now);
+    fn apply_snapshot(&self, topic: topic::StoreTopic, snapshot: ports::StoreSnapshot) {
+        let changed = {
+            let mut state = self.state.borrow_mut();
+            let replica = &mut state.replicas[topic.index()];
+            if snapshot.end < replica.end() {
+                tracing::error!(
+                    event = "records-ahead-of-store",
+                    topic = topic.as_str(),
+                    end = replica.end(),
+                    store_end = snapshot.end
+                );
             }
-            ports::StoreTopic::Hosts => self.apply_hosts(&snapshot.records),
-            ports::StoreTopic::Assignments => self.apply_table(&snapshot.records, snapshot.end),
+            replica.replace(snapshot.records, snapshot.end)
+        };
+        self.apply_changes(topic, &changed);
+    }
+
+    // Applies records that follow those of this host's copy. Records that do not are refused.
+    pub(super) fn apply_records(
+        &self,
+        topic: topic::StoreTopic,
+        from: u64,
+        records: Vec<topic::LogRecord>,
+        next: u64,
+    ) {
+        let appended = {
+            let mut state = self.state.borrow_mut();
+            state.replicas[topic.index()].append(from, records, next)
+        };
+        match appended {
+            Ok(changed) => self.apply_changes(topic, &changed),
+            // Another host's copy was read meanwhile.
+            Err(replica::ReplicaError::Outdated { .. }) => {}
+            Err(error) => self.note_rejected(topic, &error),
         }
-        self.publish();
     }
 
-    fn apply_batch(&self, topic: ports::StoreTopic, batch: &ports::StoreBatch) {
+    // Replaces this host's copy with another host's.
+    pub(super) fn replace_records(
+        &self,
+        topic: topic::StoreTopic,
+        records: Vec<topic::LogRecord>,
+        end: u64,
+    ) {
+        let changed = {
+            let mut state = self.state.borrow_mut();
+            state.replicas[topic.index()].replace(records, end)
+        };
+        self.apply_changes(topic, &changed);
+    }
+
+    fn apply_changes(&self, topic: topic::StoreTopic, changed: &[topic::LogRecord]) {
         match topic {
-            ports::StoreTopic::Routes => self.apply_routes(&batch.records),
-            ports::StoreTopic::Servers => self.apply_servers(&batch.records),
-            ports::StoreTopic::Hosts => self.apply_hosts(&batch.records),
-            ports::StoreTopic::Assignments => self.apply_table(&batch.records, batch.next),
+            topic::StoreTopic::Routes => self.apply_routes(changed),
+            topic::StoreTopic::Servers => self.apply_servers(changed),
+            topic::StoreTopic::Hosts => self.apply_hosts(changed),
+            topic::StoreTopic::Assignments => self.apply_table(changed),
         }
         self.publish();
+        self.changes.send_modify(|count| *count += 1);
     }
 
-    fn note_rejected(&self, topic: ports::StoreTopic, error: &impl std::fmt::Display) {
+    fn note_rejected(&self, topic: topic::StoreTopic, error: &impl std::fmt::Display) {
         let topic = topic.as_str();
         self.metrics.note_record_refused(topic);
         tracing::warn!(event = "record-refused", topic, fault = %error);
     }
 
-    fn apply_routes(&self, records: &[ports::KeyedRecord]) {
-        for record in records {
-            match self.decoder.routes(record) {
+    fn apply_routes(&self, records: &[topic::LogRecord]) {
+        for stored in records {
+            match self.decoder.routes(&stored.record) {
                 Ok(None) => {}
                 Ok(Some(routes)) => {
                     let version = routes.version;
@@ -144,34 +200,31 @@
                     tracing::info!(event = "routes-read", version, in_force = accepted);
                 }
                 Err(error) => {
-                    self.note_rejected(ports::StoreTopic::Routes, &error);
+                    self.note_rejected(topic::StoreTopic::Routes, &error);
                 }
             }
         }
     }
 
-    fn decode_server(&self, record: &ports::KeyedRecord) -> Option<directory::ServerRecord> {
-        match self.decoder.server(record) {
-            Ok(server) => Some(server),
-            Err(error) => {
-                self.note_rejected(ports::StoreTopic::Servers, &error);
-                None
-            }
-        }
-    }
-
-    fn apply_servers(&self, records: &[ports::KeyedRecord]) {
+    fn apply_servers(&self, records: &[topic::LogRecord]) {
         let now = self.clock.now();
-        for record in records {
+        for topic::LogRecord { record, .. } in records {
             if record.value.is_none() {
                 if let Ok(name) = names::ServerName::new(&record.key) {
                     tracing::info!(event = "server-removed", server = %name);
                     self.state.borrow_mut().cluster.remove_server(&name, now);
                 }
-            } else if let Some(server) = self.decode_server(record) {
-                self.note_server(server);
+                continue;
+            }
+            match self.decoder.server(record) {
+                Ok(server) => self.note_server(server),
+                Err(error) => self.note_rejected(topic::StoreTopic::Servers, &error),
             }
         }
+        let mut state = self.state.borrow_mut();
+        if state.replicas[topic::StoreTopic::Servers.index()].is_filled() {
+            state.cluster.note_servers_known();
+        }
     }
 
     fn note_server(&self, server: directory::ServerRecord) {
@@ -190,8 +243,8 @@
         state.cluster.note_server(server);
     }
 
-    fn apply_hosts(&self, records: &[ports::KeyedRecord]) {
-        for record in records {
+    fn apply_hosts(&self, records: &[topic::LogRecord]) {
+        for topic::LogRecord { record, .. } in records {
             let Ok(name) = names::HostName::new(&record.key) else {
                 tracing::warn!(event = "record-refused", topic = "hosts", key = %record.key);
                 continue;
@@ -201,36 +254,42 @@
             match read.transpose() {
                 Ok(read) => self.state.borrow_mut().cluster.note_host(&name, read),
                 Err(error) => {
-                    self.note_rejected(ports::StoreTopic::Hosts, &error);
+                    self.note_rejected(topic::StoreTopic::Hosts, &error);
                 }
             }
         }
-    }
-
-    fn apply_table(&self, records: &[ports::KeyedRecord], end: u64) {
-        let values = records.iter().filter_map(|record| record.value.as_ref());
-        let tables = values.filter_map(|value| decode_table(value));
-        let newest = tables.last();
         let now = self.clock.now();
-        self.state.borrow_mut().granter.note_table(newest, end, now);
+        let mut state = self.state.borrow_mut();
+        if state.replicas[topic::StoreTopic::Hosts.index()].is_filled() {
+            state.cluster.note_hosts_known(now);
+        }
     }
-}
 
-fn decode_table(value: &[u8]) -> Option<assignment::AssignmentTable> {
-    match serde_json::from_slice::<assignment::AssignmentTable>(value) {
-        Ok(table) if table.is_sound() => Some(table),
-        Ok(table) => {
+    fn apply_table(&self, records: &[topic::LogRecord]) {
+        let now = self.clock.now();
+        let topic = topic::StoreTopic::Assignments;
+        let mut refused = Vec::new();
+        let mut state = self.state.borrow_mut();
+        for stored in records {
+            refused.extend(state.assembly.apply(stored).err());
+        }
+        if !records.is_empty() && state.assembly.is_mixed() {
             tracing::error!(
-                event = "record-refused",
-                topic = "book",
-                term = table.term,
-                fault = "unsound"
+                event = "table-formats-mixed",
+                fault = "a host of an earlier build writes the assignment table; stop those hosts"
             );
-            None
         }
-        Err(error) => {
-            tracing::error!(event = "record-refused", topic = "book", fault = %error);
-            None
+        let end = state.replicas[topic.index()].end();
+        match state.assembly.table(end) {
+            Ok(table) if table.is_some() || end == 0 => {
+                state.granter.note_table(table, end, now);
+            }
+            Ok(_) => {}
+            Err(error) => refused.push(error),
+        }
+        drop(state);
+        for error in refused {
+            self.note_rejected(topic, &error);
         }
     }
 }
--- a/src/edge/router/metrics.rs
+++ b/src/edge/router/metrics.rs
@@ -34,7 +34,19 @@
     pub end: &'static str,
 }
 
-/// The labels of a call to the store, or of an order.
+/// The labels of a call to the store.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+#[derive(prometheus_client::encoding::EncodeLabelSet)]
+pub struct StoreCallLabel {
+    /// The topic, or `duty` for the group of hosts that may grant.
+    pub call: &'static str,
+    /// What the call is for: `snapshot`, `wait`, `append`, `join` or `leave`.
+    pub purpose: &'static str,
+    /// How the call ended.
+    pub outcome: &'static str,
+}
+
+/// The labels of an order.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 #[derive(prometheus_client::encoding::EncodeLabelSet)]
 pub struct CallLabel {
@@ -75,7 +87,7 @@
     /// Attempts at servers, by how they ended.
     pub attempts: family::Family<AttemptLabel, counter::Counter>,
     /// Calls to the store.
-    pub store_calls: family::Family<CallLabel, counter::Counter>,
+    pub store_calls: family::Family<StoreCallLabel, counter::Counter>,
     /// Orders to servers.
     pub orders: family::Family<CallLabel, counter::Counter>,
     /// Exchanges of status updates that this host started, by outcome.
@@ -149,7 +161,11 @@
     fn register_control(&mut self) {
         let registry = &mut self.registry;
         let store_calls = self.store_calls.clone();
-        registry.register("store_calls", "Calls to the store, by outcome", store_calls);
+        registry.register(
+            "store_calls",
+            "Calls to the store, by purpose and outcome",
+            store_calls,
+        );
         let orders = self.orders.clone();
         registry.register("orders", "Orders to servers, by outcome", orders);
         let exchanges = self.status_exchanges.clone();
@@ -207,10 +223,18 @@
     }
 
     /// Counts a call to the store.
-    pub fn note_store_call(&self, call: &'static str, outcome: &'static str) {
-        self.store_calls
-            .get_or_create(&CallLabel { call, outcome })
-            .inc();
+    pub fn note_store_call(
+        &self,
+        call: &'static str,
+        purpose: &'static str,
+        outcome: &'static str,
+    ) {
+        let label = StoreCallLabel {
+            call,
+            purpose,
+            outcome,
+        };
+        self.store_calls.get_or_create(&label).inc();
     }
 
     /// Counts an order to a server.
--- a/src/edge/router/ports.rs
+++ b/src/edge/router/ports.rs
@@ -10,50 +10,13 @@
 use crate::ownership::order;
 use crate::routing::specification;
 use crate::serving::directory;
-
-/// The topics of the store, which are read and written independently of each other.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub enum StoreTopic {
-    /// The operators' route configuration.
-    Routes,
-    /// The registrations of the servers.
-    Servers,
-    /// The registrations of the entry hosts.
-    Hosts,
-    /// The assignment table.
-    Assignments,
-}
-
-impl StoreTopic {
-    /// All topics.
-    pub const ALL: [Self; 4] = [Self::Routes, Self::Servers, Self::Hosts, Self::Assignments];
-
-    /// Returns the topic's name in logs and metrics.
-    #[must_use]
-    pub const fn as_str(self) -> &'static str {
-        match self {
-            Self::Routes => "routes",
-            Self::Servers => "servers",
-            Self::Hosts => "hosts",
-            Self::Assignments => "book",
-        }
-    }
-}
-
-/// A keyed record; one without a value deletes the key.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct KeyedRecord {
-    /// The key.
-    pub key: sync::Arc<str>,
-    /// The value; `None` deletes the key.
-    pub value: Option<bytes::Bytes>,
-}
+use crate::serving::topic;
 
 /// The newest record of each key.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct StoreSnapshot {
     /// The records.
-    pub records: Vec<KeyedRecord>,
+    pub records: Vec<topic::LogRecord>,
     /// The offset at which reading continues.
     pub end: u64,
 }
@@ -61,8 +24,10 @@
 /// Consecutive records of a topic, oldest first.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct StoreBatch {
-    /// The records.
-    pub records: Vec<KeyedRecord>,
+    /// The offset from which they were read.
+    pub from: u64,
+    /// The records. Malformed ones are left out.
+    pub records: Vec<topic::LogRecord>,
     /// The offset at which reading continues.
     pub next: u64,
 }
@@ -107,22 +72,22 @@
     /// Reads the newest record of each key.
     fn newest(
         &self,
-        topic: StoreTopic,
+        topic: topic::StoreTopic,
     ) -> impl future::Future<Output = Result<StoreSnapshot, StoreError>>;
 
     /// Reads the records from an offset on. Where there are none, waits up to `wait` for the first.
     fn read(
         &self,
-        topic: StoreTopic,
+        topic: topic::StoreTopic,
         from: u64,
         wait: time::Duration,
     ) -> impl future::Future<Output = Result<StoreBatch, StoreError>>;
 
-    /// Appends a record. Where `at` is given, only if the topic ends at that offset.
+    /// Appends records, all or none. Where `at` is given, only if the topic ends at that offset.
     fn append(
         &self,
-        topic: StoreTopic,
-        record: &KeyedRecord,
+        topic: topic::StoreTopic,
+        records: &[topic::KeyedRecord],
         at: Option<u64>,
     ) -> impl future::Future<Output = order::AppendOutcome>;
 
@@ -151,13 +116,16 @@
     ///
     /// # Errors
     /// Fails when the record cannot be decoded or the routes are not valid.
-    fn routes(&self, record: &KeyedRecord) -> Result<Option<specification::RouteSet>, DecodeError>;
+    fn routes(
+        &self,
+        record: &topic::KeyedRecord,
+    ) -> Result<Option<specification::RouteSet>, DecodeError>;
 
     /// Decodes a server's registration.
     ///
     /// # Errors
     /// Fails when the record cannot be decoded.
-    fn server(&self, record: &KeyedRecord) -> Result<directory::ServerRecord, DecodeError>;
+    fn server(&self, record: &topic::KeyedRecord) -> Result<directory::ServerRecord, DecodeError>;
 }
 
 /// Sends orders to servers.
--- a/src/edge/router/traffic.rs
+++ b/src/edge/router/traffic.rs
@@ -22,6 +22,7 @@
 use crate::routing::specification;
 use crate::routing::split;
 use crate::serving::delivery;
+use crate::serving::demand;
 use crate::serving::estimate;
 use crate::serving::scheduler;
 use crate::serving::view;
@@ -40,10 +41,8 @@
 pub struct TrafficReport {
     /// The requests that this host has running or waiting.
     pub demand: view::HostDemand,
-    /// The load of each service's keys.
-    pub key_loads: Vec<(names::ServiceName, Vec<key_load::KeyLoad>)>,
-    /// The estimated service time of each server, in milliseconds.
-    pub service_times: Vec<(names::ServerName, f64)>,
+    /// The load of keys and the service times since the last report.
+    pub loads: demand::LoadReport,
 }
 
 /// What a traffic thread is created with.
@@ -127,8 +126,10 @@
             self.update_metrics();
             let report = TrafficReport {
                 demand: self.demand(),
-                key_loads: self.take_key_loads(),
-                service_times: self.scheduler.borrow().service_times(),
+                loads: demand::LoadReport {
+                    reports: self.take_key_loads(),
+                    service_times: self.scheduler.borrow_mut().take_service_times(),
+                },
             };
             // The control thread may have ended before this one.
             let _ = self.parts.reports.send(report);
@@ -145,7 +146,7 @@
         self.parts.metrics.in_flight.set(in_flight);
     }
 
-    fn take_key_loads(&self) -> Vec<(names::ServiceName, Vec<key_load::KeyLoad>)> {
+    fn take_key_loads(&self) -> Vec<demand::ServiceReport> {
         let key_work_ms = std::mem::take(&mut *self.key_work_ms.borrow_mut());
         let mut services = collections::BTreeMap::<_, Vec<_>>::new();
         let interval = f64::from(u32::try_from(REPORT_INTERVAL_MS).unwrap_or(u32::MAX));
@@ -155,7 +156,9 @@
             let load = key_load::KeyLoad { key, busy };
             services.entry(service).or_default().push(load);
         }
-        services.into_iter().collect()
+        let reports = services.into_iter();
+        let reports = reports.map(|(service, heat)| demand::ServiceReport { service, heat });
+        reports.collect()
     }
 
     // Lets the scheduler dispatch waiting requests and hands out its results.
--- a/src/ownership/granter/mod.rs
+++ b/src/ownership/granter/mod.rs
@@ -19,7 +19,9 @@
 use crate::ownership::key_load;
 use crate::ownership::order;
 use crate::ownership::tracked_range;
+use crate::serving::demand;
 use crate::serving::directory;
+use crate::serving::estimate;
 
 /// Upper bound of the hold that an order grants, in milliseconds. The servers' own limit may be
 /// lower.
@@ -165,9 +167,16 @@
         self.election.confirm(at);
     }
 
-    /// Sets the measured service times of servers, in milliseconds.
-    pub fn note_service_times(&mut self, times: Vec<(names::ServerName, f64)>) {
-        self.service_times = times.into_iter().collect();
+    /// Adds the service times that all hosts measured in a reporting interval.
+    pub fn note_service_times(&mut self, times: &[demand::ServiceTime]) {
+        for time in times.iter().filter(|time| time.requests > 0) {
+            let mean = time.total_ms / f64::from(time.requests);
+            let requests = i32::try_from(time.requests).unwrap_or(i32::MAX);
+            let weight = 1.0 - (1.0 - estimate::SERVICE_TIME_WEIGHT).powi(requests);
+            let known = self.service_times.entry(time.server.clone());
+            let known = known.or_insert(mean);
+            *known += (mean - *known) * weight;
+        }
     }
 
     /// Adds a report of the load of a service's keys.
--- a/src/ownership/mod.rs
+++ b/src/ownership/mod.rs
@@ -1,7 +1,7 @@
 //! Key ownership: the assignment table, the granter that writes it, and its plans.
 //!
-//! The assignment table is one record in the platform's log. An append replaces the whole table and
-//! is conditional on the offset at which the log ends. A change is in the log before any order is
+//! The assignment table is kept in the platform's log. An append holds the parts that changed and is
+//! conditional on the offset at which the log ends. A change is in the log before any order is
 //! sent for it, so a host that has read the log knows every server that may hold a key.
 
 pub mod assignment;
@@ -12,4 +12,5 @@
 pub mod key_load;
 pub mod order;
 pub mod plan;
+pub mod table_records;
 mod tracked_range;
--- /dev/null
+++ b/src/ownership/table_records.rs
@@ -0,0 +1,254 @@
+//! The assignment table as keyed records: a header, and a record for each part of a service's keys.
+//!
+//! An append holds the parts that changed, and the header last. So an append and what hosts read of
+//! it do not grow with the table, and a reader that has the header of an append has all of it.
+
+use std::collections;
+use std::sync;
+
+use crate::names;
+use crate::ownership::assignment;
+use crate::serving::topic;
+
+/// The number of keys in one part.
+pub const KEYS_PER_PART: u32 = 512;
+/// The key of the header.
+pub const HEADER_KEY: &str = "header";
+/// The key under which builds before 0.2 wrote the whole table.
+pub const WHOLE_TABLE_KEY: &str = "book";
+
+/// What the table holds besides the ranges.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
+#[serde(rename_all = "kebab-case")]
+struct TableHeader {
+    term: u64,
+    granter: Option<assignment::GranterIncarnation>,
+    former_granters: Vec<assignment::GranterIncarnation>,
+    longest_hold_millis: u64,
+    next_fence: u64,
+}
+
+impl TableHeader {
+    fn new(table: &assignment::AssignmentTable) -> Self {
+        Self {
+            term: table.term,
+            granter: table.granter.clone(),
+            former_granters: table.former_granters.clone(),
+            longest_hold_millis: table.longest_hold_millis,
+            next_fence: table.next_fence,
+        }
+    }
+}
+
+/// Identifies a part: the service, and the number of the part in the order of the keys.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct PartId {
+    service: names::ServiceName,
+    number: u32,
+}
+
+impl PartId {
+    // The part that a range belongs to, by its first key.
+    fn new(service: &names::ServiceName, range: &assignment::RangeEntry) -> Self {
+        Self {
+            service: service.clone(),
+            number: u32::from(range.first) / KEYS_PER_PART,
+        }
+    }
+
+    fn with_key(key: &str) -> Option<Self> {
+        let (service, number) = key.split_once('/')?;
+        Some(Self {
+            service: names::ServiceName::new(service).ok()?,
+            number: number.parse().ok()?,
+        })
+    }
+
+    fn key(&self) -> sync::Arc<str> {
+        sync::Arc::from(format!("{}/{}", self.service, self.number))
+    }
+}
+
+type TableParts = collections::BTreeMap<PartId, Vec<assignment::RangeEntry>>;
+
+/// A record is not a part of an assignment table.
+#[derive(Debug)]
+#[derive(snafu::Snafu)]
+pub enum TableError {
+    /// The key is neither the header's nor that of a part.
+    #[snafu(display("step=decode-table key={key} fault=\"unknown key\""))]
+    UnknownKey {
+        /// The key.
+        key: String,
+    },
+    /// The value cannot be decoded.
+    #[snafu(display("step=decode-table key={key} fault=\"{source}\""))]
+    Malformed {
+        /// The key.
+        key: String,
+        /// The cause.
+        source: serde_json::Error,
+    },
+    /// Ranges overlap, are not sorted, or have a fence that was never allocated.
+    #[snafu(display("step=check-table term={term} fault=\"unsound ranges\""))]
+    Unsound {
+        /// The table's term.
+        term: u64,
+    },
+}
+
+fn parts_of(table: &assignment::AssignmentTable) -> TableParts {
+    let mut parts = TableParts::new();
+    for (service, ranges) in &table.services {
+        for range in ranges {
+            let part = parts.entry(PartId::new(service, range)).or_default();
+            part.push(range.clone());
+        }
+    }
+    parts
+}
+
+fn encode(
+    key: sync::Arc<str>,
+    value: &impl serde::Serialize,
+) -> Result<topic::KeyedRecord, serde_json::Error> {
+    let value = serde_json::to_vec(value)?;
+    Ok(topic::KeyedRecord {
+        key,
+        value: Some(bytes::Bytes::from(value)),
+    })
+}
+
+/// Assembles the assignment table from the records of its log.
+#[derive(Debug, Default)]
+pub struct TableAssembly {
+    header: Option<(TableHeader, u64)>,
+    parts: TableParts,
+    // A whole table of an earlier build, and the offset of its record.
+    whole: Option<(assignment::AssignmentTable, u64)>,
+}
+
+impl TableAssembly {
+    /// Creates an assembly without records.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Applies a record.
+    ///
+    /// # Errors
+    /// Fails when the record is not a part of a table; it is passed over.
+    pub fn apply(&mut self, stored: &topic::LogRecord) -> Result<(), TableError> {
+        let key = &*stored.record.key;
+        let value = stored.record.value.as_deref();
+        if key == HEADER_KEY {
+            self.header = value
+                .map(|value| decode(key, value).map(|header| (header, stored.offset)))
+                .transpose()?;
+            return Ok(());
+        }
+        if key == WHOLE_TABLE_KEY {
+            self.whole = value
+                .map(|value| decode(key, value).map(|table| (table, stored.offset)))
+                .transpose()?;
+            return Ok(());
+        }
+        let id = PartId::with_key(key);
+        let id = id.ok_or_else(|| TableError::UnknownKey {
+            key: key.to_owned(),
+        })?;
+        match value {
+            Some(value) => {
+                let ranges = decode(key, value)?;
+                self.parts.insert(id, ranges);
+            }
+            None => {
+                self.parts.remove(&id);
+            }
+        }
+        Ok(())
+    }
+
+    /// Returns the records to append for a change to `table`: the parts that differ, and the header
+    /// last.
+    ///
+    /// # Errors
+    /// Fails when a part cannot be encoded.
+    pub fn changed_records(
+        &self,
+        table: &assignment::AssignmentTable,
+    ) -> Result<Vec<topic::KeyedRecord>, serde_json::Error> {
+        let parts = parts_of(table);
+        let mut records = Vec::new();
+        for (id, ranges) in &parts {
+            if self.parts.get(id) != Some(ranges) {
+                records.push(encode(id.key(), ranges)?);
+            }
+        }
+        let gone = self.parts.keys().filter(|id| !parts.contains_key(*id));
+        let gone = gone.map(PartId::key);
+        let whole = self.whole.iter().map(|_| sync::Arc::from(WHOLE_TABLE_KEY));
+        records.extend(
+            gone.chain(whole)
+                .map(|key| topic::KeyedRecord { key, value: None }),
+        );
+        records.push(encode(
+            sync::Arc::from(HEADER_KEY),
+            &TableHeader::new(table),
+        )?);
+        Ok(records)
+    }
+
+    /// Returns the table of a log that ends at `end`. Returns `None` while records of its last append
+    /// are missing, or where there is none.
+    ///
+    /// # Errors
+    /// Fails when the records do not make a sound table.
+    pub fn table(&self, end: u64) -> Result<Option<assignment::AssignmentTable>, TableError> {
+        let table = match (&self.header, &self.whole) {
+            (Some((header, offset)), _) if offset + 1 == end => self.assemble(header),
+            (_, Some((table, offset))) if offset + 1 == end => table.clone(),
+            _ => return Ok(None),
+        };
+        if table.is_sound() {
+            return Ok(Some(table));
+        }
+        Err(TableError::Unsound { term: table.term })
+    }
+
+    /// Reports whether a host of an earlier build wrote to the log after one of this build: the two
+    /// do not know of each other's ranges.
+    #[must_use]
+    pub fn is_mixed(&self) -> bool {
+        let header = self.header.as_ref().map(|(_, offset)| *offset);
+        let whole = self.whole.as_ref().map(|(_, offset)| *offset);
+        header
+            .zip(whole)
+            .is_some_and(|(header, whole)| whole > header)
+    }
+
+    fn assemble(&self, header: &TableHeader) -> assignment::AssignmentTable {
+        let mut services = collections::BTreeMap::<_, Vec<_>>::new();
+        for (id, ranges) in &self.parts {
+            let service = services.entry(id.service.clone()).or_default();
+            service.extend(ranges.iter().cloned());
+        }
+        assignment::AssignmentTable {
+            term: header.term,
+            granter: header.granter.clone(),
+            former_granters: header.former_granters.clone(),
+            longest_hold_millis: header.longest_hold_millis,
+            next_fence: header.next_fence,
+            services,
+        }
+    }
+}
+
+fn decode<T: serde::de::DeserializeOwned>(key: &str, value: &[u8]) -> Result<T, TableError> {
+    serde_json::from_slice(value).map_err(|source| TableError::Malformed {
+        key: key.to_owned(),
+        source,
+    })
+}
--- a/src/serving/catch_up.rs
+++ b/src/serving/catch_up.rs
@@ -1,49 +1,25 @@
 //! Decides when this host requests store records from another host.
 //!
-//! A host normally reads all records from the store. It requests them from another host where the
-//! store rejects its calls, or where a waiting read returns late. It has at most one request in
-//! flight, so the records that it receives do not grow with the number of hosts.
+//! A host normally gets all records from the store, or from the host that supplies it. It requests
+//! them from another host where that source is out of reach, or where a waiting read returns late. It
+//! has at most one request in flight, so the records that it receives do not grow with the number of
+//! hosts.
 
 use std::time;
 
 use crate::clock;
+use crate::serving::topic;
 
-/// How long a host waits for the store to return a record that another host already has, in
+/// How long a host waits for its usual source to return a record that another host already has, in
 /// milliseconds.
 pub const STORE_WAIT_MS: u64 = 250;
 /// Minimum interval between two requests of one host, in milliseconds.
 pub const REQUEST_INTERVAL_MS: u64 = 500;
 
-/// The newest store records that a host has.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct RecordVersions {
-    /// The version of the routes, 0 for none.
-    pub routes: u64,
-    /// The offset at which the log of the assignment table ends.
-    pub table_end: u64,
-}
-
-impl RecordVersions {
-    /// Returns the newer version of each record.
-    #[must_use]
-    pub fn max(self, other: Self) -> Self {
-        Self {
-            routes: self.routes.max(other.routes),
-            table_end: self.table_end.max(other.table_end),
-        }
-    }
-
-    /// Reports whether `other` has a newer version of any record.
-    #[must_use]
-    pub const fn is_behind(self, other: Self) -> bool {
-        self.routes < other.routes || self.table_end < other.table_end
-    }
-}
-
-// Versions that other hosts have and this host lacks.
+// Offsets that other hosts' copies reach and this host's do not.
 #[derive(Clone, Copy, Debug)]
 struct RecordLag {
-    versions: RecordVersions,
+    ends: topic::TopicEnds,
     since: clock::MonoTime,
 }
 
@@ -63,32 +39,29 @@
         Self::default()
     }
 
-    /// Records which versions this host has and which are known to exist.
-    pub fn note_versions(
+    /// Records at which offsets this host's copies end, and at which others' do.
+    pub fn note_ends(
         &mut self,
-        own: RecordVersions,
-        newest: RecordVersions,
+        own: &topic::TopicEnds,
+        newest: &topic::TopicEnds,
         now: clock::MonoTime,
     ) {
-        self.lag = self.lag.filter(|lag| own.is_behind(lag.versions));
+        self.lag = self.lag.filter(|lag| own.is_behind(&lag.ends));
         if self.lag.is_none() && own.is_behind(newest) {
             self.lag = Some(RecordLag {
-                versions: newest,
+                ends: *newest,
                 since: now,
             });
         }
     }
 
-    /// Reports whether a request is due at `now`. `store_lost` says whether the store rejects this
-    /// host, `servers_differ` whether another host knows other servers.
+    /// Reports whether a request is due at `now`. `store_lost` says whether the usual source of the
+    /// records is out of reach.
     #[must_use]
-    pub fn is_due(&self, store_lost: bool, servers_differ: bool, now: clock::MonoTime) -> bool {
+    pub fn is_due(&self, store_lost: bool, now: clock::MonoTime) -> bool {
         if self.in_flight || now < self.next_at {
             return false;
         }
-        if store_lost && servers_differ {
-            return true;
-        }
         let wait = time::Duration::from_millis(STORE_WAIT_MS);
         self.lag
             .is_some_and(|lag| store_lost || now >= lag.since + wait)
--- a/src/serving/cluster/mod.rs
+++ b/src/serving/cluster/mod.rs
@@ -1,6 +1,7 @@
 //! The state of the cluster as one host knows it: routes, servers and other hosts, and the view of
 //! it for the traffic threads.
 
+pub mod exchange;
 mod records;
 
 use std::collections;
@@ -10,21 +11,34 @@
 use crate::clock;
 use crate::names;
 use crate::ownership::assignment;
-use crate::ownership::key_load;
 use crate::routing::specification;
 use crate::serving::catch_up;
+use crate::serving::demand;
 use crate::serving::directory;
 use crate::serving::status;
+use crate::serving::topic;
+use crate::serving::upstream;
 use crate::serving::view;
 
-/// Age from which another host's status update no longer proves that the host is up, in
-/// milliseconds.
+/// Age from which another host's status update no longer tells what the host has, in milliseconds.
 pub const HOST_STALE_MS: u64 = 2_500;
-/// Age from which the demand and load in a status update are ignored, in milliseconds.
-pub const DEMAND_STALE_MS: u64 = 1_500;
+/// Age of the last response of the host that supplies this one from which the store counts as out of
+/// reach, in milliseconds.
+pub const SUPPLY_STALE_MS: u64 = 2_000;
+/// How long a host that finds no better one waits for others to register before it reads the store,
+/// in milliseconds. Hosts that start together register meanwhile.
+pub const SETTLING_MS: u64 = 350;
 
+// What another host's last status update says.
 struct PeerState {
-    status: status::HostStatusUpdate,
+    record: status::HostRecord,
+    ends: topic::TopicEnds,
+    received_at: clock::MonoTime,
+}
+
+// The last response of the host that supplies this one.
+struct SupplyState {
+    store_lost: bool,
     received_at: clock::MonoTime,
 }
 
@@ -35,12 +49,16 @@
     routes: Option<sync::Arc<specification::RouteSet>>,
     directory: directory::ServerDirectory,
     servers_known: bool,
-    hosts: collections::BTreeMap<names::HostName, status::HostRecord>,
+    hosts: upstream::HostRegistry,
+    // Since when the other registered hosts are known.
+    hosts_known: Option<clock::MonoTime>,
+    upstream: upstream::UpstreamSelection,
+    supply: Option<SupplyState>,
     peers: collections::BTreeMap<names::HostName, PeerState>,
     lost: collections::BTreeSet<&'static str>,
     demand: view::HostDemand,
-    reports: Vec<status::ServiceReport>,
-    service_times: Vec<(names::ServerName, f64)>,
+    loads: demand::LoadReport,
+    reports: demand::DemandReports,
     catch_up: catch_up::CatchUpState,
 }
 
@@ -50,17 +68,20 @@
     #[must_use]
     pub fn new(own: status::HostRecord, started: clock::MonoTime, drain: time::Duration) -> Self {
         Self {
+            upstream: upstream::UpstreamSelection::new(own.clone()),
             own,
             started,
             routes: None,
             directory: directory::ServerDirectory::with_drain(drain),
             servers_known: false,
-            hosts: collections::BTreeMap::new(),
+            hosts: upstream::HostRegistry::new(),
+            hosts_known: None,
+            supply: None,
             peers: collections::BTreeMap::new(),
             lost: collections::BTreeSet::new(),
             demand: view::HostDemand::default(),
-            reports: Vec::new(),
-            service_times: Vec::new(),
+            loads: demand::LoadReport::default(),
+            reports: demand::DemandReports::new(),
             catch_up: catch_up::CatchUpState::new(),
         }
     }
@@ -104,12 +125,16 @@
         self.directory.remove(name, now);
     }
 
-    /// Replaces the records of all servers.
-    pub fn replace_servers(&mut self, records: Vec<directory::ServerRecord>, now: clock::MonoTime) {
-        self.directory.replace(records, now);
+    /// Records that the records of all servers are known.
+    pub fn note_servers_known(&mut self) {
         self.servers_known = true;
     }
 
+    /// Records that the other registered hosts are known.
+    pub fn note_hosts_known(&mut self, now: clock::MonoTime) {
+        self.hosts_known.get_or_insert(now);
+    }
+
     /// Applies another host's record, or its removal where there is none.
     pub fn note_host(&mut self, name: &names::HostName, record: Option<status::HostRecord>) {
         match record {
@@ -119,6 +144,7 @@
             _ => {
                 self.hosts.remove(name);
                 self.peers.remove(name);
+                self.reports.remove(name);
             }
         }
     }
@@ -135,140 +161,57 @@
         before != self.store_lost()
     }
 
-    /// Reports whether store calls of any kind fail at this host.
+    /// Returns where this host gets the store's records from.
     #[must_use]
-    pub fn store_lost(&self) -> bool {
-        !self.lost.is_empty()
-    }
-
-    /// Sets the demand, key load and service times that the traffic threads report.
-    pub fn note_traffic(
-        &mut self,
-        demand: view::HostDemand,
-        reports: Vec<status::ServiceReport>,
-        service_times: Vec<(names::ServerName, f64)>,
-    ) {
-        self.demand = demand;
-        self.reports = reports;
-        self.service_times = service_times;
+    pub fn source(&self) -> upstream::RecordSource {
+        self.upstream.source(&self.hosts)
     }
 
-    /// Applies another host's status update.
-    pub fn note_status(&mut self, status: status::HostStatusUpdate, now: clock::MonoTime) {
-        let host = status.record.host.clone();
-        if host == self.own.host {
-            return;
-        }
-        self.hosts.insert(host.clone(), status.record.clone());
-        self.peers.insert(
-            host,
-            PeerState {
-                status,
-                received_at: now,
-            },
-        );
-    }
-
-    /// Returns the hosts with which this host starts an exchange of status updates. Of each pair of
-    /// hosts, the one with the lower name starts it.
+    /// Reports whether this host reads a topic of the store itself.
     #[must_use]
-    pub fn hosts_to_query(&self) -> Vec<status::HostRecord> {
-        let hosts = self.hosts.values();
-        hosts
-            .filter(|record| self.own.host < record.host)
-            .cloned()
-            .collect()
+    pub fn reads(&self, topic: topic::StoreTopic, now: clock::MonoTime) -> bool {
+        let Some(known) = self.hosts_known else {
+            return topic == topic::StoreTopic::Hosts;
+        };
+        let settled = now >= known + time::Duration::from_millis(SETTLING_MS);
+        let reads = self.source() == upstream::RecordSource::Store;
+        reads && (settled || topic == topic::StoreTopic::Hosts)
     }
 
-    /// Returns the number of other hosts that are registered or have sent a status update.
+    /// Reports whether this host may claim the granter role: those that read the store take it in
+    /// turn.
     #[must_use]
-    pub fn other_host_count(&self) -> usize {
-        self.hosts.len()
+    pub fn may_grant(&self, now: clock::MonoTime) -> bool {
+        self.reads(topic::StoreTopic::Assignments, now)
     }
 
-    /// Returns the status update for another host.
+    /// Reports whether the records that this host has may be outdated: its own calls to the store
+    /// fail, or those of the host that supplies it.
     #[must_use]
-    pub fn status_for(
-        &self,
-        host: &names::HostName,
-        grants: &GrantSnapshot<'_>,
-        now: clock::MonoTime,
-    ) -> status::HostStatusUpdate {
-        let granter = grants.table.granter.as_ref();
-        let granter = granter.is_some_and(|granter| granter.host == *host);
-        let uptime = now.since(self.started).as_millis();
-        status::HostStatusUpdate {
-            record: self.own.clone(),
-            uptime_millis: u64::try_from(uptime).unwrap_or(u64::MAX),
-            store_lost: self.store_lost(),
-            routes_version: self.routes_version(),
-            servers_digest: self.directory.digest(),
-            book_end: grants.end,
-            term: grants.table.term,
-            demand: self.demand.servers.clone(),
-            pool_waiting: Some(self.demand.pool_waiting.clone()),
-            reports: if granter {
-                self.reports.clone()
-            } else {
-                Vec::new()
-            },
-            service_times: if granter {
-                self.service_times.clone()
-            } else {
-                Vec::new()
-            },
+    pub fn store_lost(&self) -> bool {
+        match (&self.supply, self.source()) {
+            (Some(supply), upstream::RecordSource::Host(_)) => supply.store_lost,
+            _ => !self.lost.is_empty(),
         }
     }
 
-    /// Returns the load of each service's keys, summed over all hosts.
-    #[must_use]
-    pub fn key_loads(&self, now: clock::MonoTime) -> Vec<status::ServiceReport> {
-        let peers = self.fresh_peers(DEMAND_STALE_MS, now);
-        let received = peers.flat_map(|peer| &peer.status.reports);
-        let mut sums = collections::BTreeMap::<_, collections::BTreeMap<u16, f32>>::new();
-        for report in received.chain(&self.reports) {
-            let sum = sums.entry(report.service.clone()).or_default();
-            for key_load in &report.heat {
-                *sum.entry(key_load.key).or_default() += key_load.busy;
-            }
-        }
-        let reports = sums
-            .into_iter()
-            .map(|(service, sum)| status::ServiceReport {
-                service,
-                heat: sum
-                    .into_iter()
-                    .map(|(key, busy)| key_load::KeyLoad { key, busy })
-                    .collect(),
-            });
-        reports.collect()
+    /// Sets the demand, key load and service times that the traffic threads report.
+    pub fn note_traffic(&mut self, demand: view::HostDemand, loads: demand::LoadReport) {
+        self.demand = demand;
+        self.loads = loads;
     }
 
-    /// Returns the service time of each server, averaged over the hosts that measured it, in
-    /// milliseconds.
+    /// Returns the number of other hosts that are registered or have sent a status update.
     #[must_use]
-    pub fn service_times(&self, now: clock::MonoTime) -> Vec<(names::ServerName, f64)> {
-        let peers = self.fresh_peers(DEMAND_STALE_MS, now);
-        let received = peers.flat_map(|peer| &peer.status.service_times);
-        let mut sums = collections::BTreeMap::<_, (f64, u32)>::new();
-        for (server, millis) in received.chain(&self.service_times) {
-            let sum = sums.entry(server.clone()).or_default();
-            *sum = (sum.0 + millis, sum.1 + 1);
-        }
-        let means = sums.into_iter();
-        let means = means.map(|(server, (sum, count))| (server, sum / f64::from(count)));
-        means.collect()
+    pub fn other_host_count(&self) -> usize {
+        self.hosts.len()
     }
 
-    // The hosts whose last status update is younger than `max_age_ms`.
-    fn fresh_peers(
-        &self,
-        max_age_ms: u64,
-        now: clock::MonoTime,
-    ) -> impl Iterator<Item = &PeerState> {
-        let max_age = time::Duration::from_millis(max_age_ms);
-        let peers = self.peers.values();
-        peers.filter(move |peer| now.since(peer.received_at) < max_age)
+    /// Returns the load of each service's keys and the service times, summed over all hosts, as the
+    /// granter needs them.
+    #[must_use]
+    pub fn sum_loads(&self, now: clock::MonoTime) -> demand::LoadReport {
+        self.reports.sum_loads(&self.loads, now)
     }
 
     /// Returns the services whose servers own keys.
@@ -300,25 +243,27 @@
     pub fn view(&self, grants: &view::SharedGrants, now: clock::MonoTime) -> view::ServingView {
         let servers = self.directory.servers();
         let servers = servers.map(|record| (record.life.server.clone(), sync::Arc::clone(record)));
-        let peers = self.fresh_peers(DEMAND_STALE_MS, now);
-        let updates = peers.map(|peer| &peer.status);
+        let others = self.reports.sum_others(now);
         view::ServingView {
             routes: self.routes.clone(),
             store_lost: self.store_lost(),
             servers: sync::Arc::new(servers.collect()),
             table: sync::Arc::clone(&grants.table),
             ages: sync::Arc::clone(&grants.ages),
-            demand: sync::Arc::new(status::sum_demand(updates, &self.directory)),
-            hosts: 1 + self.fresh_peers(HOST_STALE_MS, now).count(),
+            // A host that does not report at the moment may still be up.
+            hosts: 1 + others.hosts.max(self.hosts.len()),
+            demand: sync::Arc::new(others.by_server(&self.directory)),
         }
     }
 }
 
-/// The newest assignment table that the granter of this host has read.
-#[derive(Clone, Copy, Debug)]
-pub struct GrantSnapshot<'a> {
-    /// The table.
-    pub table: &'a assignment::AssignmentTable,
-    /// The offset at which the log ends.
-    pub end: u64,
+/// What a host knows of the assignments, for the exchange with other hosts.
+#[derive(Clone, Debug)]
+pub struct GrantSnapshot {
+    /// The granter that wrote the newest table.
+    pub granter: Option<assignment::GranterIncarnation>,
+    /// The term of the newest table.
+    pub term: u64,
+    /// The offsets at which the host's copies of the store's topics end.
+    pub ends: topic::TopicEnds,
 }
--- a/src/serving/scheduler/mod.rs
+++ b/src/serving/scheduler/mod.rs
@@ -6,7 +6,7 @@
 //! the slots go to requests that finish in time. Each host keeps to its share of a server, so that
 //! the servers' own queues stay short.
 
-mod demand;
+mod host_demand;
 mod selection;
 mod tracked_server;
 mod wait_estimate;
@@ -19,6 +19,7 @@
 use crate::names;
 use crate::ownership::assignment;
 use crate::retry;
+use crate::serving::demand;
 use crate::serving::directory;
 use crate::serving::estimate;
 use crate::serving::view;
@@ -230,6 +231,10 @@
         }
         server.running = server.running.saturating_sub(1);
         server.estimate.note(end, elapsed, now);
+        if end == estimate::ExchangeEnd::Answered {
+            server.answered.0 += millis(elapsed);
+            server.answered.1 += 1;
+        }
     }
 
     /// Reports whether any request waits.
@@ -249,13 +254,18 @@
         events
     }
 
-    /// Returns the measured service time of each server, in milliseconds.
-    #[must_use]
-    pub fn service_times(&self) -> Vec<(names::ServerName, f64)> {
-        let servers = self.servers.iter();
-        let known = servers
-            .filter_map(|(name, server)| Some((name.clone(), server.estimate.service_ms()?)));
-        known.collect()
+    /// Returns the service times of the requests that were answered since the last call.
+    pub fn take_service_times(&mut self) -> Vec<demand::ServiceTime> {
+        let servers = self.servers.iter_mut();
+        let times = servers.filter_map(|(name, server)| {
+            let (total_ms, requests) = std::mem::take(&mut server.answered);
+            (requests > 0).then(|| demand::ServiceTime {
+                server: name.clone(),
+                total_ms,
+                requests,
+            })
+        });
+        times.collect()
     }
 
     fn draw_budget(&mut self, request: &DispatchRequest) -> Result<(), SchedulerRefusal> {
--- a/src/serving/scheduler/tracked_server.rs
+++ b/src/serving/scheduler/tracked_server.rs
@@ -18,6 +18,9 @@
     pub(super) running: u32,
     pub(super) waiting: u32,
     pub(super) estimate: estimate::ServerEstimate,
+    // The service times of the requests answered since the last report, in milliseconds, and their
+    // number.
+    pub(super) answered: (f64, u32),
 }
 
 impl TrackedServer {
@@ -29,6 +32,7 @@
             running: 0,
             waiting: 0,
             estimate: estimate::ServerEstimate::new(),
+            answered: (0.0, 0),
         }
     }
 
--- /dev/null
+++ b/src/serving/topic.rs
@@ -0,0 +1,102 @@
+//! The topics of the platform's store and their records.
+
+use std::sync;
+
+/// The topics of the store, which are read and written independently of each other.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(serde::Serialize, serde::Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum StoreTopic {
+    /// The operators' route configuration.
+    Routes,
+    /// The registrations of the servers.
+    Servers,
+    /// The registrations of the entry hosts.
+    Hosts,
+    /// The assignment table.
+    Assignments,
+}
+
+impl StoreTopic {
+    /// All topics.
+    pub const ALL: [Self; 4] = [Self::Routes, Self::Servers, Self::Hosts, Self::Assignments];
+
+    /// Returns the topic's name in logs and metrics.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Routes => "routes",
+            Self::Servers => "servers",
+            Self::Hosts => "hosts",
+            Self::Assignments => "book",
+        }
+    }
+
+    /// Returns the topic's position in [`Self::ALL`].
+    #[must_use]
+    pub const fn index(self) -> usize {
+        match self {
+            Self::Routes => 0,
+            Self::Servers => 1,
+            Self::Hosts => 2,
+            Self::Assignments => 3,
+        }
+    }
+}
+
+/// A keyed record; one without a value removes the key.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct KeyedRecord {
+    /// The key.
+    pub key: sync::Arc<str>,
+    /// The value; `None` removes the key.
+    pub value: Option<bytes::Bytes>,
+}
+
+/// A keyed record in a topic's log.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LogRecord {
+    /// The record's offset in the log.
+    pub offset: u64,
+    /// The record.
+    pub record: KeyedRecord,
+}
+
+/// For each topic, an offset at which a copy of its log ends.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct TopicEnds {
+    /// The end of each topic's log, in the order of [`StoreTopic::ALL`].
+    pub ends: [u64; 4],
+}
+
+impl TopicEnds {
+    /// Returns the end of a topic's log.
+    #[must_use]
+    pub const fn end(&self, topic: StoreTopic) -> u64 {
+        self.ends[topic.index()]
+    }
+
+    /// Sets the end of a topic's log.
+    pub const fn set(&mut self, topic: StoreTopic, end: u64) {
+        self.ends[topic.index()] = end;
+    }
+
+    /// Returns the later end of each topic.
+    #[must_use]
+    pub fn max(self, other: Self) -> Self {
+        let mut ends = self.ends;
+        for (end, other) in ends.iter_mut().zip(other.ends) {
+            *end = (*end).max(other);
+        }
+        Self { ends }
+    }
+
+    /// Reports whether `other` has a later end of any topic.
+    #[must_use]
+    pub fn is_behind(&self, other: &Self) -> bool {
+        let mut pairs = self.ends.iter().zip(other.ends);
+        pairs.any(|(own, other)| *own < other)
+    }
+}
