Pass the era of the platform's store to the control thread

The store may come back from an older copy of its logs; the header `Store-Era` in all its responses rises by one each time. No part read it, so neither logs nor metrics told such a return from an outage.

The control thread logs `store-restored` and sets the gauge `store_era`. Nothing acts on the era yet; the granter's simulation states era 0.

--- a/lab/src/grants/simulation/log.rs
+++ b/lab/src/grants/simulation/log.rs
@@ -15,7 +15,10 @@
         let incarnation = self.hosts[host].incarnation;
         let sent = self.clock_of(host);
         if self.mutation == simulation::GrantMutation::OrderBeforeAppend {
-            let outcome = order::AppendOutcome::Appended { end: at + 1 };
+            let outcome = order::AppendOutcome::Appended {
+                era: 0,
+                end: at + 1,
+            };
             self.push(
                 0,
                 simulation::SimulationEvent::Appended {
@@ -72,7 +75,10 @@
         let end = u64::try_from(self.log.len()).unwrap_or(u64::MAX);
         let outcome = if at == end {
             self.log.push(table);
-            order::AppendOutcome::Appended { end: end + 1 }
+            order::AppendOutcome::Appended {
+                era: 0,
+                end: end + 1,
+            }
         } else {
             order::AppendOutcome::Conflict
         };
--- a/src/edge/router/control/granting.rs
+++ b/src/edge/router/control/granting.rs
@@ -115,7 +115,7 @@
         let assignments = topic::StoreTopic::Assignments;
         let outcome = self.store.append(assignments, &records, Some(at)).await;
         self.note_append(assignments, outcome);
-        if let order::AppendOutcome::Appended { end } = outcome {
+        if let order::AppendOutcome::Appended { end, .. } = outcome {
             self.apply_appended(records, at, end);
         }
         let moving = table
--- a/src/edge/router/control/mod.rs
+++ b/src/edge/router/control/mod.rs
@@ -1,6 +1,7 @@
 //! The control thread: passes what the store, the servers, the other hosts and the traffic threads
 //! report to the decision modules, and performs the actions they return.
 
+mod eras;
 mod granting;
 mod hosts;
 mod records;
@@ -155,6 +156,7 @@
             actix::spawn(rc::Rc::clone(&thread).follow(topic, is_reading));
         }
         thread.update_reading();
+        actix::spawn(rc::Rc::clone(&thread).watch_era());
         actix::spawn(rc::Rc::clone(&thread).follow_supplier());
         actix::spawn(rc::Rc::clone(&thread).join(parts.stopping.clone()));
         actix::spawn(rc::Rc::clone(&thread).register(parts.stopping));
--- a/src/edge/router/metrics.rs
+++ b/src/edge/router/metrics.rs
@@ -106,6 +106,8 @@
     pub routes_version: gauge::Gauge,
     /// Whether calls of this host to the store are failing.
     pub store_lost: gauge::Gauge,
+    /// The highest era of the store that this host knows.
+    pub store_era: gauge::Gauge,
     /// Requests in flight.
     pub in_flight: gauge::Gauge,
     /// Log lines that were suppressed by the rate limit.
@@ -130,6 +132,7 @@
             ranges_moving: gauge::Gauge::default(),
             routes_version: gauge::Gauge::default(),
             store_lost: gauge::Gauge::default(),
+            store_era: gauge::Gauge::default(),
             in_flight: gauge::Gauge::default(),
             lines_left_out: counter::Counter::default(),
         };
@@ -204,6 +207,12 @@
         );
         let lost = self.store_lost.clone();
         registry.register("store_lost", "Whether the store turns this host away", lost);
+        let era = self.store_era.clone();
+        registry.register(
+            "store_era",
+            "How often the store came back from an older copy",
+            era,
+        );
     }
 
     /// Records a request that has ended `seconds` after its arrival.
--- a/src/edge/router/ports.rs
+++ b/src/edge/router/ports.rs
@@ -15,6 +15,8 @@
 /// The newest record of each key.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct StoreSnapshot {
+    /// The era of the store in which they were read.
+    pub era: u64,
     /// The records.
     pub records: Vec<topic::LogRecord>,
     /// The offset at which reading continues.
@@ -24,6 +26,8 @@
 /// Consecutive records of a topic, oldest first.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct StoreBatch {
+    /// The era of the store in which they were read.
+    pub era: u64,
     /// The offset from which they were read.
     pub from: u64,
     /// The records. Malformed ones are left out.
@@ -69,6 +73,9 @@
 
 /// The platform's store.
 pub trait StorePort: Clone + 'static {
+    /// Returns the highest era of the store that any of its responses has stated, 0 before the first.
+    fn era(&self) -> tokio::sync::watch::Receiver<u64>;
+
     /// Reads the newest record of each key.
     fn newest(
         &self,
--- a/src/ownership/granter/mod.rs
+++ b/src/ownership/granter/mod.rs
@@ -141,7 +141,7 @@
         if self.appending.as_ref() == Some(&newest) {
             // The append succeeded; its own response is late or lost.
             self.note_appended(
-                order::AppendOutcome::Appended { end },
+                order::AppendOutcome::Appended { era: 0, end },
                 self.append_sent,
                 now,
             );
@@ -198,7 +198,7 @@
             return;
         }
         match outcome {
-            order::AppendOutcome::Appended { end } => {
+            order::AppendOutcome::Appended { end, .. } => {
                 self.end = self.end.max(Some(end));
                 self.election.confirm(sent);
                 if let Some(appended) = self.appending.take() {
--- a/src/ownership/order.rs
+++ b/src/ownership/order.rs
@@ -78,6 +78,8 @@
 pub enum AppendOutcome {
     /// The record is in the log.
     Appended {
+        /// The era of the store in which the record was appended.
+        era: u64,
         /// The offset at which the log ends after the record.
         end: u64,
     },
--- a/src/serving/topic.rs
+++ b/src/serving/topic.rs
@@ -62,6 +62,18 @@
     pub record: KeyedRecord,
 }
 
+/// A position in a topic's log. The era of the store goes first: a store that came back from an older
+/// copy of its logs gives out offsets again.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(serde::Serialize, serde::Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct LogPosition {
+    /// The era of the store, which rises each time the store comes back from an older copy.
+    pub era: u64,
+    /// The offset.
+    pub offset: u64,
+}
+
 /// For each topic, an offset at which a copy of its log ends.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 #[derive(serde::Serialize, serde::Deserialize)]
--- a/tests/granting.rs
+++ b/tests/granting.rs
@@ -111,7 +111,10 @@
             order::GranterAction::Append { at, .. } => {
                 assert_eq!(at, self.end, "the append is not at the end of the log");
                 self.end += 1;
-                let outcome = order::AppendOutcome::Appended { end: self.end };
+                let outcome = order::AppendOutcome::Appended {
+                    era: 0,
+                    end: self.end,
+                };
                 self.granter.note_appended(outcome, now, now);
             }
             order::GranterAction::Grant(order) => {
--- a/tests/store_reader.rs
+++ b/tests/store_reader.rs
@@ -23,6 +23,7 @@
 struct ScriptedStore {
     calls: rc::Rc<cell::RefCell<Vec<StoreCall>>>,
     responses: rc::Rc<cell::RefCell<collections::VecDeque<Option<u64>>>>,
+    era: rc::Rc<tokio::sync::watch::Sender<u64>>,
 }
 
 impl ScriptedStore {
@@ -30,6 +31,7 @@
         Self {
             calls: rc::Rc::default(),
             responses: rc::Rc::new(cell::RefCell::new(responses.into_iter().collect())),
+            era: rc::Rc::new(tokio::sync::watch::Sender::new(0)),
         }
     }
 
@@ -49,13 +51,18 @@
 }
 
 impl ports::StorePort for ScriptedStore {
+    fn era(&self) -> tokio::sync::watch::Receiver<u64> {
+        self.era.subscribe()
+    }
+
     async fn newest(
         &self,
         _: topic::StoreTopic,
     ) -> Result<ports::StoreSnapshot, ports::StoreError> {
         let end = self.respond(StoreCall::Newest).await?;
         let records = Vec::new();
-        Ok(ports::StoreSnapshot { records, end })
+        let era = *self.era.borrow();
+        Ok(ports::StoreSnapshot { era, records, end })
     }
 
     async fn read(
@@ -66,7 +73,9 @@
     ) -> Result<ports::StoreBatch, ports::StoreError> {
         let next = self.respond(StoreCall::Read { from }).await?;
         let records = Vec::new();
+        let era = *self.era.borrow();
         Ok(ports::StoreBatch {
+            era,
             from,
             records,
             next,
