Show that a late append outcome is taken for that of the next append

Callers saw two servers hold the same keys. One way to it: the granter appends X; a read of the log shows X before the response to X arrives; the granter plans and appends Y; the response to X arrives and is taken as the success of Y. From then on the granter orders by a table that is not in the log, and each further response is taken for the append after its own. A host that claims the role at the offset where Y was to go allocates the same fences, and both order. The same response makes a host that waits for the outcome of its claim grant without a claim in the log.

Two cases of tests/granting.rs. Both fail: the granter's table is the second append where the log has the first, and the host is granting.

--- a/tests/granting.rs
+++ b/tests/granting.rs
@@ -130,6 +130,26 @@
         }
     }
 
+    // Runs the granter until it returns an append, which gets no answer; carries out its orders.
+    fn next_append(&mut self) -> (assignment::AssignmentTable, u64) {
+        for _ in 0..100 {
+            self.now_ms += TICK_MS;
+            let now = fixtures::at(self.now_ms);
+            let actions = self.granter.tick(now, &[service()], &self.directory);
+            let mut append = None;
+            for action in actions {
+                match action {
+                    order::GranterAction::Append { table, at } => append = Some((table, at)),
+                    other => self.act(other),
+                }
+            }
+            if let Some(append) = append {
+                return append;
+            }
+        }
+        panic!("no append within 100 ticks");
+    }
+
     fn outcome_of(&self, address: &net::SocketAddr) -> order::OrderOutcome {
         if self.unresponsive.contains(address) {
             return order::OrderOutcome::Unsent;
@@ -223,6 +243,44 @@
     assert_eq!(case.yields, 0);
 }
 
+// A read showed an append before its own response came; the response was taken for the one of the
+// next append, so that the granter ordered by a table that was not in the log.
+fn orders_by_the_log_when_an_append_is_read_before_its_response() {
+    let mut case = GranterCase::new(3);
+    case.run(4_000);
+    case.directory.note(record(3));
+    let (first, at) = case.next_append();
+    case.read(first.clone());
+    case.directory.note(record(4));
+    let (second, _) = case.next_append();
+    assert_ne!(first, second);
+    let now = fixtures::at(case.now_ms);
+    let late = order::AppendOutcome::Appended { end: at + 1 };
+    case.granter.note_appended(late, now, now);
+    assert_eq!(*case.granter.table(), first);
+}
+
+// The response to an append of an earlier term was taken for the one of a claim, so that a host
+// granted without a claim in the log.
+fn claims_only_by_the_response_to_its_claim() {
+    let mut case = GranterCase::new(3);
+    case.run(4_000);
+    case.directory.note(record(3));
+    let (appended, at) = case.next_append();
+    case.end += 1;
+    case.read(assignment::AssignmentTable {
+        term: appended.term + 1,
+        granter: Some(granter_incarnation("other", 1)),
+        ..appended
+    });
+    assert!(!case.granter.is_granting());
+    case.next_append();
+    let now = fixtures::at(case.now_ms);
+    let late = order::AppendOutcome::Appended { end: at + 1 };
+    case.granter.note_appended(late, now, now);
+    assert!(!case.granter.is_granting());
+}
+
 macro_rules! granter_cases {
     ($($name:ident),* $(,)?) => {
         mod cases {
@@ -240,4 +298,6 @@
     forgets_former_granters_once_their_orders_have_arrived,
     gives_the_duty_away_when_most_servers_are_silent,
     keeps_the_duty_when_servers_fall_silent_at_two_times,
+    orders_by_the_log_when_an_append_is_read_before_its_response,
+    claims_only_by_the_response_to_its_claim,
 }
