--- a/tests/granting.rs
+++ b/tests/granting.rs
@@ -111,7 +111,10 @@
             order::GranterAction::Append { at, .. } => {
                 assert_eq!(at, self.end, "the append is not at the end of the log");
                 self.end += 1;
-                let outcome = order::AppendOutcome::Appended { end: self.end };
+                let outcome = order::AppendOutcome::Appended {
+                    era: 0,
+                    end: self.end,
+                };
                 self.granter.note_appended(outcome, now, now);
             }
             order::GranterAction::Grant(order) => {
@@ -255,7 +258,10 @@
     let (second, _) = case.next_append();
     assert_ne!(first, second);
     let now = fixtures::at(case.now_ms);
-    let late = order::AppendOutcome::Appended { end: at + 1 };
+    let late = order::AppendOutcome::Appended {
+        era: 0,
+        end: at + 1,
+    };
     case.granter.note_appended(late, now, now);
     assert_eq!(*case.granter.table(), first);
 }
@@ -276,7 +282,10 @@
     assert!(!case.granter.is_granting());
     case.next_append();
     let now = fixtures::at(case.now_ms);
-    let late = order::AppendOutcome::Appended { end: at + 1 };
+    let late = order::AppendOutcome::Appended {
+        era: 0,
+        end: at + 1,
+    };
     case.granter.note_appended(late, now, now);
     assert!(!case.granter.is_granting());
 }
