Report outcomes of appends that are no longer pending

Nothing told whether the outcome of an append belonged to the append that the granter waited for. Each append now has a number, which `book-appended` logs; `append-outcome-late` names the number of the outcome and that of the pending append, and `late_append_outcomes` counts them. What the granter does with an outcome is unchanged.

The simulation gives the number back like the control thread does.

--- a/lab/src/grants/simulation/event.rs
+++ b/lab/src/grants/simulation/event.rs
@@ -17,14 +17,12 @@
     Append {
         host: usize,
         incarnation: u64,
-        table: assignment::AssignmentTable,
-        at: u64,
-        sent: clock::MonoTime,
-        lost: bool,
+        append: SentAppend,
     },
     Appended {
         host: usize,
         incarnation: u64,
+        number: u64,
         outcome: order::AppendOutcome,
         sent: clock::MonoTime,
     },
@@ -67,6 +65,16 @@
     Fault,
 }
 
+// An append on its way to the log.
+#[derive(Clone, Debug)]
+pub(crate) struct SentAppend {
+    pub(crate) number: u64,
+    pub(crate) table: assignment::AssignmentTable,
+    pub(crate) at: u64,
+    pub(crate) sent: clock::MonoTime,
+    pub(crate) lost: bool,
+}
+
 // What happens to a grant order on its way.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum OrderDelivery {
--- a/lab/src/grants/simulation/log.rs
+++ b/lab/src/grants/simulation/log.rs
@@ -11,7 +11,13 @@
 use zinniastack::serving::directory;
 
 impl simulation::GrantSimulation {
-    pub(super) fn send_append(&mut self, host: usize, table: assignment::AssignmentTable, at: u64) {
+    pub(super) fn send_append(
+        &mut self,
+        host: usize,
+        number: u64,
+        table: assignment::AssignmentTable,
+        at: u64,
+    ) {
         let incarnation = self.hosts[host].incarnation;
         let sent = self.clock_of(host);
         if self.mutation == simulation::GrantMutation::OrderBeforeAppend {
@@ -24,6 +30,7 @@
                 simulation::SimulationEvent::Appended {
                     host,
                     incarnation,
+                    number,
                     outcome,
                     sent,
                 },
@@ -36,6 +43,7 @@
                 simulation::SimulationEvent::Appended {
                     host,
                     incarnation,
+                    number,
                     outcome,
                     sent,
                 },
@@ -55,23 +63,25 @@
             simulation::SimulationEvent::Append {
                 host,
                 incarnation,
-                table,
-                at,
-                sent,
-                lost,
+                append: simulation::SentAppend {
+                    number,
+                    table,
+                    at,
+                    sent,
+                    lost,
+                },
             },
         );
     }
 
-    pub(super) fn append(
-        &mut self,
-        host: usize,
-        incarnation: u64,
-        table: assignment::AssignmentTable,
-        at: u64,
-        sent: clock::MonoTime,
-        lost: bool,
-    ) {
+    pub(super) fn append(&mut self, host: usize, incarnation: u64, append: simulation::SentAppend) {
+        let simulation::SentAppend {
+            number,
+            table,
+            at,
+            sent,
+            lost,
+        } = append;
         let end = u64::try_from(self.log.len()).unwrap_or(u64::MAX);
         let outcome = if at == end {
             self.log.push(table);
@@ -93,6 +103,7 @@
             simulation::SimulationEvent::Appended {
                 host,
                 incarnation,
+                number,
                 outcome,
                 sent,
             },
--- a/lab/src/grants/simulation/mod.rs
+++ b/lab/src/grants/simulation/mod.rs
@@ -26,6 +26,7 @@
 
 pub(crate) use crate::grants::simulation::event::OrderDelivery;
 pub(crate) use crate::grants::simulation::event::QueuedEvent;
+pub(crate) use crate::grants::simulation::event::SentAppend;
 pub(crate) use crate::grants::simulation::event::SimulationEvent;
 
 /// The interval at which a host runs its granter, in milliseconds.
@@ -326,21 +327,18 @@
             SimulationEvent::Append {
                 host,
                 incarnation,
-                table,
-                at,
-                sent,
-                lost,
-            } => {
-                self.append(host, incarnation, table, at, sent, lost);
-            }
+                append,
+            } => self.append(host, incarnation, append),
             SimulationEvent::Appended {
                 host,
+                number,
                 outcome,
                 sent,
                 ..
             } => {
                 let now = self.clock_of(host);
-                self.hosts[host].granter.note_appended(outcome, sent, now);
+                let granter = &mut self.hosts[host].granter;
+                granter.note_appended(number, outcome, sent, now);
                 self.decide(host);
             }
             SimulationEvent::Grant {
@@ -476,7 +474,9 @@
     fn execute(&mut self, host: usize, action: order::GranterAction) {
         let incarnation = self.hosts[host].incarnation;
         match action {
-            order::GranterAction::Append { table, at } => self.send_append(host, table, at),
+            order::GranterAction::Append { number, table, at } => {
+                self.send_append(host, number, table, at);
+            }
             order::GranterAction::Grant(order) => self.send_grant(host, order),
             order::GranterAction::Release(order) => {
                 let server = self.server_of(&order.address);
--- a/src/edge/router/control/granting.rs
+++ b/src/edge/router/control/granting.rs
@@ -79,8 +79,8 @@
         };
         for action in actions {
             match action {
-                order::GranterAction::Append { table, at } => {
-                    actix::spawn(rc::Rc::clone(self).append_table(table, at));
+                order::GranterAction::Append { number, table, at } => {
+                    actix::spawn(rc::Rc::clone(self).append_table(number, table, at));
                 }
                 order::GranterAction::Grant(order) => {
                     actix::spawn(rc::Rc::clone(self).send_grant(order));
@@ -101,7 +101,12 @@
         self.leave().await;
     }
 
-    async fn append_table(self: rc::Rc<Self>, table: assignment::AssignmentTable, at: u64) {
+    async fn append_table(
+        self: rc::Rc<Self>,
+        number: u64,
+        table: assignment::AssignmentTable,
+        at: u64,
+    ) {
         let sent = self.clock.now();
         let records = self.state.borrow().assembly.changed_records(&table);
         let records = match records {
@@ -115,6 +120,7 @@
         let assignments = topic::StoreTopic::Assignments;
         let outcome = self.store.append(assignments, &records, Some(at)).await;
         self.note_append(assignments, outcome);
+        self.note_late_append(number, at);
         if let order::AppendOutcome::Appended { end, .. } = outcome {
             self.apply_appended(records, at, end);
         }
@@ -126,6 +132,7 @@
         tracing::info!(
             event = "book-appended",
             term = table.term,
+            number,
             at,
             records = count,
             moving = moving.count(),
@@ -135,11 +142,21 @@
         self.state
             .borrow_mut()
             .granter
-            .note_appended(outcome, sent, now);
+            .note_appended(number, outcome, sent, now);
         self.publish();
         self.decide();
     }
 
+    // Reports the outcome of an append that a read of the log has already shown, or that the log
+    // has overtaken.
+    fn note_late_append(&self, number: u64, at: u64) {
+        let pending = self.state.borrow().granter.pending_append();
+        if pending != Some(number) {
+            self.metrics.late_append_outcomes.inc();
+            tracing::info!(event = "append-outcome-late", number, at, pending = ?pending);
+        }
+    }
+
     // Adds the records of a successful append to this host's copy, so that it need not read them.
     fn apply_appended(&self, records: Vec<topic::KeyedRecord>, at: u64, end: u64) {
         let records = (at..).zip(records);
--- a/src/edge/router/metrics.rs
+++ b/src/edge/router/metrics.rs
@@ -96,6 +96,9 @@
     pub relayed_bytes: counter::Counter<u64, atomic::AtomicU64>,
     /// Records that could not be decoded.
     pub records_refused: family::Family<TopicLabel, counter::Counter>,
+    /// Outcomes of appends of the assignment table that came after the log had shown the append, or
+    /// had overtaken it.
+    pub late_append_outcomes: counter::Counter,
     /// How often this host took up the granter role.
     pub takeovers: counter::Counter,
     /// Whether this host is the granter.
@@ -127,6 +130,7 @@
             status_exchanges: family::Family::default(),
             relayed_bytes: counter::Counter::default(),
             records_refused: family::Family::default(),
+            late_append_outcomes: counter::Counter::default(),
             takeovers: counter::Counter::default(),
             granting: gauge::Gauge::default(),
             ranges_moving: gauge::Gauge::default(),
@@ -185,6 +189,12 @@
         );
         let refused = self.records_refused.clone();
         registry.register("records_refused", "Records that could not be read", refused);
+        let late = self.late_append_outcomes.clone();
+        registry.register(
+            "late_append_outcomes",
+            "Outcomes of appends that were no longer pending",
+            late,
+        );
         let takeovers = self.takeovers.clone();
         registry.register(
             "takeovers",
--- a/src/ownership/granter/mod.rs
+++ b/src/ownership/granter/mod.rs
@@ -31,6 +31,13 @@
 /// Delay before an append without an outcome is tried again, in milliseconds.
 pub const APPEND_TIMEOUT_MS: u64 = 2_000;
 
+// An append without an outcome.
+#[derive(Debug)]
+struct PendingAppend {
+    number: u64,
+    table: assignment::AssignmentTable,
+}
+
 /// The state of the granter at one host. It sends orders only while the host has the granter role.
 pub struct KeyGranter {
     own: assignment::GranterIncarnation,
@@ -41,7 +48,8 @@
     former_granters: former_granters::FormerGranters,
     table: assignment::AssignmentTable,
     end: Option<u64>,
-    appending: Option<assignment::AssignmentTable>,
+    appending: Option<PendingAppend>,
+    append_number: u64,
     append_retry: clock::MonoTime,
     candidate: bool,
     planned_at: clock::MonoTime,
@@ -82,6 +90,7 @@
             table: assignment::AssignmentTable::default(),
             end: None,
             appending: None,
+            append_number: 0,
             append_retry: origin,
             candidate: false,
             planned_at: origin,
@@ -138,13 +147,11 @@
         if newest == self.table {
             return false;
         }
-        if self.appending.as_ref() == Some(&newest) {
+        let pending = self.appending.as_ref();
+        if let Some(number) = pending.filter(|p| p.table == newest).map(|p| p.number) {
             // The append succeeded; its own response is late or lost.
-            self.note_appended(
-                order::AppendOutcome::Appended { era: 0, end },
-                self.append_sent,
-                now,
-            );
+            let outcome = order::AppendOutcome::Appended { era: 0, end };
+            self.note_appended(number, outcome, self.append_sent, now);
             return true;
         }
         let from_another = newest.granter.as_ref() != Some(&self.own);
@@ -187,9 +194,16 @@
             .note(report);
     }
 
-    /// Handles the outcome of an append that was sent at `sent`.
+    /// Returns the number of the append that has no outcome yet.
+    #[must_use]
+    pub fn pending_append(&self) -> Option<u64> {
+        self.appending.as_ref().map(|pending| pending.number)
+    }
+
+    /// Handles the outcome of the append `number` that was sent at `sent`.
     pub fn note_appended(
         &mut self,
+        _number: u64,
         outcome: order::AppendOutcome,
         sent: clock::MonoTime,
         now: clock::MonoTime,
@@ -202,7 +216,7 @@
                 self.end = self.end.max(Some(end));
                 self.election.confirm(sent);
                 if let Some(appended) = self.appending.take() {
-                    let previous = std::mem::replace(&mut self.table, appended);
+                    let previous = std::mem::replace(&mut self.table, appended.table);
                     self.apply_append(&previous, now);
                 }
             }
@@ -305,22 +319,29 @@
         if std::mem::take(&mut self.yielded) {
             actions.push(order::GranterAction::Yield);
         }
-        if let (Some(table), Some(at)) = (&self.appending, self.end) {
+        if let (Some(pending), Some(at)) = (&self.appending, self.end) {
             if now >= self.append_retry {
                 self.append_retry = now + time::Duration::from_millis(APPEND_TIMEOUT_MS);
                 self.append_sent = now;
                 actions.push(order::GranterAction::Append {
-                    table: table.clone(),
+                    number: pending.number,
+                    table: pending.table.clone(),
                     at,
                 });
             }
         } else if let Some(at) = self.end {
             let next = self.next_table(now, services, servers);
             if let Some(next) = next {
-                self.appending = Some(next.clone());
+                self.append_number += 1;
+                let number = self.append_number;
+                self.appending = Some(PendingAppend {
+                    number,
+                    table: next.clone(),
+                });
                 self.append_retry = now + time::Duration::from_millis(APPEND_TIMEOUT_MS);
                 self.append_sent = now;
-                actions.push(order::GranterAction::Append { table: next, at });
+                let table = next;
+                actions.push(order::GranterAction::Append { number, table, at });
             }
         }
         if self.election.may_order(now) {
--- a/src/ownership/order.rs
+++ b/src/ownership/order.rs
@@ -60,6 +60,8 @@
 pub enum GranterAction {
     /// Append an assignment table to the log, provided that the log ends at `at`.
     Append {
+        /// The number of the append at this host. The sendings of one table have the same number.
+        number: u64,
         /// The table.
         table: assignment::AssignmentTable,
         /// The offset at which the log must end.
--- a/tests/granting.rs
+++ b/tests/granting.rs
@@ -108,14 +108,14 @@
     fn act(&mut self, action: order::GranterAction) {
         let now = fixtures::at(self.now_ms);
         match action {
-            order::GranterAction::Append { at, .. } => {
+            order::GranterAction::Append { number, at, .. } => {
                 assert_eq!(at, self.end, "the append is not at the end of the log");
                 self.end += 1;
                 let outcome = order::AppendOutcome::Appended {
                     era: 0,
                     end: self.end,
                 };
-                self.granter.note_appended(outcome, now, now);
+                self.granter.note_appended(number, outcome, now, now);
             }
             order::GranterAction::Grant(order) => {
                 let outcome = self.outcome_of(&order.address);
@@ -134,7 +134,7 @@
     }
 
     // Runs the granter until it returns an append, which gets no answer; carries out its orders.
-    fn next_append(&mut self) -> (assignment::AssignmentTable, u64) {
+    fn next_append(&mut self) -> (u64, assignment::AssignmentTable, u64) {
         for _ in 0..100 {
             self.now_ms += TICK_MS;
             let now = fixtures::at(self.now_ms);
@@ -142,7 +142,9 @@
             let mut append = None;
             for action in actions {
                 match action {
-                    order::GranterAction::Append { table, at } => append = Some((table, at)),
+                    order::GranterAction::Append { number, table, at } => {
+                        append = Some((number, table, at));
+                    }
                     other => self.act(other),
                 }
             }
@@ -252,17 +254,17 @@
     let mut case = GranterCase::new(3);
     case.run(4_000);
     case.directory.note(record(3));
-    let (first, at) = case.next_append();
+    let (number, first, at) = case.next_append();
     case.read(first.clone());
     case.directory.note(record(4));
-    let (second, _) = case.next_append();
+    let (_, second, _) = case.next_append();
     assert_ne!(first, second);
     let now = fixtures::at(case.now_ms);
     let late = order::AppendOutcome::Appended {
         era: 0,
         end: at + 1,
     };
-    case.granter.note_appended(late, now, now);
+    case.granter.note_appended(number, late, now, now);
     assert_eq!(*case.granter.table(), first);
 }
 
@@ -272,7 +274,7 @@
     let mut case = GranterCase::new(3);
     case.run(4_000);
     case.directory.note(record(3));
-    let (appended, at) = case.next_append();
+    let (number, appended, at) = case.next_append();
     case.end += 1;
     case.read(assignment::AssignmentTable {
         term: appended.term + 1,
@@ -286,7 +288,7 @@
         era: 0,
         end: at + 1,
     };
-    case.granter.note_appended(late, now, now);
+    case.granter.note_appended(number, late, now, now);
     assert!(!case.granter.is_granting());
 }
 
