Take an append's outcome only for the append that it answers

Callers saw two servers hold the same keys; this was one way to it. `note_appended` applied any outcome to the append that was pending at that moment. When a read of the log had shown append X before X's own response came, the next append Y was pending, and X's response made the granter order by Y's table, which was not in the log. A host that then appended at the same offset allocated the same fences.

An outcome now names its append by number. The outcome of an append that is no longer pending changes nothing: a read of the log has shown that it is there, or that the log has overtaken it. The sendings of one table share a number, so the late success of a first sending still counts for the second.

A late conflict or an unknown outcome only ever changed the time of the next sending of Y. That was safe, since Y names the offset, and is ignored now.

--- a/src/ownership/granter/mod.rs
+++ b/src/ownership/granter/mod.rs
@@ -200,15 +200,16 @@
         self.appending.as_ref().map(|pending| pending.number)
     }
 
-    /// Handles the outcome of the append `number` that was sent at `sent`.
+    /// Handles the outcome of the append `number` that was sent at `sent`. An append that is no
+    /// longer pending has been decided by a read of the log.
     pub fn note_appended(
         &mut self,
-        _number: u64,
+        number: u64,
         outcome: order::AppendOutcome,
         sent: clock::MonoTime,
         now: clock::MonoTime,
     ) {
-        if self.appending.is_none() {
+        if self.pending_append() != Some(number) {
             return;
         }
         match outcome {
