Add failing tests of a store that comes back from an older copy

- a reader takes a batch of another era for one that follows its copy (calls seen: newest, read 3, read 5, read 4);
- a read that waits when the store comes back waits on, for up to 3 s, at an offset that has yet to be given out again;
- a server that has left is in use again once its last entry is read again (1 server, expected 0);

--- a/tests/cluster.rs
+++ b/tests/cluster.rs
@@ -165,6 +165,29 @@
     assert_eq!(cluster.directory().servers().count(), 0);
 }
 
+// Guards against a server that has left and comes into use again, because the store came back from an
+// older copy that has its last entry.
+fn ignores_the_last_entry_of_a_removed_server() {
+    let mut cluster = host("a");
+    cluster.note_server(server("s1", 1, 5, READY));
+    cluster.remove_server(&fixtures::name("s1"), fixtures::at(10));
+    cluster.note_server(server("s1", 1, 5, READY));
+    assert_eq!(cluster.directory().servers().count(), 0);
+    cluster.note_server(server("s1", 1, 6, READY));
+    assert_eq!(cluster.directory().servers().count(), 1);
+}
+
+// The store may have lost an entry that its server writes again unchanged.
+fn takes_back_a_lapsed_server_with_its_last_entry() {
+    let mut cluster = host("a");
+    cluster.note_server(server("s1", 1, 5, READY));
+    cluster.note_store("servers", true, fixtures::at(10));
+    cluster.remove_server(&fixtures::name("s1"), fixtures::at(20));
+    cluster.note_server(server("s1", 1, 5, READY));
+    cluster.expire(fixtures::at(20 + directory::REREGISTRATION_TIMEOUT_MS));
+    assert_eq!(cluster.directory().servers().count(), 1);
+}
+
 fn takes_a_server_that_was_born_again() {
     let mut cluster = host("a");
     cluster.note_server(server("s1", 1, 5, DRAINING));
@@ -197,5 +220,7 @@
     keeps_no_leaving_server_that_lapsed,
     ignores_an_entry_that_comes_late,
     ignores_a_late_entry_of_a_removed_server,
+    ignores_the_last_entry_of_a_removed_server,
+    takes_back_a_lapsed_server_with_its_last_entry,
     takes_a_server_that_was_born_again,
 }
--- a/tests/store_reader.rs
+++ b/tests/store_reader.rs
@@ -18,16 +18,19 @@
     Read { from: u64 },
 }
 
-/// A store with scripted responses: the end of the log for each call, or a failure.
+/// A response of the fake store: its era and the end of the log, or a failure.
+type ScriptedResponse = Option<(u64, u64)>;
+
+/// A store with scripted responses.
 #[derive(Clone)]
 struct ScriptedStore {
     calls: rc::Rc<cell::RefCell<Vec<StoreCall>>>,
-    responses: rc::Rc<cell::RefCell<collections::VecDeque<Option<u64>>>>,
+    responses: rc::Rc<cell::RefCell<collections::VecDeque<ScriptedResponse>>>,
     era: rc::Rc<tokio::sync::watch::Sender<u64>>,
 }
 
 impl ScriptedStore {
-    fn new(responses: impl IntoIterator<Item = Option<u64>>) -> Self {
+    fn new(responses: impl IntoIterator<Item = ScriptedResponse>) -> Self {
         Self {
             calls: rc::Rc::default(),
             responses: rc::Rc::new(cell::RefCell::new(responses.into_iter().collect())),
@@ -42,11 +45,13 @@
         let Some(response) = next else {
             return std::future::pending().await;
         };
-        response.ok_or(ports::StoreError::Lost {
+        let (era, end) = response.ok_or(ports::StoreError::Lost {
             step: "read-log",
             peer: ([127, 0, 0, 1], 1).into(),
             error: "timeout".to_owned(),
-        })
+        })?;
+        self.era.send_replace(era);
+        Ok(end)
     }
 }
 
@@ -110,6 +115,11 @@
 
 impl ReaderCase {
     fn new(responses: &[Option<u64>]) -> Self {
+        let responses = responses.iter().map(|end| end.map(|end| (0, end)));
+        Self::with_eras(&responses.collect::<Vec<_>>())
+    }
+
+    fn with_eras(responses: &[ScriptedResponse]) -> Self {
         Self {
             store: ScriptedStore::new(responses.iter().copied()),
             end: rc::Rc::default(),
@@ -210,6 +220,38 @@
     assert_eq!(calls.len(), 3);
 }
 
+// Guards against records of a restored store that are taken for those that follow the copy: their
+// offsets were given out before.
+async fn reads_all_records_after_a_response_of_another_era() {
+    let case = ReaderCase::with_eras(&[Some((0, 3)), Some((1, 5)), Some((1, 4))]);
+    let waited = cell::Cell::new(0);
+    let is_done = |calls: &[StoreCall]| calls.len() > 3 || waited.replace(waited.get() + 1) > 100;
+    let calls = case.follow(is_done).await;
+    let expected = [
+        StoreCall::Newest,
+        StoreCall::Read { from: 3 },
+        StoreCall::Newest,
+        StoreCall::Read { from: 4 },
+    ];
+    assert_eq!(calls, expected);
+}
+
+// Guards against a host that waits at an offset which the restored store has yet to give out again,
+// while changes are acknowledged at lower ones.
+async fn drops_a_waiting_read_when_the_store_was_restored() {
+    let case = ReaderCase::new(&[Some(9)]);
+    let waited = cell::Cell::new(0);
+    let is_done = |calls: &[StoreCall]| {
+        if calls.len() == 2 {
+            case.store.era.send_replace(1);
+        }
+        calls.len() > 2 || waited.replace(waited.get() + 1) > 100
+    };
+    let calls = case.follow(is_done).await;
+    assert_eq!(calls.last(), Some(&StoreCall::Newest), "{calls:?}");
+    assert_eq!(calls.len(), 3);
+}
+
 macro_rules! store_reader_cases {
     ($($name:ident),* $(,)?) => {
         mod cases {
@@ -227,4 +269,6 @@
     continues_where_the_last_read_ended,
     reads_on_from_the_records_of_another_host,
     does_not_read_what_another_host_reads_for_it,
+    reads_all_records_after_a_response_of_another_era,
+    drops_a_waiting_read_when_the_store_was_restored,
 }
