Keep a server that has left out of use when its last entry is read again

A store that comes back from an older copy has entries again that had been removed. The directory took an entry of the version that had been removed, so a server that had left came into use again until its entry expired once more.

After a removal only a higher version brings a server back: one that is up writes a higher sequence with its next heartbeat. While a server is only taken as lapsed, the entry that it had is enough, since a store may have lost it and get it again unchanged.

ignores_the_last_entry_of_a_removed_server failed before (1 server, expected 0) and passes; tests cluster, ownership, owners and host_exchange pass (60).

--- a/src/serving/directory.rs
+++ b/src/serving/directory.rs
@@ -102,12 +102,17 @@
         }
     }
 
-    /// Applies a server's record, unless a newer one is known or was removed.
+    /// Applies a server's record, unless a newer one is known, or this or a newer one was removed.
     pub fn note(&mut self, record: ServerRecord) {
         let name = record.life.server.clone();
-        let known = self.find(&name).map(|known| known.version());
-        let newest = known.max(self.removed.get(&name).copied());
-        if newest.is_some_and(|newest| record.version() < newest) {
+        let is_outdated = match self.find(&name) {
+            Some(known) => record.version() < known.version(),
+            None => self
+                .removed
+                .get(&name)
+                .is_some_and(|removed| record.version() <= *removed),
+        };
+        if is_outdated {
             return;
         }
         self.lapsed.remove(&name);
