Compare copies of the store's topics by era and offset

Hosts kept what a restored store had lost: after the store came back from an older copy, a page or a batch that ended lower counted as outdated until the log had grown past the end of the copy, and then the records at the offsets that had been given out again were passed over. A read that waited at an offset beyond the new end waited on for 3 s, and a read from an offset that had been given out again got 200 and a gap. So an acknowledged change was not in force in time, or not at all.

The cause is that copies were compared by offset alone. A copy's position is now the era and the offset, everywhere: in the copies, the pages and requests between hosts, the ends that hosts tell each other, and the reader. Records of another era never continue a copy; all records of a later era replace it, also where they end lower, and a record counts as unchanged only with the same offset and the same content.

Hosts tell each other the highest era in the status exchange. Messages of earlier builds decode as era 0.

An append of another era is not added to the granter's own copy.

reads_all_records_after_a_response_of_another_era and drops_a_waiting_read_when_the_store_was_restored failed before and pass. The new cases of replicas, catch_up and host_exchange use the new positions and did not run on the old code. Tests replicas, catch_up, store_reader and cluster pass (44), and the four cases of host_exchange about a restored store.

--- a/lab/src/host_simulation.rs
+++ b/lab/src/host_simulation.rs
@@ -120,8 +120,8 @@
     pub hosts: Vec<SimulatedHost>,
     /// How many of 1,000 messages between hosts are lost.
     pub lost_per_mille: u32,
-    /// The offset at which the store's log ends.
-    pub store_end: u64,
+    /// The position at which the store's log ends.
+    pub store_end: topic::LogPosition,
     random: rand::rngs::StdRng,
     queue: collections::BinaryHeap<QueuedEvent>,
     number: u64,
@@ -138,7 +138,7 @@
             now,
             hosts: Vec::new(),
             lost_per_mille: 0,
-            store_end: 1,
+            store_end: topic::LogPosition::new(0, 1),
             random: rand::rngs::StdRng::seed_from_u64(seed),
             queue: collections::BinaryHeap::new(),
             number: 0,
@@ -193,7 +193,7 @@
 
     /// Appends a record to the store's log; the hosts that wait for it read it.
     pub fn append(&mut self) {
-        self.store_end += 1;
+        self.store_end.offset += 1;
         for host in 0..self.hosts.len() {
             if self.hosts[host].is_up && self.hosts[host].cluster.reads(TOPIC, self.now) {
                 self.push_read(host, STORE_MS);
@@ -201,6 +201,12 @@
         }
     }
 
+    /// Lets the store come back from an older copy, without the last `lost` records.
+    pub fn restore(&mut self, lost: u64) {
+        self.store_end.era += 1;
+        self.store_end.offset -= lost;
+    }
+
     /// Runs for `duration` of simulated time.
     pub fn run(&mut self, duration: time::Duration) {
         let end = self.now + duration;
@@ -218,7 +224,7 @@
     #[must_use]
     pub fn informed(&self) -> usize {
         let up = self.hosts.iter().filter(|host| host.is_up);
-        up.filter(|host| host.replica.end() == self.store_end)
+        up.filter(|host| host.replica.position() == self.store_end)
             .count()
     }
 
@@ -270,7 +276,7 @@
 
     fn grants(&self, host: usize) -> cluster::GrantSnapshot {
         let mut ends = topic::TopicEnds::default();
-        ends.set(TOPIC, self.hosts[host].replica.end());
+        ends.set(TOPIC, self.hosts[host].replica.position());
         cluster::GrantSnapshot {
             granter: None,
             term: 0,
@@ -345,6 +351,7 @@
         let now = self.now;
         let ends = self.grants(host).ends;
         self.hosts[host].cluster.check_supply(now);
+        self.check_era(host);
         if let Some(source) = self.hosts[host].cluster.next_record_source(&ends, now) {
             let source = self.by_name[&source.host];
             let answered = self.hosts[source].is_up;
@@ -355,6 +362,15 @@
         }
     }
 
+    // A host that waits for records of the store reads it at once where it hears of a new era.
+    fn check_era(&mut self, host: usize) {
+        let state = &self.hosts[host];
+        let is_behind = state.cluster.store_era() > state.replica.position().era;
+        if is_behind && state.cluster.reads(TOPIC, self.now) {
+            self.push_read(host, STORE_MS);
+        }
+    }
+
     // One read of the store, or one request to the host that supplies this one.
     fn read(&mut self, host: usize) {
         if !self.hosts[host].is_up {
@@ -384,26 +400,33 @@
         if rejected {
             return STORE_RETRY_MS;
         }
-        let from = state.replica.end();
-        let appended = state.replica.append(from, records(from, end), end);
+        state.cluster.note_store_era(end.era);
+        let from = state.replica.position();
+        if from.era < end.era {
+            state.replica.replace(records(0, end.offset), end);
+            return WAIT_MS;
+        }
+        let records = records(from.offset, end.offset);
+        let appended = state.replica.append(from, records, end.offset);
         debug_assert!(appended.is_ok());
         WAIT_MS
     }
 
     fn copy_records(&mut self, source: usize, host: usize) {
-        let from = self.hosts[host].replica.end();
+        let from = self.hosts[host].replica.position();
         let replica = &self.hosts[source].replica;
-        if !replica.is_filled() || replica.end() <= from {
+        if !replica.is_filled() || replica.position() <= from {
             return;
         }
         let page = replica.page(TOPIC, from, false, usize::MAX);
+        let start = page.start();
         let records = page.records.into_iter().map(topic::LogRecord::from);
         let records: Vec<_> = records.collect();
         let replica = &mut self.hosts[host].replica;
-        if page.from == 0 {
-            replica.replace(records, page.end);
+        if start.offset == 0 {
+            replica.replace(records, topic::LogPosition::new(start.era, page.end));
         } else {
-            let appended = replica.append(page.from, records, page.next);
+            let appended = replica.append(start, records, page.next);
             debug_assert!(appended.is_ok());
         }
     }
--- a/src/edge/router/control/eras.rs
+++ b/src/edge/router/control/eras.rs
@@ -16,19 +16,23 @@
         let mut stated = self.store.era();
         loop {
             let era = *stated.borrow_and_update();
-            self.note_era(era);
+            self.state.borrow_mut().cluster.note_store_era(era);
+            self.update_era();
             if stated.changed().await.is_err() {
                 return;
             }
         }
     }
 
-    fn note_era(&self, era: u64) {
-        let era = i64::try_from(era).unwrap_or(i64::MAX);
-        let previous = self.metrics.store_era.get();
+    // Tells the readers of the topics where this host or another has seen a higher era.
+    pub(super) fn update_era(&self) {
+        let era = self.state.borrow().cluster.store_era();
+        let previous = *self.era.borrow();
         if era > previous {
-            self.metrics.store_era.set(era);
             tracing::warn!(event = "store-restored", era, previous);
+            let gauge = i64::try_from(era).unwrap_or(i64::MAX);
+            self.metrics.store_era.set(gauge);
+            self.era.send_replace(era);
         }
     }
 }
--- a/src/edge/router/control/granting.rs
+++ b/src/edge/router/control/granting.rs
@@ -115,8 +115,8 @@
         let assignments = topic::StoreTopic::Assignments;
         let outcome = self.store.append(assignments, &records, Some(at)).await;
         self.note_append(assignments, outcome);
-        if let order::AppendOutcome::Appended { end, .. } = outcome {
-            self.apply_appended(records, at, end);
+        if let order::AppendOutcome::Appended { era, end } = outcome {
+            self.apply_appended(records, topic::LogPosition::new(era, at), end);
         }
         let moving = table
             .services
@@ -141,8 +141,8 @@
     }
 
     // Adds the records of a successful append to this host's copy, so that it need not read them.
-    fn apply_appended(&self, records: Vec<topic::KeyedRecord>, at: u64, end: u64) {
-        let records = (at..).zip(records);
+    fn apply_appended(&self, records: Vec<topic::KeyedRecord>, at: topic::LogPosition, end: u64) {
+        let records = (at.offset..).zip(records);
         let records = records.map(|(offset, record)| topic::LogRecord { offset, record });
         self.apply_records(topic::StoreTopic::Assignments, at, records.collect(), end);
     }
--- a/src/edge/router/control/hosts.rs
+++ b/src/edge/router/control/hosts.rs
@@ -117,6 +117,7 @@
                 cluster.note_exchange_failed(&target.host, now);
             }
         }
+        self.update_era();
         self.update_reading();
     }
 
@@ -183,6 +184,8 @@
         let grants = state.grant_snapshot();
         let response = state.cluster.response_to(&request, &grants, now);
         state.cluster.note_request(request, now);
+        drop(state);
+        self.update_era();
         response
     }
 }
--- a/src/edge/router/control/mod.rs
+++ b/src/edge/router/control/mod.rs
@@ -77,10 +77,13 @@
 }
 
 impl ControlState {
-    // The offsets at which this host's copies of the topics end.
+    // The positions at which this host's copies of the topics end.
     fn ends(&self) -> topic::TopicEnds {
-        let ends = topic::StoreTopic::ALL.map(|topic| self.replicas[topic.index()].end());
-        topic::TopicEnds { ends }
+        let mut ends = topic::TopicEnds::default();
+        for topic in topic::StoreTopic::ALL {
+            ends.set(topic, self.replicas[topic.index()].position());
+        }
+        ends
     }
 
     // What this host knows of the assignments, for the exchange with other hosts.
@@ -108,6 +111,8 @@
     exchanging: cell::RefCell<collections::BTreeSet<names::HostName>>,
     // Whether this host reads each topic of the store, in the order of `StoreTopic::ALL`.
     reading: [tokio::sync::watch::Sender<bool>; 4],
+    // The highest era of the store that this host or another has seen.
+    era: tokio::sync::watch::Sender<u64>,
     // Counts the changes of this host's copies of the topics.
     changes: tokio::sync::watch::Sender<u64>,
     join_interval: time::Duration,
@@ -146,6 +151,7 @@
             status_client: status_exchange::StatusExchangeClient::new(),
             exchanging: cell::RefCell::default(),
             reading: topic::StoreTopic::ALL.map(|_| tokio::sync::watch::Sender::new(false)),
+            era: tokio::sync::watch::Sender::new(0),
             changes: tokio::sync::watch::Sender::new(0),
             join_interval: parts.join_interval,
             drain: parts.drain,
--- a/src/edge/router/control/records.rs
+++ b/src/edge/router/control/records.rs
@@ -30,7 +30,7 @@
 #[derive(Debug, Default)]
 struct PendingTopic {
     records: Vec<topic::LogRecord>,
-    next: u64,
+    next: topic::LogPosition,
 }
 
 impl<S, O, D> control::ControlThread<S, O, D>
@@ -108,9 +108,11 @@
         let ends = self.state.borrow().ends();
         let pages = topic::StoreTopic::ALL.iter().map(|topic| {
             let pending = pending.get(topic);
+            let from = pending.map_or(ends.end(*topic), |pending| pending.next);
             status::PageRequest {
                 topic: *topic,
-                from: pending.map_or(ends.end(*topic), |pending| pending.next),
+                era: Some(from.era),
+                from: from.offset,
                 is_continued: pending.is_some(),
             }
         });
@@ -140,32 +142,34 @@
     // Applies a page: records that follow those of this host's copy, or a part of all records, which
     // replace the copy once the last part is there.
     fn apply_page(&self, page: replica::RecordPage, pending: &mut PendingPages) {
+        let start = page.start();
         let replica::RecordPage {
             topic,
-            from,
             records,
             next,
             end,
+            ..
         } = page;
         let records = records.into_iter().map(topic::LogRecord::from);
         let collected = pending.get(&topic).map(|pending| pending.next);
-        if from > 0 && collected.is_none() {
-            self.apply_records(topic, from, records.collect(), next);
+        if start.offset > 0 && collected.is_none() {
+            self.apply_records(topic, start, records.collect(), next);
             return;
         }
-        if from > 0 && collected != Some(from) {
+        if start.offset > 0 && collected != Some(start) {
             pending.remove(&topic);
             return;
         }
         let parts = pending.entry(topic).or_default();
-        if from == 0 {
+        if start.offset == 0 {
             parts.records.clear();
         }
         parts.records.extend(records);
-        parts.next = next;
+        parts.next = topic::LogPosition::new(start.era, next);
         if next >= end
             && let Some(parts) = pending.remove(&topic)
         {
+            let end = topic::LogPosition::new(start.era, end);
             self.replace_records(topic, parts.records, end);
         }
     }
@@ -195,8 +199,8 @@
         let state = self.state.borrow();
         let pages = request.pages.iter().filter_map(|request| {
             let replica = &state.replicas[request.topic.index()];
-            let has_newer = replica.is_filled() && replica.end() > request.from;
-            let (from, is_continued) = (request.from, request.is_continued);
+            let (from, is_continued) = (request.start(), request.is_continued);
+            let has_newer = replica.is_filled() && replica.position() > from;
             has_newer.then(|| replica.page(request.topic, from, is_continued, MAX_PAGE_BYTES))
         });
         let pages: Vec<_> = pages.collect();
--- a/src/edge/router/control/store.rs
+++ b/src/edge/router/control/store.rs
@@ -43,8 +43,14 @@
     ) {
         let position = || self.read_position(topic);
         let on_update = |purpose, update| self.apply_update(topic, purpose, update);
-        let (store, clock) = (self.store.clone(), self.clock);
-        store_reader::follow(store, topic, clock, is_reading, position, on_update).await;
+        let source = store_reader::ReadSource {
+            store: self.store.clone(),
+            topic,
+            clock: self.clock,
+            is_reading,
+            era: self.era.subscribe(),
+        };
+        store_reader::follow(source, position, on_update).await;
     }
 
     // Starts and stops the reads of the topics as this host's part in reading the store changes.
@@ -77,7 +83,7 @@
         store_reader::ReadPosition {
             wait: time::Duration::from_millis(wait_ms),
             pause,
-            from: replica.is_filled().then(|| replica.end()),
+            from: replica.is_filled().then(|| replica.position()),
         }
     }
 
@@ -92,7 +98,8 @@
         match update {
             store_reader::StoreUpdate::Snapshot(snapshot) => self.apply_snapshot(topic, snapshot),
             store_reader::StoreUpdate::Batch(batch) => {
-                self.apply_records(topic, batch.from, batch.records, batch.next);
+                let from = topic::LogPosition::new(batch.era, batch.from);
+                self.apply_records(topic, from, batch.records, batch.next);
             }
             store_reader::StoreUpdate::Unchanged(sent) => {
                 if topic == topic::StoreTopic::Assignments {
@@ -123,27 +130,26 @@
     }
 
     fn apply_snapshot(&self, topic: topic::StoreTopic, snapshot: ports::StoreSnapshot) {
-        let changed = {
-            let mut state = self.state.borrow_mut();
-            let replica = &mut state.replicas[topic.index()];
-            if snapshot.end < replica.end() {
-                tracing::error!(
-                    event = "records-ahead-of-store",
-                    topic = topic.as_str(),
-                    end = replica.end(),
-                    store_end = snapshot.end
-                );
-            }
-            replica.replace(snapshot.records, snapshot.end)
-        };
-        self.apply_changes(topic, &changed);
+        let end = topic::LogPosition::new(snapshot.era, snapshot.end);
+        let known = self.state.borrow().replicas[topic.index()].position();
+        if end < known {
+            tracing::warn!(
+                event = "records-ahead-of-store",
+                topic = topic.as_str(),
+                era = known.era,
+                end = known.offset,
+                store_era = end.era,
+                store_end = end.offset
+            );
+        }
+        self.replace_records(topic, snapshot.records, end);
     }
 
     // Applies records that follow those of this host's copy. Records that do not are refused.
     pub(super) fn apply_records(
         &self,
         topic: topic::StoreTopic,
-        from: u64,
+        from: topic::LogPosition,
         records: Vec<topic::LogRecord>,
         next: u64,
     ) {
@@ -153,18 +159,20 @@
         };
         match appended {
             Ok(changed) => self.apply_changes(topic, &changed),
-            // Another host's copy was read meanwhile.
-            Err(replica::ReplicaError::Outdated { .. }) => {}
+            // Another host's copy was read meanwhile, or all records of a new era are read next.
+            Err(
+                replica::ReplicaError::Outdated { .. } | replica::ReplicaError::OtherEra { .. },
+            ) => {}
             Err(error) => self.note_rejected(topic, &error),
         }
     }
 
-    // Replaces this host's copy with another host's.
+    // Replaces this host's copy with the store's, or with another host's.
     pub(super) fn replace_records(
         &self,
         topic: topic::StoreTopic,
         records: Vec<topic::LogRecord>,
-        end: u64,
+        end: topic::LogPosition,
     ) {
         let changed = {
             let mut state = self.state.borrow_mut();
--- a/src/edge/router/store_reader.rs
+++ b/src/edge/router/store_reader.rs
@@ -53,60 +53,184 @@
     pub wait: time::Duration,
     /// The pause after a read that returned records, so that the next read returns more at once.
     pub pause: time::Duration,
-    /// The offset from which to read on; `None` where a snapshot is needed.
-    pub from: Option<u64>,
+    /// The position from which to read on; `None` where a snapshot is needed.
+    pub from: Option<topic::LogPosition>,
 }
 
-/// Follows a topic while `is_reading` holds, until the process ends. Starts over with a snapshot where
-/// the store no longer keeps the next records, and after a failed read: by then the snapshot is
-/// shorter than the records that it replaces.
+/// What a reader follows.
+#[derive(Clone, Debug)]
+pub struct ReadSource<S> {
+    /// The store's client.
+    pub store: S,
+    /// The topic.
+    pub topic: topic::StoreTopic,
+    /// The clock.
+    pub clock: clock::SystemClock,
+    /// Whether this host reads the topic.
+    pub is_reading: tokio::sync::watch::Receiver<bool>,
+    /// The highest era of the store that this host or another has seen.
+    pub era: tokio::sync::watch::Receiver<u64>,
+}
+
+/// Follows a topic while this host reads it, until the process ends. Starts over with a snapshot where
+/// the store no longer keeps the next records, where it has come back from an older copy, and after a
+/// failed read: by then the snapshot is shorter than the records that it replaces.
 pub async fn follow<S: ports::StorePort>(
-    store: S,
-    topic: topic::StoreTopic,
-    clock: clock::SystemClock,
-    mut is_reading: tokio::sync::watch::Receiver<bool>,
+    source: ReadSource<S>,
     position: impl Fn() -> ReadPosition,
     on_update: impl Fn(ReadPurpose, StoreUpdate),
 ) {
-    let mut needs_snapshot = false;
-    let mut retry_delay = time::Duration::from_millis(RETRY_DELAY_MS);
-    loop {
-        // The control thread has ended where the sender is gone.
-        if is_reading.wait_for(|is_reading| *is_reading).await.is_err() {
-            return;
+    let mut reader = TopicReader::new(source);
+    // The control thread has ended where the sender is gone.
+    while reader.is_reading().await {
+        let ReadStep { update, pause } = reader.read(&position()).await;
+        if let Some((purpose, update)) = update {
+            on_update(purpose, update);
         }
-        let sent = clock.now();
-        let position = position();
-        let from = position.from.filter(|_| !needs_snapshot);
-        let purpose = from.map_or(ReadPurpose::Snapshot, |_| ReadPurpose::Wait);
-        let (update, pause) = match from {
-            None => match store.newest(topic).await {
-                Ok(snapshot) => (StoreUpdate::Snapshot(snapshot), time::Duration::ZERO),
-                Err(error) => (StoreUpdate::Failed(error), retry_delay),
-            },
-            Some(from) => match store.read(topic, from, position.wait).await {
-                Ok(batch) if batch.next == from => {
-                    (StoreUpdate::Unchanged(sent), time::Duration::ZERO)
-                }
-                Ok(batch) => (StoreUpdate::Batch(batch), position.pause),
-                Err(ports::StoreError::Gone { .. }) => {
-                    needs_snapshot = true;
-                    continue;
-                }
-                Err(error) => (StoreUpdate::Failed(error), retry_delay),
-            },
+        reader.pause(pause).await;
+    }
+}
+
+// What a read returned, if anything, and the pause before the next one.
+struct ReadStep {
+    update: Option<(ReadPurpose, StoreUpdate)>,
+    pause: time::Duration,
+}
+
+impl ReadStep {
+    const fn new(purpose: ReadPurpose, update: StoreUpdate, pause: time::Duration) -> Self {
+        let update = Some((purpose, update));
+        Self { update, pause }
+    }
+
+    const fn without_update(pause: time::Duration) -> Self {
+        let update = None;
+        Self { update, pause }
+    }
+}
+
+struct TopicReader<S> {
+    source: ReadSource<S>,
+    // The highest era that was known when the last read began.
+    known_era: u64,
+    needs_snapshot: bool,
+    // Whether the last read from an offset found it gone.
+    was_gone: bool,
+    retry_delay: time::Duration,
+}
+
+impl<S: ports::StorePort> TopicReader<S> {
+    const fn new(source: ReadSource<S>) -> Self {
+        Self {
+            source,
+            known_era: 0,
+            needs_snapshot: false,
+            was_gone: false,
+            retry_delay: time::Duration::from_millis(RETRY_DELAY_MS),
+        }
+    }
+
+    async fn is_reading(&mut self) -> bool {
+        let reading = self.source.is_reading.wait_for(|is_reading| *is_reading);
+        reading.await.is_ok()
+    }
+
+    async fn read(&mut self, position: &ReadPosition) -> ReadStep {
+        self.known_era = *self.source.era.borrow();
+        let from = position.from.filter(|from| from.era >= self.known_era);
+        match from.filter(|_| !self.needs_snapshot) {
+            Some(from) => self.read_batch(from, position).await,
+            None => self.read_snapshot().await,
+        }
+    }
+
+    async fn read_snapshot(&mut self) -> ReadStep {
+        let purpose = ReadPurpose::Snapshot;
+        match self.source.store.newest(self.source.topic).await {
+            // It was read before the store came back.
+            Ok(snapshot) if snapshot.era < self.known_era => {
+                ReadStep::without_update(self.next_retry_delay())
+            }
+            Ok(snapshot) => {
+                self.note_success();
+                let update = StoreUpdate::Snapshot(snapshot);
+                ReadStep::new(purpose, update, time::Duration::ZERO)
+            }
+            Err(error) => self.failed_step(purpose, error),
+        }
+    }
+
+    // A read that waits ends once the store is known to have a higher era: it may wait at an offset
+    // that has yet to be given out again.
+    async fn read_batch(&mut self, from: topic::LogPosition, position: &ReadPosition) -> ReadStep {
+        let sent = self.source.clock.now();
+        let mut era = self.source.era.clone();
+        let read = self
+            .source
+            .store
+            .read(self.source.topic, from.offset, position.wait);
+        let result = tokio::select! {
+            biased;
+            result = read => result,
+            Ok(_) = era.wait_for(|era| *era > from.era) => {
+                return ReadStep::without_update(time::Duration::ZERO);
+            }
         };
-        let failed = matches!(update, StoreUpdate::Failed(_));
-        needs_snapshot = failed;
+        let purpose = ReadPurpose::Wait;
+        match result {
+            Ok(batch) if batch.era != from.era => {
+                self.needs_snapshot = true;
+                ReadStep::without_update(time::Duration::ZERO)
+            }
+            Ok(batch) => {
+                self.note_success();
+                self.was_gone = false;
+                if batch.next == from.offset {
+                    let update = StoreUpdate::Unchanged(sent);
+                    return ReadStep::new(purpose, update, time::Duration::ZERO);
+                }
+                ReadStep::new(purpose, StoreUpdate::Batch(batch), position.pause)
+            }
+            Err(ports::StoreError::Gone { .. }) => self.gone_step(),
+            Err(error) => self.failed_step(purpose, error),
+        }
+    }
+
+    // A snapshot that the copy did not accept leaves it where it was: then the next one has to wait.
+    fn gone_step(&mut self) -> ReadStep {
+        self.needs_snapshot = true;
+        if std::mem::replace(&mut self.was_gone, true) {
+            return ReadStep::without_update(self.next_retry_delay());
+        }
+        ReadStep::without_update(time::Duration::ZERO)
+    }
+
+    fn failed_step(&mut self, purpose: ReadPurpose, error: ports::StoreError) -> ReadStep {
+        self.needs_snapshot = true;
+        let pause = self.next_retry_delay();
+        ReadStep::new(purpose, StoreUpdate::Failed(error), pause)
+    }
+
+    const fn note_success(&mut self) {
+        self.needs_snapshot = false;
+        self.retry_delay = time::Duration::from_millis(RETRY_DELAY_MS);
+    }
+
+    fn next_retry_delay(&mut self) -> time::Duration {
         let longest = time::Duration::from_millis(MAX_RETRY_DELAY_MS);
-        retry_delay = if failed {
-            (retry_delay * 2).min(longest)
-        } else {
-            time::Duration::from_millis(RETRY_DELAY_MS)
-        };
-        on_update(purpose, update);
-        if pause > time::Duration::ZERO {
-            tokio::time::sleep(pause).await;
+        let next = (self.retry_delay * 2).min(longest);
+        std::mem::replace(&mut self.retry_delay, next)
+    }
+
+    // A higher era ends the pause: the store is back.
+    async fn pause(&mut self, pause: time::Duration) {
+        if pause.is_zero() {
+            return;
+        }
+        let known = self.known_era;
+        tokio::select! {
+            () = tokio::time::sleep(pause) => {}
+            Ok(_) = self.source.era.wait_for(|era| *era > known) => {}
         }
     }
 }
--- a/src/serving/catch_up.rs
+++ b/src/serving/catch_up.rs
@@ -16,7 +16,7 @@
 /// Minimum interval between two requests of one host, in milliseconds.
 pub const REQUEST_INTERVAL_MS: u64 = 500;
 
-// Offsets that other hosts' copies reach and this host's do not.
+// Positions that other hosts' copies reach and this host's do not.
 #[derive(Clone, Copy, Debug)]
 struct RecordLag {
     ends: topic::TopicEnds,
@@ -39,7 +39,7 @@
         Self::default()
     }
 
-    /// Records at which offsets this host's copies end, and at which others' do.
+    /// Records at which positions this host's copies end, and at which others' do.
     pub fn note_ends(
         &mut self,
         own: &topic::TopicEnds,
--- a/src/serving/cluster/exchange.rs
+++ b/src/serving/cluster/exchange.rs
@@ -163,6 +163,7 @@
             uptime_millis: u64::try_from(uptime).unwrap_or(u64::MAX),
             store_lost: self.store_lost(),
             ends: grants.ends,
+            store_era: Some(self.store_era),
             term: grants.term,
             demand: None,
             loads: None,
@@ -251,6 +252,7 @@
         if host == self.own.host {
             return None;
         }
+        self.note_store_era(update.store_era.unwrap_or(0));
         self.hosts.insert(host.clone(), update.record.clone());
         self.upstream.note_response(&host, update.store_lost, now);
         let peer = cluster::PeerState {
--- a/src/serving/cluster/mod.rs
+++ b/src/serving/cluster/mod.rs
@@ -56,6 +56,8 @@
     supply: Option<SupplyState>,
     peers: collections::BTreeMap<names::HostName, PeerState>,
     lost: collections::BTreeSet<&'static str>,
+    // The highest era of the store that this host or another has seen.
+    store_era: u64,
     demand: view::HostDemand,
     loads: demand::LoadReport,
     reports: demand::DemandReports,
@@ -79,6 +81,7 @@
             supply: None,
             peers: collections::BTreeMap::new(),
             lost: collections::BTreeSet::new(),
+            store_era: 0,
             demand: view::HostDemand::default(),
             loads: demand::LoadReport::default(),
             reports: demand::DemandReports::new(),
@@ -161,6 +164,17 @@
         before != self.store_lost()
     }
 
+    /// Records that the store, or another host, has stated its era.
+    pub fn note_store_era(&mut self, era: u64) {
+        self.store_era = self.store_era.max(era);
+    }
+
+    /// Returns the highest era of the store that this host or another has seen.
+    #[must_use]
+    pub const fn store_era(&self) -> u64 {
+        self.store_era
+    }
+
     /// Returns where this host gets the store's records from.
     #[must_use]
     pub fn source(&self) -> upstream::RecordSource {
@@ -264,6 +278,6 @@
     pub granter: Option<assignment::GranterIncarnation>,
     /// The term of the newest table.
     pub term: u64,
-    /// The offsets at which the host's copies of the store's topics end.
+    /// The positions at which the host's copies of the store's topics end.
     pub ends: topic::TopicEnds,
 }
--- a/src/serving/cluster/records.rs
+++ b/src/serving/cluster/records.rs
@@ -11,7 +11,7 @@
 
 impl cluster::ClusterState {
     /// Returns the host from which this one requests the store records that it lacks, where a request
-    /// is due at `now`. `own` are the offsets at which its copies end.
+    /// is due at `now`. `own` are the positions at which its copies end.
     /// [`Self::note_request_ended`] must be called when the request has ended.
     pub fn next_record_source(
         &mut self,
--- a/src/serving/replica.rs
+++ b/src/serving/replica.rs
@@ -1,7 +1,9 @@
 //! A host's copies of the store's topics: the newest record of each key.
 //!
-//! A copy is filled by reads of the store, or by another host's copy. It keeps the offsets that the
-//! store gave, so that copies can be compared and continued from one another.
+//! A copy is filled by reads of the store, or by another host's copy. It keeps the era of the store and
+//! the offsets that the store gave, so that copies can be compared and continued from one another. A
+//! store that came back from an older copy gives out offsets again: records of another era never
+//! continue a copy, all of them replace it.
 
 use std::collections;
 use std::sync;
@@ -18,6 +20,8 @@
 pub struct RecordPage {
     /// The topic.
     pub topic: topic::StoreTopic,
+    /// The era of the sender's copy; builds before 0.3 send none.
+    pub era: Option<u64>,
     /// The offset from which the records were selected. 0 where they replace all that the receiver
     /// has: the page, or the first of several, begins with the oldest record.
     pub from: u64,
@@ -43,6 +47,14 @@
     pub value: Option<String>,
 }
 
+impl RecordPage {
+    /// Returns the position from which the records were selected.
+    #[must_use]
+    pub fn start(&self) -> topic::LogPosition {
+        topic::LogPosition::new(self.era.unwrap_or(0), self.from)
+    }
+}
+
 impl PageRecord {
     fn new(stored: &topic::LogRecord) -> Self {
         let value = stored.record.value.as_ref();
@@ -92,6 +104,14 @@
         /// The offset at which the copy ends.
         end: u64,
     },
+    /// The records are of another era than the copy.
+    #[snafu(display("records of era {era}, but the copy is of era {known}"))]
+    OtherEra {
+        /// The era of the records.
+        era: u64,
+        /// The era of the copy.
+        known: u64,
+    },
     /// A record has an offset outside the range that its page covers.
     #[snafu(display("a record at {offset} in a page from {from} to {next}"))]
     OutOfRange {
@@ -113,7 +133,7 @@
     removals: collections::BTreeSet<u64>,
     // All removals from this offset on are kept.
     removals_from: u64,
-    end: u64,
+    end: topic::LogPosition,
     is_filled: bool,
 }
 
@@ -127,6 +147,12 @@
     /// Returns the offset at which the copy ends.
     #[must_use]
     pub const fn end(&self) -> u64 {
+        self.end.offset
+    }
+
+    /// Returns the position at which the copy ends.
+    #[must_use]
+    pub const fn position(&self) -> topic::LogPosition {
         self.end
     }
 
@@ -136,84 +162,111 @@
         self.is_filled
     }
 
-    /// Adds records that follow those of the copy, up to the offset `next`. Returns those that
-    /// change it.
+    /// Adds records that follow those of the copy, from a position up to the offset `next`. Returns
+    /// those that change it.
     ///
     /// # Errors
-    /// Fails where records before these are missing, where they are older than the copy, or where a
-    /// record lies outside the range given.
+    /// Fails where records before these are missing, where they are older than the copy or of another
+    /// era, or where a record lies outside the range given.
     pub fn append(
         &mut self,
-        from: u64,
+        from: topic::LogPosition,
         records: Vec<topic::LogRecord>,
         next: u64,
     ) -> Result<Vec<topic::LogRecord>, ReplicaError> {
-        if from > self.end {
-            let end = self.end;
-            return Err(ReplicaError::Gap { from, end });
+        let topic::LogPosition { era, offset: from } = from;
+        let topic::LogPosition {
+            era: known_era,
+            offset: known,
+        } = self.end;
+        if era != known_era {
+            let known = known_era;
+            return Err(ReplicaError::OtherEra { era, known });
         }
-        if next < self.end {
-            let end = self.end;
-            return Err(ReplicaError::Outdated { next, end });
+        if from > known {
+            return Err(ReplicaError::Gap { from, end: known });
+        }
+        if next < known {
+            return Err(ReplicaError::Outdated { next, end: known });
         }
         check_offsets(&records, from, next)?;
-        let known = self.end;
         let newer = records.into_iter().filter(|stored| stored.offset >= known);
         let newer: Vec<_> = newer.collect();
         for stored in &newer {
             self.insert(stored);
         }
-        self.end = next;
+        self.end.offset = next;
         self.is_filled |= from == 0;
         Ok(newer)
     }
 
-    /// Replaces the copy with the newest record of every key, up to the offset `end`. Returns the
-    /// changes, with the removals of keys that are gone.
-    pub fn replace(&mut self, records: Vec<topic::LogRecord>, end: u64) -> Vec<topic::LogRecord> {
-        let known = std::mem::take(&mut self.offsets);
-        self.records.clear();
+    /// Replaces the copy with the newest record of every key, up to the position `end`. Returns the
+    /// changes, with the removals of keys that are gone; none where the copy ends later.
+    pub fn replace(
+        &mut self,
+        records: Vec<topic::LogRecord>,
+        end: topic::LogPosition,
+    ) -> Vec<topic::LogRecord> {
+        if end < self.end {
+            return Vec::new();
+        }
+        let offsets = std::mem::take(&mut self.offsets);
+        let known = std::mem::take(&mut self.records);
         self.removals.clear();
         // The removals before this point are not known.
-        self.removals_from = end;
+        self.removals_from = end.offset;
         self.end = end;
         self.is_filled = true;
         for stored in &records {
             self.insert(stored);
         }
-        let gone = known.keys().filter(|key| !self.offsets.contains_key(*key));
+        let gone = offsets
+            .keys()
+            .filter(|key| !self.offsets.contains_key(*key));
         let removals = gone.map(|key| topic::LogRecord {
-            offset: end.saturating_sub(1),
+            offset: end.offset.saturating_sub(1),
             record: topic::KeyedRecord {
                 key: sync::Arc::clone(key),
                 value: None,
             },
         });
         let removals: Vec<_> = removals.collect();
+        // In another era, another record may stand at the same offset.
         let changed = records
             .into_iter()
-            .filter(|stored| known.get(&stored.record.key) != Some(&stored.offset));
+            .filter(|stored| known.get(&stored.offset) != Some(&stored.record));
         changed.chain(removals).collect()
     }
 
-    /// Returns the records from the offset `from` on, up to about `max_bytes` and at least one.
-    /// Selects all records where removals since `from` are no longer known, unless `is_continued`
-    /// says that the receiver is collecting pages that replace all it has.
+    /// Reports whether this record is the newest of its key.
+    #[must_use]
+    pub fn holds(&self, record: &topic::KeyedRecord) -> bool {
+        let offset = self.offsets.get(&record.key);
+        let newest = offset.and_then(|offset| self.records.get(offset));
+        newest == Some(record)
+    }
+
+    /// Returns the records from the position `from` on, up to about `max_bytes` and at least one.
+    /// Selects all records where `from` is of another era, and where removals since `from` are no
+    /// longer known, unless `is_continued` says that the receiver is collecting pages that replace all
+    /// it has.
     #[must_use]
     pub fn page(
         &self,
         topic: topic::StoreTopic,
-        from: u64,
+        from: topic::LogPosition,
         is_continued: bool,
         max_bytes: usize,
     ) -> RecordPage {
-        let restarts = !is_continued && from < self.removals_from;
-        let from = if restarts { 0 } else { from };
+        let topic::LogPosition { era, offset: end } = self.end;
+        let restarts = !is_continued && from.offset < self.removals_from;
+        let restarts = restarts || from.era != era;
+        let from = if restarts { 0 } else { from.offset };
         let mut records = Vec::new();
         let mut size = 0;
-        let mut next = self.end;
+        let mut next = end;
         // A snapshot read in several calls may hold records beyond its end.
-        for (offset, record) in self.records.range(from..self.end.max(from)) {
+        for (offset, record) in self.records.range(from..end.max(from)) {
             if from == 0 && record.value.is_none() {
                 continue;
             }
@@ -231,10 +284,11 @@
         }
         RecordPage {
             topic,
+            era: Some(era),
             from,
             records,
             next,
-            end: self.end,
+            end,
         }
     }
 
--- a/src/serving/status.rs
+++ b/src/serving/status.rs
@@ -63,8 +63,10 @@
     pub uptime_millis: u64,
     /// Whether neither its own reads of the store nor those of the host that supplies it succeed.
     pub store_lost: bool,
-    /// The offsets at which its copies of the store's topics end.
+    /// The positions at which its copies of the store's topics end.
     pub ends: topic::TopicEnds,
+    /// The highest era of the store that it knows; builds before 0.3 send none.
+    pub store_era: Option<u64>,
     /// The term of the newest assignment table that it knows.
     pub term: u64,
     /// The demand that the receiver does not know otherwise, by the purpose of the exchange.
@@ -80,12 +82,22 @@
 pub struct PageRequest {
     /// The topic.
     pub topic: topic::StoreTopic,
+    /// The era of the copy that it continues; builds before 0.3 send none.
+    pub era: Option<u64>,
     /// The offset of the first record that the host lacks.
     pub from: u64,
     /// Whether the host is collecting pages that replace all it has.
     pub is_continued: bool,
 }
 
+impl PageRequest {
+    /// Returns the position of the first record that the host lacks.
+    #[must_use]
+    pub fn start(&self) -> topic::LogPosition {
+        topic::LogPosition::new(self.era.unwrap_or(0), self.from)
+    }
+}
+
 /// A host's request for the store records that it lacks.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(serde::Serialize, serde::Deserialize)]
--- a/src/serving/topic.rs
+++ b/src/serving/topic.rs
@@ -74,41 +74,52 @@
     pub offset: u64,
 }
 
-/// For each topic, an offset at which a copy of its log ends.
+impl LogPosition {
+    /// Creates a position.
+    #[must_use]
+    pub const fn new(era: u64, offset: u64) -> Self {
+        Self { era, offset }
+    }
+}
+
+/// For each topic, the position at which a copy of its log ends.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 #[derive(serde::Serialize, serde::Deserialize)]
-#[serde(rename_all = "kebab-case")]
+#[serde(rename_all = "kebab-case", default)]
 pub struct TopicEnds {
-    /// The end of each topic's log, in the order of [`StoreTopic::ALL`].
+    /// The offset at which each copy ends, in the order of [`StoreTopic::ALL`].
     pub ends: [u64; 4],
+    /// The era of each copy. Builds before 0.3 send none: their copies are of the first.
+    pub eras: [u64; 4],
 }
 
 impl TopicEnds {
-    /// Returns the end of a topic's log.
+    /// Returns the position at which the copy of a topic ends.
     #[must_use]
-    pub const fn end(&self, topic: StoreTopic) -> u64 {
-        self.ends[topic.index()]
+    pub const fn end(&self, topic: StoreTopic) -> LogPosition {
+        LogPosition::new(self.eras[topic.index()], self.ends[topic.index()])
     }
 
-    /// Sets the end of a topic's log.
-    pub const fn set(&mut self, topic: StoreTopic, end: u64) {
-        self.ends[topic.index()] = end;
+    /// Sets the position at which the copy of a topic ends.
+    pub const fn set(&mut self, topic: StoreTopic, end: LogPosition) {
+        self.eras[topic.index()] = end.era;
+        self.ends[topic.index()] = end.offset;
     }
 
     /// Returns the later end of each topic.
     #[must_use]
     pub fn max(self, other: Self) -> Self {
-        let mut ends = self.ends;
-        for (end, other) in ends.iter_mut().zip(other.ends) {
-            *end = (*end).max(other);
+        let mut ends = self;
+        for topic in StoreTopic::ALL {
+            ends.set(topic, self.end(topic).max(other.end(topic)));
         }
-        Self { ends }
+        ends
     }
 
     /// Reports whether `other` has a later end of any topic.
     #[must_use]
     pub fn is_behind(&self, other: &Self) -> bool {
-        let mut pairs = self.ends.iter().zip(other.ends);
-        pairs.any(|(own, other)| *own < other)
+        let mut topics = StoreTopic::ALL.into_iter();
+        topics.any(|topic| self.end(topic) < other.end(topic))
     }
 }
--- a/tests/catch_up.rs
+++ b/tests/catch_up.rs
@@ -32,7 +32,10 @@
 }
 
 fn ends(end: u64) -> topic::TopicEnds {
-    topic::TopicEnds { ends: [end; 4] }
+    topic::TopicEnds {
+        ends: [end; 4],
+        ..topic::TopicEnds::default()
+    }
 }
 
 fn grants(end: u64) -> cluster::GrantSnapshot {
@@ -58,9 +61,18 @@
             value: Some(vec![b'x'; MISSING_BYTES / 1_000].into()),
         },
     };
-    let appended = replica.append(0, (0..1_000).map(record).collect(), 1_000);
+    let appended = replica.append(
+        topic::LogPosition::default(),
+        (0..1_000).map(record).collect(),
+        1_000,
+    );
     appended.expect("the records follow");
-    let page = replica.page(topic::StoreTopic::Servers, 0, false, usize::MAX);
+    let page = replica.page(
+        topic::StoreTopic::Servers,
+        topic::LogPosition::default(),
+        false,
+        usize::MAX,
+    );
     status::StoreRelay { pages: vec![page] }
 }
 
@@ -197,6 +209,40 @@
     assert!(due.is_some());
 }
 
+// Guards against a host that waits for a restored store's log to grow past the end of its copy.
+fn requests_records_of_a_later_era() {
+    let (mut reader, other) = (host(0), host(1));
+    let restored = topic::TopicEnds {
+        eras: [1; 4],
+        ..ends(5)
+    };
+    assert!(ends(7).is_behind(&restored));
+    assert!(!restored.is_behind(&ends(7)));
+    assert_eq!(ends(7).max(restored), restored);
+    let query = reader.request_for(&target(&other), &grants(0), fixtures::at(0));
+    let known = cluster::GrantSnapshot {
+        ends: restored,
+        ..grants(0)
+    };
+    let response = other.response_to(&query, &known, fixtures::at(0));
+    reader.note_response(response, fixtures::at(0));
+    let wait_ms = catch_up::STORE_WAIT_MS;
+    let waiting = reader.next_record_source(&ends(7), fixtures::at(0));
+    assert!(waiting.is_none(), "the store may return the records");
+    let due = reader.next_record_source(&ends(7), fixtures::at(wait_ms));
+    assert!(due.is_some());
+}
+
+// Guards against a host that hears of a restored store only from the store.
+fn tells_other_hosts_the_era() {
+    let (mut reader, mut other) = (host(0), host(1));
+    other.note_store_era(2);
+    notify(&other, &mut reader, 0, 0);
+    assert_eq!(reader.store_era(), 2);
+    other.note_store_era(1);
+    assert_eq!(other.store_era(), 2);
+}
+
 macro_rules! catch_up_cases {
     ($($name:ident),* $(,)?) => {
         mod cases {
@@ -214,4 +260,6 @@
     requests_from_another_host_after_a_failure,
     spreads_the_requests_of_many_hosts,
     waits_for_the_store_before_it_requests,
+    requests_records_of_a_later_era,
+    tells_other_hosts_the_era,
 }
--- a/tests/cluster.rs
+++ b/tests/cluster.rs
@@ -64,7 +64,10 @@
     cluster::GrantSnapshot {
         granter: None,
         term: 0,
-        ends: topic::TopicEnds { ends },
+        ends: topic::TopicEnds {
+            ends,
+            ..topic::TopicEnds::default()
+        },
     }
 }
 
--- a/tests/host_exchange.rs
+++ b/tests/host_exchange.rs
@@ -240,6 +240,52 @@
     );
 }
 
+// Guards against hosts that keep what a restored store has lost until the log has grown past the end of
+// their copies.
+fn follows_a_restored_store(count: usize, lost_per_mille: u32) {
+    let mut hosts = settled(count);
+    for _ in 0..5 {
+        hosts.append();
+    }
+    hosts.run(millis(1_000));
+    assert_eq!(hosts.informed(), count);
+    hosts.lost_per_mille = lost_per_mille;
+    hosts.restore(4);
+    hosts.run(millis(1_000));
+    hosts.append();
+    hosts.run(millis(1_000));
+    let informed = hosts.informed();
+    assert!(
+        informed * 100 >= count * 99,
+        "{informed} of {count} hosts are informed"
+    );
+}
+
+fn five_hosts_follow_a_restored_store() {
+    follows_a_restored_store(5, 0);
+}
+
+fn hosts_of_the_large_site_follow_a_restored_store() {
+    follows_a_restored_store(118, 0);
+}
+
+fn three_hundred_hosts_follow_a_restored_store_in_spite_of_lost_messages() {
+    follows_a_restored_store(300, 30);
+}
+
+// Guards against calls that a new era causes without a pause.
+fn reads_a_restored_store_once_by_domain() {
+    let mut hosts = settled(118);
+    let before: u64 = hosts.hosts.iter().map(|host| host.store_calls).sum();
+    hosts.restore(0);
+    hosts.run(millis(1_000));
+    let after: u64 = hosts.hosts.iter().map(|host| host.store_calls).sum();
+    assert_eq!(hosts.informed(), 118);
+    // For each domain a read that ends its wait, and one that hears of the era meanwhile.
+    let bound = 2 * u64::try_from(DOMAINS).expect("few domains");
+    assert!(after - before <= bound, "{} calls", after - before);
+}
+
 macro_rules! host_exchange_cases {
     ($($name:ident),* $(,)?) => {
         mod cases {
@@ -271,4 +317,8 @@
     few_hosts_call_a_store_that_is_down,
     a_third_of_the_hosts_rejected_stops_none,
     records_spread_in_spite_of_lost_messages,
+    five_hosts_follow_a_restored_store,
+    hosts_of_the_large_site_follow_a_restored_store,
+    three_hundred_hosts_follow_a_restored_store_in_spite_of_lost_messages,
+    reads_a_restored_store_once_by_domain,
 }
--- a/tests/store_reader.rs
+++ b/tests/store_reader.rs
@@ -27,6 +27,10 @@
     calls: rc::Rc<cell::RefCell<Vec<StoreCall>>>,
     responses: rc::Rc<cell::RefCell<collections::VecDeque<ScriptedResponse>>>,
     era: rc::Rc<tokio::sync::watch::Sender<u64>>,
+    // Whether the responses leave the known era as it is.
+    keeps_era: rc::Rc<cell::Cell<bool>>,
+    // Whether the log ends before any offset that is read, and the snapshots before the copy.
+    is_gone: rc::Rc<cell::Cell<bool>>,
 }
 
 impl ScriptedStore {
@@ -35,12 +39,17 @@
             calls: rc::Rc::default(),
             responses: rc::Rc::new(cell::RefCell::new(responses.into_iter().collect())),
             era: rc::Rc::new(tokio::sync::watch::Sender::new(0)),
+            keeps_era: rc::Rc::default(),
+            is_gone: rc::Rc::default(),
         }
     }
 
     // The next response; waits for ever after the last one.
-    async fn respond(&self, call: StoreCall) -> Result<u64, ports::StoreError> {
+    async fn respond(&self, call: StoreCall) -> Result<(u64, u64), ports::StoreError> {
         self.calls.borrow_mut().push(call);
+        if self.is_gone.get() {
+            return self.gone_response(call);
+        }
         let next = self.responses.borrow_mut().pop_front();
         let Some(response) = next else {
             return std::future::pending().await;
@@ -50,8 +59,20 @@
             peer: ([127, 0, 0, 1], 1).into(),
             error: "timeout".to_owned(),
         })?;
-        self.era.send_replace(era);
-        Ok(end)
+        if !self.keeps_era.get() {
+            self.era.send_replace(era);
+        }
+        Ok((era, end))
+    }
+
+    fn gone_response(&self, call: StoreCall) -> Result<(u64, u64), ports::StoreError> {
+        match call {
+            StoreCall::Newest => Ok((0, 9)),
+            StoreCall::Read { .. } => Err(ports::StoreError::Gone {
+                step: "read-log",
+                peer: ([127, 0, 0, 1], 1).into(),
+            }),
+        }
     }
 }
 
@@ -64,9 +85,8 @@
         &self,
         _: topic::StoreTopic,
     ) -> Result<ports::StoreSnapshot, ports::StoreError> {
-        let end = self.respond(StoreCall::Newest).await?;
+        let (era, end) = self.respond(StoreCall::Newest).await?;
         let records = Vec::new();
-        let era = *self.era.borrow();
         Ok(ports::StoreSnapshot { era, records, end })
     }
 
@@ -76,9 +96,8 @@
         from: u64,
         _: time::Duration,
     ) -> Result<ports::StoreBatch, ports::StoreError> {
-        let next = self.respond(StoreCall::Read { from }).await?;
+        let (era, next) = self.respond(StoreCall::Read { from }).await?;
         let records = Vec::new();
-        let era = *self.era.borrow();
         Ok(ports::StoreBatch {
             era,
             from,
@@ -109,7 +128,7 @@
 struct ReaderCase {
     store: ScriptedStore,
     // Where the host's copy of the topic ends.
-    end: rc::Rc<cell::Cell<Option<u64>>>,
+    end: rc::Rc<cell::Cell<Option<topic::LogPosition>>>,
     is_reading: tokio::sync::watch::Sender<bool>,
 }
 
@@ -127,6 +146,10 @@
         }
     }
 
+    fn set_end(&self, era: u64, end: u64) {
+        self.end.set(Some(topic::LogPosition::new(era, end)));
+    }
+
     // Follows the topic until `is_done` holds; returns all calls.
     async fn follow(&self, is_done: impl Fn(&[StoreCall]) -> bool) -> Vec<StoreCall> {
         let position = || store_reader::ReadPosition {
@@ -135,14 +158,20 @@
             from: self.end.get(),
         };
         let on_update = |_, update| match update {
-            store_reader::StoreUpdate::Snapshot(snapshot) => self.end.set(Some(snapshot.end)),
-            store_reader::StoreUpdate::Batch(batch) => self.end.set(Some(batch.next)),
+            store_reader::StoreUpdate::Snapshot(snapshot) => {
+                self.set_end(snapshot.era, snapshot.end);
+            }
+            store_reader::StoreUpdate::Batch(batch) => self.set_end(batch.era, batch.next),
             _ => {}
         };
-        let topic = topic::StoreTopic::Assignments;
-        let clock = clock::SystemClock::new();
-        let (store, is_reading) = (self.store.clone(), self.is_reading.subscribe());
-        let reader = store_reader::follow(store, topic, clock, is_reading, position, on_update);
+        let source = store_reader::ReadSource {
+            store: self.store.clone(),
+            topic: topic::StoreTopic::Assignments,
+            clock: clock::SystemClock::new(),
+            is_reading: self.is_reading.subscribe(),
+            era: self.store.era.subscribe(),
+        };
+        let reader = store_reader::follow(source, position, on_update);
         let received = async {
             while !is_done(&self.store.calls.borrow()) {
                 tokio::time::sleep(time::Duration::from_millis(1)).await;
@@ -180,7 +209,7 @@
 async fn skips_records_that_it_has() {
     let case = ReaderCase::new(&[Some(3), Some(5)]);
     case.follow(|calls| calls.len() > 2).await;
-    case.end.set(Some(20));
+    case.set_end(0, 20);
     let calls = case.follow(|calls| calls.len() > 3).await;
     assert_eq!(calls.last(), Some(&StoreCall::Read { from: 20 }));
 }
@@ -200,7 +229,7 @@
 // the records that another host sent it.
 async fn reads_on_from_the_records_of_another_host() {
     let case = ReaderCase::new(&[Some(9)]);
-    case.end.set(Some(7));
+    case.set_end(0, 7);
     let calls = case.follow(|calls| calls.len() > 1).await;
     assert_eq!(
         calls,
@@ -252,6 +281,28 @@
     assert_eq!(calls.len(), 3);
 }
 
+// Guards against calls without a pause while the store is known to be restored and its responses do not
+// say so yet.
+async fn waits_between_snapshots_of_an_outdated_era() {
+    let case = ReaderCase::with_eras(&[Some((1, 3)); 100]);
+    case.store.era.send_replace(2);
+    case.store.keeps_era.set(true);
+    let waited = cell::Cell::new(0);
+    let calls = case.follow(|_| waited.replace(waited.get() + 1) > 20).await;
+    assert_eq!(calls, [StoreCall::Newest]);
+}
+
+// Guards against calls without a pause where the copy does not accept the snapshot.
+async fn waits_where_the_copy_stays_beyond_the_end() {
+    let case = ReaderCase::new(&[]);
+    case.set_end(0, 9);
+    case.store.is_gone.set(true);
+    let waited = cell::Cell::new(0);
+    let calls = case.follow(|_| waited.replace(waited.get() + 1) > 20).await;
+    let read = StoreCall::Read { from: 9 };
+    assert_eq!(calls, [read, StoreCall::Newest, read]);
+}
+
 macro_rules! store_reader_cases {
     ($($name:ident),* $(,)?) => {
         mod cases {
@@ -271,4 +322,6 @@
     does_not_read_what_another_host_reads_for_it,
     reads_all_records_after_a_response_of_another_era,
     drops_a_waiting_read_when_the_store_was_restored,
+    waits_between_snapshots_of_an_outdated_era,
+    waits_where_the_copy_stays_beyond_the_end,
 }
