Tell hosts the routes that a restored store has lost

A host that started after the store had come back from an older copy read the older routes and served by them until the operator wrote the newer ones again, while all other hosts served by the newer ones: its copy ended where theirs did, so nothing was missing by the ends.

Hosts state the version of their routes in force beside the ends of their copies. One whose version is lower counts as behind, and requests records as usual; the answer holds the routes in force where they are not in the sender's own copy. They are decoded and checked like any record of the store, so an invalid configuration is not taken, and they are not added to the copy, which keeps to the store's log. On their own they don't end the wait of a request, so that no host asks without a pause for routes that it can't decode.

--- a/src/edge/router/control/mod.rs
+++ b/src/edge/router/control/mod.rs
@@ -71,6 +71,8 @@
     granter: granter::KeyGranter,
     // In the order of `StoreTopic::ALL`.
     replicas: [replica::TopicReplica; 4],
+    // The record of the routes in force.
+    routes: Option<topic::KeyedRecord>,
     assembly: table_records::TableAssembly,
     grants: view::SharedGrants,
     yielded_until: clock::MonoTime,
@@ -83,6 +85,7 @@
         for topic in topic::StoreTopic::ALL {
             ends.set(topic, self.replicas[topic.index()].position());
         }
+        ends.routes_version = self.cluster.routes_version();
         ends
     }
 
@@ -136,6 +139,7 @@
             cluster: cluster::ClusterState::new(parts.own, parts.clock.now(), parts.drain),
             granter: granter::KeyGranter::new(incarnation, parts.max_hold)?,
             replicas: topic::StoreTopic::ALL.map(|_| replica::TopicReplica::new()),
+            routes: None,
             assembly: table_records::TableAssembly::new(),
             grants: view::SharedGrants::default(),
             yielded_until: clock::MonoTime::from_micros(0),
--- a/src/edge/router/control/records.rs
+++ b/src/edge/router/control/records.rs
@@ -118,6 +118,7 @@
         });
         status::RecordRequest {
             pages: pages.collect(),
+            routes_version: Some(ends.routes_version),
             wait_millis,
         }
     }
@@ -137,6 +138,22 @@
             }
             self.apply_page(page, pending);
         }
+        if let Some(routes) = relay.routes {
+            self.apply_lost_routes(host, routes);
+        }
+    }
+
+    // Applies another host's routes in force, which the store has lost. They are not a part of this
+    // host's copy.
+    fn apply_lost_routes(&self, host: &names::HostName, routes: replica::PageRecord) {
+        let size = routes.size();
+        if size > MAX_RECORD_BYTES {
+            let topic = topic::StoreTopic::Routes.as_str();
+            self.metrics.note_record_refused(topic);
+            tracing::warn!(event = "record-refused", topic, host = %host, size);
+            return;
+        }
+        self.apply_changes(topic::StoreTopic::Routes, &[routes.into()]);
     }
 
     // Applies a page: records that follow those of this host's copy, or a part of all records, which
@@ -208,10 +225,22 @@
         let size: usize = sizes.map(replica::PageRecord::size).sum();
         let size = u64::try_from(size).unwrap_or(u64::MAX);
         self.metrics.relayed_bytes.inc_by(size);
-        status::StoreRelay { pages }
+        let routes = lost_routes(&state, request.routes_version);
+        status::StoreRelay { pages, routes }
     }
 }
 
+// The routes in force, for a host whose routes are older, where this host's copy does not have them.
+fn lost_routes(state: &control::ControlState, version: Option<u64>) -> Option<replica::PageRecord> {
+    let is_older = version.is_some_and(|version| version < state.cluster.routes_version());
+    let routes = state.routes.as_ref().filter(|_| is_older)?;
+    let copy = &state.replicas[topic::StoreTopic::Routes.index()];
+    let offset = copy.end();
+    let record = routes.clone();
+    let is_lost = !copy.holds(&record);
+    is_lost.then(|| replica::PageRecord::new(&topic::LogRecord { offset, record }))
+}
+
 // The size of a record that is larger than the store accepts, in bytes.
 fn too_large(page: &replica::RecordPage) -> Option<usize> {
     let sizes = page.records.iter().map(replica::PageRecord::size);
--- a/src/edge/router/control/store.rs
+++ b/src/edge/router/control/store.rs
@@ -181,7 +181,7 @@
         self.apply_changes(topic, &changed);
     }
 
-    fn apply_changes(&self, topic: topic::StoreTopic, changed: &[topic::LogRecord]) {
+    pub(super) fn apply_changes(&self, topic: topic::StoreTopic, changed: &[topic::LogRecord]) {
         match topic {
             topic::StoreTopic::Routes => self.apply_routes(changed),
             topic::StoreTopic::Servers => self.apply_servers(changed),
@@ -204,7 +204,11 @@
                 Ok(None) => {}
                 Ok(Some(routes)) => {
                     let version = routes.version;
-                    let accepted = self.state.borrow_mut().cluster.note_routes(routes);
+                    let mut state = self.state.borrow_mut();
+                    let accepted = state.cluster.note_routes(routes);
+                    if accepted {
+                        state.routes = Some(stored.record.clone());
+                    }
                     tracing::info!(event = "routes-read", version, in_force = accepted);
                 }
                 Err(error) => {
--- a/src/serving/replica.rs
+++ b/src/serving/replica.rs
@@ -56,7 +56,9 @@
 }
 
 impl PageRecord {
-    fn new(stored: &topic::LogRecord) -> Self {
+    /// Creates the message of a record.
+    #[must_use]
+    pub fn new(stored: &topic::LogRecord) -> Self {
         let value = stored.record.value.as_ref();
         Self {
             offset: stored.offset,
--- a/src/serving/status.rs
+++ b/src/serving/status.rs
@@ -105,6 +105,8 @@
 pub struct RecordRequest {
     /// The parts of the topics that it requests.
     pub pages: Vec<PageRequest>,
+    /// The version of its routes in force; builds before 0.3 send none.
+    pub routes_version: Option<u64>,
     /// How long to wait for the first record where there is none yet, in milliseconds.
     pub wait_millis: u64,
 }
@@ -116,4 +118,6 @@
 pub struct StoreRelay {
     /// The topics of which the sender has records that the receiver lacks.
     pub pages: Vec<replica::RecordPage>,
+    /// The sender's routes in force, where the receiver's are older and the store has lost these.
+    pub routes: Option<replica::PageRecord>,
 }
--- a/src/serving/topic.rs
+++ b/src/serving/topic.rs
@@ -82,7 +82,7 @@
     }
 }
 
-/// For each topic, the position at which a copy of its log ends.
+/// What a host knows: for each topic, the position at which its copy of the log ends.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 #[derive(serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "kebab-case", default)]
@@ -91,6 +91,9 @@
     pub ends: [u64; 4],
     /// The era of each copy. Builds before 0.3 send none: their copies are of the first.
     pub eras: [u64; 4],
+    /// The version of the routes in force, which may be higher than that of the copy: a store that
+    /// came back from an older copy may have lost it.
+    pub routes_version: u64,
 }
 
 impl TopicEnds {
@@ -106,20 +109,22 @@
         self.ends[topic.index()] = end.offset;
     }
 
-    /// Returns the later end of each topic.
+    /// Returns the later end of each topic, and the higher version.
     #[must_use]
     pub fn max(self, other: Self) -> Self {
         let mut ends = self;
         for topic in StoreTopic::ALL {
             ends.set(topic, self.end(topic).max(other.end(topic)));
         }
+        ends.routes_version = self.routes_version.max(other.routes_version);
         ends
     }
 
-    /// Reports whether `other` has a later end of any topic.
+    /// Reports whether `other` has a later end of any topic, or a higher version.
     #[must_use]
     pub fn is_behind(&self, other: &Self) -> bool {
         let mut topics = StoreTopic::ALL.into_iter();
-        topics.any(|topic| self.end(topic) < other.end(topic))
+        let is_older = self.routes_version < other.routes_version;
+        is_older || topics.any(|topic| self.end(topic) < other.end(topic))
     }
 }
--- a/tests/catch_up.rs
+++ b/tests/catch_up.rs
@@ -73,7 +73,10 @@
         false,
         usize::MAX,
     );
-    status::StoreRelay { pages: vec![page] }
+    status::StoreRelay {
+        pages: vec![page],
+        routes: None,
+    }
 }
 
 // Lets `from` send `to` a status update, which says that it has records up to `end`.
@@ -233,6 +236,28 @@
     assert!(due.is_some());
 }
 
+// Guards against a host that starts after the store came back from an older copy and serves by routes
+// that all others have replaced: its copies end where theirs do.
+fn requests_routes_that_the_store_has_lost() {
+    let (mut started, other) = (host(0), host(1));
+    let with_version = |routes_version| topic::TopicEnds {
+        routes_version,
+        ..ends(5)
+    };
+    let query = started.request_for(&target(&other), &grants(0), fixtures::at(0));
+    let known = cluster::GrantSnapshot {
+        ends: with_version(12),
+        ..grants(0)
+    };
+    let response = other.response_to(&query, &known, fixtures::at(0));
+    started.note_response(response, fixtures::at(0));
+    let own = with_version(10);
+    assert!(started.next_record_source(&own, fixtures::at(0)).is_none());
+    let due = started.next_record_source(&own, fixtures::at(catch_up::STORE_WAIT_MS));
+    assert!(due.is_some());
+    assert!(!with_version(12).is_behind(&own));
+}
+
 // Guards against a host that hears of a restored store only from the store.
 fn tells_other_hosts_the_era() {
     let (mut reader, mut other) = (host(0), host(1));
@@ -261,5 +286,6 @@
     spreads_the_requests_of_many_hosts,
     waits_for_the_store_before_it_requests,
     requests_records_of_a_later_era,
+    requests_routes_that_the_store_has_lost,
     tells_other_hosts_the_era,
 }
--- a/tests/replicas.rs
+++ b/tests/replicas.rs
@@ -218,8 +218,17 @@
     }
 }
 
-// Guards against a restored host's records that are taken for newer ones by a host of an earlier
-// build, or the reverse.
+// Guards against routes that are sent twice to each host, or not at all after the store has lost them.
+fn tells_which_records_it_holds() {
+    let mut replica = filled();
+    let known = added(3, "a").record;
+    assert!(replica.holds(&known));
+    assert!(!replica.holds(&stored(3, "a", Some("other")).record));
+    replica.replace(vec![stored(1, "a", Some("older"))], restored(2));
+    assert!(!replica.holds(&known));
+}
+
+// Guards against a host that understands none of the messages of an earlier build.
 fn takes_messages_without_an_era_for_the_first() {
     let ends = serde_json::from_str::<topic::TopicEnds>(r#"{"ends":[4,0,0,0]}"#);
     let ends = ends.expect("earlier builds send this");
@@ -257,5 +266,6 @@
     refuses_records_of_another_era,
     ignores_an_outdated_snapshot,
     sends_everything_to_a_copy_of_an_earlier_era,
+    tells_which_records_it_holds,
     takes_messages_without_an_era_for_the_first,
 }
