Give servers time to write again what a restored store has lost

A copy of a new era replaced the old one, and a server whose entry the store had lost was removed at once, although it was up and wrote its entry again within a second or two.

An entry that is missing in the first copy of a new era is treated like one that expired in an outage: its server stays in use for the usual time to register again. The log line `records-restored` states the topic, the era, the end and the number of changes.

Guarded by keeps_a_server_that_a_restored_store_has_lost_for_a_moment.

--- a/src/edge/router/control/store.rs
+++ b/src/edge/router/control/store.rs
@@ -174,10 +174,26 @@
         records: Vec<topic::LogRecord>,
         end: topic::LogPosition,
     ) {
+        let now = self.clock.now();
         let changed = {
             let mut state = self.state.borrow_mut();
-            state.replicas[topic.index()].replace(records, end)
+            state.cluster.note_store_era(end.era);
+            let replica = &mut state.replicas[topic.index()];
+            let is_restored = replica.is_filled() && end.era > replica.position().era;
+            let changed = replica.replace(records, end);
+            if is_restored {
+                state.cluster.note_store_restored(now);
+                tracing::info!(
+                    event = "records-restored",
+                    topic = topic.as_str(),
+                    era = end.era,
+                    end = end.offset,
+                    changed = changed.len()
+                );
+            }
+            changed
         };
+        self.update_era();
         self.apply_changes(topic, &changed);
     }
 
--- a/src/serving/cluster/mod.rs
+++ b/src/serving/cluster/mod.rs
@@ -169,6 +169,12 @@
         self.store_era = self.store_era.max(era);
     }
 
+    /// Records that the store came back from an older copy: an entry that is missing may only have to
+    /// be written again.
+    pub fn note_store_restored(&mut self, now: clock::MonoTime) {
+        self.directory.note_store_lost(now);
+    }
+
     /// Returns the highest era of the store that this host or another has seen.
     #[must_use]
     pub const fn store_era(&self) -> u64 {
--- a/tests/cluster.rs
+++ b/tests/cluster.rs
@@ -141,6 +141,18 @@
     assert_eq!(cluster.directory().servers().count(), 0);
 }
 
+// Guards against a server that is given up because a restored store has yet to get its entry again.
+fn keeps_a_server_that_a_restored_store_has_lost_for_a_moment() {
+    let mut cluster = host("a");
+    cluster.note_server(server("s1", 1, 1, READY));
+    cluster.note_store_restored(fixtures::at(10));
+    cluster.remove_server(&fixtures::name("s1"), fixtures::at(10));
+    assert_eq!(cluster.directory().servers().count(), 1);
+    cluster.note_server(server("s1", 1, 2, READY));
+    cluster.expire(fixtures::at(10 + directory::REREGISTRATION_TIMEOUT_MS));
+    assert_eq!(cluster.directory().servers().count(), 1);
+}
+
 fn keeps_no_leaving_server_that_lapsed() {
     let mut cluster = host("a");
     cluster.note_server(server("s1", 1, 1, DRAINING));
@@ -220,6 +232,7 @@
     drops_a_removed_server_at_once,
     keeps_a_lapsed_server_for_a_moment_after_an_outage,
     keeps_a_lapsed_server_no_longer_than_it_serves_on,
+    keeps_a_server_that_a_restored_store_has_lost_for_a_moment,
     keeps_no_leaving_server_that_lapsed,
     ignores_an_entry_that_comes_late,
     ignores_a_late_entry_of_a_removed_server,
