Register a host again whose record a restored store has lost

Hosts register once, at their start. After the store had lost these records, each host that read a copy of the new era forgot the others: it took itself for the only one of its domain and read the store, and no host that started later knew the ones before.

A host whose record is missing in its copy of a later era than the one in which it registered appends it again, after a part of a span that grows with the hosts (5 ms each), chosen by a hash of its name. A host that is missing in the first copy of a new era stays known. One that has removed its record doesn't come back through that record: the incarnation is remembered.

Guarded by ignores_the_record_of_a_host_that_has_left; the registration itself has no test without a network yet.

--- a/src/edge/router/control/hosts.rs
+++ b/src/edge/router/control/hosts.rs
@@ -4,6 +4,8 @@
 use std::rc;
 use std::time;
 
+use xxhash_rust::xxh3;
+
 use crate::clock;
 use crate::clock::MonoClock as _;
 use crate::edge::router::control;
@@ -22,6 +24,10 @@
 /// The interval of the log lines about the exchanges, in milliseconds.
 pub const EXCHANGE_LOG_INTERVAL_MS: u64 = 5_000;
 
+/// The mean interval between the registrations of all hosts after the store has lost them, in
+/// milliseconds.
+pub const REGISTRATION_INTERVAL_MS: u64 = 5;
+
 // What this host has exchanged with other hosts since it started.
 struct ExchangeCounts {
     done: u64,
@@ -41,9 +47,13 @@
         let Some(record) = control::encode_record(own.host.as_str(), &own) else {
             return;
         };
-        self.append_host(&record).await;
+        let era = self.append_host(&record).await;
         let mut stopping = stopping;
-        if stopping.wait_for(|stopping| *stopping).await.is_ok() {
+        let stopped = tokio::select! {
+            stopped = stopping.wait_for(|stopping| *stopping) => stopped.is_ok(),
+            () = self.keep_registered(&record, era) => false,
+        };
+        if stopped {
             self.append_host(&topic::KeyedRecord {
                 value: None,
                 ..record
@@ -52,14 +62,48 @@
         }
     }
 
-    async fn append_host(&self, record: &topic::KeyedRecord) {
+    // Registers this host again whenever a store that came back from an older copy has lost its
+    // record, which it wrote in `era`.
+    async fn keep_registered(&self, record: &topic::KeyedRecord, era: u64) {
+        let mut changes = self.changes.subscribe();
+        let mut era = era;
+        while changes.changed().await.is_ok() {
+            if !self.is_unregistered(record, era) {
+                continue;
+            }
+            tokio::time::sleep(self.registration_delay()).await;
+            if self.is_unregistered(record, era) {
+                tracing::info!(event = "registration-lost", era);
+                era = self.append_host(record).await;
+            }
+        }
+    }
+
+    // Whether the copy of a later era than `era` lacks this host's record.
+    fn is_unregistered(&self, record: &topic::KeyedRecord, era: u64) -> bool {
+        let state = self.state.borrow();
+        let copy = &state.replicas[topic::StoreTopic::Hosts.index()];
+        copy.position().era > era && !copy.holds(record)
+    }
+
+    // Spreads the registrations of all hosts that a store has lost.
+    fn registration_delay(&self) -> time::Duration {
+        let state = self.state.borrow();
+        let hosts = u64::try_from(state.cluster.other_host_count()).unwrap_or(u64::MAX);
+        let longest = hosts.saturating_mul(REGISTRATION_INTERVAL_MS).max(1);
+        let name = state.cluster.own().host.as_str();
+        time::Duration::from_millis(xxh3::xxh3_64(name.as_bytes()) % longest)
+    }
+
+    // Returns the era of the store in which the record was appended.
+    async fn append_host(&self, record: &topic::KeyedRecord) -> u64 {
         loop {
             let records = std::slice::from_ref(record);
             let hosts = topic::StoreTopic::Hosts;
             let outcome = self.store.append(hosts, records, None).await;
             self.note_append(hosts, outcome);
-            if let order::AppendOutcome::Appended { .. } = outcome {
-                return;
+            if let order::AppendOutcome::Appended { era, .. } = outcome {
+                return era;
             }
             tracing::warn!(event = "store-call-failed", topic = "hosts", outcome = ?outcome);
             tokio::time::sleep(time::Duration::from_millis(store_reader::RETRY_DELAY_MS)).await;
--- a/src/edge/router/control/store.rs
+++ b/src/edge/router/control/store.rs
@@ -191,7 +191,11 @@
                     changed = changed.len()
                 );
             }
-            changed
+            if is_restored && topic == topic::StoreTopic::Hosts {
+                registered_only(changed)
+            } else {
+                changed
+            }
         };
         self.update_era();
         self.apply_changes(topic, &changed);
@@ -322,6 +326,12 @@
     }
 }
 
+// A host that a restored store does not have may only have to register again.
+fn registered_only(changed: Vec<topic::LogRecord>) -> Vec<topic::LogRecord> {
+    let registered = changed.into_iter().filter(|c| c.record.value.is_some());
+    registered.collect()
+}
+
 /// Returns the pause between two reads of the servers, which go on serving for `drain` after they
 /// have reported that they are draining.
 #[must_use]
--- a/src/serving/cluster/mod.rs
+++ b/src/serving/cluster/mod.rs
@@ -50,6 +50,8 @@
     directory: directory::ServerDirectory,
     servers_known: bool,
     hosts: upstream::HostRegistry,
+    // The incarnations of hosts that have removed their records.
+    left: collections::BTreeMap<names::HostName, u64>,
     // Since when the other registered hosts are known.
     hosts_known: Option<clock::MonoTime>,
     upstream: upstream::UpstreamSelection,
@@ -77,6 +79,7 @@
             directory: directory::ServerDirectory::with_drain(drain),
             servers_known: false,
             hosts: upstream::HostRegistry::new(),
+            left: collections::BTreeMap::new(),
             hosts_known: None,
             supply: None,
             peers: collections::BTreeMap::new(),
@@ -138,14 +141,19 @@
         self.hosts_known.get_or_insert(now);
     }
 
-    /// Applies another host's record, or its removal where there is none.
+    /// Applies another host's record, or its removal where there is none. A record that its host has
+    /// removed is not taken again.
     pub fn note_host(&mut self, name: &names::HostName, record: Option<status::HostRecord>) {
         match record {
+            Some(record) if self.left.get(name) == Some(&record.incarnation) => {}
             Some(record) if *name != self.own.host => {
+                self.left.remove(name);
                 self.hosts.insert(name.clone(), record);
             }
             _ => {
-                self.hosts.remove(name);
+                if let Some(known) = self.hosts.remove(name) {
+                    self.left.insert(name.clone(), known.incarnation);
+                }
                 self.peers.remove(name);
                 self.reports.remove(name);
             }
--- a/tests/cluster.rs
+++ b/tests/cluster.rs
@@ -153,6 +153,23 @@
     assert_eq!(cluster.directory().servers().count(), 1);
 }
 
+// Guards against a host that has left and is asked for records again, because a restored store has its
+// old record.
+fn ignores_the_record_of_a_host_that_has_left() {
+    let mut cluster = host("a");
+    let other = host("b").own().clone();
+    cluster.note_host(&other.host, Some(other.clone()));
+    cluster.note_host(&other.host, None);
+    cluster.note_host(&other.host, Some(other.clone()));
+    assert_eq!(cluster.other_host_count(), 0);
+    let restarted = status::HostRecord {
+        incarnation: 2,
+        ..other.clone()
+    };
+    cluster.note_host(&other.host, Some(restarted));
+    assert_eq!(cluster.other_host_count(), 1);
+}
+
 fn keeps_no_leaving_server_that_lapsed() {
     let mut cluster = host("a");
     cluster.note_server(server("s1", 1, 1, DRAINING));
@@ -233,6 +250,7 @@
     keeps_a_lapsed_server_for_a_moment_after_an_outage,
     keeps_a_lapsed_server_no_longer_than_it_serves_on,
     keeps_a_server_that_a_restored_store_has_lost_for_a_moment,
+    ignores_the_record_of_a_host_that_has_left,
     keeps_no_leaving_server_that_lapsed,
     ignores_an_entry_that_comes_late,
     ignores_a_late_entry_of_a_removed_server,
