Show that a restarted server holds keys by an order for its earlier start

Callers saw two servers hold the same keys, without an outage of the store. An order names the server and not its start, so a server that has restarted under its name accepts an order for its earlier incarnation: one that was tried again while the server was down, or a renewal of a former granter that is cut off. The granter takes the registration of the new incarnation as proof that the keys are free and gives them to another server at once.

The simulation could not see it: its servers compared whole incarnations. Now they compare names like the platform's, an order that the process before a restart had received ends with that process, and two more faults cut a granter off from the store and the other hosts while it reaches the servers, one of them with the restart of a server. What a later incarnation is granted is recorded as its own.

A case of tests/granting.rs shows that no release is sent.

--- a/lab/src/grants/faults.rs
+++ b/lab/src/grants/faults.rs
@@ -39,7 +39,7 @@
         self.push(after, simulation::SimulationEvent::Fault);
         let host = self.random.random_range(0..simulation::HOSTS);
         let server = self.random.random_range(0..self.servers.len());
-        match self.random.random_range(0..14) {
+        match self.random.random_range(0..16) {
             0 => self.kill_host(host),
             1 | 2 => self.freeze_host(host),
             3 => self.hosts[host].cut_from_store = true,
@@ -55,6 +55,11 @@
             10 => self.servers[server].draining = !self.servers[server].draining,
             11 => self.lossy_until = self.now + time::Duration::from_secs(5),
             12 => self.kill_granter(),
+            13 => self.cut_granter_off(),
+            14 => {
+                self.cut_granter_off();
+                self.restart_server(server);
+            }
             _ => self.heal(),
         }
     }
@@ -67,6 +72,7 @@
     fn heal(&mut self) {
         for host in &mut self.hosts {
             host.cut_from_store = false;
+            host.cut_from_hosts = false;
             host.cut_from.clear();
         }
         for server in &mut self.servers {
@@ -117,6 +123,18 @@
         }
     }
 
+    // Cuts a granter off from the store and from the other hosts; it can still reach the servers.
+    fn cut_granter_off(&mut self) {
+        let granting = self
+            .hosts
+            .iter_mut()
+            .find(|host| host.granter.is_granting());
+        if let Some(host) = granting {
+            host.cut_from_store = true;
+            host.cut_from_hosts = true;
+        }
+    }
+
     fn freeze_host(&mut self, host: usize) {
         if self.now < self.hosts[host].frozen_until {
             return;
--- a/lab/src/grants/simulation/mod.rs
+++ b/lab/src/grants/simulation/mod.rs
@@ -78,6 +78,7 @@
     pub(crate) frozen_until: clock::MonoTime,
     pub(crate) frozen_for: time::Duration,
     pub(crate) cut_from_store: bool,
+    pub(crate) cut_from_hosts: bool,
     pub(crate) cut_from: collections::BTreeSet<usize>,
     // The servers to which the host has an open connection.
     connected: collections::BTreeSet<usize>,
@@ -87,6 +88,7 @@
 pub(crate) struct SimulatedServer {
     pub(crate) server: key_server::KeyServer,
     pub(crate) address: net::SocketAddr,
+    pub(crate) started: clock::MonoTime,
     pub(crate) alive: bool,
     pub(crate) draining: bool,
     pub(crate) cut_from_store: bool,
@@ -222,6 +224,7 @@
             frozen_until: clock::MonoTime::from_micros(0),
             frozen_for: time::Duration::ZERO,
             cut_from_store: false,
+            cut_from_hosts: false,
             cut_from: collections::BTreeSet::new(),
             connected: collections::BTreeSet::new(),
             delayed: Vec::new(),
@@ -244,6 +247,7 @@
         let server = SimulatedServer {
             server: key_server::KeyServer::new(incarnation, SLOW_PERCENT),
             address: address(index),
+            started: self.now,
             alive: true,
             draining: false,
             cut_from_store: false,
@@ -398,7 +402,7 @@
         }
     }
 
-    // A granter queries the hosts of former granters. Hosts can always reach each other here.
+    // A granter queries the hosts of former granters.
     fn query_former_granters(&mut self, host: usize) {
         self.push(QUERY_MS, SimulationEvent::QueryFormer(host));
         let asked = self.clock_of(host);
@@ -424,6 +428,9 @@
         from_incarnation: u64,
         asked: clock::MonoTime,
     ) {
+        if self.hosts[host].cut_from_hosts || self.hosts[from].cut_from_hosts {
+            return;
+        }
         let mut incarnation = Self::granter_incarnation(host, self.hosts[host].incarnation);
         if self.mutation == GrantMutation::AnswerIsEnd {
             incarnation.incarnation += 1_000;
--- a/lab/src/grants/simulation/orders.rs
+++ b/lab/src/grants/simulation/orders.rs
@@ -5,6 +5,7 @@
 use rand::RngExt as _;
 use std::net;
 use zinniastack::clock;
+use zinniastack::ownership::assignment;
 use zinniastack::ownership::order;
 
 impl simulation::GrantSimulation {
@@ -111,8 +112,13 @@
             }
             return;
         }
-        let same = server.server.incarnation == order.life;
-        let outcome = if same {
+        // An order that the process before a restart had received ended with that process.
+        if arrived.is_some_and(|arrived| arrived < server.started) {
+            return;
+        }
+        // A server compares only its name: an order for an earlier incarnation is carried out too.
+        let life = server.server.incarnation.clone();
+        let outcome = if life.server == order.life.server {
             let result = server.server.grant(&key_server::HoldOrder {
                 first: order.range.first,
                 last: order.range.last,
@@ -122,7 +128,7 @@
                 now: self.now,
             });
             if result == key_server::GrantResult::Held {
-                self.note_granted_keys(&order);
+                self.note_granted_keys(&order, life);
             }
             match result {
                 key_server::GrantResult::Refused => order::OrderOutcome::Refused,
@@ -148,25 +154,33 @@
     }
 
     // Records a violation if a key is granted to another server incarnation under a fence that is not
-    // above all fences under which other incarnations had it.
-    fn note_granted_keys(&mut self, order: &order::GrantOrder) {
+    // above all fences under which other incarnations had it. The same grant at a later incarnation of
+    // the server is no other grant.
+    fn note_granted_keys(
+        &mut self,
+        order: &order::GrantOrder,
+        life: assignment::ServerIncarnation,
+    ) {
         let range = &order.range;
         let higher = self
             .granted
             .iter()
             .find(|(first, last, fence, incarnation)| {
+                let same = (*first, *last, *fence) == (range.first, range.last, range.fence)
+                    && incarnation.server == life.server;
                 key_server::overlaps(*first, *last, range.first, range.last)
-                    && *incarnation != order.life
+                    && *incarnation != life
                     && *fence >= range.fence
+                    && !same
             });
         if let Some((_, _, fence, incarnation)) = higher {
             let text = format!(
                 "{:?}: {:?} takes {}..{} under {}, {:?} had {}",
-                self.now, order.life, range.first, range.last, range.fence, incarnation, fence
+                self.now, life, range.first, range.last, range.fence, incarnation, fence
             );
             self.violations.push(text);
         }
-        let entry = (range.first, range.last, range.fence, order.life.clone());
+        let entry = (range.first, range.last, range.fence, life);
         if !self.granted.contains(&entry) {
             self.granted.push(entry);
         }
@@ -178,7 +192,7 @@
         let server = &mut self.servers[index];
         let outcome = if !server.alive {
             order::OrderOutcome::Unanswered
-        } else if server.server.incarnation == order.life {
+        } else if server.server.incarnation.server == order.life.server {
             let range = &order.range;
             server.server.release(range.first, range.last, range.fence);
             order::OrderOutcome::Done(None)
--- a/tests/granting.rs
+++ b/tests/granting.rs
@@ -60,6 +60,8 @@
     yields: u32,
     // The servers that accepted a grant of key 0, each with the time in milliseconds.
     first_key: Vec<(String, u64)>,
+    // The servers that released key 0, each with the time in milliseconds.
+    released: Vec<(String, u64)>,
 }
 
 impl GranterCase {
@@ -78,6 +80,7 @@
             now_ms: 1_000,
             yields: 0,
             first_key: Vec::new(),
+            released: Vec::new(),
         }
     }
 
@@ -127,6 +130,10 @@
             }
             order::GranterAction::Release(order) => {
                 let outcome = self.outcome_of(&order.address);
+                if order.range.first == 0 && outcome == order::OrderOutcome::Done(None) {
+                    let server = order.life.server.to_string();
+                    self.released.push((server, self.now_ms));
+                }
                 self.granter.note_released(&order, &outcome, now);
             }
             order::GranterAction::Yield => self.yields += 1,
@@ -292,6 +299,30 @@
     assert!(!case.granter.is_granting());
 }
 
+// A server that had restarted at its address accepted an order for its earlier incarnation, which
+// names only the server, and its keys went to another server without a release.
+fn releases_the_keys_of_a_restarted_server_before_they_move() {
+    let mut case = GranterCase::new(2);
+    case.run(4_000);
+    let (first, _) = case.first_key.last().expect("key 0 is held").clone();
+    let number = u16::from(first == "s1");
+    let restarted = assignment::ServerIncarnation {
+        born: 2,
+        ..server_incarnation(number)
+    };
+    case.directory.note(directory::ServerRecord {
+        life: restarted,
+        state: directory::ServerState::Draining,
+        ..record(number)
+    });
+    case.run(1_000);
+    let moved = case.first_key.iter().find(|(server, _)| *server != first);
+    let (_, moved_ms) = moved.expect("the keys move");
+    let released = case.released.iter().find(|(server, _)| *server == first);
+    let (_, released_ms) = released.expect("the restarted server releases the keys");
+    assert!(released_ms <= moved_ms);
+}
+
 macro_rules! granter_cases {
     ($($name:ident),* $(,)?) => {
         mod cases {
@@ -311,4 +342,5 @@
     keeps_the_duty_when_servers_fall_silent_at_two_times,
     orders_by_the_log_when_an_append_is_read_before_its_response,
     claims_only_by_the_response_to_its_claim,
+    releases_the_keys_of_a_restarted_server_before_they_move,
 }
