--- a/lab/src/grants/simulation/log.rs
+++ b/lab/src/grants/simulation/log.rs
@@ -152,13 +152,15 @@
 
     fn record_of(&self, server: &simulation::SimulatedServer) -> directory::ServerRecord {
         let mut incarnation = server.server.incarnation.clone();
+        let mut address = server.address;
         if self.mutation == simulation::GrantMutation::LapsedIsDead && server.cut_from_store {
             incarnation.born += 1_000;
+            address.set_port(address.port() + simulation::MOVED_PORTS);
         }
         directory::ServerRecord {
             life: incarnation,
             service: simulation::service(),
-            address: server.address,
+            address,
             domain: fixtures::name("north"),
             slots: 4,
             state: if server.draining {
--- a/lab/src/grants/simulation/mod.rs
+++ b/lab/src/grants/simulation/mod.rs
@@ -43,6 +43,8 @@
 pub const ENTRY_TTL_MS: u64 = 2_600;
 /// The longest time that a release waits for work on its keys, in milliseconds.
 pub const MAX_WORK_MS: u64 = 400;
+/// The distance of a second port at which a server can be reached, for a mutation.
+pub(crate) const MOVED_PORTS: u16 = 1_000;
 /// How much slower than real time the servers' clocks run, in percent.
 pub const SLOW_PERCENT: u32 = 2;
 
@@ -63,8 +65,8 @@
     UnreadClaim,
     /// A restarted host numbers its fences from 1 again.
     RepeatedFence,
-    /// A server that is cut off from the store is taken for a new incarnation, and so its keys for
-    /// free.
+    /// A server that is cut off from the store is taken for a new incarnation at another address, and
+    /// so its keys for free.
     LapsedIsDead,
     /// A response from a former granter's host is taken as proof that the former granter has ended.
     AnswerIsEnd,
--- a/lab/src/grants/simulation/orders.rs
+++ b/lab/src/grants/simulation/orders.rs
@@ -222,10 +222,10 @@
     }
 
     pub(super) fn server_of(&self, address: &net::SocketAddr) -> usize {
-        let position = self
-            .servers
-            .iter()
-            .position(|server| server.address == *address);
+        let position = self.servers.iter().position(|server| {
+            let port = server.address.port();
+            [port, port + simulation::MOVED_PORTS].contains(&address.port())
+        });
         position.unwrap_or_else(|| unreachable!("{address} is a server's"))
     }
 }
