Report terms and starts of servers with orders, and restarts of servers

The logs could not tell an order for a former start of a server from one for the present start, nor the term it was sent in. `grant-ended` (the first outcome of a range), `grant-unanswered` and `release-ended` now name the term and the start (`born`); `server-restarted` names both starts and whether the address is the same, and `server_restarts` counts them.

An unused import in the simulation goes.

--- a/lab/src/grants/simulation/log.rs
+++ b/lab/src/grants/simulation/log.rs
@@ -5,7 +5,6 @@
 use crate::grants::simulation;
 use rand::RngExt as _;
 use std::time;
-use zinniastack::clock;
 use zinniastack::ownership::assignment;
 use zinniastack::ownership::order;
 use zinniastack::serving::directory;
--- a/src/edge/router/control/granting.rs
+++ b/src/edge/router/control/granting.rs
@@ -179,10 +179,13 @@
         let outcome = self.orders.grant(&order).await;
         self.metrics.note_order("grant", outcome.as_str());
         let now = self.clock.now();
+        let term = self.state.borrow().granter.table().term;
         if !matches!(outcome, order::OrderOutcome::Done(_)) {
             tracing::warn!(
                 event = "grant-unanswered",
+                term,
                 server = %order.life.server,
+                born = order.life.born,
                 first = order.range.first,
                 last = order.range.last,
                 fence = order.range.fence,
@@ -193,6 +196,16 @@
         let changed = state.granter.note_granted(&order, &outcome, now);
         drop(state);
         if changed {
+            tracing::info!(
+                event = "grant-ended",
+                term,
+                server = %order.life.server,
+                born = order.life.born,
+                first = order.range.first,
+                last = order.range.last,
+                fence = order.range.fence,
+                outcome = ?outcome
+            );
             self.decide();
         }
     }
@@ -203,7 +216,9 @@
         let now = self.clock.now();
         tracing::info!(
             event = "release-ended",
+            term = self.state.borrow().granter.table().term,
             server = %order.life.server,
+            born = order.life.born,
             first = order.range.first,
             last = order.range.last,
             fence = order.range.fence,
--- a/src/edge/router/control/store.rs
+++ b/src/edge/router/control/store.rs
@@ -240,6 +240,17 @@
                 state = ?server.state
             );
         }
+        let former = known.filter(|known| known.life.born < server.life.born);
+        if let Some(former) = former {
+            self.metrics.server_restarts.inc();
+            tracing::info!(
+                event = "server-restarted",
+                server = %server.life.server,
+                born = server.life.born,
+                former = former.life.born,
+                same_address = former.address == server.address
+            );
+        }
         state.cluster.note_server(server);
     }
 
--- a/src/edge/router/metrics.rs
+++ b/src/edge/router/metrics.rs
@@ -99,6 +99,8 @@
     /// Outcomes of appends of the assignment table that came after the log had shown the append, or
     /// had overtaken it.
     pub late_append_outcomes: counter::Counter,
+    /// Registrations of servers that had restarted under their names.
+    pub server_restarts: counter::Counter,
     /// How often this host took up the granter role.
     pub takeovers: counter::Counter,
     /// Whether this host is the granter.
@@ -131,6 +133,7 @@
             relayed_bytes: counter::Counter::default(),
             records_refused: family::Family::default(),
             late_append_outcomes: counter::Counter::default(),
+            server_restarts: counter::Counter::default(),
             takeovers: counter::Counter::default(),
             granting: gauge::Gauge::default(),
             ranges_moving: gauge::Gauge::default(),
@@ -195,6 +198,12 @@
             "Outcomes of appends that were no longer pending",
             late,
         );
+        let restarts = self.server_restarts.clone();
+        registry.register(
+            "server_restarts",
+            "Servers that registered a later start under their names",
+            restarts,
+        );
         let takeovers = self.takeovers.clone();
         registry.register(
             "takeovers",
