Count an append that a read shows from its first sending

A granter may order for a limited time after the log last showed nothing newer. An append that succeeded shows that, at the time it was sent. Where a read showed it, the time of its last sending counted: an append that was in the log at once and was sent again two seconds later gave the granter two seconds more than its successor waits. Where the granter was cut off meanwhile, a server could renew its hold after the successor had taken it as expired. The time of the first sending counts now, since the append can have been in the log from then on.

--- a/src/ownership/granter/mod.rs
+++ b/src/ownership/granter/mod.rs
@@ -61,6 +61,7 @@
     // Incarnations whose address responds like a server of an unsharded service.
     rejected: collections::BTreeMap<assignment::ServerIncarnation, net::SocketAddr>,
     yielded: bool,
+    // When the pending append was sent first.
     append_sent: clock::MonoTime,
     key_loads: key_load::ServiceLoad,
     service_times: collections::BTreeMap<names::ServerName, f64>,
@@ -323,7 +324,6 @@
         if let (Some(pending), Some(at)) = (&self.appending, self.end) {
             if now >= self.append_retry {
                 self.append_retry = now + time::Duration::from_millis(APPEND_TIMEOUT_MS);
-                self.append_sent = now;
                 actions.push(order::GranterAction::Append {
                     number: pending.number,
                     table: pending.table.clone(),
--- a/tests/granting.rs
+++ b/tests/granting.rs
@@ -7,6 +7,7 @@
 use zinnia_lab::fixtures;
 use zinniastack::names;
 use zinniastack::ownership::assignment;
+use zinniastack::ownership::election;
 use zinniastack::ownership::former_granters;
 use zinniastack::ownership::granter;
 use zinniastack::ownership::order;
@@ -299,6 +300,23 @@
     assert!(!case.granter.is_granting());
 }
 
+// An append that a read showed counted as sent when it was sent last, so that a granter that was cut
+// off went on sending orders for longer than its successor waits.
+fn counts_its_right_from_the_first_sending_of_an_append() {
+    let mut case = GranterCase::new(3);
+    case.run(4_000);
+    case.directory.note(record(3));
+    let (_, planned, _) = case.next_append();
+    let sent_ms = case.now_ms;
+    case.next_append();
+    assert!(case.now_ms > sent_ms, "the append is sent again");
+    case.read(planned);
+    case.now_ms = sent_ms + election::MAX_UNCONFIRMED_MS + TICK_MS;
+    let now = fixtures::at(case.now_ms);
+    case.granter.tick(now, &[service()], &case.directory);
+    assert!(!case.granter.is_granting());
+}
+
 // A server that had restarted at its address accepted an order for its earlier incarnation, which
 // names only the server, and its keys went to another server without a release.
 fn releases_the_keys_of_a_restarted_server_before_they_move() {
@@ -343,4 +361,5 @@
     orders_by_the_log_when_an_append_is_read_before_its_response,
     claims_only_by_the_response_to_its_claim,
     releases_the_keys_of_a_restarted_server_before_they_move,
+    counts_its_right_from_the_first_sending_of_an_append,
 }
