Take a release as done only by a response that cannot be a copy

Callers saw two servers hold the same keys; this was one way to it. A server may send a response twice, the second copy where the next response on the connection is expected. The copy of a grant's response counted as the response of the release that followed it, and the keys went to another server while the former holder had them and worked on them.

A new connection for each order was ruled out: a full server resets new connections, and renewals would be lost under load. So the proof is in what the response says. A response without a token is not trusted: the release, which may be repeated, is sent once more on a connection of its own.

A copy can still count as the response of a grant. That moves no keys: a refusal that is missed so shows at the next renewal. What remains is that a grant may arrive a little after the copy that was taken for its response, by at most the time after which unacknowledged data resets a connection.

--- a/src/edge/router/http_client.rs
+++ b/src/edge/router/http_client.rs
@@ -156,6 +156,19 @@
                 Err(ExchangeError::Failed(error)) => return Err(error),
             }
         }
+        self.send_anew(peer, request).await
+    }
+
+    /// Sends a request over a new connection and waits for the head of the response, which cannot
+    /// be a copy of an earlier one.
+    ///
+    /// # Errors
+    /// Fails when no connection can be made, or when the connection breaks off.
+    pub async fn send_anew(
+        &self,
+        peer: net::SocketAddr,
+        request: hyper::Request<request_body::RequestBody>,
+    ) -> Result<HttpResponse, HttpError> {
         let connection = connect(peer, self.connect_timeout).await?;
         exchange(peer, connection, request)
             .await
