--- a/lab/src/grants/simulation/mod.rs
+++ b/lab/src/grants/simulation/mod.rs
@@ -43,6 +43,8 @@
 pub const ENTRY_TTL_MS: u64 = 2_600;
 /// The longest time that a release waits for work on its keys, in milliseconds.
 pub const MAX_WORK_MS: u64 = 400;
+/// The distance of a second port at which a server can be reached, for a mutation.
+pub(crate) const MOVED_PORTS: u16 = 1_000;
 /// How much slower than real time the servers' clocks run, in percent.
 pub const SLOW_PERCENT: u32 = 2;
 
@@ -63,8 +65,8 @@
     UnreadClaim,
     /// A restarted host numbers its fences from 1 again.
     RepeatedFence,
-    /// A server that is cut off from the store is taken for a new incarnation, and so its keys for
-    /// free.
+    /// A server that is cut off from the store is taken for a new incarnation at another address, and
+    /// so its keys for free.
     LapsedIsDead,
     /// A response from a former granter's host is taken as proof that the former granter has ended.
     AnswerIsEnd,
@@ -78,6 +80,7 @@
     pub(crate) frozen_until: clock::MonoTime,
     pub(crate) frozen_for: time::Duration,
     pub(crate) cut_from_store: bool,
+    pub(crate) cut_from_hosts: bool,
     pub(crate) cut_from: collections::BTreeSet<usize>,
     // The servers to which the host has an open connection.
     connected: collections::BTreeSet<usize>,
@@ -87,6 +90,7 @@
 pub(crate) struct SimulatedServer {
     pub(crate) server: key_server::KeyServer,
     pub(crate) address: net::SocketAddr,
+    pub(crate) started: clock::MonoTime,
     pub(crate) alive: bool,
     pub(crate) draining: bool,
     pub(crate) cut_from_store: bool,
@@ -222,6 +226,7 @@
             frozen_until: clock::MonoTime::from_micros(0),
             frozen_for: time::Duration::ZERO,
             cut_from_store: false,
+            cut_from_hosts: false,
             cut_from: collections::BTreeSet::new(),
             connected: collections::BTreeSet::new(),
             delayed: Vec::new(),
@@ -244,6 +249,7 @@
         let server = SimulatedServer {
             server: key_server::KeyServer::new(incarnation, SLOW_PERCENT),
             address: address(index),
+            started: self.now,
             alive: true,
             draining: false,
             cut_from_store: false,
@@ -398,7 +404,7 @@
         }
     }
 
-    // A granter queries the hosts of former granters. Hosts can always reach each other here.
+    // A granter queries the hosts of former granters.
     fn query_former_granters(&mut self, host: usize) {
         self.push(QUERY_MS, SimulationEvent::QueryFormer(host));
         let asked = self.clock_of(host);
@@ -424,6 +430,9 @@
         from_incarnation: u64,
         asked: clock::MonoTime,
     ) {
+        if self.hosts[host].cut_from_hosts || self.hosts[from].cut_from_hosts {
+            return;
+        }
         let mut incarnation = Self::granter_incarnation(host, self.hosts[host].incarnation);
         if self.mutation == GrantMutation::AnswerIsEnd {
             incarnation.incarnation += 1_000;
