--- a/lab/src/grants/simulation/mod.rs
+++ b/lab/src/grants/simulation/mod.rs
@@ -115,6 +115,10 @@
     pub(crate) granted: Vec<(u16, u16, u64, assignment::ServerIncarnation)>,
     pub(crate) violations: Vec<String>,
     pub(crate) faults: u32,
+    // Whether the random faults include a granter that is cut off from the store and the other hosts.
+    pub(crate) has_cut_granters: bool,
+    // Whether an order for an earlier incarnation of a server is carried out.
+    pub(crate) compares_names_only: bool,
     // Whether orders and their answers are never lost or delayed beyond the usual.
     is_reliable: bool,
     pub(crate) gap_duration: time::Duration,
@@ -152,6 +156,8 @@
             granted: Vec::new(),
             violations: Vec::new(),
             faults,
+            has_cut_granters: false,
+            compares_names_only: false,
             is_reliable: false,
             gap_duration: time::Duration::ZERO,
         };
@@ -167,6 +173,18 @@
         simulation
     }
 
+    /// Creates a simulation whose random faults include a granter that is cut off from the store and
+    /// the other hosts, but not from the servers. Those compare only names, like the platform's: after
+    /// a restart they carry out orders for their earlier incarnations.
+    #[must_use]
+    pub fn with_cut_granters(seed: u64, faults: u32) -> Self {
+        Self {
+            has_cut_granters: true,
+            compares_names_only: true,
+            ..Self::new(seed, faults, GrantMutation::None)
+        }
+    }
+
     /// Creates a simulation without faults in which no order or answer is lost or delayed beyond the
     /// usual.
     #[must_use]
