Name earlier builds without a version, and drop an unused argument

Earlier builds bear the same version as this one, so the comments on the messages between hosts say only that earlier builds send no era.

--- a/src/serving/replica.rs
+++ b/src/serving/replica.rs
@@ -20,7 +20,7 @@
 pub struct RecordPage {
     /// The topic.
     pub topic: topic::StoreTopic,
-    /// The era of the sender's copy; builds before 0.3 send none.
+    /// The era of the sender's copy; earlier builds send none.
     pub era: Option<u64>,
     /// The offset from which the records were selected. 0 where they replace all that the receiver
     /// has: the page, or the first of several, begins with the oldest record.
--- a/src/serving/status.rs
+++ b/src/serving/status.rs
@@ -65,7 +65,7 @@
     pub store_lost: bool,
     /// The positions at which its copies of the store's topics end.
     pub ends: topic::TopicEnds,
-    /// The highest era of the store that it knows; builds before 0.3 send none.
+    /// The highest era of the store that it knows; earlier builds send none.
     pub store_era: Option<u64>,
     /// The term of the newest assignment table that it knows.
     pub term: u64,
@@ -82,7 +82,7 @@
 pub struct PageRequest {
     /// The topic.
     pub topic: topic::StoreTopic,
-    /// The era of the copy that it continues; builds before 0.3 send none.
+    /// The era of the copy that it continues; earlier builds send none.
     pub era: Option<u64>,
     /// The offset of the first record that the host lacks.
     pub from: u64,
@@ -105,7 +105,7 @@
 pub struct RecordRequest {
     /// The parts of the topics that it requests.
     pub pages: Vec<PageRequest>,
-    /// The version of its routes in force; builds before 0.3 send none.
+    /// The version of its routes in force; earlier builds send none.
     pub routes_version: Option<u64>,
     /// How long to wait for the first record where there is none yet, in milliseconds.
     pub wait_millis: u64,
--- a/src/serving/topic.rs
+++ b/src/serving/topic.rs
@@ -89,7 +89,7 @@
 pub struct TopicEnds {
     /// The offset at which each copy ends, in the order of [`StoreTopic::ALL`].
     pub ends: [u64; 4],
-    /// The era of each copy. Builds before 0.3 send none: their copies are of the first.
+    /// The era of each copy. Earlier builds send none: their copies are of the first.
     pub eras: [u64; 4],
     /// The version of the routes in force, which may be higher than that of the copy: a store that
     /// came back from an older copy may have lost it.
--- a/tests/store_reader.rs
+++ b/tests/store_reader.rs
@@ -48,7 +48,7 @@
     async fn respond(&self, call: StoreCall) -> Result<(u64, u64), ports::StoreError> {
         self.calls.borrow_mut().push(call);
         if self.is_gone.get() {
-            return self.gone_response(call);
+            return Self::gone_response(call);
         }
         let next = self.responses.borrow_mut().pop_front();
         let Some(response) = next else {
@@ -65,7 +65,7 @@
         Ok((era, end))
     }
 
-    fn gone_response(&self, call: StoreCall) -> Result<(u64, u64), ports::StoreError> {
+    fn gone_response(call: StoreCall) -> Result<(u64, u64), ports::StoreError> {
         match call {
             StoreCall::Newest => Ok((0, 9)),
             StoreCall::Read { .. } => Err(ports::StoreError::Gone {
