Let the lab's store come back from an older copy

No test could bring a return of the store about: the stand-in had no era and kept no history. It now keeps the time of each record, trim and change of the group, comes back to any earlier moment, gives the lost offsets out again, answers reads beyond its end with 410 and states `Store-Era` in all its responses. While it is away it refuses, is silent or closes the connections; reads that wait may be kept open until it is back. The site writes again what the operator and the workers had written.

Workers check `X-Expect-Instance` on orders too, echo `X-Request-Id` on every response, answer a release when the work on its keys has ended, can start again under their id, and can send a response to an order once more where the next one is expected. A ledger checks each grant as it is carried out: no key with two holders, no fence that is not above all others', no grant of a key on which another is at work.

The processes of hosts move from the tests into `platform_site::case`, for other test files. `wait_until_served` gives each round ids of its own: ids of a partly served round ran again in the next one, which the check of requests that ran twice would have taken for a fault.

--- a/lab/src/platform_site/settings.rs
+++ b/lab/src/platform_site/settings.rs
@@ -34,19 +34,26 @@
 /// and, if `extra` is set, `/extra/` to the same pool.
 #[must_use]
 pub fn configuration(version: u64, extra: bool) -> serde_json::Value {
-    let route = |name: &str, prefix: &str, kind: &str, service: &str| {
+    let added: &[&str] = if extra { &["extra"] } else { &[] };
+    configuration_with(version, added)
+}
+
+/// Returns a configuration that routes `/stock/` to a sharded service, and `/orders/` and a path for
+/// each name in `added` to a pool of servers.
+#[must_use]
+pub fn configuration_with(version: u64, added: &[&str]) -> serde_json::Value {
+    let route = |name: &str, kind: &str, service: &str| {
         serde_json::json!({
-            "name": name, "path_prefix": prefix, "kind": kind, "timeout_ms": 2_000,
-            "target_latency_ms": 500, "priority": 1, "max_attempts": 2, "service": service,
+            "name": format!("r-{name}"), "path_prefix": format!("/{name}/"), "kind": kind,
+            "timeout_ms": 2_000, "target_latency_ms": 500, "priority": 1, "max_attempts": 2,
+            "service": service,
         })
     };
     let mut paths = vec![
-        route("r-stock", "/stock/", "safe", "stock"),
-        route("r-orders", "/orders/", "unsafe", "orders"),
+        route("stock", "safe", "stock"),
+        route("orders", "unsafe", "orders"),
     ];
-    if extra {
-        paths.push(route("r-extra", "/extra/", "unsafe", "orders"));
-    }
+    paths.extend(added.iter().map(|name| route(name, "unsafe", "orders")));
     serde_json::json!({
         "version": version,
         "services": [
--- a/lab/src/platform_site/site.rs
+++ b/lab/src/platform_site/site.rs
@@ -9,6 +9,7 @@
 use zinniastack::clock::MonoClock as _;
 
 use crate::http;
+use crate::platform_site::ledger;
 use crate::platform_site::settings;
 use crate::platform_site::store;
 use crate::platform_site::worker;
@@ -25,6 +26,8 @@
 pub const PEERS_PORT: u16 = 7_400;
 /// The port at which the first host serves metrics and operators; each further host has the next.
 pub const METRICS_PORT: u16 = 7_500;
+/// The topic of the operator's records.
+pub const OPERATOR_TOPIC: &str = "keyed.op";
 /// How long a caller waits for a response.
 pub const CALLER_TIMEOUT: time::Duration = time::Duration::from_secs(10);
 
@@ -36,8 +39,12 @@
     pub store: http::Shared<store::StoreState>,
     /// The workers.
     pub workers: Vec<http::Shared<worker::WorkerState>>,
+    /// The holds of the workers, with what broke the rules.
+    pub ledger: http::Shared<ledger::HoldLedger>,
     /// The clock that the workers' holds are measured by.
     pub clock: clock::SystemClock,
+    // The newest configuration that the store acknowledged.
+    configured: http::Shared<Option<String>>,
 }
 
 impl PlatformSite {
@@ -53,7 +60,9 @@
             ip,
             store,
             workers: Vec::new(),
+            ledger: http::shared(ledger::HoldLedger::new()),
             clock: clock::SystemClock::new(),
+            configured: http::shared(None),
         })
     }
 
@@ -71,20 +80,79 @@
         Ok(())
     }
 
-    fn add_worker(&mut self, id: &str, service: &str, sharded: bool) -> io::Result<()> {
+    /// Starts another worker.
+    ///
+    /// # Errors
+    /// Fails when its port is taken.
+    pub fn add_worker(&mut self, id: &str, service: &str, sharded: bool) -> io::Result<()> {
         let state = http::shared(worker::WorkerState::new(id, service, sharded));
-        let number = u16::try_from(self.workers.len()).unwrap_or(u16::MAX);
-        let listener = net::TcpListener::bind((self.ip, WORKER_PORT + number))?;
-        let store = sync::Arc::clone(&self.store);
-        worker::serve(listener, &state, store, self.clock)?;
+        let listener = net::TcpListener::bind(self.worker_address(self.workers.len()))?;
+        worker::serve(listener, &state, self.surroundings())?;
         self.workers.push(state);
         Ok(())
     }
 
+    /// Starts a worker again under its id, as a new incarnation.
+    pub fn restart_worker(&self, number: usize) {
+        let surroundings = self.surroundings();
+        http::lock(&self.workers[number]).restart(&surroundings);
+    }
+
+    /// Returns the address of the worker with this number.
+    #[must_use]
+    pub fn worker_address(&self, number: usize) -> net::SocketAddr {
+        let number = u16::try_from(number).unwrap_or(u16::MAX);
+        net::SocketAddr::new(self.ip, WORKER_PORT + number)
+    }
+
+    fn surroundings(&self) -> worker::WorkerSurroundings {
+        worker::WorkerSurroundings {
+            store: sync::Arc::clone(&self.store),
+            ledger: sync::Arc::clone(&self.ledger),
+            clock: self.clock,
+        }
+    }
+
     /// Publishes a configuration in the store, as the operator does.
     pub fn configure(&self, configuration: &serde_json::Value) {
         let text = configuration.to_string();
-        http::lock(&self.store).append("keyed.op", "config", text.as_bytes());
+        self.write_configuration(&text);
+        *http::lock(&self.configured) = Some(text);
+    }
+
+    fn write_configuration(&self, text: &str) {
+        http::lock(&self.store).append(OPERATOR_TOPIC, "config", text.as_bytes());
+    }
+
+    /// Takes the store away: calls fail as `outage` says.
+    pub fn stop_store(&self, outage: store::OutageKind) {
+        let faults = &mut http::lock(&self.store).faults;
+        faults.is_down = true;
+        faults.outage = outage;
+    }
+
+    /// Ends the store's outage.
+    pub fn resume_store(&self) {
+        http::lock(&self.store).faults.is_down = false;
+    }
+
+    /// Brings the store back to the copy that was made at `copied`.
+    pub fn restore_store(&self, copied: time::Instant) {
+        http::lock(&self.store).restore(copied);
+    }
+
+    /// Writes again what the operator and the workers had written: the newest configuration, and the
+    /// workers' entries or their removal.
+    pub fn rewrite(&self) {
+        let configured = http::lock(&self.configured);
+        if let Some(text) = configured.as_deref() {
+            self.write_configuration(text);
+        }
+        for (number, worker) in self.workers.iter().enumerate() {
+            let mut worker = http::lock(worker);
+            let mut store = http::lock(&self.store);
+            worker.write_entry(self.worker_address(number), &mut store);
+        }
     }
 
     /// Returns the listen addresses of the host with this number.
@@ -104,11 +172,17 @@
         settings::settings_file(&format!("entry-{number}"), &self.ports(number), store)
     }
 
-    /// Checks that no request ran twice and that no key is held by two workers.
+    /// Checks that no request ran twice, that no key had two holders at any time, and that fences rose.
     ///
     /// # Errors
-    /// Fails with the requests that ran twice, or with all held ranges if two overlap.
+    /// Fails with the holds that broke the rules, with the requests that ran twice, or with all held
+    /// ranges if two overlap.
     pub fn check_invariants(&self) -> Result<(), String> {
+        let ledger = http::lock(&self.ledger);
+        if !ledger.violations().is_empty() {
+            return Err(format!("holds broke the rules: {:#?}", ledger.violations()));
+        }
+        drop(ledger);
         let now = self.clock.now();
         let mut held = Vec::new();
         for worker in &self.workers {
@@ -163,3 +237,10 @@
     let response = awc::Client::default().get(address).send().await;
     response.is_ok_and(|response| response.status().is_success())
 }
+
+/// Returns what a host reports to operators.
+pub async fn host_report(operators: net::SocketAddr) -> Option<serde_json::Value> {
+    let address = format!("http://{operators}/status");
+    let mut response = awc::Client::default().get(address).send().await.ok()?;
+    response.json().await.ok()
+}
--- a/lab/tests/platform.rs
+++ b/lab/tests/platform.rs
@@ -8,137 +8,23 @@
 
 use futures_util::StreamExt as _;
 use zinnia_lab::http;
+use zinnia_lab::platform_site::case;
 use zinnia_lab::platform_site::settings;
 use zinnia_lab::platform_site::site;
 use zinniastack::clock::MonoClock as _;
 
-/// Upper bound on a step. It only ends a hung test; no case asserts a duration.
-const STEP_TIMEOUT: time::Duration = time::Duration::from_mins(1);
-/// Interval at which a condition is polled.
-const POLL_INTERVAL: time::Duration = time::Duration::from_millis(50);
-
-/// The process of a host, killed when the value is dropped.
-struct RouterProcess {
-    child: process::Child,
-    ports: settings::HostPorts,
-    file: path::PathBuf,
-}
-
-impl RouterProcess {
-    fn signal(&self, name: &str) {
-        let id = self.child.id().to_string();
-        let sent = process::Command::new("kill").args([name, &id]).status();
-        assert!(sent.expect("kill runs").success());
-    }
-}
-
-impl Drop for RouterProcess {
-    fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-        let _ = std::fs::remove_file(&self.file);
-    }
-}
-
-// `cargo test --workspace` builds it in the same directory as the lab program.
-fn router_program() -> path::PathBuf {
-    let lab = path::Path::new(env!("CARGO_BIN_EXE_zinnia-lab"));
-    lab.with_file_name("zinnia-router")
+// Starts a site with two hosts.
+async fn start(test: u8) -> case::SiteCase {
+    case::SiteCase::start(program(), test, 2).await
 }
 
-// A loopback address for this test alone, so that parallel tests do not compete for ports.
-fn own_ip(test: u8) -> net::IpAddr {
-    let [high, low] = u16::try_from(process::id() % 60_000)
-        .unwrap_or(1)
-        .to_be_bytes();
-    net::IpAddr::from([127, 64 + test, high, low.max(1)])
-}
-
-/// A site with its host processes.
-struct PlatformCase {
-    site: site::PlatformSite,
-    hosts: Vec<RouterProcess>,
-    started: u16,
-}
-
-impl PlatformCase {
-    // Starts only the store.
-    fn new(test: u8) -> Self {
-        let site = site::PlatformSite::new(own_ip(test));
-        Self {
-            site: site.expect("the store's port is free"),
-            hosts: Vec::new(),
-            started: 0,
-        }
-    }
-
-    async fn start(test: u8) -> Self {
-        let mut case = Self::new(test);
-        case.site.start_workers().expect("the ports are free");
-        for _ in 0..2 {
-            case.add_host();
-        }
-        case.wait_until_ready().await;
-        case
-    }
-
-    fn add_host(&mut self) {
-        let number = self.started;
-        self.started += 1;
-        let file = format!("zinnia-{}-{}-{number}.json", process::id(), self.site.ip);
-        let file = std::env::temp_dir().join(file);
-        let text = self.site.settings_file(number).to_string();
-        std::fs::write(&file, text).expect("the settings file is written");
-        let port = site::METRICS_PORT + number;
-        let child = process::Command::new(router_program())
-            .env("ZINNIASTACK_CONFIG", &file)
-            .env("ZINNIA_METRICS_PORT", port.to_string())
-            .stdout(process::Stdio::null())
-            .spawn()
-            .expect("zinnia-router starts");
-        let ports = self.site.ports(number);
-        self.hosts.push(RouterProcess { child, ports, file });
-    }
-
-    async fn wait_until_ready(&self) {
-        for host in &self.hosts {
-            wait_until("the host is ready", async || {
-                site::is_ready(host.ports.ready).await
-            })
-            .await;
-        }
-    }
-
-    async fn send(&self, host: usize, path: &str, id: &str, key: u16) -> Option<(u16, String)> {
-        site::send(self.hosts[host].ports.front, path, id, key).await
-    }
-
-    // Sends requests with many keys to all hosts; returns the number of correct responses.
-    async fn send_many(&self, path: &str, prefix: &str, count: u16) -> usize {
-        let fronts: Vec<_> = self.hosts.iter().map(|host| host.ports.front).collect();
-        site::send_many(&fronts, path, prefix, count).await
-    }
-
-    // Checks that no request ran twice and that no key has two holders.
-    fn expect_invariants(&self) {
-        assert_eq!(self.site.check_invariants(), Ok(()));
-    }
-}
-
-async fn wait_until(what: &str, check: impl AsyncFn() -> bool) {
-    let end = time::Instant::now() + STEP_TIMEOUT;
-    while !check().await {
-        assert!(time::Instant::now() < end, "timed out: {what}");
-        tokio::time::sleep(POLL_INTERVAL).await;
-    }
+fn program() -> &'static path::Path {
+    path::Path::new(env!("CARGO_BIN_EXE_zinnia-lab"))
 }
 
 async fn serves_a_short_day(test: u8) {
-    let case = PlatformCase::start(test).await;
-    wait_until("every key is served", async || {
-        case.send_many("/stock/a", "warm", 10).await == 10
-    })
-    .await;
+    let case = start(test).await;
+    case.wait_until_served("/stock/a", "warm").await;
     assert_eq!(case.send_many("/stock/a", "s", 60).await, 60);
     assert_eq!(case.send_many("/orders/a", "o", 60).await, 60);
     let none = case.send(0, "/nowhere/", "n", 0).await;
@@ -147,10 +33,10 @@
 }
 
 async fn puts_versions_in_force_and_never_takes_one_back(test: u8) {
-    let case = PlatformCase::start(test).await;
+    let case = start(test).await;
     case.site.configure(&settings::configuration(7, true));
     for host in 0..2 {
-        wait_until("the new route is served", async || {
+        case::wait_until("the new route is served", async || {
             let response = case.send(host, "/extra/a", &format!("e{host}"), 0).await;
             response.is_some_and(|response| response.0 == 200)
         })
@@ -168,32 +54,27 @@
 }
 
 async fn moves_the_keys_of_a_worker_that_drains(test: u8) {
-    let case = PlatformCase::start(test).await;
+    let case = start(test).await;
     http::lock(&case.site.workers[0]).drain();
-    wait_until("the worker holds no key", async || {
+    case::wait_until("the worker holds no key", async || {
         http::lock(&case.site.workers[0])
             .held(case.site.clock.now())
             .is_empty()
     })
     .await;
-    wait_until("every key is served", async || {
-        case.send_many("/stock/a", "d", 20).await == 20
-    })
-    .await;
+    case.wait_until_served("/stock/a", "d").await;
     case.expect_invariants();
 }
 
 async fn goes_on_when_the_granter_is_killed(test: u8) {
-    let mut case = PlatformCase::start(test).await;
+    let mut case = start(test).await;
     // One of the two hosts is the granter, so killing both in turn kills a granter at least once.
     for number in 0..2_u16 {
         let killed = case.hosts.remove(0);
         killed.signal("-9");
         drop(killed);
-        wait_until("every key is served", async || {
-            case.send_many("/stock/a", &format!("k{number}"), 20).await == 20
-        })
-        .await;
+        case.wait_until_served("/stock/a", &format!("k{number}"))
+            .await;
         case.expect_invariants();
         if number == 0 {
             case.add_host();
@@ -203,11 +84,8 @@
 }
 
 async fn serves_while_the_store_is_away(test: u8) {
-    let case = PlatformCase::start(test).await;
-    wait_until("every key is served", async || {
-        case.send_many("/stock/a", "warm", 10).await == 10
-    })
-    .await;
+    let case = start(test).await;
+    case.wait_until_served("/stock/a", "warm").await;
     http::lock(&case.site.store).faults.is_down = true;
     // Longer than a hold, so that every hold has to be renewed during the outage.
     tokio::time::sleep(time::Duration::from_secs(4)).await;
@@ -215,15 +93,12 @@
     http::lock(&case.site.store).faults.is_down = false;
     http::lock(&case.site.store).compact();
     http::lock(&case.site.store).rebalance();
-    wait_until("every key is served", async || {
-        case.send_many("/stock/a", "back", 20).await == 20
-    })
-    .await;
+    case.wait_until_served("/stock/a", "back").await;
     case.expect_invariants();
 }
 
 async fn stops_without_cutting_a_request(test: u8) {
-    let case = PlatformCase::start(test).await;
+    let case = start(test).await;
     for worker in &case.site.workers {
         http::lock(worker).work_ms = 800;
     }
@@ -238,7 +113,7 @@
 }
 
 async fn passes_no_part_or_cross_of_an_answer_on(test: u8) {
-    let case = PlatformCase::start(test).await;
+    let case = start(test).await;
     for worker in &case.site.workers[2..] {
         http::lock(worker).faults.truncate_responses = 1;
     }
@@ -265,7 +140,7 @@
 // Guards against a server whose response never ends: it would occupy the host, the link and a slot for
 // as long as the caller leaves its connection open.
 async fn breaks_off_a_response_without_end(test: u8) {
-    let case = PlatformCase::start(test).await;
+    let case = start(test).await;
     for worker in &case.site.workers {
         http::lock(worker).faults.endless_responses = 1;
     }
@@ -276,7 +151,7 @@
         .insert_header(("x-request-id", "endless"))
         .insert_header(("x-request-deadline", "700"));
     let mut response = request.send().await.expect("the host responds");
-    let ended = tokio::time::timeout(STEP_TIMEOUT, async {
+    let ended = tokio::time::timeout(case::STEP_TIMEOUT, async {
         while let Some(Ok(_)) = response.next().await {}
     });
     assert!(ended.await.is_ok(), "the host forwards an endless body");
@@ -288,7 +163,7 @@
 }
 
 async fn refuses_what_is_over_a_limit(test: u8) {
-    let case = PlatformCase::start(test).await;
+    let case = start(test).await;
     let front = case.hosts[0].ports.front;
     let post = |path: &str| {
         let request = awc::Client::default().post(format!("http://{front}{path}"));
@@ -318,7 +193,7 @@
 
 // A body without a stated length exceeds the limit only while it is being forwarded.
 async fn breaks_off_a_body_that_grows_over_the_limit(test: u8) {
-    let case = PlatformCase::start(test).await;
+    let case = start(test).await;
     let front = case.hosts[0].ports.front;
     for (id, parts) in [("early", 80), ("late", 200)] {
         let request = awc::Client::default().post(format!("http://{front}/orders/a"));
@@ -339,9 +214,9 @@
 }
 
 async fn answers_503_before_a_configuration_is_known(test: u8) {
-    let mut case = PlatformCase::new(test);
+    let mut case = case::SiteCase::new(program(), test);
     case.add_host();
-    wait_until("the host responds", async || {
+    case::wait_until("the host responds", async || {
         case.send(0, "/orders/a", "early", 0).await.is_some()
     })
     .await;
@@ -357,7 +232,7 @@
     let router = net::SocketAddr::new(ip, site::METRICS_PORT).to_string();
     let mut words: Vec<_> = words.iter().map(ToString::to_string).collect();
     words.extend(["--router".to_owned(), router]);
-    let program = router_program().with_file_name("zinnia");
+    let program = program().with_file_name("zinnia");
     let run = move || process::Command::new(program).args(words).output();
     let ran = tokio::task::spawn_blocking(run).await;
     let output = ran.expect("the command ends").expect("zinnia runs");
@@ -368,11 +243,11 @@
 // Guards against a final 404 for a route that was added while the store rejects this host: the caller
 // may try again elsewhere.
 async fn refuses_an_unknown_route_for_a_while_when_the_store_is_away(test: u8) {
-    let case = PlatformCase::start(test).await;
+    let case = start(test).await;
     let known = case.send(0, "/added/a", "before", 0).await;
     assert_eq!(known.map(|response| response.0), Some(404));
     http::lock(&case.site.store).faults.is_down = true;
-    wait_until("the routes are unconfirmed", async || {
+    case::wait_until("the routes are unconfirmed", async || {
         let response = case.send(0, "/added/a", "lost", 0).await;
         response == Some((503, "routes-unconfirmed".to_owned()))
     })
@@ -380,7 +255,7 @@
 }
 
 async fn tells_operators_what_it_knows(test: u8) {
-    let case = PlatformCase::start(test).await;
+    let case = start(test).await;
     let (status, code) = ask_operator(case.site.ip, &["status"]).await;
     assert_eq!(code, Some(0));
     assert!(status.contains("phase          ready"), "{status}");
@@ -388,7 +263,7 @@
     for worker in ["stock-1", "stock-2", "orders-1", "orders-2"] {
         assert!(status.contains(worker), "{status}");
     }
-    wait_until("the key is held", async || {
+    case::wait_until("the key is held", async || {
         let (key, _) = ask_operator(case.site.ip, &["explain", "stock", "7"]).await;
         key.contains("requests go to the holder") && key.contains("held for")
     })
