Add a failing test of an order's response that arrives twice

Servers may send a response once more, late, where the next one on the connection is expected; the request's id tells them apart. Orders to servers carry no id, so a copy of a grant's response counts as the response to the release that follows. The granter then takes the keys for released, though the server still works on them, and grants them to another server.

The test drains a server while callers keep it busy and repeats responses before releases. The stand-in's responses to orders state how long a connection stays open, so that the granter uses one connection for several orders.

--- a/lab/src/platform_site/worker/calls.rs
+++ b/lab/src/platform_site/worker/calls.rs
@@ -16,6 +16,8 @@
 
 /// The interval at which a release checks whether the work on its keys has ended, in milliseconds.
 const POLL_INTERVAL_MS: u64 = 5;
+/// How long an idle connection stays open, in seconds.
+const KEEP_ALIVE_S: u64 = 5;
 const REQUEST_ID: &str = "x-request-id";
 const EXPECT_INSTANCE: &str = "x-expect-instance";
 const HANDOVER: &str = "x-lease-handover";
@@ -86,6 +88,7 @@
             .default_service(web::to(handle_request))
     })
     .on_connect(connection::ConnectionSocket::attach)
+    .keep_alive(time::Duration::from_secs(KEEP_ALIVE_S))
     .workers(1)
     .disable_signals()
     .listen(listener)?
@@ -110,9 +113,9 @@
     response.insert_header(("x-not-executed", "1")).finish()
 }
 
-// Sends the response to the connection's last order once more, where the next one is expected.
+// Sends the response to the connection's last order once more, where that to a release is expected.
 fn repeat_response(service: &WorkerService, request: &actix_web::HttpRequest) {
-    let is_on = http::lock(&service.state).faults.repeat_order_responses;
+    let is_on = http::lock(&service.state).faults.repeat_before_releases;
     let socket = request.conn_data::<connection::ConnectionSocket>();
     if let Some(socket) = socket.filter(|_| is_on)
         && let Err(error) = socket.repeat_response()
@@ -129,7 +132,9 @@
 ) -> actix_web::HttpResponse {
     let id = header(request, REQUEST_ID).map(|id| (REQUEST_ID, id));
     let handover = handover.map(|handover| (HANDOVER, handover));
-    let headers: Vec<(&str, String)> = id.into_iter().chain(handover).collect();
+    let keep_alive = ("keep-alive", format!("timeout={KEEP_ALIVE_S}"));
+    let headers = id.into_iter().chain(handover);
+    let headers: Vec<(&str, String)> = headers.chain([keep_alive]).collect();
     let lines = headers
         .iter()
         .map(|(name, value)| format!("{name}: {value}\r\n"));
@@ -150,7 +155,6 @@
     request: actix_web::HttpRequest,
     body: web::Json<GrantBody>,
 ) -> actix_web::HttpResponse {
-    repeat_response(&service, &request);
     let mut state = http::lock(&service.state);
     if is_misdirected(&request, &state.id) {
         return refuse_misdirected(&request);
--- a/lab/src/platform_site/worker/mod.rs
+++ b/lab/src/platform_site/worker/mod.rs
@@ -35,9 +35,9 @@
     pub swap_response_ids: u32,
     /// The number of coming responses whose body never ends.
     pub endless_responses: u32,
-    /// Whether the response to an order is sent once more where the response to the next order on the
-    /// same connection is expected.
-    pub repeat_order_responses: bool,
+    /// Whether the response to an order is sent once more where the response to a release that follows
+    /// on the same connection is expected.
+    pub repeat_before_releases: bool,
     /// Whether the worker does not write to the store.
     pub hold_heartbeats: bool,
 }
