--- a/lab/src/platform_site/worker/mod.rs
+++ b/lab/src/platform_site/worker/mod.rs
@@ -101,6 +101,12 @@
         self.draining = true;
     }
 
+    /// Reports whether the worker is draining.
+    #[must_use]
+    pub const fn is_draining(&self) -> bool {
+        self.draining
+    }
+
     /// Stops the worker's registration: at the next heartbeat it removes its entry from the store.
     pub const fn stop(&mut self) {
         self.stopped = true;
