Let the simulated store come back older under the granter

The granting simulation's store could go away but not come back from an older copy, so no test could see what the granter does then. Its log is now one of keyed records, as in the store, with the time of each append; each host keeps a copy and assembles the table from it. The fault `restore_store` goes back to what the log, and the owner of the group's partition, were some seconds ago, raises the era, and lets appends on their way arrive behind. Random schedules mix it with all other faults, with the granter or all hosts killed at the same moment; directed cases lose moves, the first table, a claim in flight, twice in a row.

--- a/lab/src/grants/faults.rs
+++ b/lab/src/grants/faults.rs
@@ -37,6 +37,10 @@
         self.faults -= 1;
         let after = self.random.random_range(200..2_500);
         self.push(after, simulation::SimulationEvent::Fault);
+        if self.has_restores && self.chance(4) {
+            self.restore_at_random();
+            return;
+        }
         let host = self.random.random_range(0..simulation::HOSTS);
         let server = self.random.random_range(0..self.servers.len());
         match self.random.random_range(0..14) {
@@ -59,6 +63,33 @@
         }
     }
 
+    // Lets the store come back older, in part of the cases while hosts are killed.
+    fn restore_at_random(&mut self) {
+        let age = self.random.random_range(100..10_000);
+        let outage = self.random.random_range(100..4_000);
+        self.restore_store(
+            time::Duration::from_millis(age),
+            time::Duration::from_millis(outage),
+        );
+        match self.random.random_range(0..4) {
+            0 => self.kill_granter(),
+            1 => self.kill_all_hosts(),
+            _ => {}
+        }
+    }
+
+    /// Lets a server announce that it will end.
+    pub fn drain_server(&mut self, server: usize) {
+        self.servers[server].draining = true;
+    }
+
+    /// Kills all hosts' processes; each host starts another one.
+    pub fn kill_all_hosts(&mut self) {
+        for host in 0..simulation::HOSTS {
+            self.kill_host(host);
+        }
+    }
+
     /// Makes the store unavailable for `duration`.
     pub fn lose_store(&mut self, duration: time::Duration) {
         self.store_down_until = self.now + duration;
@@ -107,7 +138,8 @@
         self.push(501, simulation::SimulationEvent::Unfreeze(host));
     }
 
-    pub(crate) fn kill_granter(&mut self) {
+    /// Kills the granter's process; its host starts another one.
+    pub fn kill_granter(&mut self) {
         let granting = self
             .hosts
             .iter()
--- a/lab/src/grants/ownership_gaps.rs
+++ b/lab/src/grants/ownership_gaps.rs
@@ -105,9 +105,7 @@
             for server in 0..simulation.servers.len() {
                 simulation.restart_server(server);
             }
-            for host in 0..simulation::HOSTS {
-                simulation.kill_host(host);
-            }
+            simulation.kill_all_hosts();
         }
     }
 }
--- a/lab/src/grants/simulation/checks.rs
+++ b/lab/src/grants/simulation/checks.rs
@@ -43,7 +43,7 @@
             let (end, frozen) = (host.granter.log_end(), host.frozen_until);
             format!("granting={granting} end={end} frozen-until={frozen:?}")
         });
-        let table = format!("{:?}", self.log.last());
+        let table = format!("{:?}", self.log);
         let lines: Vec<_> = servers.chain(hosts).chain([table]).collect();
         lines.join("\n")
     }
--- a/lab/src/grants/simulation/event.rs
+++ b/lab/src/grants/simulation/event.rs
@@ -2,8 +2,8 @@
 
 use std::cmp;
 
+use crate::grants::simulation::stored_log;
 use zinniastack::clock;
-use zinniastack::ownership::assignment;
 use zinniastack::ownership::former_granters;
 use zinniastack::ownership::order;
 
@@ -17,15 +17,17 @@
     Append {
         host: usize,
         incarnation: u64,
-        table: assignment::AssignmentTable,
-        at: u64,
+        append: stored_log::TableAppend,
         sent: clock::MonoTime,
         lost: bool,
     },
     Appended {
         host: usize,
         incarnation: u64,
+        append: stored_log::TableAppend,
         outcome: order::AppendOutcome,
+        // The era in which the store responded.
+        era: u64,
         sent: clock::MonoTime,
     },
     Grant {
--- a/lab/src/grants/simulation/log.rs
+++ b/lab/src/grants/simulation/log.rs
@@ -3,6 +3,7 @@
 
 use crate::fixtures;
 use crate::grants::simulation;
+use crate::grants::simulation::stored_log;
 use rand::RngExt as _;
 use std::time;
 use zinniastack::clock;
@@ -12,31 +13,18 @@
 
 impl simulation::GrantSimulation {
     pub(super) fn send_append(&mut self, host: usize, table: assignment::AssignmentTable, at: u64) {
-        let incarnation = self.hosts[host].incarnation;
         let sent = self.clock_of(host);
+        let records = self.hosts[host].copy.assembly.changed_records(&table);
+        let records = records.unwrap_or_else(|fault| unreachable!("{fault}"));
+        let end = at + u64::try_from(records.len()).unwrap_or(0);
+        let append = stored_log::TableAppend { table, records, at };
         if self.mutation == simulation::GrantMutation::OrderBeforeAppend {
-            let outcome = order::AppendOutcome::Appended { end: at + 1 };
-            self.push(
-                0,
-                simulation::SimulationEvent::Appended {
-                    host,
-                    incarnation,
-                    outcome,
-                    sent,
-                },
-            );
+            let outcome = order::AppendOutcome::Appended { end };
+            self.push_appended(0, host, append.clone(), outcome, sent);
         }
         if !self.store_serves(host) {
             let outcome = order::AppendOutcome::Refused;
-            self.push(
-                5,
-                simulation::SimulationEvent::Appended {
-                    host,
-                    incarnation,
-                    outcome,
-                    sent,
-                },
-            );
+            self.push_appended(5, host, append, outcome, sent);
             return;
         }
         let lossy = self.now < self.lossy_until;
@@ -47,50 +35,73 @@
             0
         };
         let delay = self.delay() + slow;
+        let incarnation = self.hosts[host].incarnation;
         self.push(
             delay,
             simulation::SimulationEvent::Append {
                 host,
                 incarnation,
-                table,
-                at,
+                append,
                 sent,
                 lost,
             },
         );
     }
 
+    fn push_appended(
+        &mut self,
+        after_ms: u64,
+        host: usize,
+        append: stored_log::TableAppend,
+        outcome: order::AppendOutcome,
+        sent: clock::MonoTime,
+    ) {
+        let appended = simulation::SimulationEvent::Appended {
+            host,
+            incarnation: self.hosts[host].incarnation,
+            append,
+            outcome,
+            era: self.log.era,
+            sent,
+        };
+        self.push(after_ms, appended);
+    }
+
     pub(super) fn append(
         &mut self,
         host: usize,
         incarnation: u64,
-        table: assignment::AssignmentTable,
-        at: u64,
+        append: stored_log::TableAppend,
         sent: clock::MonoTime,
         lost: bool,
     ) {
-        let end = u64::try_from(self.log.len()).unwrap_or(u64::MAX);
-        let outcome = if at == end {
-            self.log.push(table);
-            order::AppendOutcome::Appended { end: end + 1 }
-        } else {
-            order::AppendOutcome::Conflict
-        };
+        let outcome = self.log.append(append.clone(), self.now);
         let outcome = if lost {
             order::AppendOutcome::Unknown
         } else {
             outcome
         };
         let delay = if lost { 1_500 } else { self.delay() };
-        self.push(
-            delay,
-            simulation::SimulationEvent::Appended {
-                host,
-                incarnation,
-                outcome,
-                sent,
-            },
-        );
+        if incarnation == self.hosts[host].incarnation {
+            self.push_appended(delay, host, append, outcome, sent);
+        }
+    }
+
+    pub(super) fn appended(
+        &mut self,
+        host: usize,
+        append: &stored_log::TableAppend,
+        outcome: order::AppendOutcome,
+        era: u64,
+        sent: clock::MonoTime,
+    ) {
+        let now = self.clock_of(host);
+        let state = &mut self.hosts[host];
+        if let order::AppendOutcome::Appended { .. } = outcome {
+            state.copy.note_appended(era, append);
+        }
+        state.granter.note_appended(outcome, sent, now);
+        self.decide(host);
     }
 
     pub(super) fn read(&mut self, host: usize) {
@@ -101,19 +112,16 @@
             return;
         }
         let records = self.entries();
-        let end = u64::try_from(self.log.len()).unwrap_or(u64::MAX);
+        let newest = self.hosts[host].copy.read(&self.log);
         let unread = self.mutation == simulation::GrantMutation::UnreadClaim && self.chance(3);
-        let newest = if unread {
-            self.log.first().cloned()
-        } else {
-            self.log.last().cloned()
-        };
+        let newest = if unread { self.log.first() } else { newest };
         let forgets = self.mutation == simulation::GrantMutation::RepeatedFence
             && self.hosts[host].incarnation > 1;
         let newest = newest.map(|table| assignment::AssignmentTable {
             next_fence: if forgets { 1 } else { table.next_fence },
             ..table
         });
+        let end = self.log.end();
         let state = &mut self.hosts[host];
         state.directory.replace(records, now);
         let known = state.granter.log_end() == end && end > 0;
@@ -169,6 +177,7 @@
         {
             self.owner = self.members.keys().next().copied();
         }
+        self.log.note_owner(self.owner, self.now);
         let candidate = self.owner == Some(host);
         self.hosts[host].granter.note_candidate(candidate);
     }
--- a/lab/src/grants/simulation/mod.rs
+++ b/lab/src/grants/simulation/mod.rs
@@ -6,6 +6,7 @@
 mod event;
 mod log;
 mod orders;
+mod stored_log;
 
 use std::collections;
 use std::net;
@@ -73,6 +74,7 @@
     pub(crate) incarnation: u64,
     pub(crate) started: clock::MonoTime,
     pub(crate) granter: granter::KeyGranter,
+    copy: stored_log::LogCopy,
     pub(crate) directory: directory::ServerDirectory,
     pub(crate) frozen_until: clock::MonoTime,
     pub(crate) frozen_for: time::Duration,
@@ -102,7 +104,9 @@
     pub(crate) queue: collections::BinaryHeap<QueuedEvent>,
     pub(crate) hosts: Vec<SimulatedHost>,
     pub(crate) servers: Vec<SimulatedServer>,
-    pub(crate) log: Vec<assignment::AssignmentTable>,
+    pub(crate) log: stored_log::StoredLog,
+    // Whether the random faults include a store that comes back older.
+    pub(crate) has_restores: bool,
     pub(crate) store_down_until: clock::MonoTime,
     pub(crate) lossy_until: clock::MonoTime,
     pub(crate) members: collections::BTreeMap<usize, clock::MonoTime>,
@@ -139,7 +143,8 @@
             queue: collections::BinaryHeap::new(),
             hosts: Vec::new(),
             servers: Vec::new(),
-            log: Vec::new(),
+            log: stored_log::StoredLog::default(),
+            has_restores: false,
             store_down_until: clock::MonoTime::from_micros(0),
             lossy_until: clock::MonoTime::from_micros(0),
             members: collections::BTreeMap::new(),
@@ -172,6 +177,15 @@
         }
     }
 
+    /// Creates a simulation whose random faults include a store that comes back older.
+    #[must_use]
+    pub fn with_restores(seed: u64, faults: u32) -> Self {
+        Self {
+            has_restores: true,
+            ..Self::new(seed, faults, GrantMutation::None)
+        }
+    }
+
     /// Runs for `duration` of simulated time, or until the first violation.
     pub fn run(&mut self, duration: time::Duration) {
         let end = self.now + duration;
@@ -217,6 +231,7 @@
             incarnation,
             started: clock::MonoTime::from_micros(0),
             granter: created.unwrap_or_else(|fault| unreachable!("{fault}")),
+            copy: stored_log::LogCopy::default(),
             directory: directory::ServerDirectory::new(),
             frozen_until: clock::MonoTime::from_micros(0),
             frozen_for: time::Duration::ZERO,
@@ -326,23 +341,20 @@
             SimulationEvent::Append {
                 host,
                 incarnation,
-                table,
-                at,
+                append,
                 sent,
                 lost,
             } => {
-                self.append(host, incarnation, table, at, sent, lost);
+                self.append(host, incarnation, append, sent, lost);
             }
             SimulationEvent::Appended {
                 host,
+                append,
                 outcome,
+                era,
                 sent,
                 ..
-            } => {
-                let now = self.clock_of(host);
-                self.hosts[host].granter.note_appended(outcome, sent, now);
-                self.decide(host);
-            }
+            } => self.appended(host, &append, outcome, era, sent),
             SimulationEvent::Grant {
                 host,
                 incarnation,
