--- a/lab/src/grants/simulation/log.rs
+++ b/lab/src/grants/simulation/log.rs
@@ -19,7 +19,10 @@
         let end = at + u64::try_from(records.len()).unwrap_or(0);
         let append = stored_log::TableAppend { table, records, at };
         if self.mutation == simulation::GrantMutation::OrderBeforeAppend {
-            let outcome = order::AppendOutcome::Appended { end };
+            let outcome = order::AppendOutcome::Appended {
+                era: self.log.era,
+                end,
+            };
             self.push_appended(0, host, append.clone(), outcome, sent);
         }
         if !self.store_serves(host) {
--- a/lab/src/grants/simulation/stored_log.rs
+++ b/lab/src/grants/simulation/stored_log.rs
@@ -48,7 +48,10 @@
         let records = (append.at..).zip(append.records);
         let records = records.map(|(offset, record)| (now, topic::LogRecord { offset, record }));
         self.records.extend(records);
-        order::AppendOutcome::Appended { end: self.end() }
+        order::AppendOutcome::Appended {
+            era: self.era,
+            end: self.end(),
+        }
     }
 
     fn records_from(&self, from: u64) -> impl Iterator<Item = &topic::LogRecord> {
