Leave keys to the server that a new one takes them from

With no load on a service's keys, a server without keys got the whole of the range that it was filled from. The former holder then had none and was filled next, so a range moved back and forth between two servers without end, and its keys were held by no server most of the time. It takes a first assignment to fewer servers than there are later, as after a store that came back without the first table.

A part that covers the only range of its holder is halved by keys.

--- a/src/ownership/plan.rs
+++ b/src/ownership/plan.rs
@@ -278,11 +278,29 @@
             return;
         }
         if let Some(part) = self.best_part(&incarnation, max_load, 0.0) {
-            let index = self.cut_part(&part);
+            let index = self.cut_part(&self.leave_keys(part));
             self.assign(index, target);
         }
     }
 
+    // Leaves keys to a server whose only range the part covers, as one without load does: it would
+    // be the next one to be filled.
+    fn leave_keys(&self, part: RangePart) -> RangePart {
+        let range = &self.ranges[part.index];
+        let owned = self.ranges.iter();
+        let owned = owned.filter(|other| other.holder.life == range.holder.life);
+        let is_whole = part.first == range.first && part.last == range.last;
+        if !is_whole || owned.count() > 1 || part.first == part.last {
+            return part;
+        }
+        let last = part.first + (part.last - part.first) / 2;
+        RangePart {
+            last,
+            load: self.key_loads.range(part.first, last),
+            ..part
+        }
+    }
+
     // The sub-range of a server's ranges with the highest load from `least` to `wanted`.
     fn best_part(
         &self,
