Keep one owner for each key when the store comes back older

The store may come back from a copy some seconds old. What the granter appended since is gone, offsets, terms and fences were given out again, an append planned on the former log could succeed in the restored one, and a host that started later granted by a table that another host knew to be replaced: two servers held 45382 to 48133 for 884 ms (fence 62 renewed, fence 75 given). Ruled out as the cause: the hold's arithmetic and the release of moved keys, which hold in all schedules without such a return.

The class of fault: a log that goes back was taken as the truth about promises made outside of it. Now a host's table is what it knows, and the log's is compared with it:

- the header has a version (era of the store, count of appends) and a digest of the parts.
A restored table has a lower version and is passed over by hosts that know a newer one; an append that lands on other parts than it was planned on has a wrong digest and the lowest version.
- terms and fences of era e begin at e << 32: none of a lost table is given out again.
- a granter that sees a new era only renews (chart `granting`, state `reclaiming`) and claims its role again with all that it knows; reads of the new era do not confirm its right before that claim is in the log.
An append in another era than planned counts as unknown.
- other candidates wait 1 s, or 2 s without having followed the log.
- such a claim names the hosts that may have granted: the first ranks of each domain.
Until each has responded that it ordered by no table newer than the claimed one, or its orders and their holds have expired, nothing is moved, given anew or assigned; a host that did not follow the log does not even renew.
Ranges that are not held by then get a new fence.

--- a/lab/src/grants/simulation/checks.rs
+++ b/lab/src/grants/simulation/checks.rs
@@ -40,7 +40,7 @@
         });
         let hosts = self.hosts.iter().map(|host| {
             let granting = host.granter.is_granting();
-            let (end, frozen) = (host.granter.log_end(), host.frozen_until);
+            let (end, frozen) = (host.granter.log_end().offset, host.frozen_until);
             format!("granting={granting} end={end} frozen-until={frozen:?}")
         });
         let table = format!("{:?}", self.log);
--- a/lab/src/grants/simulation/log.rs
+++ b/lab/src/grants/simulation/log.rs
@@ -10,6 +10,7 @@
 use zinniastack::ownership::assignment;
 use zinniastack::ownership::order;
 use zinniastack::serving::directory;
+use zinniastack::serving::topic;
 
 impl simulation::GrantSimulation {
     pub(super) fn send_append(&mut self, host: usize, table: assignment::AssignmentTable, at: u64) {
@@ -127,8 +128,13 @@
         let end = self.log.end();
         let state = &mut self.hosts[host];
         state.directory.replace(records, now);
-        let known = state.granter.log_end() == end && end > 0;
-        if known || end == 0 {
+        let end = topic::LogPosition {
+            era: state.copy.era,
+            offset: end,
+        };
+        let known = state.granter.log_end() == end && end.offset > 0;
+        state.granter.note_era(end.era, now);
+        if known || end.offset == 0 {
             state.granter.note_confirmed(now);
         }
         state.granter.note_table(newest, end, now);
--- a/lab/src/grants/simulation/mod.rs
+++ b/lab/src/grants/simulation/mod.rs
@@ -445,6 +445,7 @@
         let response = former_granters::HostResponse {
             life: incarnation,
             term: self.hosts[host].granter.table().term,
+            granted: self.hosts[host].granter.granted_version(),
             asked,
             uptime: self.now.since(self.hosts[host].started),
         };
@@ -478,7 +479,11 @@
 
     fn decide(&mut self, host: usize) {
         let now = self.clock_of(host);
+        let others = (0..HOSTS).filter(|other| *other != host);
+        let others = others.map(|h| Self::granter_incarnation(h, self.hosts[h].incarnation));
+        let others = others.collect();
         let state = &mut self.hosts[host];
+        state.granter.note_possible_granters(others);
         let actions = state.granter.tick(now, &[service()], &state.directory);
         for action in actions {
             self.execute(host, action);
--- a/lab/src/host_simulation.rs
+++ b/lab/src/host_simulation.rs
@@ -9,6 +9,7 @@
 use rand::SeedableRng as _;
 use zinniastack::clock;
 use zinniastack::names;
+use zinniastack::ownership::assignment;
 use zinniastack::serving::cluster;
 use zinniastack::serving::cluster::exchange;
 use zinniastack::serving::demand;
@@ -280,6 +281,7 @@
         cluster::GrantSnapshot {
             granter: None,
             term: 0,
+            granted: assignment::TableVersion::default(),
             ends,
         }
     }
--- a/src/edge/router/control/granting.rs
+++ b/src/edge/router/control/granting.rs
@@ -75,6 +75,7 @@
             let control::ControlState {
                 cluster, granter, ..
             } = &mut *state;
+            granter.note_possible_granters(cluster.possible_granters());
             granter.tick(now, &services, cluster.directory())
         };
         for action in actions {
@@ -103,6 +104,15 @@
 
     async fn append_table(self: rc::Rc<Self>, table: assignment::AssignmentTable, at: u64) {
         let sent = self.clock.now();
+        let assignments = topic::StoreTopic::Assignments;
+        let planned = topic::LogPosition::new(table.version.era, at);
+        if self.state.borrow().replicas[assignments.index()].position() != planned {
+            // This host's copy of the log has changed since the table was planned.
+            let outcome = order::AppendOutcome::Conflict;
+            let granter = &mut self.state.borrow_mut().granter;
+            granter.note_appended(outcome, sent, sent);
+            return;
+        }
         let records = self.state.borrow().assembly.changed_records(&table);
         let records = match records {
             Ok(records) => records,
@@ -112,7 +122,6 @@
             }
         };
         let count = records.len();
-        let assignments = topic::StoreTopic::Assignments;
         let outcome = self.store.append(assignments, &records, Some(at)).await;
         self.note_append(assignments, outcome);
         if let order::AppendOutcome::Appended { era, end } = outcome {
--- a/src/edge/router/control/hosts.rs
+++ b/src/edge/router/control/hosts.rs
@@ -126,6 +126,7 @@
         let response = former_granters::HostResponse {
             life: status.record.granter_incarnation(),
             term: status.term,
+            granted: status.granted,
             asked,
             uptime: time::Duration::from_millis(status.uptime_millis),
         };
--- a/src/edge/router/control/mod.rs
+++ b/src/edge/router/control/mod.rs
@@ -92,6 +92,7 @@
         cluster::GrantSnapshot {
             granter: table.granter.clone(),
             term: table.term,
+            granted: self.granter.granted_version(),
             ends: self.ends(),
         }
     }
--- a/src/edge/router/control/store.rs
+++ b/src/edge/router/control/store.rs
@@ -103,6 +103,8 @@
             }
             store_reader::StoreUpdate::Unchanged(sent) => {
                 if topic == topic::StoreTopic::Assignments {
+                    // A response of a new era confirms nothing of the former one.
+                    self.note_stated_era();
                     self.state.borrow_mut().granter.note_confirmed(sent);
                 }
             }
@@ -287,13 +289,16 @@
                 fault = "a host of an earlier build writes the assignment table; stop those hosts"
             );
         }
-        let end = state.replicas[topic.index()].end();
-        match state.assembly.table(end) {
-            Ok(table) if table.is_some() || end == 0 => {
+        let end = state.replicas[topic.index()].position();
+        match state.assembly.table(end.offset) {
+            Ok(table) if table.is_some() || end.offset == 0 => {
                 state.granter.note_table(table, end, now);
             }
             Ok(_) => {}
-            Err(error) => refused.push(error),
+            Err(error) => {
+                state.granter.note_table(None, end, now);
+                refused.push(error);
+            }
         }
         drop(state);
         for error in refused {
--- a/src/ownership/assignment.rs
+++ b/src/ownership/assignment.rs
@@ -8,6 +8,9 @@
 /// The highest key.
 pub const MAX_KEY: u16 = u16::MAX;
 
+/// The bits of terms and fences below those that tell the era of the store.
+pub const ERA_SHIFT: u32 = 32;
+
 /// One run of a server's process. After a restart the server is a new incarnation, which holds no
 /// keys.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -70,17 +73,46 @@
     pub peers: net::SocketAddr,
 }
 
+/// Orders the tables that granters have appended: those of a later era of the store are newer.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(serde::Serialize, serde::Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct TableVersion {
+    /// The era of the store in which the table was appended.
+    pub era: u64,
+    /// Counts the appends.
+    pub revision: u64,
+}
+
+/// What the claim of the granter role in a new era of the store says of grants that the store may have
+/// lost.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
+#[serde(default, rename_all = "kebab-case")]
+pub struct LostGrantsRecord {
+    /// The version of the table that was claimed.
+    pub base: TableVersion,
+    /// Whether that table may be outdated itself: the claiming host did not follow the log before.
+    pub is_provisional: bool,
+    /// The other hosts that may have granted.
+    pub hosts: Vec<GranterIncarnation>,
+}
+
 /// The assignments of all services, as the granter appends them to the log.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 #[derive(serde::Serialize, serde::Deserialize)]
-#[serde(rename_all = "kebab-case")]
+#[serde(default, rename_all = "kebab-case")]
 pub struct AssignmentTable {
+    /// The table's version.
+    pub version: TableVersion,
     /// The term; each claim of the granter role raises it by one.
     pub term: u64,
     /// The granter that wrote the table; none before the first claim.
     pub granter: Option<GranterIncarnation>,
     /// Granters of earlier terms whose orders may still arrive, as far as the granter knows.
     pub former_granters: Vec<GranterIncarnation>,
+    /// Grants that the store may have lost, until they have certainly expired.
+    pub lost_grants: Option<LostGrantsRecord>,
     /// The longest hold that the granter orders, in milliseconds.
     pub longest_hold_millis: u64,
     /// The fence of the next assignment.
@@ -105,6 +137,22 @@
         fence
     }
 
+    /// Returns the table for an append in `era`. Terms and fences of a later era are above all of
+    /// earlier ones, also of those that the store has lost.
+    #[must_use]
+    pub fn next_version(&self, era: u64) -> Self {
+        let floor = era << ERA_SHIFT;
+        Self {
+            version: TableVersion {
+                era,
+                revision: self.version.revision + 1,
+            },
+            term: self.term.max(floor),
+            next_fence: self.next_fence.max(floor),
+            ..self.clone()
+        }
+    }
+
     /// Reports whether the ranges of each service are sorted, do not overlap and have fences below
     /// the next one.
     #[must_use]
--- a/src/ownership/election.rs
+++ b/src/ownership/election.rs
@@ -11,6 +11,7 @@
         Watching = "watching",
         Claiming = "claiming",
         Granting = "granting",
+        Reclaiming = "reclaiming",
     }
 );
 crate::chart_words!(
@@ -22,6 +23,7 @@
         NewerTermSeen = "newer-term-seen",
         RightEnded = "right-ended",
         Isolated = "isolated",
+        StoreRestored = "store-restored",
     }
 );
 crate::chart_words!(
@@ -95,7 +97,16 @@
     /// Reports whether this host may send orders at `now`.
     #[must_use]
     pub fn may_order(&self, now: clock::MonoTime) -> bool {
-        let limit = time::Duration::from_millis(MAX_UNCONFIRMED_MS);
-        self.state == ElectionState::Granting && now < self.confirmed + limit
+        let grants = matches!(
+            self.state,
+            ElectionState::Granting | ElectionState::Reclaiming
+        );
+        grants && self.is_confirmed(now)
+    }
+
+    /// Reports whether the log held nothing newer within the last `MAX_UNCONFIRMED_MS`.
+    #[must_use]
+    pub fn is_confirmed(&self, now: clock::MonoTime) -> bool {
+        now < self.confirmed + time::Duration::from_millis(MAX_UNCONFIRMED_MS)
     }
 }
--- a/src/ownership/former_granters.rs
+++ b/src/ownership/former_granters.rs
@@ -22,6 +22,8 @@
     pub life: assignment::GranterIncarnation,
     /// The term of the newest assignment table that it knows.
     pub term: u64,
+    /// The version of the newest table by which its process has ordered.
+    pub granted: assignment::TableVersion,
     /// When the request was sent, by this host's clock.
     pub asked: clock::MonoTime,
     /// How long its process had run when it responded.
--- /dev/null
+++ b/src/ownership/granter/era.rs
@@ -0,0 +1,173 @@
+//! The granter when the store comes back from an older copy of its logs, which starts a new era: the
+//! log no longer tells what was granted, and what this host knows does.
+
+use std::time;
+
+use crate::clock;
+use crate::ownership::assignment;
+use crate::ownership::election;
+use crate::ownership::granter;
+use crate::ownership::lost_grants;
+use crate::serving::topic;
+
+/// How long a host that did not grant waits for the former granter to claim its role in a new era of
+/// the store, in milliseconds.
+pub const ERA_CLAIM_DELAY_MS: u64 = 1_000;
+/// The same for a host that did not follow the log in the era before, in milliseconds. One that did
+/// can go on with renewals.
+pub const PROVISIONAL_CLAIM_DELAY_MS: u64 = 2_000;
+
+/// What the granter knows of the store's present era.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct EraState {
+    pub(super) number: u64,
+    // Since when it is known.
+    pub(super) seen: clock::MonoTime,
+    // Whether this process has read a log whose last table was of the era then present.
+    pub(super) has_followed: bool,
+    // Whether the log holds other records behind this granter's table.
+    pub(super) must_rewrite: bool,
+}
+
+impl granter::KeyGranter {
+    /// Records that a response of the store stated `era`.
+    pub fn note_era(&mut self, era: u64, now: clock::MonoTime) {
+        if era <= self.era.number {
+            return;
+        }
+        self.era.number = era;
+        self.era.seen = now;
+        // Whether an append on its way is in the log is not known, and nothing was done by it.
+        self.appending = None;
+        self.append_retry = now;
+        tracing::info!(
+            event = "granter-era-seen",
+            era,
+            known_era = self.table.version.era,
+            revision = self.table.version.revision,
+            granting = self.is_granting()
+        );
+        self.apply_election_event(election::ElectionEvent::StoreRestored);
+    }
+
+    /// Sets the other hosts that may have granted: those that may read the store.
+    pub fn note_possible_granters(&mut self, hosts: Vec<assignment::GranterIncarnation>) {
+        self.possible_granters = hosts;
+    }
+
+    /// Returns the version of the newest table by which this process has ordered.
+    #[must_use]
+    pub const fn granted_version(&self) -> assignment::TableVersion {
+        self.granted
+    }
+
+    /// Reports whether the granter may only renew holds at `now`, because the store may have lost
+    /// grants.
+    #[must_use]
+    pub fn has_possible_losses(&self, now: clock::MonoTime) -> bool {
+        self.is_granting() && self.lost_grants.is_possible(self.longest_hold(), now)
+    }
+
+    // Whether the log ends with a table of the store's present era, or has never lost one.
+    pub(super) const fn is_in_force(&self) -> bool {
+        self.table.version.era == self.era.number
+    }
+
+    // The end of the log in the store's present era, where it is known.
+    pub(super) fn present_end(&self) -> Option<u64> {
+        let end = self.end.filter(|end| end.era == self.era.number)?;
+        Some(end.offset)
+    }
+
+    pub(super) fn longest_hold(&self) -> time::Duration {
+        let named = time::Duration::from_millis(self.table.longest_hold_millis);
+        named.max(self.hold)
+    }
+
+    // Whether a table of the log is newer than the known one. What the store came back with is older,
+    // and a mixture of two tables has the lowest version.
+    pub(super) fn is_newer(&self, newest: &assignment::AssignmentTable) -> bool {
+        let unversioned = assignment::TableVersion::default();
+        newest.version > self.table.version || self.table.version == unversioned
+    }
+
+    // Reports that the log of the present era ends with records that are not this granter's table:
+    // its own has to be written again.
+    pub(super) fn note_foreign_records(&mut self, end: topic::LogPosition) {
+        let grants = self.election.state() == election::ElectionState::Granting;
+        if grants && self.is_in_force() && end.offset > 0 {
+            self.era.must_rewrite = true;
+        }
+    }
+
+    // Whether this host has followed the log up to the end of the era of its table.
+    fn is_provisional(&self, now: clock::MonoTime) -> bool {
+        !self.era.has_followed || !self.election.is_confirmed(now)
+    }
+
+    // Whether a candidate may claim. In a new era the former granter comes first.
+    pub(super) fn is_claim_due(&self, now: clock::MonoTime) -> bool {
+        let delay_ms = match self.is_provisional(now) {
+            _ if self.is_in_force() => 0,
+            true => PROVISIONAL_CLAIM_DELAY_MS,
+            false => ERA_CLAIM_DELAY_MS,
+        };
+        now >= self.era.seen + time::Duration::from_millis(delay_ms)
+    }
+
+    // The table that claims the granter role.
+    pub(super) fn claim(&self, now: clock::MonoTime) -> assignment::AssignmentTable {
+        let next = self.table.next_version(self.era.number);
+        let lost_grants = if self.is_in_force() {
+            next.lost_grants
+        } else {
+            Some(self.possible_losses(now))
+        };
+        assignment::AssignmentTable {
+            term: next.term + 1,
+            former_granters: self.former_granters.predecessors(&self.table),
+            granter: Some(self.own.clone()),
+            longest_hold_millis: u64::try_from(self.hold.as_millis()).unwrap_or(u64::MAX),
+            lost_grants,
+            ..next
+        }
+    }
+
+    fn possible_losses(&self, now: clock::MonoTime) -> assignment::LostGrantsRecord {
+        let earlier = self.table.lost_grants.clone();
+        let base = earlier.as_ref().map_or(self.table.version, |e| e.base);
+        let was_provisional = earlier.as_ref().is_some_and(|e| e.is_provisional);
+        let named = earlier.iter().flat_map(|e| &e.hosts);
+        let mut hosts: Vec<assignment::GranterIncarnation> = Vec::new();
+        for life in self.possible_granters.iter().chain(named) {
+            let is_known = hosts.iter().any(|known| known.host == life.host);
+            if life.host != self.own.host && !is_known {
+                hosts.push(life.clone());
+            }
+        }
+        assignment::LostGrantsRecord {
+            base,
+            is_provisional: was_provisional || self.is_provisional(now),
+            hosts,
+        }
+    }
+
+    // Takes account of grants that the store may have lost, once the claim is in the log.
+    pub(super) fn start_lost_grants(&mut self, now: clock::MonoTime) {
+        let record = self.table.lost_grants.as_ref();
+        let started = self.started.unwrap_or(now);
+        self.lost_grants =
+            lost_grants::LostGrants::with_claim(record, self.table.term, started, now);
+        if let Some(record) = record {
+            tracing::info!(
+                event = "era-claimed",
+                era = self.era.number,
+                term = self.table.term,
+                base_era = record.base.era,
+                base_revision = record.base.revision,
+                provisional = record.is_provisional,
+                possible_granters = record.hosts.len()
+            );
+        }
+    }
+}
--- a/src/ownership/granter/mod.rs
+++ b/src/ownership/granter/mod.rs
@@ -1,6 +1,7 @@
 //! The granter: handles events of the log, the servers and the clock, and returns the appends and
 //! orders to send.
 
+pub mod era;
 mod orders;
 mod plans;
 mod unresponsive;
@@ -17,11 +18,13 @@
 use crate::ownership::former_granters;
 use crate::ownership::hold_expiry;
 use crate::ownership::key_load;
+use crate::ownership::lost_grants;
 use crate::ownership::order;
 use crate::ownership::tracked_range;
 use crate::serving::demand;
 use crate::serving::directory;
 use crate::serving::estimate;
+use crate::serving::topic;
 
 /// Upper bound of the hold that an order grants, in milliseconds. The servers' own limit may be
 /// lower.
@@ -40,7 +43,12 @@
     hold_expiry: hold_expiry::HoldExpiry,
     former_granters: former_granters::FormerGranters,
     table: assignment::AssignmentTable,
-    end: Option<u64>,
+    end: Option<topic::LogPosition>,
+    era: era::EraState,
+    lost_grants: lost_grants::LostGrants,
+    possible_granters: Vec<assignment::GranterIncarnation>,
+    granted: assignment::TableVersion,
+    started: Option<clock::MonoTime>,
     appending: Option<assignment::AssignmentTable>,
     append_retry: clock::MonoTime,
     candidate: bool,
@@ -81,6 +89,11 @@
             hold_expiry: hold_expiry::HoldExpiry::new(hold),
             table: assignment::AssignmentTable::default(),
             end: None,
+            era: era::EraState::default(),
+            lost_grants: lost_grants::LostGrants::default(),
+            possible_granters: Vec::new(),
+            granted: assignment::TableVersion::default(),
+            started: None,
             appending: None,
             append_retry: origin,
             candidate: false,
@@ -103,16 +116,19 @@
         &self.table
     }
 
-    /// Returns the offset at which the log ends, 0 where it is not known.
+    /// Returns where the log ends, the default where that is not known.
     #[must_use]
-    pub fn log_end(&self) -> u64 {
-        self.end.unwrap_or(0)
+    pub fn log_end(&self) -> topic::LogPosition {
+        self.end.unwrap_or_default()
     }
 
     /// Reports whether this host has the granter role.
     #[must_use]
     pub fn is_granting(&self) -> bool {
-        self.election.state() == election::ElectionState::Granting
+        matches!(
+            self.election.state(),
+            election::ElectionState::Granting | election::ElectionState::Reclaiming
+        )
     }
 
     /// Sets whether this host is the one that should claim the granter role.
@@ -125,14 +141,17 @@
     pub fn note_table(
         &mut self,
         newest: Option<assignment::AssignmentTable>,
-        end: u64,
+        end: topic::LogPosition,
         now: clock::MonoTime,
     ) -> bool {
+        self.note_era(end.era, now);
         if self.end.is_some_and(|known| end <= known) {
             return false;
         }
         self.end = Some(end);
         let Some(newest) = newest else {
+            self.era.has_followed |= end == topic::LogPosition::default();
+            self.note_foreign_records(end);
             return false;
         };
         if newest == self.table {
@@ -141,12 +160,25 @@
         if self.appending.as_ref() == Some(&newest) {
             // The append succeeded; its own response is late or lost.
             self.note_appended(
-                order::AppendOutcome::Appended { era: 0, end },
+                order::AppendOutcome::Appended {
+                    era: end.era,
+                    end: end.offset,
+                },
                 self.append_sent,
                 now,
             );
             return true;
         }
+        if !self.is_newer(&newest) {
+            self.note_foreign_records(end);
+            return false;
+        }
+        self.take_table(newest, now);
+        true
+    }
+
+    // Takes a table that another granter appended, or an earlier process of this host.
+    fn take_table(&mut self, newest: assignment::AssignmentTable, now: clock::MonoTime) {
         let from_another = newest.granter.as_ref() != Some(&self.own);
         self.table = newest;
         self.appending = None;
@@ -154,17 +186,23 @@
             election::ElectionState::Claiming => {
                 self.apply_election_event(election::ElectionEvent::AppendConflict);
             }
-            election::ElectionState::Granting if from_another => {
+            election::ElectionState::Granting | election::ElectionState::Reclaiming
+                if from_another =>
+            {
                 self.apply_election_event(election::ElectionEvent::NewerTermSeen);
             }
-            election::ElectionState::Granting | election::ElectionState::Watching => {}
+            election::ElectionState::Watching => self.note_confirmed(now),
+            election::ElectionState::Granting | election::ElectionState::Reclaiming => {}
         }
-        true
     }
 
-    /// Records that the log held nothing newer at `at`, the time of the read request.
+    /// Records that the log held nothing newer at `at`, the time of the read request. What the store
+    /// holds in a new era says nothing before a table of that era is in the log.
     pub fn note_confirmed(&mut self, at: clock::MonoTime) {
-        self.election.confirm(at);
+        if self.is_in_force() {
+            self.era.has_followed = true;
+            self.election.confirm(at);
+        }
     }
 
     /// Adds the service times that all hosts measured in a reporting interval.
@@ -198,8 +236,15 @@
             return;
         }
         match outcome {
-            order::AppendOutcome::Appended { end, .. } => {
+            order::AppendOutcome::Appended { era, end } => {
+                let planned = self.appending.as_ref().map(|table| table.version.era);
+                self.note_era(era, now);
+                if planned != Some(era) {
+                    return;
+                }
+                let end = topic::LogPosition { era, offset: end };
                 self.end = self.end.max(Some(end));
+                self.era.has_followed = true;
                 self.election.confirm(sent);
                 if let Some(appended) = self.appending.take() {
                     let previous = std::mem::replace(&mut self.table, appended);
@@ -217,10 +262,15 @@
     }
 
     fn apply_append(&mut self, previous: &assignment::AssignmentTable, now: clock::MonoTime) {
-        if self.election.state() == election::ElectionState::Claiming {
+        let state = self.election.state();
+        if state == election::ElectionState::Claiming {
             self.take_over_former(previous, now);
+        }
+        if state != election::ElectionState::Granting {
+            self.start_lost_grants(now);
             self.apply_election_event(election::ElectionEvent::ClaimAppended);
         }
+        self.granted = self.table.version;
         self.sync_tracked_ranges(now);
     }
 
@@ -247,7 +297,11 @@
         answer: &former_granters::HostResponse,
         now: clock::MonoTime,
     ) {
-        if self.is_granting() && self.former_granters.note_host_response(answer, now) {
+        if !self.is_granting() {
+            return;
+        }
+        self.lost_grants.note_host_response(answer, now);
+        if self.former_granters.note_host_response(answer, now) {
             tracing::info!(
                 event = "former-granter-ended",
                 term = self.table.term,
@@ -263,9 +317,17 @@
         &self,
         now: clock::MonoTime,
     ) -> Vec<assignment::GranterIncarnation> {
-        let grants = self.is_granting();
-        let active = self.former_granters.possibly_active(now).filter(|_| grants);
-        active.cloned().collect()
+        if !self.is_granting() {
+            return Vec::new();
+        }
+        let active = self.former_granters.possibly_active(now);
+        let mut queried: Vec<_> = active.cloned().collect();
+        for life in self.lost_grants.hosts_to_query() {
+            if queried.iter().all(|known| known.host != life.host) {
+                queried.push(life.clone());
+            }
+        }
+        queried
     }
 
     fn apply_election_event(&mut self, event: election::ElectionEvent) {
@@ -293,6 +355,7 @@
         servers: &directory::ServerDirectory,
     ) -> Vec<order::GranterAction> {
         let mut actions = Vec::new();
+        self.started.get_or_insert(now);
         self.hold_expiry
             .note_former_orders_until(self.former_granters.orders_until());
         if self.is_granting() && !self.election.may_order(now) {
@@ -305,7 +368,8 @@
         if std::mem::take(&mut self.yielded) {
             actions.push(order::GranterAction::Yield);
         }
-        if let (Some(table), Some(at)) = (&self.appending, self.end) {
+        let end = self.present_end();
+        if let (Some(table), Some(at)) = (&self.appending, end) {
             if now >= self.append_retry {
                 self.append_retry = now + time::Duration::from_millis(APPEND_TIMEOUT_MS);
                 self.append_sent = now;
@@ -314,7 +378,7 @@
                     at,
                 });
             }
-        } else if let Some(at) = self.end {
+        } else if let Some(at) = end {
             let next = self.next_table(now, services, servers);
             if let Some(next) = next {
                 self.appending = Some(next.clone());
--- a/src/ownership/granter/orders.rs
+++ b/src/ownership/granter/orders.rs
@@ -111,12 +111,18 @@
         servers: &directory::ServerDirectory,
         actions: &mut Vec<order::GranterAction>,
     ) {
+        let has_losses = self.table.lost_grants.is_some();
+        let is_provisional = self.lost_grants.is_provisional();
         for (id, tracked) in &mut self.tracked_ranges {
+            // Where grants may be lost, a known holder may be renewed, and no new one is granted keys.
+            let may_start = !has_losses || !(is_provisional || tracked.was_moving);
             tracked
                 .formers
                 .retain(|former| !self.ended.contains(&former.holder.life));
             tracked_range::release_formers(id, tracked, now, &self.hold_expiry, servers, actions);
-            if tracked.state == tracked_range::RangeState::Vacating && tracked.formers.is_empty() {
+            let is_vacated =
+                tracked.state == tracked_range::RangeState::Vacating && tracked.formers.is_empty();
+            if is_vacated && may_start {
                 let step = self
                     .range_chart
                     .step_unguarded(tracked.state, tracked_range::RangeEvent::Vacated);
--- a/src/ownership/granter/plans.rs
+++ b/src/ownership/granter/plans.rs
@@ -28,16 +28,13 @@
         servers: &directory::ServerDirectory,
     ) -> Option<assignment::AssignmentTable> {
         match self.election.state() {
-            election::ElectionState::Watching if self.candidate && !services.is_empty() => {
+            election::ElectionState::Watching
+                if self.candidate && !services.is_empty() && self.is_claim_due(now) =>
+            {
                 self.apply_election_event(election::ElectionEvent::ClaimDue);
-                let mut claim = self.table.clone();
-                claim.term += 1;
-                claim.former_granters = self.former_granters.predecessors(&self.table);
-                claim.granter = Some(self.own.clone());
-                claim.longest_hold_millis =
-                    u64::try_from(self.hold.as_millis()).unwrap_or(u64::MAX);
-                Some(claim)
+                Some(self.claim(now))
             }
+            election::ElectionState::Reclaiming => Some(self.claim(now)),
             election::ElectionState::Granting => self.next_plan(now, services, servers),
             _ => None,
         }
@@ -49,9 +46,24 @@
         services: &[names::ServiceName],
         servers: &directory::ServerDirectory,
     ) -> Option<assignment::AssignmentTable> {
-        let mut next = self.table.clone();
-        let mut changed = self.drop_former_holders(&mut next);
-        changed |= self.reissue_refused(&mut next);
+        let mut next = self.table.next_version(self.era.number);
+        let mut changed = std::mem::take(&mut self.era.must_rewrite);
+        if self.has_possible_losses(now) {
+            return changed.then_some(next);
+        }
+        if next.lost_grants.take().is_some() {
+            tracing::info!(
+                event = "era-grants-certain",
+                era = self.era.number,
+                term = next.term
+            );
+            self.reissue(&mut next, |state| state != tracked_range::RangeState::Held);
+            changed = true;
+        }
+        changed |= self.drop_former_holders(&mut next);
+        changed |= self.reissue(&mut next, |state| {
+            state == tracked_range::RangeState::Refused
+        });
         changed |= self.drop_former_granters(&mut next, now);
         let settled = now >= self.planned_at + time::Duration::from_millis(PLAN_INTERVAL_MS);
         for service in services {
@@ -156,18 +168,20 @@
         changed
     }
 
-    // Allocates a new fence for each range whose order was refused because the server has seen a
-    // higher one.
-    fn reissue_refused(&self, next: &mut assignment::AssignmentTable) -> bool {
+    // Allocates a new fence for each range in one of the states given: its order was refused because
+    // the server has seen a higher one, or the store may have lost one.
+    fn reissue(
+        &self,
+        next: &mut assignment::AssignmentTable,
+        is_due: impl Fn(tracked_range::RangeState) -> bool,
+    ) -> bool {
         let mut refused = Vec::new();
         for (service, ranges) in &next.services {
             for (index, range) in ranges.iter().enumerate() {
                 let tracked = self
                     .tracked_ranges
                     .get(&tracked_range::range_id(service, range));
-                if tracked
-                    .is_some_and(|tracked| tracked.state == tracked_range::RangeState::Refused)
-                {
+                if tracked.is_some_and(|tracked| is_due(tracked.state)) {
                     refused.push((service.clone(), index));
                 }
             }
--- a/src/ownership/mod.rs
+++ b/src/ownership/mod.rs
@@ -10,6 +10,7 @@
 pub mod granter;
 pub mod hold_expiry;
 pub mod key_load;
+pub mod lost_grants;
 pub mod order;
 pub mod plan;
 pub mod table_records;
--- a/src/ownership/table_records.rs
+++ b/src/ownership/table_records.rs
@@ -6,6 +6,8 @@
 use std::collections;
 use std::sync;
 
+use xxhash_rust::xxh3;
+
 use crate::names;
 use crate::ownership::assignment;
 use crate::serving::topic;
@@ -22,22 +24,29 @@
 #[derive(serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "kebab-case")]
 struct TableHeader {
+    // Headers of earlier builds have neither a version nor a digest of the parts.
+    version: Option<assignment::TableVersion>,
+    digest: Option<u64>,
     term: u64,
     granter: Option<assignment::GranterIncarnation>,
     former_granters: Vec<assignment::GranterIncarnation>,
+    lost_grants: Option<assignment::LostGrantsRecord>,
     longest_hold_millis: u64,
     next_fence: u64,
 }
 
 impl TableHeader {
-    fn new(table: &assignment::AssignmentTable) -> Self {
-        Self {
+    fn new(table: &assignment::AssignmentTable) -> Result<Self, serde_json::Error> {
+        Ok(Self {
+            version: Some(table.version),
+            digest: Some(digest(&parts_of(table))?),
+            lost_grants: table.lost_grants.clone(),
             term: table.term,
             granter: table.granter.clone(),
             former_granters: table.former_granters.clone(),
             longest_hold_millis: table.longest_hold_millis,
             next_fence: table.next_fence,
-        }
+        })
     }
 }
 
@@ -109,6 +118,16 @@
     parts
 }
 
+// Distinguishes the parts of one table from any others.
+fn digest(parts: &TableParts) -> Result<u64, serde_json::Error> {
+    let mut hasher = xxh3::Xxh3::new();
+    for (id, ranges) in parts {
+        hasher.update(id.key().as_bytes());
+        hasher.update(&serde_json::to_vec(ranges)?);
+    }
+    Ok(hasher.digest())
+}
+
 fn encode(
     key: sync::Arc<str>,
     value: &impl serde::Serialize,
@@ -196,7 +215,7 @@
         );
         records.push(encode(
             sync::Arc::from(HEADER_KEY),
-            &TableHeader::new(table),
+            &TableHeader::new(table)?,
         )?);
         Ok(records)
     }
@@ -235,7 +254,14 @@
             let service = services.entry(id.service.clone()).or_default();
             service.extend(ranges.iter().cloned());
         }
+        // An append that was planned on other parts makes a mixture, which no version names.
+        let mixed = header
+            .digest
+            .is_some_and(|known| digest(&self.parts).ok() != Some(known));
+        let version = header.version.filter(|_| !mixed).unwrap_or_default();
         assignment::AssignmentTable {
+            version,
+            lost_grants: header.lost_grants.clone(),
             term: header.term,
             granter: header.granter.clone(),
             former_granters: header.former_granters.clone(),
--- a/src/ownership/tracked_range.rs
+++ b/src/ownership/tracked_range.rs
@@ -58,6 +58,8 @@
     pub(crate) state: RangeState,
     pub(crate) holder: assignment::KeyHolder,
     pub(crate) formers: Vec<FormerHolder>,
+    // Whether the range had former holders when it was first tracked.
+    pub(crate) was_moving: bool,
     pub(crate) handover: Option<sync::Arc<str>>,
     pub(crate) in_flight: bool,
     pub(crate) next_order_at: clock::MonoTime,
@@ -123,6 +125,7 @@
         state: table.initial(),
         holder: range.holder.clone(),
         formers: formers.collect(),
+        was_moving: !range.formers.is_empty(),
         handover: None,
         in_flight: false,
         next_order_at: now,
--- a/src/serving/cluster/exchange.rs
+++ b/src/serving/cluster/exchange.rs
@@ -165,6 +165,7 @@
             ends: grants.ends,
             store_era: Some(self.store_era),
             term: grants.term,
+            granted: grants.granted,
             demand: None,
             loads: None,
         }
--- a/src/serving/cluster/mod.rs
+++ b/src/serving/cluster/mod.rs
@@ -199,6 +199,14 @@
         self.reads(topic::StoreTopic::Assignments, now)
     }
 
+    /// Returns the other hosts that may have granted: in each domain those that may read the store.
+    #[must_use]
+    pub fn possible_granters(&self) -> Vec<assignment::GranterIncarnation> {
+        let readers = self.upstream.possible_readers(&self.hosts);
+        let records = readers.iter().map(status::HostRecord::granter_incarnation);
+        records.collect()
+    }
+
     /// Reports whether the records that this host has may be outdated: its own calls to the store
     /// fail, or those of the host that supplies it.
     #[must_use]
@@ -278,6 +286,8 @@
     pub granter: Option<assignment::GranterIncarnation>,
     /// The term of the newest table.
     pub term: u64,
+    /// The version of the newest table by which this host has sent orders.
+    pub granted: assignment::TableVersion,
     /// The positions at which the host's copies of the store's topics end.
     pub ends: topic::TopicEnds,
 }
--- a/src/serving/status.rs
+++ b/src/serving/status.rs
@@ -69,6 +69,8 @@
     pub store_era: Option<u64>,
     /// The term of the newest assignment table that it knows.
     pub term: u64,
+    /// The version of the newest assignment table by which it has sent orders.
+    pub granted: assignment::TableVersion,
     /// The demand that the receiver does not know otherwise, by the purpose of the exchange.
     pub demand: Option<demand::DemandSum>,
     /// The key load of the sending host and of those that report to it.
--- a/src/serving/upstream.rs
+++ b/src/serving/upstream.rs
@@ -132,6 +132,19 @@
         usable.into_iter().take(1).collect()
     }
 
+    /// Returns the other hosts that may read the store: the first ranks of each domain, whether or not
+    /// they respond.
+    #[must_use]
+    pub fn possible_readers(&self, hosts: &HostRegistry) -> Vec<status::HostRecord> {
+        let domains: collections::BTreeSet<_> =
+            hosts.values().map(|record| &record.domain).collect();
+        let readers = domains.into_iter().flat_map(|domain| {
+            let ranked = ranked_hosts(domain, hosts.values()).into_iter();
+            ranked.take(MAX_STORE_READERS)
+        });
+        readers.cloned().collect()
+    }
+
     /// Records a host's response; `store_lost` says whether the store rejects it.
     pub fn note_response(
         &mut self,
--- a/tests/catch_up.rs
+++ b/tests/catch_up.rs
@@ -5,6 +5,7 @@
 
 use zinnia_lab::fixtures;
 use zinniastack::names;
+use zinniastack::ownership::assignment;
 use zinniastack::serving::catch_up;
 use zinniastack::serving::cluster;
 use zinniastack::serving::replica;
@@ -42,6 +43,7 @@
     cluster::GrantSnapshot {
         granter: None,
         term: 0,
+        granted: assignment::TableVersion::default(),
         ends: ends(end),
     }
 }
--- a/tests/cluster.rs
+++ b/tests/cluster.rs
@@ -64,6 +64,7 @@
     cluster::GrantSnapshot {
         granter: None,
         term: 0,
+        granted: assignment::TableVersion::default(),
         ends: topic::TopicEnds {
             ends,
             ..topic::TopicEnds::default()
--- a/tests/former_granters.rs
+++ b/tests/former_granters.rs
@@ -47,6 +47,7 @@
         let response = former_granters::HostResponse {
             life: incarnation,
             term,
+            granted: assignment::TableVersion::default(),
             asked: fixtures::at(asked_ms),
             uptime: self.uptime,
         };
--- a/tests/granting.rs
+++ b/tests/granting.rs
@@ -11,6 +11,7 @@
 use zinniastack::ownership::granter;
 use zinniastack::ownership::order;
 use zinniastack::serving::directory;
+use zinniastack::serving::topic;
 
 /// Interval between two ticks of the granter, in milliseconds.
 const TICK_MS: u64 = 100;
@@ -81,11 +82,19 @@
         }
     }
 
+    fn position(&self) -> topic::LogPosition {
+        topic::LogPosition {
+            era: 0,
+            offset: self.end,
+        }
+    }
+
     // Appends `table` to the log as its newest.
     fn read(&mut self, table: assignment::AssignmentTable) {
         self.end += 1;
         let now = fixtures::at(self.now_ms);
-        self.granter.note_table(Some(table), self.end, now);
+        let end = self.position();
+        self.granter.note_table(Some(table), end, now);
     }
 
     fn run(&mut self, span_ms: u64) {
@@ -96,7 +105,7 @@
             let now = fixtures::at(self.now_ms);
             self.granter.note_confirmed(now);
             if self.end == 0 {
-                self.granter.note_table(None, 0, now);
+                self.granter.note_table(None, self.position(), now);
             }
             let actions = self.granter.tick(now, &[service()], &self.directory);
             for action in actions {
@@ -189,6 +198,7 @@
     let response = former_granters::HostResponse {
         life: granter_incarnation("former", 2),
         term: 0,
+        granted: assignment::TableVersion::default(),
         asked: fixtures::at(case.now_ms),
         uptime: time::Duration::ZERO,
     };
