--- a/src/edge/router/control/store.rs
+++ b/src/edge/router/control/store.rs
@@ -176,14 +176,34 @@
         records: Vec<topic::LogRecord>,
         end: topic::LogPosition,
     ) {
+        let now = self.clock.now();
         let changed = {
             let mut state = self.state.borrow_mut();
-            state.replicas[topic.index()].replace(records, end)
+            state.cluster.note_store_era(end.era);
+            let replica = &mut state.replicas[topic.index()];
+            let is_restored = replica.is_filled() && end.era > replica.position().era;
+            let changed = replica.replace(records, end);
+            if is_restored {
+                state.cluster.note_store_restored(now);
+                tracing::info!(
+                    event = "records-restored",
+                    topic = topic.as_str(),
+                    era = end.era,
+                    end = end.offset,
+                    changed = changed.len()
+                );
+            }
+            if is_restored && topic == topic::StoreTopic::Hosts {
+                registered_only(changed)
+            } else {
+                changed
+            }
         };
+        self.update_era();
         self.apply_changes(topic, &changed);
     }
 
-    fn apply_changes(&self, topic: topic::StoreTopic, changed: &[topic::LogRecord]) {
+    pub(super) fn apply_changes(&self, topic: topic::StoreTopic, changed: &[topic::LogRecord]) {
         match topic {
             topic::StoreTopic::Routes => self.apply_routes(changed),
             topic::StoreTopic::Servers => self.apply_servers(changed),
@@ -206,7 +226,11 @@
                 Ok(None) => {}
                 Ok(Some(routes)) => {
                     let version = routes.version;
-                    let accepted = self.state.borrow_mut().cluster.note_routes(routes);
+                    let mut state = self.state.borrow_mut();
+                    let accepted = state.cluster.note_routes(routes);
+                    if accepted {
+                        state.routes = Some(stored.record.clone());
+                    }
                     tracing::info!(event = "routes-read", version, in_force = accepted);
                 }
                 Err(error) => {
@@ -307,6 +331,12 @@
     }
 }
 
+// A host that a restored store does not have may only have to register again.
+fn registered_only(changed: Vec<topic::LogRecord>) -> Vec<topic::LogRecord> {
+    let registered = changed.into_iter().filter(|c| c.record.value.is_some());
+    registered.collect()
+}
+
 /// Returns the pause between two reads of the servers, which go on serving for `drain` after they
 /// have reported that they are draining.
 #[must_use]
--- a/src/serving/status.rs
+++ b/src/serving/status.rs
@@ -65,7 +65,7 @@
     pub store_lost: bool,
     /// The positions at which its copies of the store's topics end.
     pub ends: topic::TopicEnds,
-    /// The highest era of the store that it knows; builds before 0.3 send none.
+    /// The highest era of the store that it knows; earlier builds send none.
     pub store_era: Option<u64>,
     /// The term of the newest assignment table that it knows.
     pub term: u64,
@@ -84,7 +84,7 @@
 pub struct PageRequest {
     /// The topic.
     pub topic: topic::StoreTopic,
-    /// The era of the copy that it continues; builds before 0.3 send none.
+    /// The era of the copy that it continues; earlier builds send none.
     pub era: Option<u64>,
     /// The offset of the first record that the host lacks.
     pub from: u64,
@@ -107,6 +107,8 @@
 pub struct RecordRequest {
     /// The parts of the topics that it requests.
     pub pages: Vec<PageRequest>,
+    /// The version of its routes in force; earlier builds send none.
+    pub routes_version: Option<u64>,
     /// How long to wait for the first record where there is none yet, in milliseconds.
     pub wait_millis: u64,
 }
@@ -118,4 +120,6 @@
 pub struct StoreRelay {
     /// The topics of which the sender has records that the receiver lacks.
     pub pages: Vec<replica::RecordPage>,
+    /// The sender's routes in force, where the receiver's are older and the store has lost these.
+    pub routes: Option<replica::PageRecord>,
 }
