--- a/lab/src/grants/simulation/checks.rs
+++ b/lab/src/grants/simulation/checks.rs
@@ -40,10 +40,10 @@
         });
         let hosts = self.hosts.iter().map(|host| {
             let granting = host.granter.is_granting();
-            let (end, frozen) = (host.granter.log_end(), host.frozen_until);
+            let (end, frozen) = (host.granter.log_end().offset, host.frozen_until);
             format!("granting={granting} end={end} frozen-until={frozen:?}")
         });
-        let table = format!("{:?}", self.log.last());
+        let table = format!("{:?}", self.log);
         let lines: Vec<_> = servers.chain(hosts).chain([table]).collect();
         lines.join("\n")
     }
--- a/lab/src/grants/simulation/event.rs
+++ b/lab/src/grants/simulation/event.rs
@@ -2,8 +2,8 @@
 
 use std::cmp;
 
+use crate::grants::simulation::stored_log;
 use zinniastack::clock;
-use zinniastack::ownership::assignment;
 use zinniastack::ownership::former_granters;
 use zinniastack::ownership::order;
 
@@ -17,13 +17,17 @@
     Append {
         host: usize,
         incarnation: u64,
-        append: SentAppend,
+        append: stored_log::TableAppend,
+        sent: clock::MonoTime,
+        lost: bool,
     },
     Appended {
         host: usize,
         incarnation: u64,
-        number: u64,
+        append: stored_log::TableAppend,
         outcome: order::AppendOutcome,
+        // The era in which the store responded.
+        era: u64,
         sent: clock::MonoTime,
     },
     Grant {
@@ -65,16 +69,6 @@
     Fault,
 }
 
-// An append on its way to the log.
-#[derive(Clone, Debug)]
-pub(crate) struct SentAppend {
-    pub(crate) number: u64,
-    pub(crate) table: assignment::AssignmentTable,
-    pub(crate) at: u64,
-    pub(crate) sent: clock::MonoTime,
-    pub(crate) lost: bool,
-}
-
 // What happens to a grant order on its way.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum OrderDelivery {
--- a/lab/src/grants/simulation/mod.rs
+++ b/lab/src/grants/simulation/mod.rs
@@ -6,6 +6,7 @@
 mod event;
 mod log;
 mod orders;
+mod stored_log;
 
 use std::collections;
 use std::net;
@@ -26,7 +27,6 @@
 
 pub(crate) use crate::grants::simulation::event::OrderDelivery;
 pub(crate) use crate::grants::simulation::event::QueuedEvent;
-pub(crate) use crate::grants::simulation::event::SentAppend;
 pub(crate) use crate::grants::simulation::event::SimulationEvent;
 
 /// The interval at which a host runs its granter, in milliseconds.
@@ -76,6 +76,7 @@
     pub(crate) incarnation: u64,
     pub(crate) started: clock::MonoTime,
     pub(crate) granter: granter::KeyGranter,
+    copy: stored_log::LogCopy,
     pub(crate) directory: directory::ServerDirectory,
     pub(crate) frozen_until: clock::MonoTime,
     pub(crate) frozen_for: time::Duration,
@@ -107,7 +108,9 @@
     pub(crate) queue: collections::BinaryHeap<QueuedEvent>,
     pub(crate) hosts: Vec<SimulatedHost>,
     pub(crate) servers: Vec<SimulatedServer>,
-    pub(crate) log: Vec<assignment::AssignmentTable>,
+    pub(crate) log: stored_log::StoredLog,
+    // Whether the random faults include a store that comes back older.
+    pub(crate) has_restores: bool,
     pub(crate) store_down_until: clock::MonoTime,
     pub(crate) lossy_until: clock::MonoTime,
     pub(crate) members: collections::BTreeMap<usize, clock::MonoTime>,
@@ -115,10 +118,9 @@
     pub(crate) granted: Vec<(u16, u16, u64, assignment::ServerIncarnation)>,
     pub(crate) violations: Vec<String>,
     pub(crate) faults: u32,
-    // Whether the random faults include a granter that is cut off from the store and the other hosts.
+    // Whether the random faults include a granter that is cut off from the store and the other hosts,
+    // and servers carry out orders for their earlier incarnations.
     pub(crate) has_cut_granters: bool,
-    // Whether an order for an earlier incarnation of a server is carried out.
-    pub(crate) compares_names_only: bool,
     // Whether orders and their answers are never lost or delayed beyond the usual.
     is_reliable: bool,
     pub(crate) gap_duration: time::Duration,
@@ -148,7 +150,8 @@
             queue: collections::BinaryHeap::new(),
             hosts: Vec::new(),
             servers: Vec::new(),
-            log: Vec::new(),
+            log: stored_log::StoredLog::default(),
+            has_restores: false,
             store_down_until: clock::MonoTime::from_micros(0),
             lossy_until: clock::MonoTime::from_micros(0),
             members: collections::BTreeMap::new(),
@@ -157,7 +160,6 @@
             violations: Vec::new(),
             faults,
             has_cut_granters: false,
-            compares_names_only: false,
             is_reliable: false,
             gap_duration: time::Duration::ZERO,
         };
@@ -180,7 +182,6 @@
     pub fn with_cut_granters(seed: u64, faults: u32) -> Self {
         Self {
             has_cut_granters: true,
-            compares_names_only: true,
             ..Self::new(seed, faults, GrantMutation::None)
         }
     }
@@ -195,6 +196,15 @@
         }
     }
 
+    /// Creates a simulation whose random faults include a store that comes back older.
+    #[must_use]
+    pub fn with_restores(seed: u64, faults: u32) -> Self {
+        Self {
+            has_restores: true,
+            ..Self::new(seed, faults, GrantMutation::None)
+        }
+    }
+
     /// Runs for `duration` of simulated time, or until the first violation.
     pub fn run(&mut self, duration: time::Duration) {
         let end = self.now + duration;
@@ -240,6 +250,7 @@
             incarnation,
             started: clock::MonoTime::from_micros(0),
             granter: created.unwrap_or_else(|fault| unreachable!("{fault}")),
+            copy: stored_log::LogCopy::default(),
             directory: directory::ServerDirectory::new(),
             frozen_until: clock::MonoTime::from_micros(0),
             frozen_for: time::Duration::ZERO,
@@ -352,19 +363,19 @@
                 host,
                 incarnation,
                 append,
-            } => self.append(host, incarnation, append),
+                sent,
+                lost,
+            } => {
+                self.append(host, incarnation, append, sent, lost);
+            }
             SimulationEvent::Appended {
                 host,
-                number,
+                append,
                 outcome,
+                era,
                 sent,
                 ..
-            } => {
-                let now = self.clock_of(host);
-                let granter = &mut self.hosts[host].granter;
-                granter.note_appended(number, outcome, sent, now);
-                self.decide(host);
-            }
+            } => self.appended(host, &append, outcome, era, sent),
             SimulationEvent::Grant {
                 host,
                 incarnation,
@@ -458,6 +469,7 @@
         let response = former_granters::HostResponse {
             life: incarnation,
             term: self.hosts[host].granter.table().term,
+            granted: self.hosts[host].granter.granted_version(),
             asked,
             uptime: self.now.since(self.hosts[host].started),
         };
@@ -491,7 +503,11 @@
 
     fn decide(&mut self, host: usize) {
         let now = self.clock_of(host);
+        let others = (0..HOSTS).filter(|other| *other != host);
+        let others = others.map(|h| Self::granter_incarnation(h, self.hosts[h].incarnation));
+        let others = others.collect();
         let state = &mut self.hosts[host];
+        state.granter.note_possible_granters(others);
         let actions = state.granter.tick(now, &[service()], &state.directory);
         for action in actions {
             self.execute(host, action);
--- a/lab/src/grants/simulation/orders.rs
+++ b/lab/src/grants/simulation/orders.rs
@@ -117,7 +117,7 @@
             return;
         }
         let life = server.server.incarnation.clone();
-        let is_named = self.compares_names_only && life.server == order.life.server;
+        let is_named = self.has_cut_granters && life.server == order.life.server;
         let outcome = if is_named || life == order.life {
             let result = server.server.grant(&key_server::HoldOrder {
                 first: order.range.first,
--- a/src/edge/router/control/granting.rs
+++ b/src/edge/router/control/granting.rs
@@ -75,6 +75,7 @@
             let control::ControlState {
                 cluster, granter, ..
             } = &mut *state;
+            granter.note_possible_granters(cluster.possible_granters());
             granter.tick(now, &services, cluster.directory())
         };
         for action in actions {
@@ -108,6 +109,15 @@
         at: u64,
     ) {
         let sent = self.clock.now();
+        let assignments = topic::StoreTopic::Assignments;
+        let planned = topic::LogPosition::new(table.version.era, at);
+        if self.state.borrow().replicas[assignments.index()].position() != planned {
+            // This host's copy of the log has changed since the table was planned.
+            let outcome = order::AppendOutcome::Conflict;
+            let granter = &mut self.state.borrow_mut().granter;
+            granter.note_appended(number, outcome, sent, sent);
+            return;
+        }
         let records = self.state.borrow().assembly.changed_records(&table);
         let records = match records {
             Ok(records) => records,
@@ -117,7 +127,6 @@
             }
         };
         let count = records.len();
-        let assignments = topic::StoreTopic::Assignments;
         let outcome = self.store.append(assignments, &records, Some(at)).await;
         self.note_append(assignments, outcome);
         self.note_late_append(number, at);
--- a/src/ownership/granter/mod.rs
+++ b/src/ownership/granter/mod.rs
@@ -1,6 +1,7 @@
 //! The granter: handles events of the log, the servers and the clock, and returns the appends and
 //! orders to send.
 
+pub mod era;
 mod orders;
 mod plans;
 mod unresponsive;
@@ -17,11 +18,13 @@
 use crate::ownership::former_granters;
 use crate::ownership::hold_expiry;
 use crate::ownership::key_load;
+use crate::ownership::lost_grants;
 use crate::ownership::order;
 use crate::ownership::tracked_range;
 use crate::serving::demand;
 use crate::serving::directory;
 use crate::serving::estimate;
+use crate::serving::topic;
 
 /// Upper bound of the hold that an order grants, in milliseconds. The servers' own limit may be
 /// lower.
@@ -47,7 +50,12 @@
     hold_expiry: hold_expiry::HoldExpiry,
     former_granters: former_granters::FormerGranters,
     table: assignment::AssignmentTable,
-    end: Option<u64>,
+    end: Option<topic::LogPosition>,
+    era: era::EraState,
+    lost_grants: lost_grants::LostGrants,
+    possible_granters: Vec<assignment::GranterIncarnation>,
+    granted: assignment::TableVersion,
+    started: Option<clock::MonoTime>,
     appending: Option<PendingAppend>,
     append_number: u64,
     append_retry: clock::MonoTime,
@@ -90,6 +98,11 @@
             hold_expiry: hold_expiry::HoldExpiry::new(hold),
             table: assignment::AssignmentTable::default(),
             end: None,
+            era: era::EraState::default(),
+            lost_grants: lost_grants::LostGrants::default(),
+            possible_granters: Vec::new(),
+            granted: assignment::TableVersion::default(),
+            started: None,
             appending: None,
             append_number: 0,
             append_retry: origin,
@@ -113,16 +126,19 @@
         &self.table
     }
 
-    /// Returns the offset at which the log ends, 0 where it is not known.
+    /// Returns where the log ends, the default where that is not known.
     #[must_use]
-    pub fn log_end(&self) -> u64 {
-        self.end.unwrap_or(0)
+    pub fn log_end(&self) -> topic::LogPosition {
+        self.end.unwrap_or_default()
     }
 
     /// Reports whether this host has the granter role.
     #[must_use]
     pub fn is_granting(&self) -> bool {
-        self.election.state() == election::ElectionState::Granting
+        matches!(
+            self.election.state(),
+            election::ElectionState::Granting | election::ElectionState::Reclaiming
+        )
     }
 
     /// Sets whether this host is the one that should claim the granter role.
@@ -135,14 +151,17 @@
     pub fn note_table(
         &mut self,
         newest: Option<assignment::AssignmentTable>,
-        end: u64,
+        end: topic::LogPosition,
         now: clock::MonoTime,
     ) -> bool {
+        self.note_era(end.era, now);
         if self.end.is_some_and(|known| end <= known) {
             return false;
         }
         self.end = Some(end);
         let Some(newest) = newest else {
+            self.era.has_followed |= end == topic::LogPosition::default();
+            self.note_foreign_records(end);
             return false;
         };
         if newest == self.table {
@@ -151,10 +170,23 @@
         let pending = self.appending.as_ref();
         if let Some(number) = pending.filter(|p| p.table == newest).map(|p| p.number) {
             // The append succeeded; its own response is late or lost.
-            let outcome = order::AppendOutcome::Appended { era: 0, end };
+            let outcome = order::AppendOutcome::Appended {
+                era: end.era,
+                end: end.offset,
+            };
             self.note_appended(number, outcome, self.append_sent, now);
             return true;
         }
+        if !self.is_newer(&newest) {
+            self.note_foreign_records(end);
+            return false;
+        }
+        self.take_table(newest, now);
+        true
+    }
+
+    // Takes a table that another granter appended, or an earlier process of this host.
+    fn take_table(&mut self, newest: assignment::AssignmentTable, now: clock::MonoTime) {
         let from_another = newest.granter.as_ref() != Some(&self.own);
         self.table = newest;
         self.appending = None;
@@ -162,17 +194,23 @@
             election::ElectionState::Claiming => {
                 self.apply_election_event(election::ElectionEvent::AppendConflict);
             }
-            election::ElectionState::Granting if from_another => {
+            election::ElectionState::Granting | election::ElectionState::Reclaiming
+                if from_another =>
+            {
                 self.apply_election_event(election::ElectionEvent::NewerTermSeen);
             }
-            election::ElectionState::Granting | election::ElectionState::Watching => {}
+            election::ElectionState::Watching => self.note_confirmed(now),
+            election::ElectionState::Granting | election::ElectionState::Reclaiming => {}
         }
-        true
     }
 
-    /// Records that the log held nothing newer at `at`, the time of the read request.
+    /// Records that the log held nothing newer at `at`, the time of the read request. What the store
+    /// holds in a new era says nothing before a table of that era is in the log.
     pub fn note_confirmed(&mut self, at: clock::MonoTime) {
-        self.election.confirm(at);
+        if self.is_in_force() {
+            self.era.has_followed = true;
+            self.election.confirm(at);
+        }
     }
 
     /// Adds the service times that all hosts measured in a reporting interval.
@@ -214,8 +252,16 @@
             return;
         }
         match outcome {
-            order::AppendOutcome::Appended { end, .. } => {
+            order::AppendOutcome::Appended { era, end } => {
+                let pending = self.appending.as_ref();
+                let planned = pending.map(|pending| pending.table.version.era);
+                self.note_era(era, now);
+                if planned != Some(era) {
+                    return;
+                }
+                let end = topic::LogPosition { era, offset: end };
                 self.end = self.end.max(Some(end));
+                self.era.has_followed = true;
                 self.election.confirm(sent);
                 if let Some(appended) = self.appending.take() {
                     let previous = std::mem::replace(&mut self.table, appended.table);
@@ -233,10 +279,15 @@
     }
 
     fn apply_append(&mut self, previous: &assignment::AssignmentTable, now: clock::MonoTime) {
-        if self.election.state() == election::ElectionState::Claiming {
+        let state = self.election.state();
+        if state == election::ElectionState::Claiming {
             self.take_over_former(previous, now);
+        }
+        if state != election::ElectionState::Granting {
+            self.start_lost_grants(now);
             self.apply_election_event(election::ElectionEvent::ClaimAppended);
         }
+        self.granted = self.table.version;
         self.sync_tracked_ranges(now);
     }
 
@@ -263,7 +314,11 @@
         answer: &former_granters::HostResponse,
         now: clock::MonoTime,
     ) {
-        if self.is_granting() && self.former_granters.note_host_response(answer, now) {
+        if !self.is_granting() {
+            return;
+        }
+        self.lost_grants.note_host_response(answer, now);
+        if self.former_granters.note_host_response(answer, now) {
             tracing::info!(
                 event = "former-granter-ended",
                 term = self.table.term,
@@ -279,9 +334,17 @@
         &self,
         now: clock::MonoTime,
     ) -> Vec<assignment::GranterIncarnation> {
-        let grants = self.is_granting();
-        let active = self.former_granters.possibly_active(now).filter(|_| grants);
-        active.cloned().collect()
+        if !self.is_granting() {
+            return Vec::new();
+        }
+        let active = self.former_granters.possibly_active(now);
+        let mut queried: Vec<_> = active.cloned().collect();
+        for life in self.lost_grants.hosts_to_query() {
+            if queried.iter().all(|known| known.host != life.host) {
+                queried.push(life.clone());
+            }
+        }
+        queried
     }
 
     fn apply_election_event(&mut self, event: election::ElectionEvent) {
@@ -309,6 +372,7 @@
         servers: &directory::ServerDirectory,
     ) -> Vec<order::GranterAction> {
         let mut actions = Vec::new();
+        self.started.get_or_insert(now);
         self.hold_expiry
             .note_former_orders_until(self.former_granters.orders_until());
         if self.is_granting() && !self.election.may_order(now) {
@@ -321,7 +385,8 @@
         if std::mem::take(&mut self.yielded) {
             actions.push(order::GranterAction::Yield);
         }
-        if let (Some(pending), Some(at)) = (&self.appending, self.end) {
+        let end = self.present_end();
+        if let (Some(pending), Some(at)) = (&self.appending, end) {
             if now >= self.append_retry {
                 self.append_retry = now + time::Duration::from_millis(APPEND_TIMEOUT_MS);
                 actions.push(order::GranterAction::Append {
@@ -330,7 +395,7 @@
                     at,
                 });
             }
-        } else if let Some(at) = self.end {
+        } else if let Some(at) = end {
             let next = self.next_table(now, services, servers);
             if let Some(next) = next {
                 self.append_number += 1;
