--- a/src/edge/router/store_reader.rs
+++ b/src/edge/router/store_reader.rs
@@ -144,9 +144,19 @@
         }
     }
 
+    // A snapshot that is not complete starts over once the store is known to have a higher era.
     async fn read_snapshot(&mut self) -> ReadStep {
+        let known = self.known_era;
+        let mut era = self.source.era.clone();
+        let result = tokio::select! {
+            biased;
+            result = self.source.store.newest(self.source.topic) => result,
+            Ok(_) = era.wait_for(|era| *era > known) => {
+                return ReadStep::without_update(time::Duration::ZERO);
+            }
+        };
         let purpose = ReadPurpose::Snapshot;
-        match self.source.store.newest(self.source.topic).await {
+        match result {
             // It was read before the store came back.
             Ok(snapshot) if snapshot.era < self.known_era => {
                 ReadStep::without_update(self.next_retry_delay())
--- a/tests/store_reader.rs
+++ b/tests/store_reader.rs
@@ -281,6 +281,20 @@
     assert_eq!(calls.len(), 3);
 }
 
+// Guards against a host that waits for a snapshot although the store has come back meanwhile.
+async fn drops_a_waiting_snapshot_when_the_store_was_restored() {
+    let case = ReaderCase::new(&[]);
+    let waited = cell::Cell::new(0);
+    let is_done = |calls: &[StoreCall]| {
+        if calls.len() == 1 {
+            case.store.era.send_replace(1);
+        }
+        calls.len() > 1 || waited.replace(waited.get() + 1) > 100
+    };
+    let calls = case.follow(is_done).await;
+    assert_eq!(calls, [StoreCall::Newest, StoreCall::Newest]);
+}
+
 // Guards against calls without a pause while the store is known to be restored and its responses do not
 // say so yet.
 async fn waits_between_snapshots_of_an_outdated_era() {
@@ -322,6 +336,7 @@
     does_not_read_what_another_host_reads_for_it,
     reads_all_records_after_a_response_of_another_era,
     drops_a_waiting_read_when_the_store_was_restored,
+    drops_a_waiting_snapshot_when_the_store_was_restored,
     waits_between_snapshots_of_an_outdated_era,
     waits_where_the_copy_stays_beyond_the_end,
 }
