Take an unchanged entry back after a removal in an outage

A server's entry that expired while the store was unavailable may come back unchanged up to two seconds after the store. The directory keeps such a server for 1.3 s at most, and refused the removed version after that: a live server stayed unused until its next entry.

The directory now remembers whether a removal may be an effect of a failure of the store. After such a removal of a ready server, the same version counts again; an older one does not. After any other removal, also that of a draining server, the same version is refused as before.

The permission has no end: a server that ended during an outage is used again if a later restore brings its last entry back, until the store removes that entry.

--- a/src/serving/directory.rs
+++ b/src/serving/directory.rs
@@ -71,12 +71,27 @@
     }
 }
 
+// The last record of a server that was removed.
+#[derive(Clone, Copy, Debug)]
+struct RemovedRecord {
+    version: (u64, u64),
+    // Whether the server may write the same record again, because the removal may be an effect of a
+    // failure of the store.
+    may_return: bool,
+}
+
+impl RemovedRecord {
+    fn excludes(&self, version: (u64, u64)) -> bool {
+        version < self.version || (version == self.version && !self.may_return)
+    }
+}
+
 /// The servers that a host may send requests to.
 #[derive(Debug, Default)]
 pub struct ServerDirectory {
     entries: collections::BTreeMap<names::ServerName, sync::Arc<ServerRecord>>,
     lapsed: collections::BTreeMap<names::ServerName, (sync::Arc<ServerRecord>, clock::MonoTime)>,
-    removed: collections::BTreeMap<names::ServerName, (u64, u64)>,
+    removed: collections::BTreeMap<names::ServerName, RemovedRecord>,
     untrusted_until: clock::MonoTime,
     reregistration_timeout: time::Duration,
 }
@@ -102,7 +117,8 @@
         }
     }
 
-    /// Applies a server's record, unless a newer one is known, or this or a newer one was removed.
+    /// Applies a server's record, unless a newer one is known or was removed. The removed record itself
+    /// counts again only where the removal may have been an effect of a failure of the store.
     pub fn note(&mut self, record: ServerRecord) {
         let name = record.life.server.clone();
         let is_outdated = match self.find(&name) {
@@ -110,7 +126,7 @@
             None => self
                 .removed
                 .get(&name)
-                .is_some_and(|removed| record.version() <= *removed),
+                .is_some_and(|removed| removed.excludes(record.version())),
         };
         if is_outdated {
             return;
@@ -126,8 +142,13 @@
         let Some(record) = self.entries.remove(name) else {
             return;
         };
-        self.removed.insert(name.clone(), record.version());
-        if now < self.untrusted_until && record.state == ServerState::Ready {
+        let may_return = now < self.untrusted_until && record.state == ServerState::Ready;
+        let removed = RemovedRecord {
+            version: record.version(),
+            may_return,
+        };
+        self.removed.insert(name.clone(), removed);
+        if may_return {
             let until = now + self.reregistration_timeout;
             self.lapsed.insert(name.clone(), (record, until));
         }
--- a/tests/cluster.rs
+++ b/tests/cluster.rs
@@ -220,6 +220,29 @@
     assert_eq!(cluster.directory().servers().count(), 1);
 }
 
+// Guards against a live server that stays unused: its entry comes back unchanged after it was dropped.
+fn takes_back_a_dropped_server_with_its_last_entry() {
+    let mut cluster = host("a");
+    cluster.note_server(server("s1", 1, 5, READY));
+    cluster.note_store("servers", true, fixtures::at(10));
+    cluster.remove_server(&fixtures::name("s1"), fixtures::at(20));
+    cluster.expire(fixtures::at(20 + directory::REREGISTRATION_TIMEOUT_MS));
+    assert_eq!(cluster.directory().servers().count(), 0);
+    cluster.note_server(server("s1", 1, 4, READY));
+    assert_eq!(cluster.directory().servers().count(), 0);
+    cluster.note_server(server("s1", 1, 5, READY));
+    assert_eq!(cluster.directory().servers().count(), 1);
+}
+
+fn ignores_the_last_entry_of_a_leaving_server_that_lapsed() {
+    let mut cluster = host("a");
+    cluster.note_server(server("s1", 1, 5, DRAINING));
+    cluster.note_store("servers", true, fixtures::at(10));
+    cluster.remove_server(&fixtures::name("s1"), fixtures::at(20));
+    cluster.note_server(server("s1", 1, 5, DRAINING));
+    assert_eq!(cluster.directory().servers().count(), 0);
+}
+
 fn takes_a_server_that_was_born_again() {
     let mut cluster = host("a");
     cluster.note_server(server("s1", 1, 5, DRAINING));
@@ -256,5 +279,7 @@
     ignores_a_late_entry_of_a_removed_server,
     ignores_the_last_entry_of_a_removed_server,
     takes_back_a_lapsed_server_with_its_last_entry,
+    takes_back_a_dropped_server_with_its_last_entry,
+    ignores_the_last_entry_of_a_leaving_server_that_lapsed,
     takes_a_server_that_was_born_again,
 }
