Take no refusal of another request for the answer to this one

A late copy of a server's earlier refusal (421, 429, 503, "not executed") on a kept connection read as the answer to the next request. A host then took that request for one that did not run: it sent it to a second server, or refused it with 503, while the first server ran it.

The mark "not executed" was tested before the request's id. The lab's worker now echoes it on its 421.

--- a/lab/src/platform_site/worker.rs
+++ b/lab/src/platform_site/worker.rs
@@ -236,6 +236,7 @@
         if !expected || (state.sharded && !state.holds(key, clock.now())) {
             return actix_web::HttpResponse::MisdirectedRequest()
                 .insert_header(("x-not-executed", "1"))
+                .insert_header(("x-request-id", id))
                 .finish();
         }
         *state.runs.entry(id.clone()).or_default() += 1;
--- a/src/edge/router/ports.rs
+++ b/src/edge/router/ports.rs
@@ -166,7 +166,8 @@
     pub matches_request: bool,
     /// Whether the response carries the server's signature.
     pub is_signed: bool,
-    /// Whether the server reports that it did not run the request.
+    /// Whether the server reports that it did not run the request. A response with the id of another
+    /// request does not report that.
     pub not_run: bool,
 }
 
