Keep a host that yielded the granter role from taking it back

A granter that yields the role leaves the group of hosts that may grant for four seconds. The answer of a join that was sent before made it the candidate again, so that it claimed the role once more. It also remained the candidate in the tick that yielded: that tick returned a new claim beside the action to yield.

The granter is no candidate from the yield on, and takes the answer of a join into account only if the call was sent after its last yield.

Before the fix, the test stays_out_when_a_join_is_answered_after_a_yield failed at its first assertion (the granter had the role again in the tick of the yield). With only the check of the join's time taken out it failed too: the tick after the late answer returned a claim.

--- a/src/edge/router/control/granting.rs
+++ b/src/edge/router/control/granting.rs
@@ -37,10 +37,11 @@
                 continue;
             }
             has_joined = true;
+            let sent = self.clock.now();
             match self.store.join().await {
                 Ok(candidate) => {
                     self.note_store(ELECTION_CALL, "join", false);
-                    self.state.borrow_mut().granter.note_candidate(candidate);
+                    self.state.borrow_mut().granter.note_joined(candidate, sent);
                 }
                 Err(error) => {
                     tracing::warn!(event = "store-call-failed", topic = "duty", fault = %error);
--- a/src/ownership/granter/mod.rs
+++ b/src/ownership/granter/mod.rs
@@ -61,6 +61,8 @@
     // Incarnations whose address responds like a server of an unsharded service.
     rejected: collections::BTreeMap<assignment::ServerIncarnation, net::SocketAddr>,
     yielded: bool,
+    // When this host last yielded the role.
+    yielded_at: Option<clock::MonoTime>,
     append_sent: clock::MonoTime,
     key_loads: key_load::ServiceLoad,
     service_times: collections::BTreeMap<names::ServerName, f64>,
@@ -99,6 +101,7 @@
             ended: collections::BTreeSet::new(),
             rejected: collections::BTreeMap::new(),
             yielded: false,
+            yielded_at: None,
             append_sent: origin,
             key_loads: key_load::ServiceLoad::new(),
             service_times: collections::BTreeMap::new(),
@@ -129,6 +132,14 @@
         self.candidate = candidate;
     }
 
+    /// Handles the answer of a call, sent at `sent`, that joined the group of hosts that may grant:
+    /// whether this host is the one that should claim the granter role. A call from before this host
+    /// yielded the role makes it no candidate.
+    pub fn note_joined(&mut self, candidate: bool, sent: clock::MonoTime) {
+        let is_current = self.yielded_at.is_none_or(|yielded| sent > yielded);
+        self.candidate = candidate && is_current;
+    }
+
     /// Handles the newest assignment table of the log, which ends at `end`. Reports whether the
     /// table changed.
     pub fn note_table(
@@ -295,7 +306,10 @@
                     tracing::info!(event = "granting-stood-down", term, cause = ?event);
                     self.tracked_ranges.clear();
                 }
-                election::ElectionAction::YieldDuty => self.yielded = true,
+                election::ElectionAction::YieldDuty => {
+                    self.yielded = true;
+                    self.candidate = false;
+                }
             }
         }
     }
@@ -318,6 +332,7 @@
             self.detect_unresponsive(now, services, servers);
         }
         if std::mem::take(&mut self.yielded) {
+            self.yielded_at = Some(now);
             actions.push(order::GranterAction::Yield);
         }
         if let (Some(pending), Some(at)) = (&self.appending, self.end) {
--- a/tests/granting.rs
+++ b/tests/granting.rs
@@ -236,6 +236,29 @@
     assert!(case.yields > 0);
 }
 
+// Guards against a host that takes the role back which it has just yielded: a join sent before that is
+// answered after it.
+fn stays_out_when_a_join_is_answered_after_a_yield() {
+    let mut case = GranterCase::new(8);
+    case.run(4_000);
+    case.unresponsive = (0..5).map(address).collect();
+    while case.yields == 0 && case.now_ms < 10_000 {
+        case.run(TICK_MS);
+    }
+    assert!(case.yields > 0 && !case.granter.is_granting());
+    let sent = fixtures::at(case.now_ms - TICK_MS);
+    case.granter.note_candidate(false);
+    case.granter.note_joined(true, sent);
+    for _ in 0..20 {
+        case.now_ms += TICK_MS;
+        let now = fixtures::at(case.now_ms);
+        let actions = case.granter.tick(now, &[service()], &case.directory);
+        assert_eq!(actions, []);
+    }
+    case.granter.note_joined(true, fixtures::at(case.now_ms));
+    case.next_append();
+}
+
 // Seen in trouble-3 at Coastline, at 32.7 s: six servers had ended while the store was down, and
 // when four more were cut off, a healthy granter yielded its role twice.
 fn keeps_the_duty_when_servers_fall_silent_at_two_times() {
@@ -308,6 +331,7 @@
     moves_keys_soon_where_the_former_granter_runs_another_process,
     forgets_former_granters_once_their_orders_have_arrived,
     gives_the_duty_away_when_most_servers_are_silent,
+    stays_out_when_a_join_is_answered_after_a_yield,
     keeps_the_duty_when_servers_fall_silent_at_two_times,
     orders_by_the_log_when_an_append_is_read_before_its_response,
     claims_only_by_the_response_to_its_claim,
