Assign keys at the first start without waiting for lost grants

A store that never came back older states era 1, not 0.

An empty log, and a table of a build without versions, count as of the first era while that lasts. The simulation starts in that era too.

--- a/lab/src/grants/simulation/mod.rs
+++ b/lab/src/grants/simulation/mod.rs
@@ -143,7 +143,7 @@
             queue: collections::BinaryHeap::new(),
             hosts: Vec::new(),
             servers: Vec::new(),
-            log: stored_log::StoredLog::default(),
+            log: stored_log::StoredLog::new(),
             has_restores: false,
             store_down_until: clock::MonoTime::from_micros(0),
             lossy_until: clock::MonoTime::from_micros(0),
--- a/lab/src/grants/simulation/stored_log.rs
+++ b/lab/src/grants/simulation/stored_log.rs
@@ -4,6 +4,7 @@
 use std::time;
 use zinniastack::clock;
 use zinniastack::ownership::assignment;
+use zinniastack::ownership::granter;
 use zinniastack::ownership::order;
 use zinniastack::ownership::table_records;
 use zinniastack::serving::topic;
@@ -17,7 +18,7 @@
 }
 
 /// The log, with the times at which its records were appended.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct StoredLog {
     pub(crate) era: u64,
     records: Vec<(clock::MonoTime, topic::LogRecord)>,
@@ -27,6 +28,15 @@
 }
 
 impl StoredLog {
+    pub(crate) const fn new() -> Self {
+        Self {
+            era: granter::era::FIRST_ERA,
+            records: Vec::new(),
+            first: None,
+            owners: Vec::new(),
+        }
+    }
+
     pub(crate) fn end(&self) -> u64 {
         u64::try_from(self.records.len()).unwrap_or(u64::MAX)
     }
--- a/src/ownership/granter/era.rs
+++ b/src/ownership/granter/era.rs
@@ -17,6 +17,21 @@
 /// can go on with renewals.
 pub const PROVISIONAL_CLAIM_DELAY_MS: u64 = 2_000;
 
+/// The era of a store that has never come back from an older copy.
+pub const FIRST_ERA: u64 = 1;
+
+// Takes a table without a version, of an earlier build, as one of the first era while that lasts.
+pub(super) const fn with_first_era(
+    table: assignment::AssignmentTable,
+    era: u64,
+) -> assignment::AssignmentTable {
+    let mut table = table;
+    if era <= FIRST_ERA && table.version.revision == 0 {
+        table.version.era = era;
+    }
+    table
+}
+
 /// What the granter knows of the store's present era.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct EraState {
@@ -87,8 +102,16 @@
     // Whether a table of the log is newer than the known one. What the store came back with is older,
     // and a mixture of two tables has the lowest version.
     pub(super) fn is_newer(&self, newest: &assignment::AssignmentTable) -> bool {
-        let unversioned = assignment::TableVersion::default();
-        newest.version > self.table.version || self.table.version == unversioned
+        newest.version > self.table.version || self.table.version.revision == 0
+    }
+
+    // Handles a log that ends with no table at `end`.
+    pub(super) fn note_no_table(&mut self, end: topic::LogPosition) {
+        if end.offset == 0 && end.era <= FIRST_ERA && self.table.version.revision == 0 {
+            self.table.version.era = end.era;
+            self.era.has_followed = true;
+        }
+        self.note_foreign_records(end);
     }
 
     // Reports that the log of the present era ends with records that are not this granter's table:
--- a/src/ownership/granter/mod.rs
+++ b/src/ownership/granter/mod.rs
@@ -150,10 +150,10 @@
         }
         self.end = Some(end);
         let Some(newest) = newest else {
-            self.era.has_followed |= end == topic::LogPosition::default();
-            self.note_foreign_records(end);
+            self.note_no_table(end);
             return false;
         };
+        let newest = era::with_first_era(newest, end.era);
         if newest == self.table {
             return false;
         }
