--- a/src/edge/router/control/granting.rs
+++ b/src/edge/router/control/granting.rs
@@ -75,7 +75,9 @@
             let control::ControlState {
                 cluster, granter, ..
             } = &mut *state;
-            granter.note_possible_granters(cluster.possible_granters());
+            if granter.awaits_claim() {
+                granter.note_possible_granters(cluster.possible_granters());
+            }
             granter.tick(now, &services, cluster.directory())
         };
         for action in actions {
--- a/src/ownership/granter/era.rs
+++ b/src/ownership/granter/era.rs
@@ -65,6 +65,12 @@
         self.apply_election_event(election::ElectionEvent::StoreRestored);
     }
 
+    /// Reports whether no table of the store's present era is known.
+    #[must_use]
+    pub const fn awaits_claim(&self) -> bool {
+        !self.is_in_force()
+    }
+
     /// Sets the other hosts that may have granted: those that may read the store.
     pub fn note_possible_granters(&mut self, hosts: Vec<assignment::GranterIncarnation>) {
         self.possible_granters = hosts;
