Settle an append by its own response before its records are read back

A granter's own successful append was applied to its copy first, and the granter settled it as a read would, by the time of its first sending. Since that time counts for a read, a claim that succeeded only after twelve seconds of retries gave a right that had already ended: the host took up the granter role, stood down at the next tick and claimed again. A reader of the change found it. The response settles the append now, by the time of the sending that it answers; then the records are added to the copy. No test without a network covers the control thread here; the decision is held by counts_its_right_from_the_first_sending_of_an_append.

--- a/src/edge/router/control/granting.rs
+++ b/src/edge/router/control/granting.rs
@@ -133,9 +133,6 @@
         let outcome = self.store.append(assignments, &records, Some(at)).await;
         self.note_append(assignments, outcome);
         self.note_late_append(number, at);
-        if let order::AppendOutcome::Appended { era, end } = outcome {
-            self.apply_appended(records, topic::LogPosition::new(era, at), end);
-        }
         let moving = table
             .services
             .values()
@@ -155,6 +152,9 @@
             .borrow_mut()
             .granter
             .note_appended(number, outcome, sent, now);
+        if let order::AppendOutcome::Appended { era, end } = outcome {
+            self.apply_appended(records, topic::LogPosition::new(era, at), end);
+        }
         self.publish();
         self.decide();
     }
