--- a/src/edge/router/control/eras.rs
+++ b/src/edge/router/control/eras.rs
@@ -36,7 +36,10 @@
         let era = self.state.borrow().cluster.store_era();
         let previous = *self.era.borrow();
         if era > previous {
-            tracing::warn!(event = "store-restored", era, previous);
+            // The first era that a host sees says nothing of a return.
+            if previous > 0 {
+                tracing::warn!(event = "store-restored", era, previous);
+            }
             let gauge = i64::try_from(era).unwrap_or(i64::MAX);
             self.metrics.store_era.set(gauge);
             let now = self.clock.now();
--- a/src/ownership/granter/mod.rs
+++ b/src/ownership/granter/mod.rs
@@ -1,6 +1,7 @@
 //! The granter: handles events of the log, the servers and the clock, and returns the appends and
 //! orders to send.
 
+pub mod appends;
 pub mod era;
 mod orders;
 mod plans;
@@ -29,18 +30,6 @@
 /// Upper bound of the hold that an order grants, in milliseconds. The servers' own limit may be
 /// lower.
 pub const GRANT_HOLD_MS: u64 = 2_400;
-/// Delay before a failed append is tried again, in milliseconds.
-pub const APPEND_RETRY_MS: u64 = 250;
-/// Delay before an append without an outcome is tried again, in milliseconds.
-pub const APPEND_TIMEOUT_MS: u64 = 2_000;
-
-// An append without an outcome.
-#[derive(Debug)]
-struct PendingAppend {
-    number: u64,
-    table: assignment::AssignmentTable,
-}
-
 /// The state of the granter at one host. It sends orders only while the host has the granter role.
 pub struct KeyGranter {
     own: assignment::GranterIncarnation,
@@ -56,7 +45,7 @@
     possible_granters: Vec<assignment::GranterIncarnation>,
     granted: assignment::TableVersion,
     started: Option<clock::MonoTime>,
-    appending: Option<PendingAppend>,
+    appending: Option<appends::PendingAppend>,
     append_number: u64,
     append_retry: clock::MonoTime,
     candidate: bool,
@@ -244,81 +233,6 @@
             .note(report);
     }
 
-    /// Returns the number of the append that has no outcome yet.
-    #[must_use]
-    pub fn pending_append(&self) -> Option<u64> {
-        self.appending.as_ref().map(|pending| pending.number)
-    }
-
-    /// Handles the outcome of the append `number` that was sent at `sent`. An append that is no
-    /// longer pending has been decided by a read of the log.
-    pub fn note_appended(
-        &mut self,
-        number: u64,
-        outcome: order::AppendOutcome,
-        sent: clock::MonoTime,
-        now: clock::MonoTime,
-    ) {
-        if self.pending_append() != Some(number) {
-            return;
-        }
-        match outcome {
-            order::AppendOutcome::Appended { era, end } => {
-                let pending = self.appending.as_ref();
-                let planned = pending.map(|pending| pending.table.version.era);
-                self.note_era(era, now);
-                if planned != Some(era) {
-                    return;
-                }
-                let end = topic::LogPosition { era, offset: end };
-                self.end = self.end.max(Some(end));
-                self.era.has_followed = true;
-                self.election.confirm(sent);
-                if let Some(appended) = self.appending.take() {
-                    let previous = std::mem::replace(&mut self.table, appended.table);
-                    self.apply_append(&previous, now);
-                }
-            }
-            order::AppendOutcome::Conflict => {
-                // The next read of the log returns the record that caused the conflict.
-                self.append_retry = now + time::Duration::from_millis(APPEND_RETRY_MS);
-            }
-            order::AppendOutcome::Refused | order::AppendOutcome::Unknown => {
-                self.append_retry = now + time::Duration::from_millis(APPEND_RETRY_MS);
-            }
-        }
-    }
-
-    fn apply_append(&mut self, previous: &assignment::AssignmentTable, now: clock::MonoTime) {
-        let state = self.election.state();
-        if state == election::ElectionState::Claiming {
-            self.take_over_former(previous, now);
-        }
-        if state != election::ElectionState::Granting {
-            self.start_lost_grants(now);
-            self.apply_election_event(election::ElectionEvent::ClaimAppended);
-        }
-        self.granted = self.table.version;
-        self.sync_tracked_ranges(now);
-    }
-
-    // Takes account of former granters, which may go on sending orders until their time is over by
-    // their own clocks.
-    fn take_over_former(&mut self, previous: &assignment::AssignmentTable, now: clock::MonoTime) {
-        let formers = &self.table.former_granters;
-        self.former_granters
-            .take_over(self.table.term, formers, now);
-        let has_formers = !formers.is_empty();
-        let ranges = previous.services.values().flatten();
-        let holders = ranges.flat_map(|range| range.formers.iter().chain([&range.holder]));
-        let incarnations = holders
-            .map(|holder| holder.life.clone())
-            .filter(|_| has_formers);
-        let hold = time::Duration::from_millis(previous.longest_hold_millis);
-        self.hold_expiry.take_over(incarnations, hold);
-        self.unresponsive.clear();
-    }
-
     /// Handles another host's response, which may prove that a former granter has stopped.
     pub fn note_host_response(
         &mut self,
@@ -403,7 +317,7 @@
         let end = self.present_end();
         if let (Some(pending), Some(at)) = (&self.appending, end) {
             if now >= self.append_retry {
-                self.append_retry = now + time::Duration::from_millis(APPEND_TIMEOUT_MS);
+                self.append_retry = now + time::Duration::from_millis(appends::APPEND_TIMEOUT_MS);
                 actions.push(order::GranterAction::Append {
                     number: pending.number,
                     table: pending.table.clone(),
@@ -415,11 +329,11 @@
             if let Some(next) = next {
                 self.append_number += 1;
                 let number = self.append_number;
-                self.appending = Some(PendingAppend {
+                self.appending = Some(appends::PendingAppend {
                     number,
                     table: next.clone(),
                 });
-                self.append_retry = now + time::Duration::from_millis(APPEND_TIMEOUT_MS);
+                self.append_retry = now + time::Duration::from_millis(appends::APPEND_TIMEOUT_MS);
                 self.append_sent = now;
                 let table = next;
                 actions.push(order::GranterAction::Append { number, table, at });
--- a/src/ownership/tracked_range.rs
+++ b/src/ownership/tracked_range.rs
@@ -75,7 +75,7 @@
 ) {
     tracked.formers.retain(|former| {
         let incarnation = &former.holder.life;
-        !has_moved(&former.holder, servers) && !hold_expiry.has_expired(incarnation, now)
+        !has_other_address(&former.holder, servers) && !hold_expiry.has_expired(incarnation, now)
     });
     for former in &mut tracked.formers {
         if former.in_flight || now < former.next_order_at {
@@ -92,7 +92,7 @@
 
 // Whether the server has restarted at another address. At the same address a later incarnation may
 // hold the keys: orders name the server and not its start.
-fn has_moved(holder: &assignment::KeyHolder, servers: &directory::ServerDirectory) -> bool {
+fn has_other_address(holder: &assignment::KeyHolder, servers: &directory::ServerDirectory) -> bool {
     let record = servers.find(&holder.life.server);
     has_restarted(&holder.life, servers)
         && record.is_some_and(|record| record.address != holder.address)
