--- a/src/ownership/granter/mod.rs
+++ b/src/ownership/granter/mod.rs
@@ -30,6 +30,7 @@
 /// Upper bound of the hold that an order grants, in milliseconds. The servers' own limit may be
 /// lower.
 pub const GRANT_HOLD_MS: u64 = 2_400;
+
 /// The state of the granter at one host. It sends orders only while the host has the granter role.
 pub struct KeyGranter {
     own: assignment::GranterIncarnation,
