Hash each part of the assignment table once, when its record is read or written

The digest that tells a mixture of two tables from a table was made from all parts, encoded anew: twice for each append, and at every host for each batch of records that it read. The work grew with the table, on the control thread of every host. The record of a part is hashed where it is at hand, and the digest is made of these hashes. What it distinguishes is as before.

No figure was measured.

--- a/src/ownership/table_records.rs
+++ b/src/ownership/table_records.rs
@@ -36,17 +36,17 @@
 }
 
 impl TableHeader {
-    fn new(table: &assignment::AssignmentTable) -> Result<Self, serde_json::Error> {
-        Ok(Self {
+    fn new(table: &assignment::AssignmentTable, digest: u64) -> Self {
+        Self {
             version: Some(table.version),
-            digest: Some(digest(&parts_of(table))?),
+            digest: Some(digest),
             lost_grants: table.lost_grants.clone(),
             term: table.term,
             granter: table.granter.clone(),
             former_granters: table.former_granters.clone(),
             longest_hold_millis: table.longest_hold_millis,
             next_fence: table.next_fence,
-        })
+        }
     }
 }
 
@@ -118,32 +118,43 @@
     parts
 }
 
-// Distinguishes the parts of one table from any others.
-fn digest(parts: &TableParts) -> Result<u64, serde_json::Error> {
-    let mut hasher = xxh3::Xxh3::new();
-    for (id, ranges) in parts {
-        hasher.update(id.key().as_bytes());
-        hasher.update(&serde_json::to_vec(ranges)?);
+// A part as the log has it, with the hash of its record.
+#[derive(Debug)]
+struct StoredPart {
+    ranges: Vec<assignment::RangeEntry>,
+    hash: u64,
+}
+
+// Distinguishes the parts of one table from any others, by the hashes of their records.
+#[derive(Default)]
+struct PartsDigest {
+    hasher: xxh3::Xxh3Default,
+}
+
+impl PartsDigest {
+    fn add(&mut self, id: &PartId, hash: u64) {
+        self.hasher.update(id.service.as_str().as_bytes());
+        self.hasher.update(&id.number.to_le_bytes());
+        self.hasher.update(&hash.to_le_bytes());
+    }
+
+    fn value(&self) -> u64 {
+        self.hasher.digest()
     }
-    Ok(hasher.digest())
 }
 
-fn encode(
-    key: sync::Arc<str>,
-    value: &impl serde::Serialize,
-) -> Result<topic::KeyedRecord, serde_json::Error> {
-    let value = serde_json::to_vec(value)?;
-    Ok(topic::KeyedRecord {
+fn keyed_record(key: sync::Arc<str>, value: Vec<u8>) -> topic::KeyedRecord {
+    topic::KeyedRecord {
         key,
         value: Some(bytes::Bytes::from(value)),
-    })
+    }
 }
 
 /// Assembles the assignment table from the records of its log.
 #[derive(Debug, Default)]
 pub struct TableAssembly {
     header: Option<(TableHeader, u64)>,
-    parts: TableParts,
+    parts: collections::BTreeMap<PartId, StoredPart>,
     // A whole table of an earlier build, and the offset of its record.
     whole: Option<(assignment::AssignmentTable, u64)>,
 }
@@ -181,7 +192,8 @@
         match value {
             Some(value) => {
                 let ranges = decode(key, value)?;
-                self.parts.insert(id, ranges);
+                let hash = xxh3::xxh3_64(value);
+                self.parts.insert(id, StoredPart { ranges, hash });
             }
             None => {
                 self.parts.remove(&id);
@@ -201,10 +213,16 @@
     ) -> Result<Vec<topic::KeyedRecord>, serde_json::Error> {
         let parts = parts_of(table);
         let mut records = Vec::new();
+        let mut digest = PartsDigest::default();
         for (id, ranges) in &parts {
-            if self.parts.get(id) != Some(ranges) {
-                records.push(encode(id.key(), ranges)?);
+            let stored = self.parts.get(id).filter(|part| part.ranges == *ranges);
+            if let Some(stored) = stored {
+                digest.add(id, stored.hash);
+                continue;
             }
+            let value = serde_json::to_vec(ranges)?;
+            digest.add(id, xxh3::xxh3_64(&value));
+            records.push(keyed_record(id.key(), value));
         }
         let gone = self.parts.keys().filter(|id| !parts.contains_key(*id));
         let gone = gone.map(PartId::key);
@@ -213,10 +231,9 @@
             gone.chain(whole)
                 .map(|key| topic::KeyedRecord { key, value: None }),
         );
-        records.push(encode(
-            sync::Arc::from(HEADER_KEY),
-            &TableHeader::new(table)?,
-        )?);
+        let header = TableHeader::new(table, digest.value());
+        let header = serde_json::to_vec(&header)?;
+        records.push(keyed_record(sync::Arc::from(HEADER_KEY), header));
         Ok(records)
     }
 
@@ -250,14 +267,14 @@
 
     fn assemble(&self, header: &TableHeader) -> assignment::AssignmentTable {
         let mut services = collections::BTreeMap::<_, Vec<_>>::new();
-        for (id, ranges) in &self.parts {
+        let mut digest = PartsDigest::default();
+        for (id, part) in &self.parts {
             let service = services.entry(id.service.clone()).or_default();
-            service.extend(ranges.iter().cloned());
+            service.extend(part.ranges.iter().cloned());
+            digest.add(id, part.hash);
         }
         // An append that was planned on other parts makes a mixture, which no version names.
-        let mixed = header
-            .digest
-            .is_some_and(|known| digest(&self.parts).ok() != Some(known));
+        let mixed = header.digest.is_some_and(|known| digest.value() != known);
         let version = header.version.filter(|_| !mixed).unwrap_or_default();
         assignment::AssignmentTable {
             version,
