Define the process cases by one macro

It is in the lab's module of such cases now, and the files name their cases as before: same names, same numbers, same assertions.

--- a/lab/src/platform_site/case.rs
+++ b/lab/src/platform_site/case.rs
@@ -18,6 +18,19 @@
 /// Names a directory in which each host writes its log.
 const LOGS_VARIABLE: &str = "ZINNIA_LAB_LOGS";
 
+/// Defines a test for each named case, which gets the number of its loopback address.
+#[macro_export]
+macro_rules! site_cases {
+    ($($name:ident = $number:literal),* $(,)?) => {
+        mod cases {
+            $(#[actix_web::test]
+            async fn $name() {
+                super::$name($number).await;
+            })*
+        }
+    };
+}
+
 /// The process of a host, killed when the value is dropped.
 pub struct RouterProcess {
     child: process::Child,
--- a/lab/tests/late_responses.rs
+++ b/lab/tests/late_responses.rs
@@ -46,17 +46,6 @@
     case.expect_invariants();
 }
 
-macro_rules! late_response_cases {
-    ($($name:ident = $number:literal),* $(,)?) => {
-        mod cases {
-            $(#[actix_web::test]
-            async fn $name() {
-                super::$name($number).await;
-            })*
-        }
-    };
-}
-
-late_response_cases! {
+zinnia_lab::site_cases! {
     takes_no_late_copy_for_the_response_to_an_order = 60,
 }
--- a/lab/tests/platform.rs
+++ b/lab/tests/platform.rs
@@ -274,18 +274,7 @@
     assert_eq!(code, Some(1), "the key is too large");
 }
 
-macro_rules! platform_cases {
-    ($($name:ident = $number:literal),* $(,)?) => {
-        mod cases {
-            $(#[actix_web::test]
-            async fn $name() {
-                super::$name($number).await;
-            })*
-        }
-    };
-}
-
-platform_cases! {
+zinnia_lab::site_cases! {
     serves_a_short_day = 1,
     puts_versions_in_force_and_never_takes_one_back = 2,
     moves_the_keys_of_a_worker_that_drains = 3,
--- a/lab/tests/restored_holds.rs
+++ b/lab/tests/restored_holds.rs
@@ -179,18 +179,7 @@
     expect_one_holder(&case).await;
 }
 
-macro_rules! restored_hold_cases {
-    ($($name:ident = $number:literal),* $(,)?) => {
-        mod cases {
-            $(#[actix_web::test]
-            async fn $name() {
-                super::$name($number).await;
-            })*
-        }
-    };
-}
-
-restored_hold_cases! {
+zinnia_lab::site_cases! {
     keeps_one_holder_after_a_return_without_a_loss = 46,
     keeps_one_holder_after_a_return_with_a_loss = 40,
     keeps_one_holder_where_reads_waited_through_the_outage = 41,
--- a/lab/tests/restored_store.rs
+++ b/lab/tests/restored_store.rs
@@ -277,18 +277,7 @@
     case::wait_until("all hosts are registered again", registered).await;
 }
 
-macro_rules! restored_store_cases {
-    ($($name:ident = $number:literal),* $(,)?) => {
-        mod cases {
-            $(#[actix_web::test]
-            async fn $name() {
-                super::$name($number).await;
-            })*
-        }
-    };
-}
-
-restored_store_cases! {
+zinnia_lab::site_cases! {
     puts_changes_in_force_after_a_return = 20,
     puts_changes_in_force_after_a_silent_outage = 21,
     puts_changes_in_force_after_closed_connections = 22,
