Log orders in one place, and look for due fences in one pass

From reading the change once more: grant-ended and release-ended wrote the same fields twice; after lost grants had become certain, the ranges were searched twice for those that need a new fence; a copy had two getters for its end. The help of the metric store_era said how often the store came back, which is one less than the era that it shows. Nothing else changes.

--- a/src/edge/router/control/granting.rs
+++ b/src/edge/router/control/granting.rs
@@ -208,16 +208,7 @@
         let changed = state.granter.note_granted(&order, &outcome, now);
         drop(state);
         if changed {
-            tracing::info!(
-                event = "grant-ended",
-                term,
-                server = %order.life.server,
-                born = order.life.born,
-                first = order.range.first,
-                last = order.range.last,
-                fence = order.range.fence,
-                outcome = ?outcome
-            );
+            log_order("grant-ended", term, &order.range, &order.life, &outcome);
             self.decide();
         }
     }
@@ -226,16 +217,8 @@
         let outcome = self.orders.release(&order).await;
         self.metrics.note_order("release", outcome.as_str());
         let now = self.clock.now();
-        tracing::info!(
-            event = "release-ended",
-            term = self.state.borrow().granter.table().term,
-            server = %order.life.server,
-            born = order.life.born,
-            first = order.range.first,
-            last = order.range.last,
-            fence = order.range.fence,
-            outcome = ?outcome
-        );
+        let term = self.state.borrow().granter.table().term;
+        log_order("release-ended", term, &order.range, &order.life, &outcome);
         self.state
             .borrow_mut()
             .granter
@@ -243,3 +226,23 @@
         self.decide();
     }
 }
+
+// Logs the outcome of an order, with what tells it from other orders to the server.
+fn log_order(
+    event: &'static str,
+    term: u64,
+    range: &order::RangeId,
+    life: &assignment::ServerIncarnation,
+    outcome: &order::OrderOutcome,
+) {
+    tracing::info!(
+        event,
+        term,
+        server = %life.server,
+        born = life.born,
+        first = range.first,
+        last = range.last,
+        fence = range.fence,
+        outcome = ?outcome
+    );
+}
--- a/src/edge/router/control/records.rs
+++ b/src/edge/router/control/records.rs
@@ -235,7 +235,7 @@
     let is_older = version.is_some_and(|version| version < state.cluster.routes_version());
     let routes = state.routes.as_ref().filter(|_| is_older)?;
     let copy = &state.replicas[topic::StoreTopic::Routes.index()];
-    let offset = copy.end();
+    let offset = copy.position().offset;
     let record = routes.clone();
     let is_lost = !copy.holds(&record);
     is_lost.then(|| replica::PageRecord::new(&topic::LogRecord { offset, record }))
--- a/src/edge/router/metrics.rs
+++ b/src/edge/router/metrics.rs
@@ -229,7 +229,7 @@
         let era = self.store_era.clone();
         registry.register(
             "store_era",
-            "How often the store came back from an older copy",
+            "The highest era of the store that is known",
             era,
         );
     }
--- a/src/ownership/granter/plans.rs
+++ b/src/ownership/granter/plans.rs
@@ -51,18 +51,20 @@
         if self.has_possible_losses(now) {
             return changed.then_some(next);
         }
-        if next.lost_grants.take().is_some() {
+        let was_uncertain = next.lost_grants.take().is_some();
+        if was_uncertain {
             tracing::info!(
                 event = "era-grants-certain",
                 era = self.era.number,
                 term = next.term
             );
-            self.reissue(&mut next, |state| state != tracked_range::RangeState::Held);
-            changed = true;
         }
+        changed |= was_uncertain;
         changed |= self.drop_former_holders(&mut next);
-        changed |= self.reissue(&mut next, |state| {
-            state == tracked_range::RangeState::Refused
+        changed |= self.reissue(&mut next, |state| match state {
+            tracked_range::RangeState::Refused => true,
+            tracked_range::RangeState::Held => false,
+            _ => was_uncertain,
         });
         changed |= self.drop_former_granters(&mut next, now);
         let settled = now >= self.planned_at + time::Duration::from_millis(PLAN_INTERVAL_MS);
--- a/src/serving/replica.rs
+++ b/src/serving/replica.rs
@@ -146,12 +146,6 @@
         Self::default()
     }
 
-    /// Returns the offset at which the copy ends.
-    #[must_use]
-    pub const fn end(&self) -> u64 {
-        self.end.offset
-    }
-
     /// Returns the position at which the copy ends.
     #[must_use]
     pub const fn position(&self) -> topic::LogPosition {
--- a/tests/replicas.rs
+++ b/tests/replicas.rs
@@ -103,7 +103,7 @@
         .map(|stored| (&*stored.record.key, stored.record.value.is_some()))
         .collect();
     assert_eq!(changed, [("d", true), ("b", false), ("c", false)]);
-    assert_eq!(replica.end(), 9);
+    assert_eq!(replica.position().offset, 9);
 }
 
 fn refuses_records_after_a_gap() {
