Count no late copy of a refusal as the response to another attempt

What callers would see: 503, a promise that an order did not run and never will, for an order that a server runs at that moment; an order sent again by its caller then runs twice. Or the answer of another request, where a request has no id.

Cause: a server may send a response twice, the second copy late, where the next response on the connection is expected. The id told copies of other requests apart, but not (1) the copy of the refusal of the first attempt when the second attempt, which has the same id, goes to the same server (the holder of a key, or the only server of a service): the pool hands out that very connection; (2) the copy of a refusal without an id, as a server that sheds sends it; (3) any response, to a request without an id.

Ruled out: copies that are there before the next request is sent; hyper closes such a connection. Attempts at different servers.

Why this works: an attempt at a server that was tried before has a new connection, and a connection is used again only after a response with the request's id, so no copy that could be taken for another response can arrive. The cost is a new connection after each refusal without an id.

--- a/lab/src/platform_site/connection.rs
+++ b/lab/src/platform_site/connection.rs
@@ -13,7 +13,7 @@
 #[derive(Clone, Debug)]
 pub struct ConnectionSocket {
     socket: sync::Arc<net::TcpStream>,
-    // The response to the last order, as it was sent.
+    // The last response that was kept, as it was sent.
     last_response: sync::Arc<sync::Mutex<Option<String>>>,
 }
 
@@ -42,7 +42,7 @@
         let _ = self.socket.shutdown(net::Shutdown::Both);
     }
 
-    /// Keeps the response to an order, so that it can be sent once more.
+    /// Keeps a response, so that it can be sent once more.
     pub fn keep_response(&self, response: String) {
         *self.last() = Some(response);
     }
--- a/lab/src/platform_site/worker/calls.rs
+++ b/lab/src/platform_site/worker/calls.rs
@@ -113,17 +113,41 @@
     response.insert_header(("x-not-executed", "1")).finish()
 }
 
-// Sends the response to the connection's last order once more, where that to a release is expected.
-fn repeat_response(service: &WorkerService, request: &actix_web::HttpRequest) {
-    let is_on = http::lock(&service.state).faults.repeat_before_releases;
+// Sends the response that was kept for the connection once more, where another one is expected.
+fn repeat_response(request: &actix_web::HttpRequest) {
     let socket = request.conn_data::<connection::ConnectionSocket>();
-    if let Some(socket) = socket.filter(|_| is_on)
+    if let Some(socket) = socket
         && let Err(error) = socket.repeat_response()
     {
         tracing::debug!(event = "response-not-repeated", fault = %error);
     }
 }
 
+// Refuses a request as a worker does that is full, and keeps the response for `repeat_response`.
+fn refuse_full(request: &actix_web::HttpRequest, id: &str) -> actix_web::HttpResponse {
+    let headers = [(REQUEST_ID, id), ("x-not-executed", "1")];
+    if let Some(socket) = request.conn_data::<connection::ConnectionSocket>() {
+        let lines = headers.map(|(name, value)| format!("{name}: {value}\r\n"));
+        let lines = lines.concat();
+        socket.keep_response(format!(
+            "HTTP/1.1 503 again\r\ncontent-length: 0\r\n{lines}\r\n"
+        ));
+    }
+    let mut response = actix_web::HttpResponse::ServiceUnavailable();
+    for header in headers {
+        response.insert_header(header);
+    }
+    response.finish()
+}
+
+// Whether the worker refuses this request as one that is full.
+fn takes_refusal(service: &WorkerService) -> bool {
+    let faults = &mut http::lock(&service.state).faults;
+    let refuses = faults.refuse_requests > 0;
+    faults.refuse_requests = faults.refuse_requests.saturating_sub(1);
+    refuses
+}
+
 // Responds to an order with `status` and keeps the response for `repeat_response`.
 fn answer_order(
     request: &actix_web::HttpRequest,
@@ -183,7 +207,9 @@
     request: actix_web::HttpRequest,
     body: web::Json<ReleaseBody>,
 ) -> actix_web::HttpResponse {
-    repeat_response(&service, &request);
+    if http::lock(&service.state).faults.repeat_before_releases {
+        repeat_response(&request);
+    }
     let life = {
         let mut state = http::lock(&service.state);
         if is_misdirected(&request, &state.id) {
@@ -210,6 +236,12 @@
     body: web::Bytes,
 ) -> actix_web::HttpResponse {
     let id = header(&request, REQUEST_ID).unwrap_or_default();
+    if http::lock(&service.state).faults.repeat_refusals {
+        repeat_response(&request);
+    }
+    if takes_refusal(&service) {
+        return refuse_full(&request, &id);
+    }
     let Some((work_ms, faults, guard)) = begin(&service, &request, &id) else {
         return refuse_misdirected(&request);
     };
@@ -226,6 +258,9 @@
     if faults.endless_responses > 0 {
         return response.streaming(endless_body());
     }
+    if faults.cut_long_responses > 0 {
+        return response.streaming(cut_body());
+    }
     let whole = format!(
         "{} {} {id} {}",
         request.method(),
@@ -257,6 +292,7 @@
     *state.runs.entry(id.to_owned()).or_default() += 1;
     let faults = state.faults;
     state.faults.truncate_responses = faults.truncate_responses.saturating_sub(1);
+    state.faults.cut_long_responses = faults.cut_long_responses.saturating_sub(1);
     state.faults.swap_response_ids = faults.swap_response_ids.saturating_sub(1);
     state.faults.endless_responses = faults.endless_responses.saturating_sub(1);
     let work = ledger::RunningWork {
@@ -274,9 +310,20 @@
     Some((state.work_ms, faults, guard))
 }
 
+// A long body that breaks off.
+fn cut_body() -> impl futures_util::Stream<Item = Result<web::Bytes, std::io::Error>> {
+    let chunk = || web::Bytes::from_static(&[b'x'; worker::CHUNK_BYTES]);
+    let chunks = (0..worker::CUT_CHUNKS).map(move |_| Ok(chunk()));
+    let end = std::iter::once_with(|| Err(std::io::Error::other("cut")));
+    futures_util::stream::iter(chunks.chain(end))
+}
+
 fn endless_body() -> impl futures_util::Stream<Item = Result<web::Bytes, std::io::Error>> {
     futures_util::stream::unfold((), |()| async {
         tokio::time::sleep(time::Duration::from_millis(1)).await;
-        Some((Ok(web::Bytes::from_static(&[b'x'; 16_384])), ()))
+        Some((
+            Ok(web::Bytes::from_static(&[b'x'; worker::CHUNK_BYTES])),
+            (),
+        ))
     })
 }
--- a/lab/src/platform_site/worker/mod.rs
+++ b/lab/src/platform_site/worker/mod.rs
@@ -23,6 +23,10 @@
 pub const HEARTBEAT_MS: u64 = 200;
 /// The topic of the workers' entries.
 pub const SERVERS_TOPIC: &str = "keyed.servers";
+/// How many chunks a long response has before it breaks off.
+pub const CUT_CHUNKS: usize = 20;
+/// The size of a chunk of a long response, in bytes.
+pub const CHUNK_BYTES: usize = 16_384;
 /// The start time of a worker's first incarnation, in milliseconds.
 pub const FIRST_BORN: u64 = 1;
 
@@ -31,6 +35,8 @@
 pub struct WorkerFaults {
     /// The number of coming responses that break off in the middle of the body.
     pub truncate_responses: u32,
+    /// The number of coming responses that break off after `CUT_CHUNKS` chunks of their body.
+    pub cut_long_responses: u32,
     /// The number of coming responses that carry another request's id.
     pub swap_response_ids: u32,
     /// The number of coming responses whose body never ends.
@@ -38,6 +44,11 @@
     /// Whether the response to an order is sent once more where the response to a release that follows
     /// on the same connection is expected.
     pub repeat_before_releases: bool,
+    /// The number of coming requests that the worker refuses as not run, as if it was full.
+    pub refuse_requests: u32,
+    /// Whether the response to a refused request is sent once more where the response to the next
+    /// request on the same connection is expected.
+    pub repeat_refusals: bool,
     /// Whether the worker does not write to the store.
     pub hold_heartbeats: bool,
 }
--- a/src/edge/router/exchange.rs
+++ b/src/edge/router/exchange.rs
@@ -33,6 +33,17 @@
     pub prefix: bytes::Bytes,
     /// The unread part of the body, where it is longer than `MAX_BUFFERED_RESPONSE_BYTES`.
     pub remainder: Option<http_client::ResponseBody>,
+    /// Whether another request may be sent on the connection once the body has been read.
+    pub is_reusable: bool,
+}
+
+/// Which connection a request is sent on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ConnectionChoice {
+    /// An idle connection, where there is one.
+    Pooled,
+    /// A new connection: no copy of a response to an earlier attempt can arrive on it.
+    New,
 }
 
 /// How an attempt ended.
@@ -102,15 +113,22 @@
 }
 
 /// Sends a request to a server and classifies the response. A response counts as valid when it
-/// belongs to the request, is signed where it reports success, and has no content encoding.
+/// belongs to the request, is signed where it reports success, and has no content encoding. A
+/// connection is used again only after a response with the request's id, since a server may send a
+/// response twice.
 pub async fn attempt<C: ports::HeaderCodec>(
     codec: &C,
     client: &http_client::HttpClient,
     peer: net::SocketAddr,
+    choice: ConnectionChoice,
     request: hyper::Request<body::RequestBody>,
     id: Option<&str>,
 ) -> AttemptEnd {
-    let response = match client.send(peer, request).await {
+    let sent = match choice {
+        ConnectionChoice::Pooled => client.send(peer, request).await,
+        ConnectionChoice::New => client.send_anew(peer, request).await,
+    };
+    let response = match sent {
         Ok(response) => response,
         Err(error) if error.is_unsent() => return AttemptEnd::Unsent(error.to_string()),
         Err(error) => return AttemptEnd::Broken(error.to_string()),
@@ -119,12 +137,14 @@
     let headers = codec.read_response(&head.headers, id);
     let status = head.status;
     if headers.not_run {
-        drain_body(client, body).await;
+        if headers.id_match == ports::IdMatch::Same {
+            drain_body(client, body).await;
+        }
         return AttemptEnd::NotRun {
             status: status.as_u16(),
         };
     }
-    if !headers.matches_request {
+    if headers.id_match == ports::IdMatch::Different {
         return AttemptEnd::Broken(format!(
             "step=check-response peer={peer} fault=\"response to another request\""
         ));
@@ -143,8 +163,11 @@
         Ok(prefix) => prefix,
         Err(error) => return AttemptEnd::Broken(error.to_string()),
     };
+    let is_reusable = headers.id_match == ports::IdMatch::Same;
     let remainder = if is_complete {
-        client.recycle(body);
+        if is_reusable {
+            client.recycle(body);
+        }
         None
     } else {
         Some(body)
@@ -153,6 +176,7 @@
         head,
         prefix,
         remainder,
+        is_reusable,
     };
     if status.is_server_error() {
         return AttemptEnd::Failed(response);
--- a/src/edge/router/front/mod.rs
+++ b/src/edge/router/front/mod.rs
@@ -182,6 +182,7 @@
         let mut delivery = delivery::RequestDelivery::new(&table, &self.route);
         let mut avoid = None;
         let mut is_retry = false;
+        let mut tried = Vec::new();
         loop {
             let request = self.dispatch_request(is_retry, avoid.take(), body.size());
             let slot = match self.thread.request_slot(request) {
@@ -201,7 +202,13 @@
             };
             delivery.handle(delivery::DeliveryEvent::Assigned, true);
             let record = sync::Arc::clone(&slot.record);
-            let end = self.attempt(&record, &mut body).await;
+            let choice = if tried.contains(&record.address) {
+                exchange::ConnectionChoice::New
+            } else {
+                exchange::ConnectionChoice::Pooled
+            };
+            tried.push(record.address);
+            let end = self.attempt(&record, choice, &mut body).await;
             let Some(end) = end else {
                 let action = delivery.handle(delivery::DeliveryEvent::TimeOver, false);
                 return self.respond_with_end(
@@ -272,6 +279,7 @@
     async fn attempt(
         &self,
         record: &directory::ServerRecord,
+        choice: exchange::ConnectionChoice,
         body: &mut body::CallerBody,
     ) -> Option<exchange::AttemptEnd> {
         let now = self.thread.parts.clock.now();
@@ -286,7 +294,7 @@
         };
         let id = self.headers.id.as_deref();
         let client = &self.thread.client;
-        let sent = exchange::attempt(codec, client, record.address, request, id);
+        let sent = exchange::attempt(codec, client, record.address, choice, request, id);
         tokio::time::timeout(time_left, sent).await.ok()
     }
 
--- a/src/edge/router/front/responses.rs
+++ b/src/edge/router/front/responses.rs
@@ -49,7 +49,12 @@
             .headers
             .get(hyper::header::CONTENT_LENGTH);
         let length = length.and_then(|value| value.to_str().ok()?.parse::<u64>().ok());
-        let chunks = stream_body(server_response.prefix, body, slot, self.caller_deadline());
+        let remainder = ResponseRemainder {
+            body,
+            is_reusable: server_response.is_reusable,
+            slot,
+        };
+        let chunks = stream_body(server_response.prefix, remainder, self.caller_deadline());
         match length {
             Some(length) => response.body(actix_web::body::SizedStream::new(length, chunks)),
             None => response.body(actix_web::body::BodyStream::new(chunks)),
@@ -181,32 +186,41 @@
     }
 }
 
+// The part of a response that has yet to be received, with the slot that its request occupies.
+struct ResponseRemainder<C: ports::HeaderCodec> {
+    body: http_client::ResponseBody,
+    is_reusable: bool,
+    slot: slots::ServerSlot<C>,
+}
+
 type BodyChunk = Result<bytes::Bytes, std::io::Error>;
 
 // Streams a response's body to the caller; the slot is released with the end of the stream. The
 // stream breaks off at `deadline`, since a server may send a body that never ends.
 fn stream_body<C: ports::HeaderCodec>(
     prefix: bytes::Bytes,
-    body: http_client::ResponseBody,
-    slot: slots::ServerSlot<C>,
+    remainder: ResponseRemainder<C>,
     deadline: clock::MonoTime,
 ) -> impl futures_util::Stream<Item = BodyChunk> {
     let first_chunk = futures_util::stream::once(async move { Ok(prefix) });
-    let state = Some((body, slot));
+    let state = Some(remainder);
     let other_chunks = futures_util::stream::unfold(state, move |state| async move {
-        let (mut body, mut slot) = state?;
-        let left = deadline.since(slot.thread.parts.clock.now());
-        let chunk = tokio::time::timeout(left, body.next_chunk()).await;
-        match chunk.unwrap_or_else(|_| Err(body.deadline_error())) {
-            Ok(Some(chunk)) => Some((Ok(chunk), Some((body, slot)))),
+        let mut remainder = state?;
+        let left = deadline.since(remainder.slot.thread.parts.clock.now());
+        let chunk = tokio::time::timeout(left, remainder.body.next_chunk()).await;
+        match chunk.unwrap_or_else(|_| Err(remainder.body.deadline_error())) {
+            Ok(Some(chunk)) => Some((Ok(chunk), Some(remainder))),
             Ok(None) => {
+                let mut slot = remainder.slot;
                 slot.end = estimate::ExchangeEnd::Answered;
-                slot.thread.client.recycle(body);
+                if remainder.is_reusable {
+                    slot.thread.client.recycle(remainder.body);
+                }
                 None
             }
             Err(error) => {
                 tracing::info!(event = "answer-cut", fault = %error);
-                slot.end = estimate::ExchangeEnd::Broken;
+                remainder.slot.end = estimate::ExchangeEnd::Broken;
                 Some((Err(std::io::Error::other(error.to_string())), None))
             }
         }
--- a/src/edge/router/ports.rs
+++ b/src/edge/router/ports.rs
@@ -159,11 +159,24 @@
     pub key: Option<u16>,
 }
 
+/// How the id of a response compares with that of the request.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum IdMatch {
+    /// The response carries the request's id, so a copy of it cannot be taken for the response to another
+    /// request.
+    Same,
+    /// Neither carries one.
+    BothMissing,
+    /// Only one carries an id, or the ids differ.
+    #[default]
+    Different,
+}
+
 /// The parsed headers of a server's response.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct ResponseHeaders {
     /// Whether the response belongs to the request that was sent.
-    pub matches_request: bool,
+    pub id_match: IdMatch,
     /// Whether the response carries the server's signature.
     pub is_signed: bool,
     /// Whether the server reports that it did not run the request. A response with the id of another
