Take a refusal status alone for no statement that a request did not run

What callers would see: 408, 421, 429 or 503 for a request that may have run. To a caller these statuses promise that it did not.

Cause: only the header of the server states that, and a response without it was forwarded as it was.

Why this works: such a response counts as a broken exchange: 502 for a request that may run once, a retry for one that may run twice. A 500 and a 504 of a server are forwarded as before.

--- a/src/edge/router/exchange.rs
+++ b/src/edge/router/exchange.rs
@@ -13,6 +13,9 @@
 /// one that is cut short can still be replaced by a retry.
 pub const MAX_BUFFERED_RESPONSE_BYTES: usize = 64 * 1_024;
 
+/// Statuses that tell a caller that its request did not run and never will.
+pub const REFUSAL_STATUSES: [u16; 4] = [408, 421, 429, 503];
+
 /// Hop-by-hop headers, which are not forwarded.
 pub const CONNECTION_HEADERS: [&str; 8] = [
     "connection",
@@ -113,9 +116,9 @@
 }
 
 /// Sends a request to a server and classifies the response. A response counts as valid when it
-/// belongs to the request, is signed where it reports success, and has no content encoding. A
-/// connection is used again only after a response with the request's id, since a server may send a
-/// response twice.
+/// belongs to the request, is signed where it reports success, and has no content encoding; as a
+/// refusal only when the server states that it did not run the request. A connection is used again
+/// only after a response with the request's id, since a server may send a response twice.
 pub async fn attempt<C: ports::HeaderCodec>(
     codec: &C,
     client: &http_client::HttpClient,
@@ -149,6 +152,11 @@
             "step=check-response peer={peer} fault=\"response to another request\""
         ));
     }
+    if REFUSAL_STATUSES.contains(&status.as_u16()) {
+        return AttemptEnd::Broken(format!(
+            "step=check-response peer={peer} fault=\"status {status} without a statement that nothing ran\""
+        ));
+    }
     if status.is_success() && !headers.is_signed {
         return AttemptEnd::Broken(format!(
             "step=check-response peer={peer} fault=\"missing signature\""
