Discard an owner's connections after a refusal at zinnia entry

What callers would see: "not-run" for a request that runs, by a late copy of the refusal of its first attempt: the retry has the same id and may use the same connection. A caller that sends a refused request again under its id meets the same.

Ruled out: copies of other requests' responses; their id tells them apart, and they break the exchange.

Why this works: after a refusal no connection to that owner is used again by this thread, so its copy has nowhere to arrive. Requests under way on others of them are not disturbed.

--- a/src/edge/exchange.rs
+++ b/src/edge/exchange.rs
@@ -140,7 +140,8 @@
     }
 
     // Discards the pooled connections to a target. After a response that does not match its request,
-    // bytes left on a connection could be taken for the response to the next request.
+    // bytes left on a connection could be taken for the response to the next request. After a refusal,
+    // a late copy of it could be taken for the response to the retry, which has the same id.
     fn drop_connections(&self, target: &WorkTarget<'_>) {
         self.clients.borrow_mut().remove(&target.address());
     }
@@ -176,6 +177,7 @@
         }
         let from_owner = matches!(target, WorkTarget::Owner(..));
         if from_owner && is_not_run(response.headers()) {
+            self.drop_connections(&target);
             let refusal = parse_refusal(response.headers());
             let unknown = || WorkFailure::Broken("refusal with an unknown reason".into());
             return Err(refusal.map_or_else(unknown, WorkFailure::Refused));
--- a/tests/owners.rs
+++ b/tests/owners.rs
@@ -107,12 +107,8 @@
     if behaviour == OwnerBehaviour::ClosedUnread {
         return;
     }
-    let mut head = Vec::new();
-    while !head.ends_with(b"\r\n\r\n") {
-        match stream.read_u8().await {
-            Ok(byte) => head.push(byte),
-            Err(_) => return,
-        }
+    if !read_head(&mut stream).await {
+        return;
     }
     let _ = stream.write_all(response_text(behaviour).as_bytes()).await;
     if matches!(
@@ -123,6 +119,18 @@
     }
 }
 
+// Reads the head of a request; reports whether there was one.
+async fn read_head(stream: &mut tokio::net::TcpStream) -> bool {
+    let mut head = Vec::new();
+    while !head.ends_with(b"\r\n\r\n") {
+        match stream.read_u8().await {
+            Ok(byte) => head.push(byte),
+            Err(_) => return false,
+        }
+    }
+    true
+}
+
 struct OwnerEdge {
     client: exchange::OwnerClient,
     route: table::ShardRoute,
@@ -188,6 +196,45 @@
     );
 }
 
+// Guards against a retry that runs and is reported as not run, by a late copy of the refusal of the
+// attempt before it. A refused request is sent again on another connection, where the owner refuses it
+// anew, so each refusal is that of a connection's first request.
+async fn expect_refusals_of_first_requests() {
+    let (address, repeats) = start_refusing_owner().await;
+    let edge = OwnerEdge::new(address);
+    for _ in 0..3 {
+        let refusal = contract::ServerRefusal::WrongFence;
+        let expected = Err(exchange::WorkFailure::Refused(refusal));
+        assert_eq!(edge.send("r1").await, expected);
+    }
+    let repeats = repeats.load(sync::atomic::Ordering::Relaxed);
+    assert_eq!(repeats, 0, "copies of refusals were taken for responses");
+}
+
+// Starts an owner that refuses twice; returns its address and the number of copies that it has sent.
+async fn start_refusing_owner() -> (net::SocketAddr, sync::Arc<sync::atomic::AtomicUsize>) {
+    let listener = tokio::net::TcpListener::bind((net::Ipv4Addr::LOCALHOST, 0)).await;
+    let listener = listener.expect("a port is free");
+    let address = listener.local_addr().expect("the listener has an address");
+    let repeats = sync::Arc::new(sync::atomic::AtomicUsize::new(0));
+    let count = sync::Arc::clone(&repeats);
+    actix::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let count = sync::Arc::clone(&count);
+            actix::spawn(async move {
+                let refusal = response_text(OwnerBehaviour::Refusing);
+                let mut is_copy = false;
+                while read_head(&mut stream).await {
+                    count.fetch_add(usize::from(is_copy), sync::atomic::Ordering::Relaxed);
+                    let _ = stream.write_all(refusal.as_bytes()).await;
+                    is_copy = true;
+                }
+            });
+        }
+    });
+    (address, repeats)
+}
+
 // A second response that is left on the connection must not be returned for a later request.
 async fn expect_no_stale_response() {
     let edge = OwnerEdge::new(start_owner(OwnerBehaviour::TwoAnswers).await);
@@ -235,6 +282,7 @@
     close_before_reading_is_unknown: expect_broken(OwnerBehaviour::ClosedUnread);
     garbage_is_unknown: expect_broken(OwnerBehaviour::Garbage);
     refusal_is_not_run: expect_refused();
+    late_copy_of_a_refusal_meets_no_retry: expect_refusals_of_first_requests();
     odd_refusal_is_unknown: expect_broken(OwnerBehaviour::UnknownReason);
     nobody_there_is_not_run: expect_not_connected();
 }
