Answer the connections that a stopping host has accepted

What callers would see: a connection that was accepted is reset without an answer, at the moment at which a host ends its planned stop.

Cause: zinnia entry stops its server, which drops connections on their way to its threads (they count as "pending" in actix-server) and closes the listener, at which the kernel resets what is in its queue. zinnia-router ended its process as soon as no request was in flight, with the same effect and with what callers had just sent on kept connections; a response that was not yet written to its socket would also be cut off 150 ms later (from reading).

Why this works: the server pauses accepting, what it has accepted reaches its threads, and then it stops gracefully, which waits for its connections and closes idle ones. Meanwhile this module accepts from the same queue and refuses (503, not run), up to the last connection in the queue.

What remains: a request that crosses the close of a connection that is idle, the moment between the last accept and the close, and a head that takes longer than the stop to arrive. Of pipelined requests the first response closes the connection, and the others are not run.

--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -24,4 +24,5 @@
 mod simulation_faults;
 mod simulation_layout;
 pub mod site;
+pub mod stop_caller;
 pub mod walk;
--- a/lab/tests/processes.rs
+++ b/lab/tests/processes.rs
@@ -9,6 +9,7 @@
 use zinnia_lab::caller;
 use zinnia_lab::server_state;
 use zinnia_lab::site;
+use zinnia_lab::stop_caller;
 use zinniastack::cmd;
 use zinniastack::configuration;
 use zinniastack::edge::controller;
@@ -21,6 +22,9 @@
 /// Upper bound on a step, in seconds. It only ends a hung test; no case asserts a duration.
 const STEP_TIMEOUT_S: u64 = 60;
 
+/// How long callers send requests before a host is stopped.
+const LOAD_TIME: time::Duration = time::Duration::from_millis(600);
+
 /// Non-idempotent requests to the service `orders`, half of them sent before the fault is injected.
 const ORDERS: usize = 400;
 
@@ -309,6 +313,7 @@
     serves_the_keys_of_a_frozen_server_elsewhere,
     takes_back_a_paused_granter_without_a_second_owner,
     cuts_no_request_on_sigterm,
+    answers_what_it_has_accepted_when_it_stops,
     accounts_for_every_order_when_a_host_is_killed,
     accounts_for_every_order_when_a_server_freezes,
     names_a_bad_setting_and_exits_2,
@@ -458,6 +463,34 @@
         assert_eq!(exit.code(), Some(0));
     }
 
+    // Guards against requests that are cut off when a host stops: those on their way to its threads, and
+    // those in the queue of its listener.
+    pub async fn answers_what_it_has_accepted_when_it_stops() {
+        let mut site = ProcessSite::start(2, 3, &["stock"]);
+        let changes = site.configuration().to_changes();
+        site.submit(0, 0, changes).await;
+        for key in 0..16 {
+            site.send_until_ran(0, "stock", &key.to_string()).await;
+        }
+        let request = |caller: &str, number: usize| {
+            format!(
+                "POST /stock/{} HTTP/1.1\r\nhost: a\r\nzinnia-request-id: {caller}-{number}\r\n\
+                 zinnia-deadline-ms: 2000\r\ncontent-length: 4\r\n\r\nbody",
+                number % 16
+            )
+        };
+        let stop = async {
+            tokio::time::sleep(LOAD_TIME).await;
+            site.hosts[0].process.signal("-TERM");
+        };
+        let address = site.hosts[0].callers;
+        let tally = stop_caller::call_through_stop(address, request, stop).await;
+        assert!(tally.answered > stop_caller::CALLERS, "{tally:?}");
+        assert_eq!(tally.cut, Vec::<String>::new(), "{}", tally.answered);
+        let exit = site.hosts[0].process.child.wait().expect("the host exits");
+        assert_eq!(exit.code(), Some(0));
+    }
+
     pub async fn accounts_for_every_order_when_a_host_is_killed() {
         let mut site = ProcessSite::start(5, 3, &["orders"]);
         let gate = site.gate_of(0);
--- a/src/edge/callers.rs
+++ b/src/edge/callers.rs
@@ -14,6 +14,7 @@
 use crate::clock;
 use crate::clock::MonoClock as _;
 use crate::contract;
+use crate::edge::caller_listener;
 use crate::edge::controller;
 use crate::edge::dispatcher;
 use crate::edge::exchange;
@@ -264,6 +265,32 @@
     })
 }
 
+/// Makes the response to a request that reaches a host after it has stopped accepting, from the head of
+/// the request.
+#[must_use]
+pub fn stopping_refusal(head: &str) -> String {
+    let id = caller_listener::header(head, contract::REQUEST_ID_HEADER);
+    let id = id.filter(|id| names::RequestId::new(id).is_ok());
+    let reason = outcome::RefusalReason::Stopping;
+    let refusal = outcome::RefusalBody {
+        reason,
+        outcome: outcome::RequestOutcome::NotRun,
+        step: "accept-request".into(),
+        peer: None,
+        request_id: id.map(str::to_owned),
+    };
+    let body = serde_json::to_string(&refusal).unwrap_or_default();
+    let retry_after = RETRY_AFTER_S.to_string();
+    let mut headers = vec![
+        (contract::OUTCOME_HEADER, refusal.outcome.as_str()),
+        (contract::REASON_HEADER, reason.as_str()),
+        ("retry-after", &retry_after),
+        ("content-type", "application/json"),
+    ];
+    headers.extend(id.map(|id| (contract::REQUEST_ID_HEADER, id)));
+    caller_listener::refusal_text(reason.status(), &headers, &body)
+}
+
 /// Refuses a path that names no service and key.
 pub async fn handle_unknown(context: web::Data<CallerContext>) -> actix_web::HttpResponse {
     let reason = outcome::RefusalReason::UnknownService;
--- a/src/edge/host.rs
+++ b/src/edge/host.rs
@@ -1,5 +1,6 @@
 //! One entry host: starts its threads and listeners, and stops them gracefully.
 
+use std::future;
 use std::net;
 use std::sync;
 use std::sync::atomic;
@@ -12,6 +13,7 @@
 use crate::clock;
 use crate::configuration;
 use crate::control;
+use crate::edge::caller_listener;
 use crate::edge::callers;
 use crate::edge::controller;
 use crate::edge::dispatcher;
@@ -87,7 +89,7 @@
     control_arbiter: actix::Arbiter,
     dispatch_arbiter: actix::Arbiter,
     callers: web::Data<callers::CallerContext>,
-    caller_server: actix_web::dev::ServerHandle,
+    caller_listener: caller_listener::CallerListener,
     operator_server: actix_web::dev::ServerHandle,
     metrics: sync::Arc<metrics::HostMetrics>,
 }
@@ -126,7 +128,7 @@
             callers: callers.clone(),
             metrics: sync::Arc::clone(&metrics),
         });
-        let caller_server = listen_callers(&settings, &callers)?;
+        let caller_listener = listen_callers(&settings, &callers)?;
         let operator_server = listen_operators(&settings, &operators)?;
         tracing::info!(
             event = "host-started",
@@ -141,7 +143,7 @@
             control_arbiter,
             dispatch_arbiter,
             callers,
-            caller_server,
+            caller_listener,
             operator_server,
             metrics,
         })
@@ -163,7 +165,12 @@
         if actions.contains(&lifecycle::HostAction::CloseConnections) {
             tokio::time::sleep(callers::lame_duck()).await;
         }
-        self.caller_server.stop(true).await;
+        let stopped = self
+            .caller_listener
+            .stop(callers::stopping_refusal, future::pending());
+        if let Err(error) = stopped.await {
+            tracing::warn!(event = "callers-not-refused", fault = %error);
+        }
         self.operator_server.stop(false).await;
         self.control_arbiter.stop();
         self.dispatch_arbiter.stop();
@@ -244,10 +251,13 @@
 fn listen_callers(
     settings: &HostSettings,
     context: &web::Data<callers::CallerContext>,
-) -> Result<actix_web::dev::ServerHandle, HostError> {
+) -> Result<caller_listener::CallerListener, HostError> {
     let threads = settings.threads;
     let context = context.clone();
     let address = settings.callers;
+    let listen_error = |source| HostError::Listen { address, source };
+    let listener = caller_listener::bind(address, LISTEN_BACKLOG).map_err(listen_error)?;
+    let accepted = listener.try_clone().map_err(listen_error)?;
     let max_deadline = time::Duration::from_millis(configuration::MAX_DEADLINE_MS).as_secs();
     let server = actix_web::HttpServer::new(move || {
         actix_web::App::new()
@@ -256,13 +266,13 @@
             .configure(callers::configure)
     })
     .workers(threads)
-    .backlog(LISTEN_BACKLOG)
     .disable_signals()
     .shutdown_timeout(max_deadline)
-    .bind(address)
-    .map_err(|source| HostError::Listen { address, source })?
+    .listen(accepted)
+    .map_err(listen_error)?
     .run();
-    Ok(listen::spawn(server))
+    let server = listen::spawn(server);
+    Ok(caller_listener::CallerListener::new(listener, server))
 }
 
 fn listen_operators(
--- a/src/edge/router/host.rs
+++ b/src/edge/router/host.rs
@@ -9,10 +9,12 @@
 
 use crate::chart;
 use crate::clock;
+use crate::edge::caller_listener;
 use crate::edge::listen;
 use crate::edge::router::admin;
 use crate::edge::router::control;
 use crate::edge::router::front;
+use crate::edge::router::local_response;
 use crate::edge::router::metrics;
 use crate::edge::router::ports;
 use crate::edge::router::status_exchange;
@@ -30,8 +32,8 @@
 /// How long a stopping host goes on accepting requests, in milliseconds. The platform takes a host
 /// out of use after two failed readiness checks, which are one second apart.
 pub const LAME_DUCK_MS: u64 = 2_600;
-/// How long a stopping host waits for the last responses to be flushed, in milliseconds.
-pub const RESPONSE_FLUSH_MS: u64 = 150;
+/// How long a stopping host waits for connections on which no request is under way, in milliseconds.
+pub const IDLE_CONNECTIONS_MS: u64 = 500;
 /// The part of the grace period that is kept in reserve for shutting down, in milliseconds.
 pub const STOP_MARGIN_MS: u64 = 400;
 /// The interval at which a stopping host checks for requests in flight, in milliseconds.
@@ -109,7 +111,7 @@
     closed: sync::Arc<atomic::AtomicBool>,
     stop: tokio::sync::watch::Sender<bool>,
     in_flight: sync::Arc<atomic::AtomicI64>,
-    front: actix_web::dev::ServerHandle,
+    front: caller_listener::CallerListener,
     control: actix::Arbiter,
 }
 
@@ -201,18 +203,29 @@
         // Callers may still send requests on connections that have been idle since; those are
         // refused at once.
         self.closed.store(true, atomic::Ordering::Relaxed);
-        let started = time::Instant::now();
-        while self.in_flight() > 0 && started.elapsed() < limit.saturating_sub(lame_duck) {
-            tokio::time::sleep(time::Duration::from_millis(STOP_POLL_MS)).await;
+        let idle = self.wait_until_idle(limit.saturating_sub(lame_duck));
+        let stopped = self.front.stop(local_response::stopping_refusal, idle);
+        if let Err(error) = stopped.await {
+            tracing::warn!(event = "callers-not-refused", fault = %error);
         }
-        tokio::time::sleep(time::Duration::from_millis(RESPONSE_FLUSH_MS)).await;
         let cut = self.in_flight();
-        // Idle connections are closed by the end of the process.
-        drop(self.front.stop(false));
         self.control.stop();
         tracing::info!(event = "host-stopped", cut);
     }
 
+    // Waits until no request has been in flight for `IDLE_CONNECTIONS_MS`, at most for `limit`.
+    async fn wait_until_idle(&self, limit: time::Duration) {
+        let started = time::Instant::now();
+        let mut idle_since = started;
+        let idle = time::Duration::from_millis(IDLE_CONNECTIONS_MS);
+        while idle_since.elapsed() < idle && started.elapsed() < limit {
+            tokio::time::sleep(time::Duration::from_millis(STOP_POLL_MS)).await;
+            if self.in_flight() > 0 {
+                idle_since = time::Instant::now();
+            }
+        }
+    }
+
     /// Returns the number of requests in flight, 0 once all responses have been sent. A request
     /// counts twice while it occupies a slot at a server.
     #[must_use]
@@ -310,8 +323,11 @@
 fn listen_callers<C: ports::HeaderCodec + Send>(
     settings: &RouterSettings,
     traffic: traffic::TrafficParts<C>,
-) -> Result<actix_web::dev::ServerHandle, RouterError> {
+) -> Result<caller_listener::CallerListener, RouterError> {
     let address = settings.front;
+    let failed = |error| listen_error(address, &error);
+    let listener = caller_listener::bind(address, LISTEN_BACKLOG).map_err(failed)?;
+    let accepted = listener.try_clone().map_err(failed)?;
     let server = actix_web::HttpServer::new(move || {
         let thread = traffic::TrafficThread::start(traffic.clone());
         actix_web::App::new()
@@ -319,13 +335,14 @@
             .default_service(web::to(front::handle::<C>))
     })
     .workers(1)
-    .backlog(LISTEN_BACKLOG)
+    .shutdown_timeout(settings.grace.as_secs())
     .keep_alive(time::Duration::from_secs(IDLE_TIMEOUT_S))
     .client_request_timeout(time::Duration::from_secs(HEAD_TIMEOUT_S))
     .h1_allow_half_closed(false)
     .disable_signals()
-    .bind(address)
-    .map_err(|e| listen_error(address, &e))?
+    .listen(accepted)
+    .map_err(failed)?
     .run();
-    Ok(listen::spawn(server))
+    let server = listen::spawn(server);
+    Ok(caller_listener::CallerListener::new(listener, server))
 }
--- a/src/edge/router/local_response.rs
+++ b/src/edge/router/local_response.rs
@@ -2,6 +2,8 @@
 
 use std::time;
 
+use crate::edge::caller_listener;
+use crate::edge::router::front;
 use crate::serving::scheduler;
 
 /// Why a host responds to a request itself.
@@ -95,6 +97,20 @@
     }
 }
 
+/// Makes the response to a request that reaches a host after it has stopped accepting.
+#[must_use]
+pub fn stopping_refusal(_head: &str) -> String {
+    let local = LocalResponse::Stopping;
+    let delay = time::Duration::from_millis(front::EARLY_RETRY_AFTER_MS);
+    let retry_after = retry_after_text(delay);
+    let headers = [("retry-after", retry_after.as_str())];
+    caller_listener::refusal_text(local.status(), &headers, local.as_str())
+}
+
+fn retry_after_text(delay: time::Duration) -> String {
+    format!("{:.3}", delay.as_secs_f64())
+}
+
 /// Builds the HTTP response; `retry_after` becomes its `retry-after` header.
 #[must_use]
 pub fn respond(
@@ -105,7 +121,7 @@
     let status = status.unwrap_or(actix_web::http::StatusCode::BAD_GATEWAY);
     let mut response = actix_web::HttpResponse::build(status);
     if let Some(delay) = retry_after {
-        response.insert_header(("retry-after", format!("{:.3}", delay.as_secs_f64())));
+        response.insert_header(("retry-after", retry_after_text(delay)));
     }
     response.body(local.as_str())
 }
