Send callers of HTTP/1.0 no chunks and no cut response as a whole one

What callers would see: a success whose body has chunk sizes in it, and, where the server's response broke off after the host had begun to forward it, nothing that tells it from a whole one.

Cause: a response of more than 64 KiB without a length is streamed in chunks, whatever the caller's version. HTTP/1.0 has no chunks: such a body ends with its connection.

Why this works: for these callers a response without a length is buffered up to 8 MiB, so that a break is seen before anything is forwarded, and then has a length; a longer one gets 502.

Ruled out for callers of HTTP/1.1: forwards_no_cut_chunks_as_whole passed before and after.

--- a/src/edge/router/exchange.rs
+++ b/src/edge/router/exchange.rs
@@ -13,6 +13,9 @@
 /// one that is cut short can still be replaced by a retry.
 pub const MAX_BUFFERED_RESPONSE_BYTES: usize = 64 * 1_024;
 
+/// The most of a response that is buffered where the caller's version of HTTP has no way to tell that a
+/// body without a length was cut short, in bytes.
+pub const MAX_UNFRAMED_RESPONSE_BYTES: usize = 8 << 20;
 /// Statuses that tell a caller that its request did not run and never will.
 pub const REFUSAL_STATUSES: [u16; 4] = [408, 421, 429, 503];
 
@@ -34,12 +37,39 @@
     pub head: hyper::http::response::Parts,
     /// The buffered start of the body.
     pub prefix: bytes::Bytes,
-    /// The unread part of the body, where it is longer than `MAX_BUFFERED_RESPONSE_BYTES`.
+    /// The unread part of the body, where it is longer than what is buffered.
     pub remainder: Option<http_client::ResponseBody>,
     /// Whether another request may be sent on the connection once the body has been read.
     pub is_reusable: bool,
 }
 
+/// How an attempt is made.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct AttemptOptions {
+    /// The connection to the server.
+    pub connection: ConnectionChoice,
+    /// Up to which size a response is buffered, in bytes.
+    pub buffered_bytes: usize,
+}
+
+impl AttemptOptions {
+    /// Creates the options of an attempt over this connection.
+    #[must_use]
+    pub const fn new(connection: ConnectionChoice) -> Self {
+        Self {
+            connection,
+            buffered_bytes: MAX_BUFFERED_RESPONSE_BYTES,
+        }
+    }
+
+    /// Sets up to which size a response is buffered, in bytes.
+    #[must_use]
+    pub const fn with_buffered_bytes(mut self, bytes: usize) -> Self {
+        self.buffered_bytes = bytes;
+        self
+    }
+}
+
 /// Which connection a request is sent on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ConnectionChoice {
@@ -123,11 +153,11 @@
     codec: &C,
     client: &http_client::HttpClient,
     peer: net::SocketAddr,
-    choice: ConnectionChoice,
+    options: AttemptOptions,
     request: hyper::Request<body::RequestBody>,
     id: Option<&str>,
 ) -> AttemptEnd {
-    let sent = match choice {
+    let sent = match options.connection {
         ConnectionChoice::Pooled => client.send(peer, request).await,
         ConnectionChoice::New => client.send_anew(peer, request).await,
     };
@@ -167,7 +197,7 @@
             "step=check-response peer={peer} fault=\"unexpected content encoding\""
         ));
     }
-    let (prefix, is_complete) = match read_prefix(&mut body).await {
+    let (prefix, is_complete) = match read_prefix(&mut body, options.buffered_bytes).await {
         Ok(prefix) => prefix,
         Err(error) => return AttemptEnd::Broken(error.to_string()),
     };
@@ -192,13 +222,14 @@
     AttemptEnd::Answered(response)
 }
 
-// Reads a body up to `MAX_BUFFERED_RESPONSE_BYTES`. Returns what was read and whether it is the
+// Reads a body up to `limit` bytes. Returns what was read and whether it is the
 // whole body.
 async fn read_prefix(
     body: &mut http_client::ResponseBody,
+    limit: usize,
 ) -> Result<(bytes::Bytes, bool), http_client::HttpError> {
     let mut prefix = bytes::BytesMut::new();
-    while prefix.len() < MAX_BUFFERED_RESPONSE_BYTES {
+    while prefix.len() < limit {
         let Some(chunk) = body.next_chunk().await? else {
             return Ok((prefix.freeze(), true));
         };
@@ -210,7 +241,7 @@
 // Reads a short body to its end, so that the connection can be reused.
 async fn drain_body(client: &http_client::HttpClient, body: http_client::ResponseBody) {
     let mut body = body;
-    if read_prefix(&mut body)
+    if read_prefix(&mut body, MAX_BUFFERED_RESPONSE_BYTES)
         .await
         .is_ok_and(|(_, is_complete)| is_complete)
     {
--- a/src/edge/router/front/mod.rs
+++ b/src/edge/router/front/mod.rs
@@ -253,6 +253,19 @@
         }
     }
 
+    // Whether the caller is told where a body without a length ends: HTTP/1.0 has no chunks.
+    fn takes_chunks(&self) -> bool {
+        self.caller.version() >= actix_web::http::Version::HTTP_11
+    }
+
+    fn buffered_bytes(&self) -> usize {
+        if self.takes_chunks() {
+            exchange::MAX_BUFFERED_RESPONSE_BYTES
+        } else {
+            exchange::MAX_UNFRAMED_RESPONSE_BYTES
+        }
+    }
+
     fn has_time_left(&self) -> bool {
         self.thread.parts.clock.now() < self.deadline
     }
@@ -293,8 +306,10 @@
             Err(error) => return Some(exchange::AttemptEnd::Unsent(error)),
         };
         let id = self.headers.id.as_deref();
+        let options = exchange::AttemptOptions::new(choice);
+        let options = options.with_buffered_bytes(self.buffered_bytes());
         let client = &self.thread.client;
-        let sent = exchange::attempt(codec, client, record.address, choice, request, id);
+        let sent = exchange::attempt(codec, client, record.address, options, request, id);
         tokio::time::timeout(time_left, sent).await.ok()
     }
 
--- a/src/edge/router/front/responses.rs
+++ b/src/edge/router/front/responses.rs
@@ -29,10 +29,17 @@
         server_response: exchange::ServerResponse,
         slot: slots::ServerSlot<C>,
     ) -> actix_web::HttpResponse {
+        let headers = &server_response.head.headers;
+        let length = headers.get(hyper::header::CONTENT_LENGTH);
+        let length = length.and_then(|value| value.to_str().ok()?.parse::<u64>().ok());
+        if server_response.remainder.is_some() && length.is_none() && !self.takes_chunks() {
+            let broken = local_response::LocalResponse::Broken;
+            return self.respond_locally(broken, Some(&slot.record));
+        }
         let status = actix_web::http::StatusCode::from_u16(server_response.head.status.as_u16());
         let status = status.unwrap_or(actix_web::http::StatusCode::BAD_GATEWAY);
         let mut response = actix_web::HttpResponse::build(status);
-        for (name, value) in &server_response.head.headers {
+        for (name, value) in headers {
             let name = name.as_str();
             if exchange::CONNECTION_HEADERS.contains(&name) || name == "content-length" {
                 continue;
@@ -44,11 +51,6 @@
             drop(slot);
             return response.body(server_response.prefix);
         };
-        let length = server_response
-            .head
-            .headers
-            .get(hyper::header::CONTENT_LENGTH);
-        let length = length.and_then(|value| value.to_str().ok()?.parse::<u64>().ok());
         let remainder = ResponseRemainder {
             body,
             is_reusable: server_response.is_reusable,
