Tell a host that has just started which servers have left

What callers would see: requests that a host which started after the store's return sends to a server that has left, since the store's older copy still has its entry; the address may be another server's.

Cause: hosts that were up remember the removal, and one that starts knows only the store.

Why this works: in the first 10 s of a host, the responses to its status exchanges (every 250 ms) name the servers that were removed in the last 60 s, with the version of their last entry; only a newer entry is used after that. Removals that may be an effect of an outage are not named.

Evidence: learns_from_another_host_which_servers_have_left, which failed before. Remaining: the time up to the first exchange, and a server that drained, whose older entry is used until it writes again.

--- a/src/serving/cluster/exchange.rs
+++ b/src/serving/cluster/exchange.rs
@@ -144,8 +144,10 @@
             status::ExchangePurpose::Domains => Some(self.reports.sum_below(&self.demand, now)),
             status::ExchangePurpose::Query => None,
         };
+        let is_new = request.uptime_millis < cluster::NEW_HOST_MS;
         status::HostStatusUpdate {
             demand,
+            removed_servers: is_new.then(|| self.directory.recently_removed(now)),
             ..self.status(request.purpose, grants, now)
         }
     }
@@ -168,6 +170,7 @@
             granted: grants.granted,
             demand: None,
             loads: None,
+            removed_servers: None,
         }
     }
 
@@ -198,6 +201,9 @@
         let Some(host) = self.note_peer(&response, now) else {
             return;
         };
+        for server in response.removed_servers.into_iter().flatten() {
+            self.directory.note_removed(server, now);
+        }
         let supplies = matches!(self.source(), upstream::RecordSource::Host(r) if r.host == host);
         if response.purpose == status::ExchangePurpose::Report && supplies {
             self.note_supply(response.store_lost, now);
--- a/src/serving/cluster/mod.rs
+++ b/src/serving/cluster/mod.rs
@@ -29,6 +29,9 @@
 /// in milliseconds. Hosts that start together register meanwhile.
 pub const SETTLING_MS: u64 = 350;
 
+/// How long after its start a host is told by others which servers have left, in milliseconds.
+pub const NEW_HOST_MS: u64 = 10_000;
+
 // What another host's last status update says.
 struct PeerState {
     record: status::HostRecord,
--- a/src/serving/directory.rs
+++ b/src/serving/directory.rs
@@ -21,6 +21,10 @@
 /// milliseconds.
 pub const UNTRUSTED_REMOVAL_MS: u64 = 2_000;
 
+/// How long a host tells others of a removal, in milliseconds: longer than a copy of the store is old
+/// when the store comes back from it.
+pub const REPORTED_REMOVAL_MS: u64 = 60_000;
+
 /// The state that a server registers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 #[derive(serde::Serialize, serde::Deserialize)]
@@ -71,10 +75,22 @@
     }
 }
 
+/// A server that has left, as one host tells another.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct RemovedServer {
+    /// The server's last incarnation.
+    pub life: assignment::ServerIncarnation,
+    /// The number of its last record.
+    pub sequence: u64,
+}
+
 // The last record of a server that was removed.
 #[derive(Clone, Copy, Debug)]
 struct RemovedRecord {
     version: (u64, u64),
+    at: clock::MonoTime,
     // Whether the server may write the same record again, because the removal may be an effect of a
     // failure of the store.
     may_return: bool,
@@ -145,6 +161,7 @@
         let may_return = now < self.untrusted_until && record.state == ServerState::Ready;
         let removed = RemovedRecord {
             version: record.version(),
+            at: now,
             may_return,
         };
         self.removed.insert(name.clone(), removed);
@@ -154,6 +171,43 @@
         }
     }
 
+    /// Returns the servers that have certainly left a short time ago.
+    #[must_use]
+    pub fn recently_removed(&self, now: clock::MonoTime) -> Vec<RemovedServer> {
+        let reported = time::Duration::from_millis(REPORTED_REMOVAL_MS);
+        let recent = self
+            .removed
+            .iter()
+            .filter(|(_, removed)| !removed.may_return && now.since(removed.at) < reported);
+        let servers = recent.map(|(name, removed)| {
+            let (born, sequence) = removed.version;
+            let server = name.clone();
+            RemovedServer {
+                life: assignment::ServerIncarnation { server, born },
+                sequence,
+            }
+        });
+        servers.collect()
+    }
+
+    /// Applies that a server has left, as another host knows it, unless a newer record of it is known.
+    pub fn note_removed(&mut self, server: RemovedServer, now: clock::MonoTime) {
+        let RemovedServer { life, sequence } = server;
+        let removed = RemovedRecord {
+            version: (life.born, sequence),
+            at: now,
+            may_return: false,
+        };
+        let known = self.find(&life.server).map(|record| record.version());
+        let known = known.or_else(|| Some(self.removed.get(&life.server)?.version));
+        if known.is_some_and(|known| known > removed.version) {
+            return;
+        }
+        self.entries.remove(&life.server);
+        self.lapsed.remove(&life.server);
+        self.removed.insert(life.server, removed);
+    }
+
     /// Replaces all records with a complete list.
     pub fn replace(&mut self, records: Vec<ServerRecord>, now: clock::MonoTime) {
         let listed: collections::BTreeSet<_> = records
--- a/src/serving/status.rs
+++ b/src/serving/status.rs
@@ -5,6 +5,7 @@
 use crate::names;
 use crate::ownership::assignment;
 use crate::serving::demand;
+use crate::serving::directory;
 use crate::serving::replica;
 use crate::serving::topic;
 
@@ -75,6 +76,9 @@
     pub demand: Option<demand::DemandSum>,
     /// The key load of the sending host and of those that report to it.
     pub loads: Option<demand::LoadReport>,
+    /// The servers that have left a short time ago, for a host that has just started: the store may have
+    /// come back from a copy that has their records. Earlier builds send none.
+    pub removed_servers: Option<Vec<directory::RemovedServer>>,
 }
 
 /// The part of a topic that a host requests from another.
--- a/tests/cluster.rs
+++ b/tests/cluster.rs
@@ -244,6 +244,43 @@
     assert_eq!(cluster.directory().servers().count(), 0);
 }
 
+// Guards against a host that starts after the store came back from an older copy and uses a server that
+// has left: the others know it, the copy does not.
+fn learns_from_another_host_which_servers_have_left() {
+    let (mut from, mut to) = (host("a"), host("b"));
+    from.note_server(server("s1", 1, 5, READY));
+    from.remove_server(&fixtures::name("s1"), fixtures::at(10));
+    to.note_server(server("s1", 1, 4, READY));
+    to.note_server(server("s2", 1, 1, READY));
+    exchange_at(&mut from, &mut to, 20);
+    let names: Vec<_> = to
+        .directory()
+        .servers()
+        .map(|record| record.life.server.clone())
+        .collect();
+    assert_eq!(names, [fixtures::name("s2")]);
+    to.note_server(server("s1", 1, 5, READY));
+    assert_eq!(to.directory().servers().count(), 1);
+    to.note_server(server("s1", 2, 1, READY));
+    exchange_at(&mut from, &mut to, 30);
+    assert_eq!(
+        to.directory().servers().count(),
+        2,
+        "a newer start is unknown to the other"
+    );
+}
+
+// Guards against a server that another host gave up in an outage and that is known to be alive.
+fn keeps_a_server_whose_entry_another_host_may_get_again() {
+    let (mut from, mut to) = (host("a"), host("b"));
+    from.note_server(server("s1", 1, 5, READY));
+    from.note_store("servers", true, fixtures::at(5));
+    from.remove_server(&fixtures::name("s1"), fixtures::at(10));
+    to.note_server(server("s1", 1, 5, READY));
+    exchange_at(&mut from, &mut to, 20);
+    assert_eq!(to.directory().servers().count(), 1);
+}
+
 fn takes_a_server_that_was_born_again() {
     let mut cluster = host("a");
     cluster.note_server(server("s1", 1, 5, DRAINING));
@@ -283,4 +320,6 @@
     takes_back_a_dropped_server_with_its_last_entry,
     ignores_the_last_entry_of_a_leaving_server_that_lapsed,
     takes_a_server_that_was_born_again,
+    learns_from_another_host_which_servers_have_left,
+    keeps_a_server_whose_entry_another_host_may_get_again,
 }
