--- a/src/edge/router/exchange.rs
+++ b/src/edge/router/exchange.rs
@@ -13,6 +13,12 @@
 /// one that is cut short can still be replaced by a retry.
 pub const MAX_BUFFERED_RESPONSE_BYTES: usize = 64 * 1_024;
 
+/// The most of a response that is buffered where the caller's version of HTTP has no way to tell that a
+/// body without a length was cut short, in bytes.
+pub const MAX_UNFRAMED_RESPONSE_BYTES: usize = 8 << 20;
+/// Statuses that tell a caller that its request did not run and never will.
+pub const REFUSAL_STATUSES: [u16; 4] = [408, 421, 429, 503];
+
 /// Hop-by-hop headers, which are not forwarded.
 pub const CONNECTION_HEADERS: [&str; 8] = [
     "connection",
@@ -31,8 +37,46 @@
     pub head: hyper::http::response::Parts,
     /// The buffered start of the body.
     pub prefix: bytes::Bytes,
-    /// The unread part of the body, where it is longer than `MAX_BUFFERED_RESPONSE_BYTES`.
+    /// The unread part of the body, where it is longer than what is buffered.
     pub remainder: Option<http_client::ResponseBody>,
+    /// Whether another request may be sent on the connection once the body has been read.
+    pub is_reusable: bool,
+}
+
+/// How an attempt is made.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct AttemptOptions {
+    /// The connection to the server.
+    pub connection: ConnectionChoice,
+    /// Up to which size a response is buffered, in bytes.
+    pub buffered_bytes: usize,
+}
+
+impl AttemptOptions {
+    /// Creates the options of an attempt over this connection.
+    #[must_use]
+    pub const fn new(connection: ConnectionChoice) -> Self {
+        Self {
+            connection,
+            buffered_bytes: MAX_BUFFERED_RESPONSE_BYTES,
+        }
+    }
+
+    /// Sets up to which size a response is buffered, in bytes.
+    #[must_use]
+    pub const fn with_buffered_bytes(mut self, bytes: usize) -> Self {
+        self.buffered_bytes = bytes;
+        self
+    }
+}
+
+/// Which connection a request is sent on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ConnectionChoice {
+    /// An idle connection, where there is one.
+    Pooled,
+    /// A new connection: no copy of a response to an earlier attempt can arrive on it.
+    New,
 }
 
 /// How an attempt ended.
@@ -102,15 +146,22 @@
 }
 
 /// Sends a request to a server and classifies the response. A response counts as valid when it
-/// belongs to the request, is signed where it reports success, and has no content encoding.
+/// belongs to the request, is signed where it reports success, and has no content encoding; as a
+/// refusal only when the server states that it did not run the request. A connection is used again
+/// only after a response with the request's id, since a server may send a response twice.
 pub async fn attempt<C: ports::HeaderCodec>(
     codec: &C,
     client: &http_client::HttpClient,
     peer: net::SocketAddr,
+    options: AttemptOptions,
     request: hyper::Request<body::RequestBody>,
     id: Option<&str>,
 ) -> AttemptEnd {
-    let response = match client.send(peer, request).await {
+    let sent = match options.connection {
+        ConnectionChoice::Pooled => client.send(peer, request).await,
+        ConnectionChoice::New => client.send_anew(peer, request).await,
+    };
+    let response = match sent {
         Ok(response) => response,
         Err(error) if error.is_unsent() => return AttemptEnd::Unsent(error.to_string()),
         Err(error) => return AttemptEnd::Broken(error.to_string()),
@@ -119,16 +170,23 @@
     let headers = codec.read_response(&head.headers, id);
     let status = head.status;
     if headers.not_run {
-        drain_body(client, body).await;
+        if headers.id_match == ports::IdMatch::Same {
+            drain_body(client, body).await;
+        }
         return AttemptEnd::NotRun {
             status: status.as_u16(),
         };
     }
-    if !headers.matches_request {
+    if headers.id_match == ports::IdMatch::Different {
         return AttemptEnd::Broken(format!(
             "step=check-response peer={peer} fault=\"response to another request\""
         ));
     }
+    if REFUSAL_STATUSES.contains(&status.as_u16()) {
+        return AttemptEnd::Broken(format!(
+            "step=check-response peer={peer} fault=\"status {status} without a statement that nothing ran\""
+        ));
+    }
     if status.is_success() && !headers.is_signed {
         return AttemptEnd::Broken(format!(
             "step=check-response peer={peer} fault=\"missing signature\""
@@ -139,12 +197,15 @@
             "step=check-response peer={peer} fault=\"unexpected content encoding\""
         ));
     }
-    let (prefix, is_complete) = match read_prefix(&mut body).await {
+    let (prefix, is_complete) = match read_prefix(&mut body, options.buffered_bytes).await {
         Ok(prefix) => prefix,
         Err(error) => return AttemptEnd::Broken(error.to_string()),
     };
+    let is_reusable = headers.id_match == ports::IdMatch::Same;
     let remainder = if is_complete {
-        client.recycle(body);
+        if is_reusable {
+            client.recycle(body);
+        }
         None
     } else {
         Some(body)
@@ -153,6 +214,7 @@
         head,
         prefix,
         remainder,
+        is_reusable,
     };
     if status.is_server_error() {
         return AttemptEnd::Failed(response);
@@ -160,13 +222,14 @@
     AttemptEnd::Answered(response)
 }
 
-// Reads a body up to `MAX_BUFFERED_RESPONSE_BYTES`. Returns what was read and whether it is the
+// Reads a body up to `limit` bytes. Returns what was read and whether it is the
 // whole body.
 async fn read_prefix(
     body: &mut http_client::ResponseBody,
+    limit: usize,
 ) -> Result<(bytes::Bytes, bool), http_client::HttpError> {
     let mut prefix = bytes::BytesMut::new();
-    while prefix.len() < MAX_BUFFERED_RESPONSE_BYTES {
+    while prefix.len() < limit {
         let Some(chunk) = body.next_chunk().await? else {
             return Ok((prefix.freeze(), true));
         };
@@ -178,7 +241,7 @@
 // Reads a short body to its end, so that the connection can be reused.
 async fn drain_body(client: &http_client::HttpClient, body: http_client::ResponseBody) {
     let mut body = body;
-    if read_prefix(&mut body)
+    if read_prefix(&mut body, MAX_BUFFERED_RESPONSE_BYTES)
         .await
         .is_ok_and(|(_, is_complete)| is_complete)
     {
--- a/src/edge/router/front/mod.rs
+++ b/src/edge/router/front/mod.rs
@@ -182,6 +182,7 @@
         let mut delivery = delivery::RequestDelivery::new(&table, &self.route);
         let mut avoid = None;
         let mut is_retry = false;
+        let mut tried = Vec::new();
         loop {
             let request = self.dispatch_request(is_retry, avoid.take(), body.size());
             let slot = match self.thread.request_slot(request) {
@@ -201,7 +202,13 @@
             };
             delivery.handle(delivery::DeliveryEvent::Assigned, true);
             let record = sync::Arc::clone(&slot.record);
-            let end = self.attempt(&record, &mut body).await;
+            let choice = if tried.contains(&record.address) {
+                exchange::ConnectionChoice::New
+            } else {
+                exchange::ConnectionChoice::Pooled
+            };
+            tried.push(record.address);
+            let end = self.attempt(&record, choice, &mut body).await;
             let Some(end) = end else {
                 let action = delivery.handle(delivery::DeliveryEvent::TimeOver, false);
                 return self.respond_with_end(
@@ -246,6 +253,19 @@
         }
     }
 
+    // Whether the caller is told where a body without a length ends: HTTP/1.0 has no chunks.
+    fn takes_chunks(&self) -> bool {
+        self.caller.version() >= actix_web::http::Version::HTTP_11
+    }
+
+    fn buffered_bytes(&self) -> usize {
+        if self.takes_chunks() {
+            exchange::MAX_BUFFERED_RESPONSE_BYTES
+        } else {
+            exchange::MAX_UNFRAMED_RESPONSE_BYTES
+        }
+    }
+
     fn has_time_left(&self) -> bool {
         self.thread.parts.clock.now() < self.deadline
     }
@@ -272,6 +292,7 @@
     async fn attempt(
         &self,
         record: &directory::ServerRecord,
+        choice: exchange::ConnectionChoice,
         body: &mut body::CallerBody,
     ) -> Option<exchange::AttemptEnd> {
         let now = self.thread.parts.clock.now();
@@ -285,8 +306,10 @@
             Err(error) => return Some(exchange::AttemptEnd::Unsent(error)),
         };
         let id = self.headers.id.as_deref();
+        let options = exchange::AttemptOptions::new(choice);
+        let options = options.with_buffered_bytes(self.buffered_bytes());
         let client = &self.thread.client;
-        let sent = exchange::attempt(codec, client, record.address, request, id);
+        let sent = exchange::attempt(codec, client, record.address, options, request, id);
         tokio::time::timeout(time_left, sent).await.ok()
     }
 
