Name all granters that a claim knows of as possible ones

Cause: the claim's list of possible granters stood for all who had granted. A host of any rank grants once its candidates are unresponsive; the claimed table's granter and former granters were not chained into the list.

Ruled out: naming every registered host; at 7,354 machines the header would grow by each and one host would query all.

The list now has the granters that the claimed table names and each that a peer's status update names. A host that drops a table which the claim did not know keeps its version and granters (`overtaken`) and tells them, and the claimant adds them. Orders of earlier processes of the claimant's own host are waited for also where the claim is not provisional. The simulation gets granters that are on no list, followers, and hosts that are gone for good.

`overtaken` has no test.

--- a/lab/src/grants/faults.rs
+++ b/lab/src/grants/faults.rs
@@ -6,6 +6,7 @@
 use rand::RngExt as _;
 
 use crate::grants::simulation;
+use zinniastack::clock;
 
 impl simulation::GrantSimulation {
     /// Makes the first server reachable from the granter only. With `frozen`, the granter's process is
@@ -156,8 +157,37 @@
         }
     }
 
-    // Cuts a granter off from the store and from the other hosts; it can still reach the servers.
-    fn cut_granter_off(&mut self) {
+    /// Kills the granter's process; its host starts no other one.
+    pub fn remove_granter(&mut self) {
+        let granting = self.hosts.iter().position(|h| h.granter.is_granting());
+        if let Some(host) = granting {
+            self.kill_host(host);
+            self.hosts[host].frozen_until = clock::MonoTime::from_micros(u64::MAX);
+        }
+    }
+
+    /// Kills all hosts' processes but the granter's and one other's, which then gets the log from other
+    /// hosts.
+    pub fn kill_all_but_a_follower(&mut self) {
+        let others = 0..simulation::HOSTS;
+        let others = others.filter(|host| !self.hosts[*host].granter.is_granting());
+        let others: Vec<_> = others.collect();
+        let (follower, killed) = others.split_first().unwrap_or((&0, &[]));
+        self.followers.insert(*follower);
+        self.members.remove(follower);
+        for host in killed {
+            self.kill_host(*host);
+        }
+    }
+
+    /// Takes the granter off the list of possible granters that other hosts know.
+    pub fn unlist_granter(&mut self) {
+        let granting = self.hosts.iter().position(|h| h.granter.is_granting());
+        self.unlisted.extend(granting);
+    }
+
+    /// Cuts a granter off from the store and from the other hosts; it can still reach the servers.
+    pub fn cut_granter_off(&mut self) {
         let granting = self
             .hosts
             .iter_mut()
--- a/lab/src/grants/simulation/log.rs
+++ b/lab/src/grants/simulation/log.rs
@@ -187,7 +187,7 @@
 
     pub(super) fn join(&mut self, host: usize) {
         self.push(simulation::JOIN_MS, simulation::SimulationEvent::Join(host));
-        if !self.store_serves(host) {
+        if !self.store_serves(host) || self.followers.contains(&host) {
             self.hosts[host].granter.note_candidate(false);
             return;
         }
--- a/lab/src/grants/simulation/mod.rs
+++ b/lab/src/grants/simulation/mod.rs
@@ -6,6 +6,7 @@
 mod event;
 mod log;
 mod orders;
+mod peers;
 mod stored_log;
 
 use std::collections;
@@ -18,7 +19,6 @@
 use zinniastack::clock;
 use zinniastack::names;
 use zinniastack::ownership::assignment;
-use zinniastack::ownership::former_granters;
 use zinniastack::ownership::granter;
 use zinniastack::ownership::order;
 use zinniastack::serving::directory;
@@ -115,6 +115,10 @@
     pub(crate) lossy_until: clock::MonoTime,
     pub(crate) members: collections::BTreeMap<usize, clock::MonoTime>,
     pub(crate) owner: Option<usize>,
+    // The hosts that get the log from others and are not members of the group.
+    pub(crate) followers: collections::BTreeSet<usize>,
+    // The hosts that are not among the first ranks of their domains.
+    pub(crate) unlisted: collections::BTreeSet<usize>,
     pub(crate) granted: Vec<(u16, u16, u64, assignment::ServerIncarnation)>,
     pub(crate) violations: Vec<String>,
     pub(crate) faults: u32,
@@ -156,6 +160,8 @@
             lossy_until: clock::MonoTime::from_micros(0),
             members: collections::BTreeMap::new(),
             owner: None,
+            followers: collections::BTreeSet::new(),
+            unlisted: collections::BTreeSet::new(),
             granted: Vec::new(),
             violations: Vec::new(),
             faults,
@@ -433,55 +439,6 @@
         }
     }
 
-    // A granter queries the hosts of former granters.
-    fn query_former_granters(&mut self, host: usize) {
-        self.push(QUERY_MS, SimulationEvent::QueryFormer(host));
-        let asked = self.clock_of(host);
-        let from_incarnation = self.hosts[host].incarnation;
-        for former in self.hosts[host].granter.former_granters_to_query(asked) {
-            let delay = self.delay();
-            let position =
-                (0..HOSTS).find(|h| Self::granter_incarnation(*h, 0).host == former.host);
-            let query = SimulationEvent::HostQuery {
-                host: position.unwrap_or(host),
-                from: host,
-                from_incarnation,
-                asked,
-            };
-            self.push(delay, query);
-        }
-    }
-
-    fn answer_query(
-        &mut self,
-        host: usize,
-        from: usize,
-        from_incarnation: u64,
-        asked: clock::MonoTime,
-    ) {
-        if self.hosts[host].cut_from_hosts || self.hosts[from].cut_from_hosts {
-            return;
-        }
-        let mut incarnation = Self::granter_incarnation(host, self.hosts[host].incarnation);
-        if self.mutation == GrantMutation::AnswerIsEnd {
-            incarnation.incarnation += 1_000;
-        }
-        let response = former_granters::HostResponse {
-            life: incarnation,
-            term: self.hosts[host].granter.table().term,
-            granted: self.hosts[host].granter.granted_version(),
-            asked,
-            uptime: self.now.since(self.hosts[host].started),
-        };
-        let delay = self.delay();
-        let response = SimulationEvent::HostResponse {
-            host: from,
-            incarnation: from_incarnation,
-            response,
-        };
-        self.push(delay, response);
-    }
-
     fn unfreeze(&mut self, host: usize) {
         let delayed = std::mem::take(&mut self.hosts[host].delayed);
         for event in delayed {
@@ -503,11 +460,9 @@
 
     fn decide(&mut self, host: usize) {
         let now = self.clock_of(host);
-        let others = (0..HOSTS).filter(|other| *other != host);
-        let others = others.map(|h| Self::granter_incarnation(h, self.hosts[h].incarnation));
-        let others = others.collect();
+        let possible = self.possible_granters(host);
         let state = &mut self.hosts[host];
-        state.granter.note_possible_granters(others);
+        state.granter.note_possible_granters(possible);
         let actions = state.granter.tick(now, &[service()], &state.directory);
         for action in actions {
             self.execute(host, action);
--- a/lab/src/host_simulation.rs
+++ b/lab/src/host_simulation.rs
@@ -281,6 +281,7 @@
         cluster::GrantSnapshot {
             granter: None,
             term: 0,
+            overtaken: None,
             granted: assignment::TableVersion::default(),
             ends,
         }
--- a/src/edge/router/control/hosts.rs
+++ b/src/edge/router/control/hosts.rs
@@ -175,10 +175,11 @@
             uptime: time::Duration::from_millis(status.uptime_millis),
         };
         let now = self.clock.now();
-        self.state
-            .borrow_mut()
-            .granter
-            .note_host_response(&response, now);
+        let granter = &mut self.state.borrow_mut().granter;
+        granter.note_host_response(&response, now);
+        if let Some(overtaken) = &status.overtaken {
+            granter.note_overtaken(overtaken);
+        }
     }
 
     // Logs what was exchanged with other hosts since the last line.
@@ -228,6 +229,9 @@
         let mut state = self.state.borrow_mut();
         let grants = state.grant_snapshot();
         let response = state.cluster.response_to(&request, &grants, now);
+        if let Some(overtaken) = &request.overtaken {
+            state.granter.note_overtaken(overtaken);
+        }
         state.cluster.note_request(request, now);
         drop(state);
         self.update_era();
--- a/src/edge/router/control/mod.rs
+++ b/src/edge/router/control/mod.rs
@@ -95,6 +95,7 @@
         cluster::GrantSnapshot {
             granter: table.granter.clone(),
             term: table.term,
+            overtaken: self.granter.overtaken().cloned(),
             granted: self.granter.granted_version(),
             ends: self.ends(),
         }
--- a/src/ownership/assignment.rs
+++ b/src/ownership/assignment.rs
@@ -98,6 +98,17 @@
     pub hosts: Vec<GranterIncarnation>,
 }
 
+/// A table that the claim of the granter role in a later era of the store did not know.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct OvertakenTable {
+    /// The table's version.
+    pub version: TableVersion,
+    /// The granters that it names.
+    pub granters: Vec<GranterIncarnation>,
+}
+
 /// The assignments of all services, as the granter appends them to the log.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 #[derive(serde::Serialize, serde::Deserialize)]
@@ -130,6 +141,11 @@
         ranges.get(index).filter(|range| range.first <= key)
     }
 
+    /// Returns the granters whose orders may still arrive, as far as the table tells.
+    pub fn named_granters(&self) -> impl Iterator<Item = &GranterIncarnation> {
+        self.former_granters.iter().chain(&self.granter)
+    }
+
     /// Allocates the next fence.
     pub fn allocate_fence(&mut self) -> u64 {
         let fence = self.next_fence.max(1);
--- a/src/ownership/granter/era.rs
+++ b/src/ownership/granter/era.rs
@@ -71,11 +71,38 @@
         !self.is_in_force()
     }
 
-    /// Sets the other hosts that may have granted: those that may read the store.
+    /// Sets the other hosts that may have granted: those that may read the store, and those that other
+    /// hosts name. The claim adds the granters that the claimed table names.
     pub fn note_possible_granters(&mut self, hosts: Vec<assignment::GranterIncarnation>) {
         self.possible_granters = hosts;
     }
 
+    /// Returns the newest known table that a claim in a later era did not know.
+    #[must_use]
+    pub const fn overtaken(&self) -> Option<&assignment::OvertakenTable> {
+        self.overtaken.as_ref()
+    }
+
+    /// Handles another host's report of a table that a claim did not know: the granters that it names
+    /// may have granted.
+    pub fn note_overtaken(&mut self, overtaken: &assignment::OvertakenTable) {
+        if self.is_granting() {
+            self.lost_grants.note_overtaken(overtaken, &self.own);
+        }
+    }
+
+    // Remembers the table that `newest` replaces where the claim of a new era did not know it.
+    pub(super) fn note_overtaken_by(&mut self, newest: &assignment::AssignmentTable) {
+        let base = newest.lost_grants.as_ref().map(|record| record.base);
+        let is_unknown = base.is_some_and(|base| self.table.version > base);
+        if is_unknown && self.table.version.era < newest.version.era {
+            self.overtaken = Some(assignment::OvertakenTable {
+                version: self.table.version,
+                granters: self.table.named_granters().cloned().collect(),
+            });
+        }
+    }
+
     /// Returns the version of the newest table by which this process has ordered.
     #[must_use]
     pub const fn granted_version(&self) -> assignment::TableVersion {
@@ -167,8 +194,9 @@
         let base = earlier.as_ref().map_or(self.table.version, |e| e.base);
         let was_provisional = earlier.as_ref().is_some_and(|e| e.is_provisional);
         let named = earlier.iter().flat_map(|e| &e.hosts);
+        let recorded = self.table.named_granters();
         let mut hosts: Vec<assignment::GranterIncarnation> = Vec::new();
-        for life in self.possible_granters.iter().chain(named) {
+        for life in self.possible_granters.iter().chain(named).chain(recorded) {
             let is_known = hosts.iter().any(|known| known.host == life.host);
             if life.host != self.own.host && !is_known {
                 hosts.push(life.clone());
--- a/src/ownership/granter/mod.rs
+++ b/src/ownership/granter/mod.rs
@@ -45,6 +45,7 @@
     lost_grants: lost_grants::LostGrants,
     possible_granters: Vec<assignment::GranterIncarnation>,
     granted: assignment::TableVersion,
+    overtaken: Option<assignment::OvertakenTable>,
     started: Option<clock::MonoTime>,
     appending: Option<appends::PendingAppend>,
     append_number: u64,
@@ -94,6 +95,7 @@
             lost_grants: lost_grants::LostGrants::default(),
             possible_granters: Vec::new(),
             granted: assignment::TableVersion::default(),
+            overtaken: None,
             started: None,
             appending: None,
             append_number: 0,
@@ -189,6 +191,7 @@
     // Takes a table that another granter appended, or an earlier process of this host.
     fn take_table(&mut self, newest: assignment::AssignmentTable, now: clock::MonoTime) {
         let from_another = newest.granter.as_ref() != Some(&self.own);
+        self.note_overtaken_by(&newest);
         self.table = newest;
         self.appending = None;
         match self.election.state() {
--- a/src/ownership/lost_grants.rs
+++ b/src/ownership/lost_grants.rs
@@ -24,13 +24,25 @@
     is_proven: bool,
 }
 
+impl PossibleGranter {
+    // A host of which nothing is known when the claim is in the log, at `since`.
+    fn new(life: &assignment::GranterIncarnation, since: clock::MonoTime) -> Self {
+        let right = time::Duration::from_millis(election::MAX_UNCONFIRMED_MS);
+        Self {
+            life: life.clone(),
+            until: arrival_end(since + right),
+            is_proven: false,
+        }
+    }
+}
+
 /// What a granter knows of grants that the store may have lost.
 #[derive(Debug, Default)]
 pub struct LostGrants {
     record: Option<assignment::LostGrantsRecord>,
     term: u64,
     since: clock::MonoTime,
-    // By when the orders of earlier processes of this host have arrived, where they matter.
+    // By when the orders of earlier processes of this host have arrived.
     own_until: clock::MonoTime,
     hosts: collections::BTreeMap<names::HostName, PossibleGranter>,
 }
@@ -45,23 +57,13 @@
         started: clock::MonoTime,
         now: clock::MonoTime,
     ) -> Self {
-        let right = time::Duration::from_millis(election::MAX_UNCONFIRMED_MS);
         let named = record.iter().flat_map(|record| &record.hosts);
-        let hosts = named.map(|life| {
-            let granter = PossibleGranter {
-                life: life.clone(),
-                until: arrival_end(now + right),
-                is_proven: false,
-            };
-            (life.host.clone(), granter)
-        });
-        let is_provisional = record.is_some_and(|record| record.is_provisional);
-        let own_until = is_provisional.then(|| arrival_end(started));
+        let hosts = named.map(|life| (life.host.clone(), PossibleGranter::new(life, now)));
         Self {
             record: record.cloned(),
             term,
             since: now,
-            own_until: own_until.unwrap_or_default(),
+            own_until: arrival_end(started),
             hosts: hosts.collect(),
         }
     }
@@ -115,6 +117,27 @@
         granter.until = granter.until.min(arrival_end(last));
     }
 
+    /// Handles a report of a table that the claim did not know. The granters that it names, other than
+    /// `own`, join those that may have granted.
+    pub fn note_overtaken(
+        &mut self,
+        overtaken: &assignment::OvertakenTable,
+        own: &assignment::GranterIncarnation,
+    ) {
+        let is_unknown = self
+            .record
+            .as_ref()
+            .is_some_and(|record| overtaken.version > record.base);
+        if !is_unknown {
+            return;
+        }
+        let others = overtaken.granters.iter().filter(|g| g.host != own.host);
+        for life in others {
+            let unnamed = || PossibleGranter::new(life, self.since);
+            self.hosts.entry(life.host.clone()).or_insert_with(unnamed);
+        }
+    }
+
     /// Returns the hosts to send status requests to.
     pub fn hosts_to_query(&self) -> impl Iterator<Item = &assignment::GranterIncarnation> {
         let open = self.hosts.values().filter(|granter| !granter.is_proven);
--- a/src/serving/cluster/exchange.rs
+++ b/src/serving/cluster/exchange.rs
@@ -165,6 +165,8 @@
             ends: grants.ends,
             store_era: Some(self.store_era),
             term: grants.term,
+            granter: grants.granter.clone(),
+            overtaken: grants.overtaken.clone(),
             granted: grants.granted,
             demand: None,
             loads: None,
@@ -259,6 +261,7 @@
         let peer = cluster::PeerState {
             record: update.record.clone(),
             ends: update.ends,
+            granter: update.granter.clone(),
             received_at: now,
         };
         self.peers.insert(host.clone(), peer);
--- a/src/serving/cluster/mod.rs
+++ b/src/serving/cluster/mod.rs
@@ -33,6 +33,8 @@
 struct PeerState {
     record: status::HostRecord,
     ends: topic::TopicEnds,
+    // The granter that wrote the newest table that the host knows.
+    granter: Option<assignment::GranterIncarnation>,
     received_at: clock::MonoTime,
 }
 
@@ -213,12 +215,15 @@
         self.reads(topic::StoreTopic::Assignments, now)
     }
 
-    /// Returns the other hosts that may have granted: in each domain those that may read the store.
+    /// Returns the other hosts that may have granted: in each domain those that may read the store, and
+    /// each that another host names as the granter.
     #[must_use]
     pub fn possible_granters(&self) -> Vec<assignment::GranterIncarnation> {
         let readers = self.upstream.possible_readers(&self.hosts);
-        let records = readers.iter().map(status::HostRecord::granter_incarnation);
-        records.collect()
+        let readers = readers.iter().map(status::HostRecord::granter_incarnation);
+        let named = self.peers.values().filter_map(|peer| peer.granter.clone());
+        let named: collections::BTreeSet<_> = named.collect();
+        readers.chain(named).collect()
     }
 
     /// Reports whether the records that this host has may be outdated: its own calls to the store
@@ -300,6 +305,8 @@
     pub granter: Option<assignment::GranterIncarnation>,
     /// The term of the newest table.
     pub term: u64,
+    /// The newest known table that a claim in a later era did not know, if any.
+    pub overtaken: Option<assignment::OvertakenTable>,
     /// The version of the newest table by which this host has sent orders.
     pub granted: assignment::TableVersion,
     /// The positions at which the host's copies of the store's topics end.
--- a/src/serving/status.rs
+++ b/src/serving/status.rs
@@ -69,6 +69,10 @@
     pub store_era: Option<u64>,
     /// The term of the newest assignment table that it knows.
     pub term: u64,
+    /// The granter that wrote that table; earlier builds send none.
+    pub granter: Option<assignment::GranterIncarnation>,
+    /// The newest table that it knows of those that a claim in a later era did not know, if any.
+    pub overtaken: Option<assignment::OvertakenTable>,
     /// The version of the newest assignment table by which it has sent orders.
     pub granted: assignment::TableVersion,
     /// The demand that the receiver does not know otherwise, by the purpose of the exchange.
--- a/tests/catch_up.rs
+++ b/tests/catch_up.rs
@@ -43,6 +43,7 @@
     cluster::GrantSnapshot {
         granter: None,
         term: 0,
+        overtaken: None,
         granted: assignment::TableVersion::default(),
         ends: ends(end),
     }
--- /dev/null
+++ b/tests/claims.rs
@@ -0,0 +1,127 @@
+//! Tests the claim of the granter role by a single host in a new era of the store.
+
+use std::time;
+
+use zinnia_lab::fixtures;
+use zinniastack::names;
+use zinniastack::ownership::assignment;
+use zinniastack::ownership::election;
+use zinniastack::ownership::granter;
+use zinniastack::ownership::order;
+use zinniastack::serving::directory;
+use zinniastack::serving::topic;
+
+/// Interval between two ticks of the granter, in milliseconds.
+const TICK_MS: u64 = 100;
+/// When the store comes back, in milliseconds.
+const RETURN_MS: u64 = 10_000;
+
+fn incarnation(host: &str) -> assignment::GranterIncarnation {
+    assignment::GranterIncarnation {
+        host: fixtures::name(host),
+        incarnation: 1,
+        peers: ([10, 0, 0, 9], 7_200).into(),
+    }
+}
+
+// A table of the first era, without ranges.
+fn table(revision: u64, granter: &str) -> assignment::AssignmentTable {
+    assignment::AssignmentTable {
+        version: assignment::TableVersion { era: 1, revision },
+        term: 1,
+        granter: Some(incarnation(granter)),
+        longest_hold_millis: granter::GRANT_HOLD_MS,
+        ..assignment::AssignmentTable::default()
+    }
+}
+
+/// A host that is the candidate for the granter role when the store comes back older.
+struct ClaimCase {
+    granter: granter::KeyGranter,
+    now_ms: u64,
+}
+
+impl ClaimCase {
+    fn new() -> Self {
+        let own = incarnation("own");
+        let granter = granter::KeyGranter::new(own, time::Duration::from_secs(10));
+        let mut granter = granter.expect("the charts are valid");
+        granter.note_candidate(true);
+        Self {
+            granter,
+            now_ms: RETURN_MS,
+        }
+    }
+
+    // Reads `table` from the log of the first era, just before the store is lost.
+    fn read(&mut self, table: assignment::AssignmentTable) {
+        let end = topic::LogPosition::new(1, 100);
+        self.granter
+            .note_table(Some(table), end, fixtures::at(self.now_ms));
+    }
+
+    // The store is back, in its second era, with an older table.
+    fn restore(&mut self, table: assignment::AssignmentTable) {
+        let end = topic::LogPosition::new(2, 40);
+        self.granter
+            .note_table(Some(table), end, fixtures::at(self.now_ms));
+    }
+
+    // Runs the granter until it claims, for at most `span_ms`.
+    fn claim_within(&mut self, span_ms: u64) -> Option<assignment::AssignmentTable> {
+        let services: [names::ServiceName; 1] = [fixtures::name("stock")];
+        let servers = directory::ServerDirectory::new();
+        let end = self.now_ms + span_ms;
+        while self.now_ms < end {
+            self.now_ms += TICK_MS;
+            let now = fixtures::at(self.now_ms);
+            for action in self.granter.tick(now, &services, &servers) {
+                if let order::GranterAction::Append { table, .. } = action {
+                    return Some(table);
+                }
+            }
+        }
+        None
+    }
+
+    fn claim(&mut self) -> assignment::AssignmentTable {
+        let claim = self.claim_within(election::MAX_UNCONFIRMED_MS);
+        claim.expect("the host claims the role")
+    }
+}
+
+fn possible_granters(claim: &assignment::AssignmentTable) -> Vec<String> {
+    let record = claim.lost_grants.as_ref().expect("the era is new");
+    let hosts = record.hosts.iter();
+    hosts.map(|life| life.host.to_string()).collect()
+}
+
+// The list of possible granters held the first ranks of each domain only, so that keys went to other
+// servers while a granter of a lower rank, cut off from the store and the hosts, renewed holds.
+fn names_the_granters_of_the_claimed_table() {
+    let mut case = ClaimCase::new();
+    case.read(assignment::AssignmentTable {
+        former_granters: vec![incarnation("former")],
+        ..table(60, "granter")
+    });
+    case.restore(table(40, "listed"));
+    case.granter
+        .note_possible_granters(vec![incarnation("listed")]);
+    let named = possible_granters(&case.claim());
+    assert_eq!(named, ["listed", "former", "granter"]);
+}
+
+macro_rules! claim_cases {
+    ($($name:ident),* $(,)?) => {
+        mod cases {
+            $(#[test]
+            fn $name() {
+                super::$name();
+            })*
+        }
+    };
+}
+
+claim_cases! {
+    names_the_granters_of_the_claimed_table,
+}
--- a/tests/cluster.rs
+++ b/tests/cluster.rs
@@ -64,6 +64,7 @@
     cluster::GrantSnapshot {
         granter: None,
         term: 0,
+        overtaken: None,
         granted: assignment::TableVersion::default(),
         ends: topic::TopicEnds {
             ends,
@@ -101,6 +102,26 @@
     assert_eq!(*view.demand, expected.into());
 }
 
+// Guards against a granter that no claim names: its host is not among the first ranks of its domain.
+fn counts_granters_that_other_hosts_name_as_possible_ones() {
+    let (from, mut to) = (host("a"), host("b"));
+    let low = assignment::GranterIncarnation {
+        host: fixtures::name("low"),
+        incarnation: 1,
+        peers: ([10, 0, 0, 9], 7_200).into(),
+    };
+    let known = cluster::GrantSnapshot {
+        granter: Some(low.clone()),
+        ..grants([0; 4])
+    };
+    to.note_host(&from.own().host, Some(from.own().clone()));
+    let targets = to.exchange_targets(&grants([0; 4]), fixtures::at(0));
+    let request = to.request_for(&targets[0], &grants([0; 4]), fixtures::at(0));
+    let response = from.response_to(&request, &known, fixtures::at(0));
+    to.note_response(response, fixtures::at(0));
+    assert!(to.possible_granters().contains(&low));
+}
+
 fn counts_the_store_as_back_when_every_call_is_answered() {
     let mut cluster = host("a");
     assert!(cluster.note_store("servers", true, fixtures::at(0)));
@@ -269,6 +290,7 @@
 cluster_cases! {
     never_takes_a_version_back,
     counts_other_hosts_waiting_requests_in_equal_parts_at_all_servers,
+    counts_granters_that_other_hosts_name_as_possible_ones,
     counts_the_store_as_back_when_every_call_is_answered,
     drops_a_removed_server_at_once,
     keeps_a_lapsed_server_for_a_moment_after_an_outage,
--- a/tests/restored_grants.rs
+++ b/tests/restored_grants.rs
@@ -17,6 +17,11 @@
 const SEEDS: u64 = 60;
 /// How much later the fault comes in each further seed.
 const STEP: time::Duration = time::Duration::from_millis(37);
+/// How long the store is away where most hosts are killed, in milliseconds.
+const RETURN_MS: u64 = 500;
+/// How long after the return the keys must be held where one host knows the newest table, in
+/// milliseconds.
+const HELD_MS: u64 = 3_000;
 
 fn expect_sound(simulation: &simulation::GrantSimulation, seed: u64) {
     let violations = simulation.violations();
@@ -88,6 +93,42 @@
     }
 }
 
+// The granter is on no list of possible granters, moves keys in the last moments before the store goes
+// away, and is then cut off from the store and the hosts, but not from the servers.
+fn expect_sound_beside_an_unlisted_granter() {
+    for seed in 0..SEEDS {
+        let mut simulation = simulation::GrantSimulation::with_reliable_network(seed);
+        simulation.run(millis(8_000));
+        simulation.drain_server(0);
+        simulation.run(STEP / 4 * u32::try_from(seed).unwrap_or(0));
+        simulation.restore_store(millis(2_500), millis(500));
+        simulation.unlist_granter();
+        simulation.cut_granter_off();
+        expect_sound_and_covered(&mut simulation, seed);
+    }
+}
+
+// One host that followed the log survives a return that kills the granter for good and all other hosts;
+// a host that has restarted is the candidate. The keys are held by the table that the follower knows.
+fn expect_renewals_by_a_followers_table() {
+    for seed in 0..SEEDS {
+        let mut simulation = simulation::GrantSimulation::with_reliable_network(seed);
+        simulation.run(millis(8_000) + STEP * u32::try_from(seed).unwrap_or(0));
+        simulation.drain_server(0);
+        simulation.run(millis(2_000));
+        simulation.restore_store(millis(2_500), millis(RETURN_MS));
+        simulation.kill_all_but_a_follower();
+        simulation.remove_granter();
+        simulation.run(millis(RETURN_MS + HELD_MS));
+        expect_sound(&simulation, seed);
+        assert!(
+            simulation.is_covered(),
+            "seed {seed}: keys without a holder after {HELD_MS} ms"
+        );
+        expect_sound_and_covered(&mut simulation, seed);
+    }
+}
+
 macro_rules! restored_cases {
     ($($name:ident: $run:expr;)*) => {$(
         #[test]
@@ -111,6 +152,8 @@
         expect_case(RestoredCase { age_ms: 20_000, outage_ms: 1_000, then: &[(500, AfterRestore::KillHosts)] });
     restored_store_twice_in_a_row:
         expect_case(RestoredCase { age_ms: 2_500, outage_ms: 400, then: &[(900, AfterRestore::Restore)] });
+    restored_store_beside_an_unlisted_granter: expect_sound_beside_an_unlisted_granter();
+    restored_store_known_to_a_follower_only: expect_renewals_by_a_followers_table();
     restored_store_while_a_claim_is_in_flight: expect_case(RestoredCase {
         age_ms: 2_500,
         outage_ms: 400,
