Claim no era while another host knows a newer table

Cause: the first claim of an era was taken for the newest table, whatever its base.

Ruled out: only leaving the group; a follower that does not read the store is never the candidate, so that its table would be lost all the same.

Hosts tell the version of their tables with the ends of their copies. A host that lags requests records as before, and gets the table as changes to its copy of the log, or whole where the copies differ. It only ever raises the base of a claim, so the proof stays as it is.

The control thread's requests for lost tables (lost_tables.rs) have no test.

--- a/lab/src/grants/simulation/event.rs
+++ b/lab/src/grants/simulation/event.rs
@@ -4,6 +4,7 @@
 
 use crate::grants::simulation::stored_log;
 use zinniastack::clock;
+use zinniastack::ownership::assignment;
 use zinniastack::ownership::former_granters;
 use zinniastack::ownership::order;
 
@@ -66,6 +67,14 @@
         incarnation: u64,
         response: former_granters::HostResponse,
     },
+    // A table that the store has lost, from another host.
+    TableRelay {
+        host: usize,
+        incarnation: u64,
+        table: Box<assignment::AssignmentTable>,
+        // When the log was last known to hold nothing newer.
+        confirmed: Option<clock::MonoTime>,
+    },
     Fault,
 }
 
--- a/lab/src/grants/simulation/mod.rs
+++ b/lab/src/grants/simulation/mod.rs
@@ -342,6 +342,9 @@
             | SimulationEvent::HostResponse {
                 host, incarnation, ..
             }
+            | SimulationEvent::TableRelay {
+                host, incarnation, ..
+            }
             | SimulationEvent::Released {
                 host, incarnation, ..
             } => Some((*host, Some(*incarnation))),
@@ -435,6 +438,20 @@
                 let now = self.clock_of(host);
                 self.hosts[host].granter.note_host_response(&response, now);
             }
+            SimulationEvent::TableRelay {
+                host,
+                table,
+                confirmed,
+                ..
+            } => {
+                let now = self.clock_of(host);
+                let granter = &mut self.hosts[host].granter;
+                let version = table.version;
+                granter.note_lost_table(*table, now);
+                if let Some(until) = confirmed {
+                    granter.note_followed_elsewhere(version, until);
+                }
+            }
             SimulationEvent::Fault => self.inject_random_fault(),
         }
     }
@@ -461,8 +478,10 @@
     fn decide(&mut self, host: usize) {
         let now = self.clock_of(host);
         let possible = self.possible_granters(host);
+        let newest = self.newest_table_elsewhere(host);
         let state = &mut self.hosts[host];
         state.granter.note_possible_granters(possible);
+        state.granter.note_newest_elsewhere(newest);
         let actions = state.granter.tick(now, &[service()], &state.directory);
         for action in actions {
             self.execute(host, action);
--- a/src/edge/router/control/granting.rs
+++ b/src/edge/router/control/granting.rs
@@ -78,6 +78,7 @@
             } = &mut *state;
             if granter.awaits_claim() {
                 granter.note_possible_granters(cluster.possible_granters());
+                granter.note_newest_elsewhere(cluster.newest_table(now));
             }
             granter.tick(now, &services, cluster.directory())
         };
--- a/src/edge/router/control/mod.rs
+++ b/src/edge/router/control/mod.rs
@@ -4,6 +4,7 @@
 mod eras;
 mod granting;
 mod hosts;
+mod lost_tables;
 mod records;
 pub mod store;
 
@@ -86,6 +87,7 @@
             ends.set(topic, self.replicas[topic.index()].position());
         }
         ends.routes_version = self.cluster.routes_version();
+        ends.table_version = self.granter.table().version;
         ends
     }
 
--- a/src/edge/router/control/records.rs
+++ b/src/edge/router/control/records.rs
@@ -5,6 +5,7 @@
 use std::rc;
 use std::time;
 
+use crate::clock;
 use crate::clock::MonoClock as _;
 use crate::edge::router::control;
 use crate::edge::router::ports;
@@ -54,8 +55,9 @@
                 pending.clear();
             }
             let request = self.record_request(&pending, SUPPLY_WAIT_MS);
+            let asked = self.clock.now();
             match self.status_client.records(host.peers, request).await {
-                Ok(relay) => self.apply_relay(&host.host, relay, &mut pending),
+                Ok(relay) => self.apply_relay(&host.host, relay, asked, &mut pending),
                 Err(error) => {
                     tracing::debug!(event = "records-not-received", host = %host.host, fault = %error);
                     tokio::time::sleep(time::Duration::from_millis(SUPPLY_RETRY_MS)).await;
@@ -81,6 +83,7 @@
         let mut pending = PendingPages::new();
         loop {
             let request = self.record_request(&pending, 0);
+            let asked = self.clock.now();
             let response = self.status_client.records(host.peers, request).await;
             let is_answered = response.is_ok();
             match response {
@@ -90,7 +93,7 @@
                         host = %host.host,
                         records = relay.pages.iter().map(|page| page.records.len()).sum::<usize>()
                     );
-                    self.apply_relay(&host.host, relay, &mut pending);
+                    self.apply_relay(&host.host, relay, asked, &mut pending);
                 }
                 Err(error) => {
                     tracing::warn!(event = "records-not-received", host = %host.host, fault = %error);
@@ -119,6 +122,7 @@
         status::RecordRequest {
             pages: pages.collect(),
             routes_version: Some(ends.routes_version),
+            table_version: Some(ends.table_version),
             wait_millis,
         }
     }
@@ -127,6 +131,7 @@
         &self,
         host: &names::HostName,
         relay: status::StoreRelay,
+        asked: clock::MonoTime,
         pending: &mut PendingPages,
     ) {
         for page in relay.pages {
@@ -141,6 +146,12 @@
         if let Some(routes) = relay.routes {
             self.apply_lost_routes(host, routes);
         }
+        if let Some(table) = relay.table {
+            self.apply_lost_table(table);
+        }
+        if let Some(followed) = relay.followed {
+            self.apply_followed(followed, asked);
+        }
     }
 
     // Applies another host's routes in force, which the store has lost. They are not a part of this
@@ -204,7 +215,8 @@
             changes.mark_unchanged();
             let relay = self.relay_for(&request);
             let next_change = tokio::time::timeout_at(until, changes.changed());
-            if !relay.pages.is_empty() || next_change.await.is_err() {
+            let is_empty = relay.pages.is_empty() && relay.table.is_none();
+            if !is_empty || next_change.await.is_err() {
                 // The other host may have stopped waiting for the reply.
                 let _ = reply.send(relay);
                 return;
@@ -226,7 +238,14 @@
         let size = u64::try_from(size).unwrap_or(u64::MAX);
         self.metrics.relayed_bytes.inc_by(size);
         let routes = lost_routes(&state, request.routes_version);
-        status::StoreRelay { pages, routes }
+        drop(state);
+        let table = self.lost_table(request);
+        status::StoreRelay {
+            pages,
+            routes,
+            table,
+            followed: self.followed_table(),
+        }
     }
 }
 
--- a/src/edge/router/control/store.rs
+++ b/src/edge/router/control/store.rs
@@ -214,7 +214,7 @@
         self.changes.send_modify(|count| *count += 1);
     }
 
-    fn note_rejected(&self, topic: topic::StoreTopic, error: &impl std::fmt::Display) {
+    pub(super) fn note_rejected(&self, topic: topic::StoreTopic, error: &impl std::fmt::Display) {
         let topic = topic.as_str();
         self.metrics.note_record_refused(topic);
         tracing::warn!(event = "record-refused", topic, fault = %error);
--- a/src/ownership/assignment.rs
+++ b/src/ownership/assignment.rs
@@ -84,6 +84,15 @@
     pub revision: u64,
 }
 
+/// A table that another host knows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct KnownTable {
+    /// Its version.
+    pub version: TableVersion,
+    /// Its term.
+    pub term: u64,
+}
+
 /// What the claim of the granter role in a new era of the store says of grants that the store may have
 /// lost.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
--- a/src/ownership/granter/era.rs
+++ b/src/ownership/granter/era.rs
@@ -17,6 +17,10 @@
 /// can go on with renewals.
 pub const PROVISIONAL_CLAIM_DELAY_MS: u64 = 2_000;
 
+/// How long after a return a host waits for a newer table that another host knows, in milliseconds. By
+/// then no former granter sends orders any more.
+pub const NEWER_TABLE_WAIT_MS: u64 = election::MAX_UNCONFIRMED_MS;
+
 /// The era of a store that has never come back from an older copy.
 pub const FIRST_ERA: u64 = 1;
 
@@ -71,6 +75,82 @@
         !self.is_in_force()
     }
 
+    /// Returns the known table where the store has lost it.
+    #[must_use]
+    pub fn lost_table(&self) -> Option<&assignment::AssignmentTable> {
+        let is_lost = !self.is_in_force() && self.table.version.revision > 0;
+        is_lost.then_some(&self.table)
+    }
+
+    /// Returns when the log was last known to hold nothing newer than the known table, `None` where
+    /// this host has not followed it.
+    #[must_use]
+    pub fn followed_until(&self) -> Option<clock::MonoTime> {
+        let followed = self.era.has_followed;
+        followed.then(|| self.election.confirmed())
+    }
+
+    /// Sets the newest table that another host knows.
+    pub const fn note_newest_elsewhere(&mut self, newest: Option<assignment::KnownTable>) {
+        self.newest_elsewhere = newest;
+    }
+
+    /// Handles a table that the store has lost and another host knows. Reports whether it was taken.
+    pub fn note_lost_table(
+        &mut self,
+        lost: assignment::AssignmentTable,
+        now: clock::MonoTime,
+    ) -> bool {
+        let is_claiming = self.election.state() == election::ElectionState::Claiming;
+        let is_lost = !self.is_in_force() && lost.version.era < self.era.number;
+        if is_claiming || !is_lost || !self.is_preferred(lost.version, lost.term) {
+            return false;
+        }
+        tracing::info!(
+            event = "lost-table-taken",
+            era = lost.version.era,
+            revision = lost.version.revision,
+            known_era = self.table.version.era,
+            known_revision = self.table.version.revision
+        );
+        self.take_table(lost, now);
+        true
+    }
+
+    /// Records that the log held nothing newer than the table of the version given at `until`, by
+    /// another host's reads.
+    pub fn note_followed_elsewhere(
+        &mut self,
+        version: assignment::TableVersion,
+        until: clock::MonoTime,
+    ) {
+        let is_watching = self.election.state() == election::ElectionState::Watching;
+        let is_same = self.table.version == version && version.revision > 0;
+        if is_watching && is_same {
+            self.era.has_followed = true;
+            self.election.confirm(until);
+        }
+    }
+
+    // Whether a lost table goes before the known one. To a granter, one of its own term is an append of
+    // its own without an outcome, by which it has ordered nothing.
+    fn is_preferred(&self, version: assignment::TableVersion, term: u64) -> bool {
+        let is_newer = version > self.table.version;
+        is_newer && (!self.is_granting() || term > self.table.term)
+    }
+
+    // Whether another host knows a table that a claim has to be based on.
+    fn is_newer_elsewhere(&self) -> bool {
+        let newest = self.newest_elsewhere;
+        !self.is_in_force() && newest.is_some_and(|k| self.is_preferred(k.version, k.term))
+    }
+
+    // Whether this host waits for such a table before it claims.
+    pub(super) fn awaits_newer_table(&self, now: clock::MonoTime) -> bool {
+        let wait = time::Duration::from_millis(NEWER_TABLE_WAIT_MS);
+        self.is_newer_elsewhere() && now < self.era.seen + wait
+    }
+
     /// Sets the other hosts that may have granted: those that may read the store, and those that other
     /// hosts name. The claim adds the granters that the claimed table names.
     pub fn note_possible_granters(&mut self, hosts: Vec<assignment::GranterIncarnation>) {
@@ -168,7 +248,8 @@
             true => PROVISIONAL_CLAIM_DELAY_MS,
             false => ERA_CLAIM_DELAY_MS,
         };
-        now >= self.era.seen + time::Duration::from_millis(delay_ms)
+        let is_due = now >= self.era.seen + time::Duration::from_millis(delay_ms);
+        is_due && !self.awaits_newer_table(now)
     }
 
     // The table that claims the granter role.
@@ -204,7 +285,9 @@
         }
         assignment::LostGrantsRecord {
             base,
-            is_provisional: was_provisional || self.is_provisional(now),
+            is_provisional: was_provisional
+                || self.is_provisional(now)
+                || self.is_newer_elsewhere(),
             hosts,
         }
     }
--- a/src/ownership/granter/plans.rs
+++ b/src/ownership/granter/plans.rs
@@ -34,7 +34,9 @@
                 self.apply_election_event(election::ElectionEvent::ClaimDue);
                 Some(self.claim(now))
             }
-            election::ElectionState::Reclaiming => Some(self.claim(now)),
+            election::ElectionState::Reclaiming if !self.awaits_newer_table(now) => {
+                Some(self.claim(now))
+            }
             election::ElectionState::Granting => self.next_plan(now, services, servers),
             _ => None,
         }
--- a/src/ownership/table_records.rs
+++ b/src/ownership/table_records.rs
@@ -119,7 +119,7 @@
 }
 
 // A part as the log has it, with the hash of its record.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct StoredPart {
     ranges: Vec<assignment::RangeEntry>,
     hash: u64,
@@ -151,7 +151,7 @@
 }
 
 /// Assembles the assignment table from the records of its log.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct TableAssembly {
     header: Option<(TableHeader, u64)>,
     parts: collections::BTreeMap<PartId, StoredPart>,
@@ -254,6 +254,26 @@
         Err(TableError::Unsound { term: table.term })
     }
 
+    /// Returns the table that `records` make of this one, as [`Self::changed_records`] returns them.
+    ///
+    /// # Errors
+    /// Fails when a record is not a part of a table, or the records do not make a sound table.
+    pub fn changed_table(
+        &self,
+        records: impl IntoIterator<Item = topic::KeyedRecord>,
+    ) -> Result<Option<assignment::AssignmentTable>, TableError> {
+        let mut changed = self.clone();
+        let mut end = 0;
+        for record in records {
+            changed.apply(&topic::LogRecord {
+                offset: end,
+                record,
+            })?;
+            end += 1;
+        }
+        changed.table(end)
+    }
+
     /// Reports whether a host of an earlier build wrote to the log after one of this build: the two
     /// do not know of each other's ranges.
     #[must_use]
--- a/src/serving/cluster/exchange.rs
+++ b/src/serving/cluster/exchange.rs
@@ -261,6 +261,7 @@
         let peer = cluster::PeerState {
             record: update.record.clone(),
             ends: update.ends,
+            term: update.term,
             granter: update.granter.clone(),
             received_at: now,
         };
--- a/src/serving/cluster/mod.rs
+++ b/src/serving/cluster/mod.rs
@@ -33,7 +33,8 @@
 struct PeerState {
     record: status::HostRecord,
     ends: topic::TopicEnds,
-    // The granter that wrote the newest table that the host knows.
+    // The term of the newest table that the host knows, and the granter that wrote it.
+    term: u64,
     granter: Option<assignment::GranterIncarnation>,
     received_at: clock::MonoTime,
 }
--- a/src/serving/cluster/records.rs
+++ b/src/serving/cluster/records.rs
@@ -5,6 +5,7 @@
 use xxhash_rust::xxh3;
 
 use crate::clock;
+use crate::ownership::assignment;
 use crate::serving::cluster;
 use crate::serving::status;
 use crate::serving::topic;
@@ -29,6 +30,16 @@
         Some(source)
     }
 
+    /// Returns the newest assignment table that any host knows whose last status update is recent.
+    #[must_use]
+    pub fn newest_table(&self, now: clock::MonoTime) -> Option<assignment::KnownTable> {
+        let tables = self.fresh_peers(now).map(|peer| assignment::KnownTable {
+            version: peer.ends.table_version,
+            term: peer.term,
+        });
+        tables.max_by_key(|table| table.version)
+    }
+
     /// Records that the request for store records has ended, and whether it was answered.
     pub fn note_request_ended(&mut self, is_answered: bool) {
         self.catch_up.note_ended(is_answered);
--- a/src/serving/status.rs
+++ b/src/serving/status.rs
@@ -113,6 +113,8 @@
     pub pages: Vec<PageRequest>,
     /// The version of its routes in force; earlier builds send none.
     pub routes_version: Option<u64>,
+    /// The version of its assignment table; earlier builds send none.
+    pub table_version: Option<assignment::TableVersion>,
     /// How long to wait for the first record where there is none yet, in milliseconds.
     pub wait_millis: u64,
 }
@@ -126,4 +128,32 @@
     pub pages: Vec<replica::RecordPage>,
     /// The sender's routes in force, where the receiver's are older and the store has lost these.
     pub routes: Option<replica::PageRecord>,
+    /// The sender's assignment table, where the receiver's is older and the store has lost this one;
+    /// earlier builds send none.
+    pub table: Option<LostTable>,
+    /// How far the sender has followed the log of the assignment table; none where it has not, and from
+    /// earlier builds.
+    pub followed: Option<FollowedTable>,
+}
+
+/// An assignment table that the store has lost, as changes to a copy of its log.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct LostTable {
+    /// The end of the copy that the records change; none where they are the whole table.
+    pub copy: Option<topic::LogPosition>,
+    /// The records, the header last.
+    pub records: Vec<replica::PageRecord>,
+}
+
+/// How far a host has followed the log of the assignment table.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct FollowedTable {
+    /// The version of its table.
+    pub version: assignment::TableVersion,
+    /// How long ago the log was known to hold nothing newer, in milliseconds.
+    pub age_millis: u64,
 }
--- a/src/serving/topic.rs
+++ b/src/serving/topic.rs
@@ -2,6 +2,8 @@
 
 use std::sync;
 
+use crate::ownership::assignment;
+
 /// The topics of the store, which are read and written independently of each other.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 #[derive(serde::Serialize, serde::Deserialize)]
@@ -94,6 +96,8 @@
     /// The version of the routes in force, which may be higher than that of the copy: a store that
     /// came back from an older copy may have lost it.
     pub routes_version: u64,
+    /// The version of the newest assignment table, which the store may have lost likewise.
+    pub table_version: assignment::TableVersion,
 }
 
 impl TopicEnds {
@@ -109,7 +113,7 @@
         self.ends[topic.index()] = end.offset;
     }
 
-    /// Returns the later end of each topic, and the higher version.
+    /// Returns the later end of each topic, and the higher versions.
     #[must_use]
     pub fn max(self, other: Self) -> Self {
         let mut ends = self;
@@ -117,6 +121,7 @@
             ends.set(topic, self.end(topic).max(other.end(topic)));
         }
         ends.routes_version = self.routes_version.max(other.routes_version);
+        ends.table_version = self.table_version.max(other.table_version);
         ends
     }
 
@@ -124,7 +129,10 @@
     #[must_use]
     pub fn is_behind(&self, other: &Self) -> bool {
         let mut topics = StoreTopic::ALL.into_iter();
-        let is_older = self.routes_version < other.routes_version;
-        is_older || topics.any(|topic| self.end(topic) < other.end(topic))
+        let has_older_routes = self.routes_version < other.routes_version;
+        let has_older_table = self.table_version < other.table_version;
+        has_older_routes
+            || has_older_table
+            || topics.any(|topic| self.end(topic) < other.end(topic))
     }
 }
--- a/tests/catch_up.rs
+++ b/tests/catch_up.rs
@@ -79,6 +79,8 @@
     status::StoreRelay {
         pages: vec![page],
         routes: None,
+        table: None,
+        followed: None,
     }
 }
 
--- a/tests/claims.rs
+++ b/tests/claims.rs
@@ -111,6 +111,45 @@
     assert_eq!(named, ["listed", "former", "granter"]);
 }
 
+// A host that had restarted claimed with the restored table while another knew a newer one, which all
+// hosts then dropped: no hold was renewed, and who had granted by it could not be known any more.
+fn takes_the_newer_table_of_another_host_before_it_claims() {
+    let mut case = ClaimCase::new();
+    case.restore(table(40, "granter"));
+    let newest = table(60, "granter");
+    case.granter
+        .note_newest_elsewhere(Some(assignment::KnownTable {
+            version: newest.version,
+            term: newest.term,
+        }));
+    let wait_ms = granter::era::PROVISIONAL_CLAIM_DELAY_MS * 2;
+    assert_eq!(case.claim_within(wait_ms), None);
+    let now = fixtures::at(case.now_ms);
+    let version = newest.version;
+    assert!(case.granter.note_lost_table(newest, now));
+    case.granter.note_followed_elsewhere(version, now);
+    let record = case.claim().lost_grants.expect("the era is new");
+    assert_eq!(record.base.revision, 60);
+    assert!(!record.is_provisional);
+}
+
+// Guards against a service that stops for good where the only host that knows the newest table does not
+// hand it out.
+fn claims_without_the_newer_table_once_no_former_granter_can_order() {
+    let mut case = ClaimCase::new();
+    case.restore(table(40, "granter"));
+    case.granter
+        .note_newest_elsewhere(Some(assignment::KnownTable {
+            version: table(60, "granter").version,
+            term: 1,
+        }));
+    let wait_ms = granter::era::NEWER_TABLE_WAIT_MS;
+    assert_eq!(case.claim_within(wait_ms - TICK_MS), None);
+    let claim = case.claim_within(2 * TICK_MS).expect("the wait is over");
+    let record = claim.lost_grants.expect("the era is new");
+    assert!(record.is_provisional);
+}
+
 macro_rules! claim_cases {
     ($($name:ident),* $(,)?) => {
         mod cases {
@@ -124,4 +163,6 @@
 
 claim_cases! {
     names_the_granters_of_the_claimed_table,
+    takes_the_newer_table_of_another_host_before_it_claims,
+    claims_without_the_newer_table_once_no_former_granter_can_order,
 }
