Count only own reads, or a supplier's stated age, as following the log

Cause: a table's arrival was taken for a proof of its age. `take_table` confirmed at the time of processing, also for pages of another host.

A read of the store now confirms from when it was sent, and only where it ended at the granter's end. `tests/store_reader.rs`: two patterns get the new time, nothing else changes.

On the code before, does_not_renew_by_another_hosts_table_of_unknown_age failed: claims.rs:121, a claim before the delay of a host that did not follow the log.

--- a/lab/src/grants/simulation/log.rs
+++ b/lab/src/grants/simulation/log.rs
@@ -151,6 +151,7 @@
             state.granter.note_confirmed(now);
         }
         state.granter.note_table(newest, end, now);
+        state.granter.note_read(end, now);
     }
 
     fn entries(&self) -> Vec<directory::ServerRecord> {
--- a/lab/src/grants/simulation/mod.rs
+++ b/lab/src/grants/simulation/mod.rs
@@ -444,10 +444,9 @@
                 confirmed,
                 ..
             } => {
-                let now = self.clock_of(host);
                 let granter = &mut self.hosts[host].granter;
                 let version = table.version;
-                granter.note_lost_table(*table, now);
+                granter.note_lost_table(*table);
                 if let Some(until) = confirmed {
                     granter.note_followed_elsewhere(version, until);
                 }
--- a/src/edge/router/control/lost_tables.rs
+++ b/src/edge/router/control/lost_tables.rs
@@ -54,7 +54,7 @@
         };
         match table {
             Ok(Some(table)) => {
-                state.granter.note_lost_table(table, self.clock.now());
+                state.granter.note_lost_table(table);
             }
             Ok(None) => {}
             Err(error) => {
--- a/src/edge/router/control/store.rs
+++ b/src/edge/router/control/store.rs
@@ -3,6 +3,7 @@
 use std::rc;
 use std::time;
 
+use crate::clock;
 use crate::clock::MonoClock as _;
 use crate::edge::router::control;
 use crate::edge::router::ports;
@@ -96,10 +97,16 @@
         let failed = matches!(update, store_reader::StoreUpdate::Failed(_));
         self.note_store(topic.as_str(), purpose.as_str(), failed);
         match update {
-            store_reader::StoreUpdate::Snapshot(snapshot) => self.apply_snapshot(topic, snapshot),
-            store_reader::StoreUpdate::Batch(batch) => {
+            store_reader::StoreUpdate::Snapshot(snapshot, sent) => {
+                let end = topic::LogPosition::new(snapshot.era, snapshot.end);
+                self.apply_snapshot(topic, snapshot.records, end);
+                self.note_read(topic, end, sent);
+            }
+            store_reader::StoreUpdate::Batch(batch, sent) => {
                 let from = topic::LogPosition::new(batch.era, batch.from);
+                let end = topic::LogPosition::new(batch.era, batch.next);
                 self.apply_records(topic, from, batch.records, batch.next);
+                self.note_read(topic, end, sent);
             }
             store_reader::StoreUpdate::Unchanged(sent) => {
                 if topic == topic::StoreTopic::Assignments {
@@ -131,8 +138,19 @@
         }
     }
 
-    fn apply_snapshot(&self, topic: topic::StoreTopic, snapshot: ports::StoreSnapshot) {
-        let end = topic::LogPosition::new(snapshot.era, snapshot.end);
+    // Tells the granter how far this host's own read of the assignment table got.
+    fn note_read(&self, topic: topic::StoreTopic, end: topic::LogPosition, sent: clock::MonoTime) {
+        if topic == topic::StoreTopic::Assignments {
+            self.state.borrow_mut().granter.note_read(end, sent);
+        }
+    }
+
+    fn apply_snapshot(
+        &self,
+        topic: topic::StoreTopic,
+        records: Vec<topic::LogRecord>,
+        end: topic::LogPosition,
+    ) {
         let known = self.state.borrow().replicas[topic.index()].position();
         if end < known {
             tracing::warn!(
@@ -144,7 +162,7 @@
                 store_end = end.offset
             );
         }
-        self.replace_records(topic, snapshot.records, end);
+        self.replace_records(topic, records, end);
     }
 
     // Applies records that follow those of this host's copy. Records that do not are refused.
--- a/src/edge/router/store_reader.rs
+++ b/src/edge/router/store_reader.rs
@@ -16,10 +16,10 @@
 /// What a reader reports.
 #[derive(Debug)]
 pub enum StoreUpdate {
-    /// The newest record of each key, which replaces all earlier ones.
-    Snapshot(ports::StoreSnapshot),
-    /// Records that were appended since the last update.
-    Batch(ports::StoreBatch),
+    /// The newest record of each key, which replaces all earlier ones, by a read sent at this time.
+    Snapshot(ports::StoreSnapshot, clock::MonoTime),
+    /// Records that were appended since the last update, by a read sent at this time.
+    Batch(ports::StoreBatch, clock::MonoTime),
     /// The read that was sent at this time returned no new records.
     Unchanged(clock::MonoTime),
     /// A call to the store failed.
@@ -147,6 +147,7 @@
     // A snapshot that is not complete starts over once the store is known to have a higher era.
     async fn read_snapshot(&mut self) -> ReadStep {
         let known = self.known_era;
+        let sent = self.source.clock.now();
         let mut era = self.source.era.clone();
         let result = tokio::select! {
             biased;
@@ -163,7 +164,7 @@
             }
             Ok(snapshot) => {
                 self.note_success();
-                let update = StoreUpdate::Snapshot(snapshot);
+                let update = StoreUpdate::Snapshot(snapshot, sent);
                 ReadStep::new(purpose, update, time::Duration::ZERO)
             }
             Err(error) => self.failed_step(purpose, error),
@@ -199,7 +200,8 @@
                     let update = StoreUpdate::Unchanged(sent);
                     return ReadStep::new(purpose, update, time::Duration::ZERO);
                 }
-                ReadStep::new(purpose, StoreUpdate::Batch(batch), position.pause)
+                let update = StoreUpdate::Batch(batch, sent);
+                ReadStep::new(purpose, update, position.pause)
             }
             Err(ports::StoreError::Gone { .. }) => self.gone_step(),
             Err(error) => self.failed_step(purpose, error),
--- a/src/ownership/granter/era.rs
+++ b/src/ownership/granter/era.rs
@@ -96,11 +96,7 @@
     }
 
     /// Handles a table that the store has lost and another host knows. Reports whether it was taken.
-    pub fn note_lost_table(
-        &mut self,
-        lost: assignment::AssignmentTable,
-        now: clock::MonoTime,
-    ) -> bool {
+    pub fn note_lost_table(&mut self, lost: assignment::AssignmentTable) -> bool {
         let is_claiming = self.election.state() == election::ElectionState::Claiming;
         let is_lost = !self.is_in_force() && lost.version.era < self.era.number;
         if is_claiming || !is_lost || !self.is_preferred(lost.version, lost.term) {
@@ -113,7 +109,7 @@
             known_era = self.table.version.era,
             known_revision = self.table.version.revision
         );
-        self.take_table(lost, now);
+        self.take_table(lost);
         true
     }
 
--- a/src/ownership/granter/mod.rs
+++ b/src/ownership/granter/mod.rs
@@ -186,12 +186,12 @@
             self.note_foreign_records(end);
             return false;
         }
-        self.take_table(newest, now);
+        self.take_table(newest);
         true
     }
 
     // Takes a table that another granter appended, or an earlier process of this host.
-    fn take_table(&mut self, newest: assignment::AssignmentTable, now: clock::MonoTime) {
+    fn take_table(&mut self, newest: assignment::AssignmentTable) {
         let from_another = newest.granter.as_ref() != Some(&self.own);
         self.note_overtaken_by(&newest);
         self.table = newest;
@@ -205,8 +205,17 @@
             {
                 self.apply_election_event(election::ElectionEvent::NewerTermSeen);
             }
-            election::ElectionState::Watching => self.note_confirmed(now),
-            election::ElectionState::Granting | election::ElectionState::Reclaiming => {}
+            _ => {}
+        }
+    }
+
+    /// Records that this host's own read of the log, sent at `sent`, ended at `end`. Only a read tells
+    /// a host that does not grant that it has followed the log: a table that another host sent may be of
+    /// any age.
+    pub fn note_read(&mut self, end: topic::LogPosition, sent: clock::MonoTime) {
+        let is_watching = self.election.state() == election::ElectionState::Watching;
+        if is_watching && self.end == Some(end) {
+            self.note_confirmed(sent);
         }
     }
 
--- a/tests/claims.rs
+++ b/tests/claims.rs
@@ -126,13 +126,35 @@
     assert_eq!(case.claim_within(wait_ms), None);
     let now = fixtures::at(case.now_ms);
     let version = newest.version;
-    assert!(case.granter.note_lost_table(newest, now));
+    assert!(case.granter.note_lost_table(newest));
     case.granter.note_followed_elsewhere(version, now);
     let record = case.claim().lost_grants.expect("the era is new");
     assert_eq!(record.base.revision, 60);
     assert!(!record.is_provisional);
 }
 
+// Guards against a host that renews holds by a table that another host sent, however old that was.
+fn does_not_renew_by_another_hosts_table_of_unknown_age() {
+    let mut case = ClaimCase::new();
+    case.read(table(40, "granter"));
+    case.restore(table(30, "granter"));
+    let delay_ms = granter::era::PROVISIONAL_CLAIM_DELAY_MS;
+    assert_eq!(case.claim_within(delay_ms - TICK_MS), None);
+    let record = case.claim().lost_grants.expect("the era is new");
+    assert!(record.is_provisional);
+}
+
+// The same for one that the store sent: the host has followed the log.
+fn renews_by_a_table_that_the_store_sent() {
+    let mut case = ClaimCase::new();
+    case.read(table(40, "granter"));
+    let end = case.granter.log_end();
+    case.granter.note_read(end, fixtures::at(case.now_ms));
+    case.restore(table(30, "granter"));
+    let record = case.claim().lost_grants.expect("the era is new");
+    assert!(!record.is_provisional);
+}
+
 // Guards against a service that stops for good where the only host that knows the newest table does not
 // hand it out.
 fn claims_without_the_newer_table_once_no_former_granter_can_order() {
@@ -164,5 +186,7 @@
 claim_cases! {
     names_the_granters_of_the_claimed_table,
     takes_the_newer_table_of_another_host_before_it_claims,
+    does_not_renew_by_another_hosts_table_of_unknown_age,
+    renews_by_a_table_that_the_store_sent,
     claims_without_the_newer_table_once_no_former_granter_can_order,
 }
--- a/tests/store_reader.rs
+++ b/tests/store_reader.rs
@@ -158,10 +158,10 @@
             from: self.end.get(),
         };
         let on_update = |_, update| match update {
-            store_reader::StoreUpdate::Snapshot(snapshot) => {
+            store_reader::StoreUpdate::Snapshot(snapshot, _) => {
                 self.set_end(snapshot.era, snapshot.end);
             }
-            store_reader::StoreUpdate::Batch(batch) => self.set_end(batch.era, batch.next),
+            store_reader::StoreUpdate::Batch(batch, _) => self.set_end(batch.era, batch.next),
             _ => {}
         };
         let source = store_reader::ReadSource {
