--- a/lab/src/grants/simulation/log.rs
+++ b/lab/src/grants/simulation/log.rs
@@ -151,6 +151,7 @@
             state.granter.note_confirmed(now);
         }
         state.granter.note_table(newest, end, now);
+        state.granter.note_read(end, now);
     }
 
     fn entries(&self) -> Vec<directory::ServerRecord> {
@@ -187,7 +188,7 @@
 
     pub(super) fn join(&mut self, host: usize) {
         self.push(simulation::JOIN_MS, simulation::SimulationEvent::Join(host));
-        if !self.store_serves(host) {
+        if !self.store_serves(host) || self.followers.contains(&host) {
             self.hosts[host].granter.note_candidate(false);
             return;
         }
--- a/src/ownership/granter/mod.rs
+++ b/src/ownership/granter/mod.rs
@@ -44,7 +44,9 @@
     era: era::EraState,
     lost_grants: lost_grants::LostGrants,
     possible_granters: Vec<assignment::GranterIncarnation>,
+    newest_elsewhere: Option<assignment::KnownTable>,
     granted: assignment::TableVersion,
+    overtaken: Option<assignment::OvertakenTable>,
     started: Option<clock::MonoTime>,
     appending: Option<appends::PendingAppend>,
     append_number: u64,
@@ -93,7 +95,9 @@
             era: era::EraState::default(),
             lost_grants: lost_grants::LostGrants::default(),
             possible_granters: Vec::new(),
+            newest_elsewhere: None,
             granted: assignment::TableVersion::default(),
+            overtaken: None,
             started: None,
             appending: None,
             append_number: 0,
@@ -182,13 +186,14 @@
             self.note_foreign_records(end);
             return false;
         }
-        self.take_table(newest, now);
+        self.take_table(newest);
         true
     }
 
     // Takes a table that another granter appended, or an earlier process of this host.
-    fn take_table(&mut self, newest: assignment::AssignmentTable, now: clock::MonoTime) {
+    fn take_table(&mut self, newest: assignment::AssignmentTable) {
         let from_another = newest.granter.as_ref() != Some(&self.own);
+        self.note_overtaken_by(&newest);
         self.table = newest;
         self.appending = None;
         match self.election.state() {
@@ -200,8 +205,17 @@
             {
                 self.apply_election_event(election::ElectionEvent::NewerTermSeen);
             }
-            election::ElectionState::Watching => self.note_confirmed(now),
-            election::ElectionState::Granting | election::ElectionState::Reclaiming => {}
+            _ => {}
+        }
+    }
+
+    /// Records that this host's own read of the log, sent at `sent`, ended at `end`. Only a read tells
+    /// a host that does not grant that it has followed the log: a table that another host sent may be of
+    /// any age.
+    pub fn note_read(&mut self, end: topic::LogPosition, sent: clock::MonoTime) {
+        let is_watching = self.election.state() == election::ElectionState::Watching;
+        if is_watching && self.end == Some(end) {
+            self.note_confirmed(sent);
         }
     }
 
