Report when the log of an entry host disagrees with its position

What operators would see: a log that comes back from an older copy leaves one line (log-regressed) if it ends lower in three reads running, and nothing if it has grown past the host's offset by then, or if other records stand at known offsets. The cases could not be told apart.

Each change to a page that disagrees is logged as log-position-lost with check=shorter, replaced or trimmed, and counted by zinnia_log_positions_lost. What the host does is unchanged. The witness sets have a file of their own.

--- a/src/control/log.rs
+++ b/src/control/log.rs
@@ -60,7 +60,10 @@
     ) {
         if !self.read_in_flight && now >= self.next_read_at {
             self.read_in_flight = true;
-            let from = self.scan_from.unwrap_or(self.replay.state().next_offset);
+            let from = match self.scan_from {
+                Some(from) => from,
+                None => self.read_offset(self.replay.state(), now),
+            };
             actions.push(control::ControlAction::ReadLog { from });
         }
         actions.extend(
@@ -97,6 +100,7 @@
     ) {
         self.note_read(now);
         let known = self.replay.state().next_offset;
+        self.check_position(page, now, actions);
         if page.next < known {
             self.on_regressed(page, known, actions);
             return;
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -2,6 +2,7 @@
 //! for the caller to perform; it does no input or output itself.
 
 mod domains;
+mod history;
 mod log;
 mod peers;
 mod updates;
@@ -97,6 +98,17 @@
         /// The offset at which the log ends.
         next: u64,
     },
+    /// A page of the log did not agree with the host's position.
+    PositionLost {
+        /// How the page disagreed.
+        check: replay::PositionCheck,
+        /// The host's next offset.
+        known: u64,
+        /// The offset of the oldest record that the log retains.
+        earliest: u64,
+        /// The offset at which the log ends.
+        next: u64,
+    },
     /// The replayed state was replaced by that of a checkpoint or of a peer.
     StateAdopted {
         /// The state's configuration version.
@@ -162,6 +174,8 @@
     pub(crate) leaving: collections::BTreeSet<names::ServerName>,
     pub(crate) read_in_flight: bool,
     pub(crate) next_read_at: clock::MonoTime,
+    pub(crate) next_check_at: clock::MonoTime,
+    pub(crate) last_check: replay::PositionCheck,
     pub(crate) scan_from: Option<u64>,
     pub(crate) regressed_reads: u32,
     pub(crate) next_exchange_at: clock::MonoTime,
@@ -202,6 +216,8 @@
             leaving: collections::BTreeSet::new(),
             read_in_flight: false,
             next_read_at: clock::MonoTime::default(),
+            next_check_at: clock::MonoTime::default(),
+            last_check: replay::PositionCheck::Current,
             scan_from: None,
             regressed_reads: 0,
             next_exchange_at: clock::MonoTime::default(),
--- a/src/edge/metrics.rs
+++ b/src/edge/metrics.rs
@@ -33,6 +33,14 @@
     pub step: &'static str,
 }
 
+/// The label of lost positions in the log.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+#[derive(prometheus_client::encoding::EncodeLabelSet)]
+pub struct PositionLabel {
+    /// How the log disagreed with the position.
+    pub check: &'static str,
+}
+
 /// The label of decided patches.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 #[derive(prometheus_client::encoding::EncodeLabelSet)]
@@ -44,6 +52,13 @@
 /// The verdicts on patches.
 pub const VERDICTS: [&str; 3] = ["accepted", "stale", "invalid"];
 
+/// The checks by which a host's position in the log is lost.
+pub const LOST_POSITIONS: [replay::PositionCheck; 3] = [
+    replay::PositionCheck::Shorter,
+    replay::PositionCheck::Replaced,
+    replay::PositionCheck::Trimmed,
+];
+
 /// One counter for each reason. They are looked up once, since looking them up takes the family's
 /// lock.
 struct ReasonCounters {
@@ -88,6 +103,8 @@
     pub records_skipped: counter::Counter,
     /// Failed calls to the platform, servers and other hosts, by step.
     pub calls_failed: family::Family<StepLabel, counter::Counter>,
+    /// Reads of the log that disagreed with the host's position.
+    pub positions_lost: family::Family<PositionLabel, counter::Counter>,
     /// Terms in which this host began to grant.
     pub terms_started: counter::Counter,
     /// Terms in which this host ceased to grant.
@@ -114,6 +131,7 @@
             patches: family::Family::default(),
             records_skipped: counter::Counter::default(),
             calls_failed: family::Family::default(),
+            positions_lost: family::Family::default(),
             terms_started: counter::Counter::default(),
             terms_ended: counter::Counter::default(),
             configuration_version: gauge::Gauge::default(),
@@ -126,6 +144,14 @@
         for step in ports::STEPS {
             drop(metrics.calls_failed.get_or_create(&StepLabel { step }));
         }
+        for check in LOST_POSITIONS {
+            let check = check.word();
+            drop(
+                metrics
+                    .positions_lost
+                    .get_or_create(&PositionLabel { check }),
+            );
+        }
         metrics
     }
 
@@ -170,6 +196,8 @@
         registry.register("records_skipped", help, self.records_skipped.clone());
         let help = "Calls to the outside that failed, by step";
         registry.register("calls_failed", help, self.calls_failed.clone());
+        let help = "Reads of the log that disagreed with the host's position, by how";
+        registry.register("log_positions_lost", help, self.positions_lost.clone());
         registry.register("terms_started", "Terms begun", self.terms_started.clone());
         registry.register("terms_ended", "Terms ended", self.terms_ended.clone());
         let help = "Version of the configuration in force";
@@ -227,6 +255,11 @@
             control::ControlEvent::TermEnded { .. } => {
                 self.terms_ended.inc();
             }
+            control::ControlEvent::PositionLost { check, .. } => {
+                let check = check.word();
+                let label = PositionLabel { check };
+                self.positions_lost.get_or_create(&label).inc();
+            }
             control::ControlEvent::LogRegressed { .. }
             | control::ControlEvent::StateAdopted { .. } => {}
         }
--- a/src/replay/mod.rs
+++ b/src/replay/mod.rs
@@ -1,6 +1,8 @@
 //! Replay of the log: hosts that applied the same records have the same state.
 
 mod checkpoint;
+mod position;
+mod witnesses;
 
 use std::collections;
 use std::sync;
@@ -12,6 +14,9 @@
 use crate::record;
 
 pub use crate::replay::checkpoint::CheckpointAssembly;
+pub use crate::replay::position::PositionCheck;
+pub use crate::replay::position::RecordMark;
+pub use crate::replay::witnesses::WitnessSets;
 
 /// The number of patch verdicts that are kept.
 pub const MAX_VERDICTS: usize = 1_024;
@@ -83,21 +88,6 @@
     pub verdict: PatchVerdict,
 }
 
-/// The witnesses of a domain: the servers whose promises elect its granter. While a new set
-/// replaces the settled one, a majority of each is needed; the two differ by one server, so that
-/// any majority of one intersects any majority of the other.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-#[derive(serde::Serialize, serde::Deserialize)]
-#[serde(rename_all = "kebab-case")]
-pub struct WitnessSets {
-    /// The number of the newest set: the configuration version that introduced it.
-    pub number: u64,
-    /// The settled set.
-    pub settled: Vec<names::ServerName>,
-    /// The set that is to replace it, not settled yet.
-    pub pending: Option<Vec<names::ServerName>>,
-}
-
 /// The owner of a shard and its fence, as recorded in the log.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(serde::Serialize, serde::Deserialize)]
@@ -131,10 +121,13 @@
 /// The state replayed from the log.
 #[derive(Clone, Debug, Default, PartialEq)]
 #[derive(serde::Serialize, serde::Deserialize)]
-#[serde(rename_all = "kebab-case")]
+#[serde(default, rename_all = "kebab-case")]
 pub struct ReplayState {
     /// The offset of the next record to apply.
     pub next_offset: u64,
+    /// The record before that offset. `None` before the first record, and in a checkpoint of a build
+    /// without this field.
+    pub last_record: Option<position::RecordMark>,
     /// The configuration's version.
     pub version: u64,
     /// The configuration.
@@ -157,7 +150,7 @@
 
 /// Applies the log's records in order; patches by the chart `patch`.
 pub struct LogReplay {
-    table: chart::ChartTable<PatchVocabulary>,
+    table: sync::Arc<chart::ChartTable<PatchVocabulary>>,
     state: ReplayState,
 }
 
@@ -168,7 +161,7 @@
     /// Fails when the chart `patch` is invalid.
     pub fn new() -> Result<Self, chart::ChartError> {
         Ok(Self {
-            table: chart::ChartTable::new()?,
+            table: sync::Arc::new(chart::ChartTable::new()?),
             state: ReplayState::default(),
         })
     }
@@ -202,6 +195,7 @@
     /// skipped.
     pub fn apply(&mut self, text: &str) -> ReplayEffect {
         self.state.next_offset += 1;
+        self.state.last_record = Some(position::RecordMark::new(text));
         let record = match record::LogRecord::decode(text) {
             Ok(record) => record,
             Err(error) => {
@@ -346,51 +340,3 @@
     configuration: sync::Arc<configuration::Configuration>,
     witnesses: collections::BTreeMap<names::DomainName, WitnessSets>,
 }
-
-impl WitnessSets {
-    fn propose(&mut self, next: Vec<names::ServerName>, number: u64) -> Result<(), String> {
-        let newest = self.pending.as_ref().unwrap_or(&self.settled);
-        if *newest == next {
-            return Ok(());
-        }
-        if self.settled.is_empty() {
-            self.settled = next;
-            self.number = number;
-            return Ok(());
-        }
-        if self.pending.is_some() {
-            return Err("its former change of checked servers is not settled yet".into());
-        }
-        let added = next.iter().filter(|n| !self.settled.contains(n)).count();
-        let removed = self.settled.iter().filter(|n| !next.contains(n)).count();
-        if added + removed > 1 {
-            return Err("add or remove its checked servers one patch at a time".into());
-        }
-        self.pending = Some(next);
-        self.number = number;
-        Ok(())
-    }
-
-    fn settle(&mut self, number: u64) {
-        if number == self.number
-            && let Some(next) = self.pending.take()
-        {
-            self.settled = next;
-        }
-    }
-
-    /// Reports whether the servers for which `holds` is true are a majority of the settled set and,
-    /// if there is one, of the pending set.
-    pub fn has_majority(&self, holds: impl Fn(&names::ServerName) -> bool) -> bool {
-        let sets = [Some(&self.settled), self.pending.as_ref()];
-        sets.into_iter().flatten().all(|set| {
-            let count = set.iter().filter(|name| holds(name)).count();
-            count * 2 > set.len()
-        })
-    }
-
-    /// Returns the members of the settled and of the pending set; a server in both appears twice.
-    pub fn members(&self) -> impl Iterator<Item = &names::ServerName> {
-        self.settled.iter().chain(self.pending.iter().flatten())
-    }
-}
--- a/src/report.rs
+++ b/src/report.rs
@@ -165,6 +165,15 @@
         control::ControlEvent::LogRegressed { known, next } => {
             tracing::warn!(event = "log-regressed", known, next);
         }
+        control::ControlEvent::PositionLost {
+            check,
+            known,
+            earliest,
+            next,
+        } => {
+            let check = check.word();
+            tracing::warn!(event = "log-position-lost", check, known, earliest, next);
+        }
         control::ControlEvent::StateAdopted { version } => {
             tracing::info!(event = "state-adopted", version);
         }
