Let the lab's log come back from an older copy

restore_older removes the newest records, whose offsets are given out again; the scenarios have it as 'log restore-older=N', the HTTP stand-in as POST /restore-older/N. GET and POST of /records, which the project's own stand-in defines, are unchanged.

--- a/lab/src/http.rs
+++ b/lab/src/http.rs
@@ -60,6 +60,7 @@
             .route("/records", web::post().to(append_record))
             .route("/faults", web::post().to(set_log_faults))
             .route("/trim/{keep}", web::post().to(trim_log))
+            .route("/restore-older/{count}", web::post().to(restore_older_log))
     });
     Ok(listen::spawn(
         server.workers(1).disable_signals().listen(listener)?.run(),
@@ -109,6 +110,14 @@
     actix_web::HttpResponse::NoContent().finish()
 }
 
+async fn restore_older_log(
+    count: web::Path<usize>,
+    state: web::Data<Shared<log_state::LogState>>,
+) -> actix_web::HttpResponse {
+    lock(&state).restore_older(count.into_inner());
+    actix_web::HttpResponse::NoContent().finish()
+}
+
 fn unavailable() -> actix_web::HttpResponse {
     actix_web::HttpResponse::ServiceUnavailable().finish()
 }
--- a/lab/src/log_state.rs
+++ b/lab/src/log_state.rs
@@ -95,6 +95,13 @@
         }
     }
 
+    /// Removes the newest `count` records, as a log that comes back from an older copy. Their offsets
+    /// are given out again.
+    pub fn restore_older(&mut self, count: usize) {
+        let kept = self.records.len().saturating_sub(count);
+        self.records.truncate(kept);
+    }
+
     /// Removes all records and restarts the offsets at 0, as a log that was set up anew.
     pub fn lose_past(&mut self) {
         self.records.clear();
--- a/lab/src/scenario/mod.rs
+++ b/lab/src/scenario/mod.rs
@@ -282,6 +282,11 @@
             self.simulation.log.trim(keep);
             return Ok(String::new());
         }
+        if command.text("restore-older").is_some() {
+            let count = command.value("restore-older")?;
+            self.simulation.log.restore_older(count);
+            return Ok(String::new());
+        }
         if command.arguments.contains_key("lose-past") {
             self.simulation.log.lose_past();
             return Ok(String::new());
