Rebuild an entry host's state when its log comes back from an older copy

What callers would see: a change that had been confirmed is not in force, or comes back older.

Cause: a position was an offset alone, and versions were counted by each host's replay. The hosts kept their state, but the log did not get back what it had lost: the checkpoint that they appended is read only where the log's start is trimmed.

Ruled out: a late read (the records were never read in 4 s of virtual time, at hosts that had read to the log's end); an era header (the project's stand-in defines GET and POST /records; the log is the platform's, so nothing is added to the calls).

Why it works: a host knows its last record and reads from it on. Each append carries an id of its own, so the same text at the same offset means the same history. When the record differs, or the log ends lower in three reads, the host replays the present history beside its state, which stays in force; patches wait in its queue. The new state takes over only when it covers the former one: version, accepted patches, terms, assignments, settlements. Otherwise the host appends its former state as a restore record, in turn. Every replay merges it alike: patches that one side lacks are applied again under versions above both, and retired features and withdrawn servers stay so. Peers' records and states are taken only where the record before them is the same, or the state covers one's own. A checkpoint that covers records after its own place, or whose last record the log does not have, is passed over.

--- a/lab/src/capacity.rs
+++ b/lab/src/capacity.rs
@@ -337,6 +337,7 @@
     let request = peer::ExchangeRequest {
         from: name("entry-1")?,
         next_offset: 1_000_000,
+        last_record: Some(replay::RecordMark::new("")),
         version: 14_000,
         tables: tables.clone(),
         hosts: contacts.clone()?,
--- a/lab/src/scenario/mod.rs
+++ b/lab/src/scenario/mod.rs
@@ -278,8 +278,7 @@
 
     fn change_log(&mut self, command: &ScenarioCommand) -> Result<String, String> {
         if command.text("keep").is_some() {
-            let keep = command.value("keep")?;
-            self.simulation.log.trim(keep);
+            self.simulation.log.trim(command.value("keep")?);
             return Ok(String::new());
         }
         if command.text("restore-older").is_some() {
--- a/src/append_queue.rs
+++ b/src/append_queue.rs
@@ -22,6 +22,7 @@
     counter: u64,
     queue: collections::VecDeque<record::LogRecord>,
     in_flight: bool,
+    holds_patches: bool,
     retry_at: clock::MonoTime,
 }
 
@@ -35,19 +36,24 @@
             counter: 0,
             queue: collections::VecDeque::new(),
             in_flight: false,
+            holds_patches: false,
             retry_at: clock::MonoTime::from_micros(0),
         }
     }
 
     /// Adds a record under a new id.
     pub fn push(&mut self, body: record::RecordBody) {
-        self.counter += 1;
-        let id = format!("{}-{:x}-{}", self.host, self.incarnation, self.counter);
-        if let Ok(id) = names::RecordId::new(&id) {
+        if let Some(id) = self.next_id() {
             self.push_record(record::LogRecord::new(id, body));
         }
     }
 
+    fn next_id(&mut self) -> Option<names::RecordId> {
+        self.counter += 1;
+        let id = format!("{}-{:x}-{}", self.host, self.incarnation, self.counter);
+        names::RecordId::new(&id).ok()
+    }
+
     /// Adds a record, unless one with the same id is in the queue.
     pub fn push_record(&mut self, record: record::LogRecord) {
         if self.queue.iter().all(|waiting| waiting.id != record.id) {
@@ -68,11 +74,34 @@
         if self.in_flight || now < self.retry_at {
             return None;
         }
-        let record = self.queue.front()?.clone();
+        let held = self.holds_patches;
+        let is_due =
+            |r: &&record::LogRecord| !held || !matches!(r.body, record::RecordBody::Patch(_));
+        let mut record = self.queue.iter().find(is_due)?.clone();
+        record.append_id = self.next_id();
         self.in_flight = true;
         Some(record)
     }
 
+    /// Sets whether patches wait in the queue while other records are appended.
+    pub const fn hold_patches(&mut self, holds_patches: bool) {
+        self.holds_patches = holds_patches;
+    }
+
+    /// Removes the checkpoints, because they cover records that the log has lost.
+    pub fn drop_checkpoints(&mut self) {
+        let is_checkpoint =
+            |r: &record::LogRecord| matches!(r.body, record::RecordBody::Checkpoint(_));
+        self.queue.retain(|record| !is_checkpoint(record));
+    }
+
+    /// Reports whether a part of a restored state is in the queue.
+    #[must_use]
+    pub fn is_restoring(&self) -> bool {
+        let mut records = self.queue.iter();
+        records.any(|record| matches!(record.body, record::RecordBody::Restore(_)))
+    }
+
     /// Records that the log accepted the record.
     pub fn on_appended(&mut self, id: &names::RecordId) {
         self.in_flight = false;
--- a/src/control/history.rs
+++ b/src/control/history.rs
@@ -16,7 +16,14 @@
 impl control::ControlState {
     // Returns the offset to read from: that of the last applied record, to check the position, or
     // the one after it while the record is large and the check is not due.
-    pub(crate) fn read_offset(&self, state: &replay::ReplayState, now: clock::MonoTime) -> u64 {
+    pub(crate) fn read_offset(&self, now: clock::MonoTime) -> u64 {
+        let state = match &self.rebuild {
+            None => self.replay.state(),
+            Some(rebuild) => match rebuild.state() {
+                None => return rebuild.scan_offset(),
+                Some(state) => state,
+            },
+        };
         let Some((last, mark)) = state.next_offset.checked_sub(1).zip(state.last_record) else {
             return state.next_offset;
         };
--- a/src/control/log.rs
+++ b/src/control/log.rs
@@ -1,4 +1,4 @@
-//! Reading and replaying the log, writing checkpoints, and recovery when the log has lost records.
+//! Reading and replaying the log, and writing checkpoints.
 
 use std::time;
 
@@ -13,6 +13,9 @@
 
 impl control::ControlState {
     pub(crate) fn tick_checkpoint(&mut self, now: clock::MonoTime) {
+        if self.rebuild.is_some() {
+            return;
+        }
         let state = self.replay.state();
         if self.checkpoint_seen.count != state.checkpoints {
             let count = state.checkpoints;
@@ -60,10 +63,7 @@
     ) {
         if !self.read_in_flight && now >= self.next_read_at {
             self.read_in_flight = true;
-            let from = match self.scan_from {
-                Some(from) => from,
-                None => self.read_offset(self.replay.state(), now),
-            };
+            let from = self.read_offset(now);
             actions.push(control::ControlAction::ReadLog { from });
         }
         actions.extend(
@@ -99,93 +99,69 @@
         actions: &mut Vec<control::ControlAction>,
     ) {
         self.note_read(now);
-        let known = self.replay.state().next_offset;
-        self.check_position(page, now, actions);
-        if page.next < known {
-            self.on_regressed(page, known, actions);
+        if self.rebuild.is_some() {
+            self.rebuild_from(page, now, actions);
             return;
         }
-        self.regressed_reads = 0;
-        if page.earliest > known {
-            self.scan_for_checkpoint(page, now, actions);
-            return;
+        let check = self.check_position(page, now, actions);
+        match check {
+            replay::PositionCheck::Current => self.apply_page(page, now, actions),
+            replay::PositionCheck::Unread => {
+                if page.next > self.replay.state().next_offset {
+                    self.next_read_at = now;
+                }
+            }
+            replay::PositionCheck::Shorter => self.on_regressed(page, now, actions),
+            replay::PositionCheck::Trimmed | replay::PositionCheck::Replaced => {
+                self.begin_rebuild(check, page, now);
+                self.rebuild_from(page, now, actions);
+            }
         }
-        self.scan_from = None;
+    }
+
+    fn apply_page(
+        &mut self,
+        page: &platform::LogPage,
+        now: clock::MonoTime,
+        actions: &mut Vec<control::ControlAction>,
+    ) {
+        self.regressed_reads = 0;
         self.replay_records(&page.records, now, actions);
         if self.replay.state().next_offset < page.next {
             self.next_read_at = now;
         }
     }
 
-    /// Handles a failed read of the log; it is retried after the usual interval.
-    pub fn on_log_failed(&mut self, now: clock::MonoTime) {
-        self.read_in_flight = false;
-        self.next_read_at = now + time::Duration::from_millis(timing::LOG_INTERVAL_MS);
-    }
-
-    pub(crate) fn note_read(&mut self, now: clock::MonoTime) {
-        self.read_in_flight = false;
-        self.next_read_at = now + time::Duration::from_millis(timing::LOG_INTERVAL_MS);
-        self.note_contact(now);
-    }
-
-    // The log has lost records. The replayed state is kept, the log is read from its oldest record
-    // on, and a checkpoint of the state is appended for hosts that start later.
-    pub(crate) fn on_regressed(
+    // A peer may have sent records that a read under way did not include, so one short page does not
+    // show that the log has lost records.
+    fn on_regressed(
         &mut self,
         page: &platform::LogPage,
-        known: u64,
+        now: clock::MonoTime,
         actions: &mut Vec<control::ControlAction>,
     ) {
         self.regressed_reads += 1;
         if self.regressed_reads < control::REGRESSED_READS {
             return;
         }
-        self.regressed_reads = 0;
-        let next = page.next;
+        let (known, next) = (self.replay.state().next_offset, page.next);
         actions.push(control::ControlAction::LogEvent(
             control::ControlEvent::LogRegressed { known, next },
         ));
-        let mut state = self.replay.state().clone();
-        state.next_offset = page.earliest;
-        state.checkpoint_offset = page.earliest;
-        self.replay.adopt(state);
-        self.recent_records.clear();
-        for body in self.replay.to_checkpoint() {
-            self.append_queue.push(record::RecordBody::Checkpoint(body));
-        }
+        self.begin_rebuild(replay::PositionCheck::Shorter, page, now);
+        self.rebuild_from(page, now, actions);
     }
 
-    // The log no longer has the records between the host's next offset and the oldest record, so
-    // the host looks for a checkpoint that covers them.
-    pub(crate) fn scan_for_checkpoint(
-        &mut self,
-        page: &platform::LogPage,
-        now: clock::MonoTime,
-        actions: &mut Vec<control::ControlAction>,
-    ) {
-        let mut from = self.scan_from.unwrap_or(page.earliest).max(page.earliest);
-        for relayed in &page.records {
-            from = relayed.offset + 1;
-            let Ok(record) = record::LogRecord::decode(&relayed.text) else {
-                continue;
-            };
-            let record::RecordBody::Checkpoint(body) = record.body else {
-                continue;
-            };
-            let state = self.checkpoint_assembly.add(&body);
-            let usable = state.filter(|state| state.next_offset >= page.earliest);
-            if let Some(state) = usable {
-                self.scan_from = None;
-                self.adopt_state(state, now, actions);
-                self.next_read_at = now;
-                return;
-            }
-        }
-        self.scan_from = Some(from);
-        if from < page.next {
-            self.next_read_at = now;
-        }
+    /// Handles a failed read of the log; it is retried after the usual interval.
+    pub fn on_log_failed(&mut self, now: clock::MonoTime) {
+        self.read_in_flight = false;
+        self.next_read_at = now + time::Duration::from_millis(timing::LOG_INTERVAL_MS);
+    }
+
+    pub(crate) fn note_read(&mut self, now: clock::MonoTime) {
+        self.read_in_flight = false;
+        self.next_read_at = now + time::Duration::from_millis(timing::LOG_INTERVAL_MS);
+        self.note_contact(now);
     }
 
     pub(crate) fn adopt_state(
@@ -243,6 +219,9 @@
             replay::ReplayEffect::Skipped(error) => {
                 Some(control::ControlEvent::RecordSkipped { offset, error })
             }
+            replay::ReplayEffect::Restored { omitted, .. } => {
+                Some(control::ControlEvent::StateRestored { omitted })
+            }
             _ => None,
         };
         actions.extend(event.map(control::ControlAction::LogEvent));
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -5,6 +5,7 @@
 mod history;
 mod log;
 mod peers;
+mod rebuild;
 mod updates;
 
 use std::collections;
@@ -109,7 +110,13 @@
         /// The offset at which the log ends.
         next: u64,
     },
-    /// The replayed state was replaced by that of a checkpoint or of a peer.
+    /// What a host had replayed before the log lost records was merged.
+    StateRestored {
+        /// The number of changes that could not be applied again.
+        omitted: usize,
+    },
+    /// The replayed state was replaced by that of a checkpoint, of the log's new history, or of a
+    /// peer.
     StateAdopted {
         /// The state's configuration version.
         version: u64,
@@ -162,7 +169,6 @@
     pub(crate) settings: ControlSettings,
     pub(crate) charts: domain::DomainCharts,
     pub(crate) replay: replay::LogReplay,
-    pub(crate) checkpoint_assembly: replay::CheckpointAssembly,
     pub(crate) domains: collections::BTreeMap<names::DomainName, domain::DomainControl>,
     pub(crate) claim_jitters: collections::BTreeMap<names::DomainName, time::Duration>,
     pub(crate) append_queue: append_queue::AppendQueue,
@@ -176,7 +182,7 @@
     pub(crate) next_read_at: clock::MonoTime,
     pub(crate) next_check_at: clock::MonoTime,
     pub(crate) last_check: replay::PositionCheck,
-    pub(crate) scan_from: Option<u64>,
+    pub(crate) rebuild: Option<rebuild::LogRebuild>,
     pub(crate) regressed_reads: u32,
     pub(crate) next_exchange_at: clock::MonoTime,
     pub(crate) checkpoint_seen: LastCheckpoint,
@@ -204,7 +210,6 @@
         Ok(Self {
             charts: domain::DomainCharts::new()?,
             replay: replay::LogReplay::new()?,
-            checkpoint_assembly: replay::CheckpointAssembly::new(),
             domains: collections::BTreeMap::new(),
             claim_jitters: collections::BTreeMap::new(),
             append_queue: append_queue::AppendQueue::new(host.clone(), incarnation),
@@ -218,7 +223,7 @@
             next_read_at: clock::MonoTime::default(),
             next_check_at: clock::MonoTime::default(),
             last_check: replay::PositionCheck::Current,
-            scan_from: None,
+            rebuild: None,
             regressed_reads: 0,
             next_exchange_at: clock::MonoTime::default(),
             checkpoint_seen: LastCheckpoint::default(),
--- a/src/control/peers.rs
+++ b/src/control/peers.rs
@@ -56,6 +56,7 @@
         peer::ExchangeRequest {
             from: self.host().clone(),
             next_offset: self.replay.state().next_offset,
+            last_record: self.replay.state().last_record,
             version: self.replay.state().version,
             tables: tables.collect(),
             hosts: self.roster.next_contacts(now),
@@ -87,7 +88,7 @@
         self.update_granters(&request.loads, now);
         let own = self.replay.state();
         let lacks_version = request.version < own.version;
-        let records = self.records_since(request.next_offset);
+        let records = self.records_since(request.next_offset, request.last_record);
         let state = (lacks_version && records.is_none())
             .then(|| serde_json::to_string(own).ok())
             .flatten();
@@ -119,13 +120,23 @@
         actions
     }
 
-    // Returns none if the offset is neither that of a kept record nor the next one.
-    pub(crate) fn records_since(&self, offset: u64) -> Option<Vec<peer::RelayedRecord>> {
-        if offset >= self.replay.state().next_offset {
-            return (offset == self.replay.state().next_offset).then(Vec::new);
+    // Returns none if the record before the offset is not a kept one, or another one than `last`.
+    pub(crate) fn records_since(
+        &self,
+        offset: u64,
+        last: Option<replay::RecordMark>,
+    ) -> Option<Vec<peer::RelayedRecord>> {
+        let state = self.replay.state();
+        if offset >= state.next_offset {
+            let is_same = offset == state.next_offset && last == state.last_record;
+            return is_same.then(Vec::new);
         }
         let first = self.recent_records.front()?.offset;
         let skip = usize::try_from(offset.checked_sub(first)?).ok()?;
+        if let Some(last) = last {
+            let before = self.recent_records.get(skip.checked_sub(1)?)?;
+            (replay::RecordMark::new(&before.text) == last).then_some(())?;
+        }
         let rest = self.recent_records.iter().skip(skip);
         Some(rest.take(peer::MAX_RECORDS_PER_EXCHANGE).cloned().collect())
     }
@@ -192,9 +203,10 @@
         actions: &mut Vec<control::ControlAction>,
     ) {
         let state = text.and_then(|t| serde_json::from_str::<replay::ReplayState>(t).ok());
-        let newer = state.filter(|state| state.version > self.replay.state().version);
+        let own = self.replay.state();
+        let newer = state.filter(|state| state.version > own.version && state.covers(own));
         if let Some(state) = newer {
-            self.scan_from = None;
+            self.end_rebuild();
             self.adopt_state(state, now, actions);
         }
     }
--- a/src/edge/metrics.rs
+++ b/src/edge/metrics.rs
@@ -261,6 +261,7 @@
                 self.positions_lost.get_or_create(&label).inc();
             }
             control::ControlEvent::LogRegressed { .. }
+            | control::ControlEvent::StateRestored { .. }
             | control::ControlEvent::StateAdopted { .. } => {}
         }
     }
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -7,6 +7,7 @@
 use crate::clock;
 use crate::fence;
 use crate::names;
+use crate::replay;
 use crate::table;
 
 /// The most hosts that one message reports.
@@ -86,6 +87,8 @@
     pub from: names::HostName,
     /// The offset of the first log record that the requesting host lacks.
     pub next_offset: u64,
+    /// The log record before that one, if the requesting host has any.
+    pub last_record: Option<replay::RecordMark>,
     /// The configuration version in force at the requesting host.
     pub version: u64,
     /// The versions of the tables that it has.
--- a/src/record.rs
+++ b/src/record.rs
@@ -16,6 +16,9 @@
 pub struct LogRecord {
     /// The id, which shows whether a record was appended more than once.
     pub id: names::RecordId,
+    /// The id of this append. It makes each append's text unique, also that of a retry, so that the
+    /// same text at the same offset shows the same history of the log.
+    pub append_id: Option<names::RecordId>,
     /// The content.
     pub body: RecordBody,
 }
@@ -35,6 +38,8 @@
     Settle(SettleBody),
     /// A part of a checkpoint.
     Checkpoint(CheckpointBody),
+    /// A part of a state that a host had replayed before the log came back from an older copy.
+    Restore(CheckpointBody),
 }
 
 /// Changes to one version of the configuration.
@@ -131,7 +136,11 @@
     /// Creates a record.
     #[must_use]
     pub const fn new(id: names::RecordId, body: RecordBody) -> Self {
-        Self { id, body }
+        Self {
+            id,
+            append_id: None,
+            body,
+        }
     }
 
     /// Decodes a record from the text stored in the log.
--- a/src/replay/checkpoint.rs
+++ b/src/replay/checkpoint.rs
@@ -21,22 +21,36 @@
     /// Never: the state can always be encoded as JSON.
     #[must_use]
     pub fn to_checkpoint(&self) -> Vec<record::CheckpointBody> {
-        let text =
-            serde_json::to_string(&self.state).expect("the replayed state can be encoded as JSON");
-        let digest = xxhash_rust::xxh3::xxh3_64(text.as_bytes());
-        let pieces = split_text(&text, replay::CHECKPOINT_PART_BYTES);
-        let parts = u32::try_from(pieces.len()).unwrap_or(u32::MAX);
-        (0..parts)
-            .zip(pieces)
-            .map(|(part, piece)| record::CheckpointBody {
-                covered: self.state.next_offset,
-                digest,
-                part,
-                parts,
-                text: piece.into(),
-            })
-            .collect()
+        encode_parts(&self.state)
     }
+
+    /// Encodes the state as the parts by which a log is restored that has lost some of its records.
+    ///
+    /// # Panics
+    /// Never: the state can always be encoded as JSON.
+    #[must_use]
+    pub fn to_restore(&self) -> Vec<record::CheckpointBody> {
+        let mut state = self.state.clone();
+        state.restoring = CheckpointAssembly::new();
+        encode_parts(&state)
+    }
+}
+
+fn encode_parts(state: &replay::ReplayState) -> Vec<record::CheckpointBody> {
+    let text = serde_json::to_string(state).expect("the replayed state can be encoded as JSON");
+    let digest = xxhash_rust::xxh3::xxh3_64(text.as_bytes());
+    let pieces = split_text(&text, replay::CHECKPOINT_PART_BYTES);
+    let parts = u32::try_from(pieces.len()).unwrap_or(u32::MAX);
+    (0..parts)
+        .zip(pieces)
+        .map(|(part, piece)| record::CheckpointBody {
+            covered: state.next_offset,
+            digest,
+            part,
+            parts,
+            text: piece.into(),
+        })
+        .collect()
 }
 
 fn split_text(text: &str, bytes: usize) -> Vec<&str> {
@@ -53,7 +67,9 @@
 }
 
 /// Assembles a checkpoint from its parts as they are read from the log.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case")]
 pub struct CheckpointAssembly {
     digest: u64,
     parts: Vec<String>,
--- a/src/replay/mod.rs
+++ b/src/replay/mod.rs
@@ -2,6 +2,7 @@
 
 mod checkpoint;
 mod position;
+mod restore;
 mod witnesses;
 
 use std::collections;
@@ -20,6 +21,9 @@
 
 /// The number of patch verdicts that are kept.
 pub const MAX_VERDICTS: usize = 1_024;
+/// The number of changes of the latest accepted patches that are kept, so that the patches can be
+/// applied again.
+pub const MAX_KEPT_CHANGES: usize = 1_024;
 /// The maximum size of the text in one part of a checkpoint, in bytes.
 pub const CHECKPOINT_PART_BYTES: usize = 256 * 1_024;
 
@@ -99,6 +103,17 @@
     pub fence: fence::GrantFence,
 }
 
+/// An accepted patch.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case")]
+pub struct AcceptedPatch {
+    /// The patch.
+    pub id: names::RecordId,
+    /// Its changes.
+    pub changes: Vec<configuration::ConfigurationChange>,
+}
+
 /// The effect of one record.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum ReplayEffect {
@@ -114,6 +129,13 @@
     Settled,
     /// A part of a checkpoint was read.
     CheckpointSeen,
+    /// What a host had replayed before the log lost records was merged.
+    Restored {
+        /// The hash of the host's state.
+        digest: u64,
+        /// The number of changes that could not be applied again.
+        omitted: usize,
+    },
     /// The text was not a valid record.
     Skipped(record::RecordError),
 }
@@ -134,6 +156,10 @@
     pub configuration: sync::Arc<configuration::Configuration>,
     /// The verdicts on the latest patches, oldest first.
     pub verdicts: collections::VecDeque<VerdictEntry>,
+    /// The latest accepted patches with at most [`MAX_KEPT_CHANGES`] changes in all, oldest first.
+    pub patches: collections::VecDeque<AcceptedPatch>,
+    /// The parts read so far of a state by which the log is being restored.
+    pub restoring: CheckpointAssembly,
     /// The owner of each assigned shard.
     pub assignments: collections::BTreeMap<names::ShardId, ShardAssignment>,
     /// The highest term of each domain.
@@ -173,6 +199,15 @@
         self
     }
 
+    /// Creates a replay that continues from another state.
+    #[must_use]
+    pub fn fork(&self, state: ReplayState) -> Self {
+        Self {
+            table: sync::Arc::clone(&self.table),
+            state,
+        }
+    }
+
     /// Returns the state.
     #[must_use]
     pub const fn state(&self) -> &ReplayState {
@@ -209,6 +244,7 @@
             record::RecordBody::Term(body) => self.apply_term(body),
             record::RecordBody::Settle(body) => self.apply_settle(&body),
             record::RecordBody::Checkpoint(body) => self.apply_checkpoint(&body),
+            record::RecordBody::Restore(body) => self.apply_restore(&body),
         }
     }
 
@@ -233,6 +269,7 @@
                 PatchAction::RaiseVersion => {
                     if let Ok(merge) = &merged {
                         self.raise_version(merge.clone());
+                        self.keep_patch(id, &body.changes);
                     }
                     continue;
                 }
@@ -293,12 +330,8 @@
     // place them again.
     fn drop_given_up_assignments(&mut self) {
         let configuration = sync::Arc::clone(&self.state.configuration);
-        let is_gone = |name: &names::ServerName| {
-            let server = configuration.find_server(name);
-            let domain = server.and_then(|s| configuration.find_domain(&s.domain));
-            domain.is_some_and(configuration::DomainSpec::is_gone)
-        };
-        self.state.assignments.retain(|_, a| !is_gone(&a.server));
+        let assignments = &mut self.state.assignments;
+        assignments.retain(|_, a| !is_given_up(&configuration, &a.server));
     }
 
     fn apply_assign(&mut self, body: record::AssignBody) -> ReplayEffect {
@@ -335,6 +368,13 @@
     }
 }
 
+// Reports whether the domain of a server was given up.
+fn is_given_up(configuration: &configuration::Configuration, name: &names::ServerName) -> bool {
+    let server = configuration.find_server(name);
+    let domain = server.and_then(|s| configuration.find_domain(&s.domain));
+    domain.is_some_and(configuration::DomainSpec::is_gone)
+}
+
 #[derive(Clone)]
 struct PatchMerge {
     configuration: sync::Arc<configuration::Configuration>,
--- a/src/replay/witnesses.rs
+++ b/src/replay/witnesses.rs
@@ -53,6 +53,18 @@
         }
     }
 
+    /// Reports whether `other` has settled the set that is pending here.
+    pub(super) fn lacks_settlement_of(&self, other: &Self) -> bool {
+        other.pending.is_none() && self.pending.as_ref() == Some(&other.settled)
+    }
+
+    /// Settles the pending set if `other` has settled it.
+    pub(super) fn merge_settlement(&mut self, other: &Self) {
+        if self.lacks_settlement_of(other) {
+            self.settle(self.number);
+        }
+    }
+
     /// Reports whether the servers for which `holds` is true are a majority of the settled set and,
     /// if there is one, of the pending set.
     pub fn has_majority(&self, holds: impl Fn(&names::ServerName) -> bool) -> bool {
--- a/src/report.rs
+++ b/src/report.rs
@@ -174,6 +174,9 @@
             let check = check.word();
             tracing::warn!(event = "log-position-lost", check, known, earliest, next);
         }
+        control::ControlEvent::StateRestored { omitted } => {
+            tracing::warn!(event = "state-restored", omitted);
+        }
         control::ControlEvent::StateAdopted { version } => {
             tracing::info!(event = "state-adopted", version);
         }
--- a/tests/contracts.rs
+++ b/tests/contracts.rs
@@ -231,6 +231,7 @@
     let request = peer::ExchangeRequest {
         from: fixtures::name("h2"),
         next_offset: 0,
+        last_record: None,
         version: 0,
         tables: Vec::new(),
         hosts: vec![peer::HostContact {
