Append a checkpoint where a restored log retains none

What callers would see: with neither its start nor a checkpoint in the restored log, a host that starts later finds no state there until the next checkpoint, up to 600 s. The hosts appended one at once before the state was rebuilt from the log; the rebuild left that out.

A host that goes on from its own state for lack of a checkpoint appends one when its rebuild ends.

--- a/src/control/rebuild.rs
+++ b/src/control/rebuild.rs
@@ -25,6 +25,7 @@
     restore_at: clock::MonoTime,
     restore_digest: Option<u64>,
     is_restored: bool,
+    lacks_checkpoint: bool,
 }
 
 impl LogRebuild {
@@ -38,6 +39,7 @@
             restore_at,
             restore_digest: None,
             is_restored: false,
+            lacks_checkpoint: false,
         }
     }
 
@@ -76,6 +78,7 @@
         self.scan_from = scan_from;
         self.restore_digest = None;
         self.is_restored = false;
+        self.lacks_checkpoint = false;
     }
 
     fn apply(&mut self, page: &platform::LogPage) -> bool {
@@ -140,6 +143,7 @@
         state.checkpoint_offset = page.earliest;
         state.last_record = None;
         self.replay = Some(former.fork(state));
+        self.lacks_checkpoint = true;
     }
 }
 
@@ -187,8 +191,12 @@
             return;
         };
         if rebuild.is_restored || state.covers(self.replay.state()) {
+            let lacks_checkpoint = rebuild.lacks_checkpoint;
             let state = state.clone();
             self.finish_rebuild(state, now, actions);
+            if lacks_checkpoint {
+                self.append_checkpoint(now);
+            }
         } else if now >= rebuild.restore_at && !self.append_queue.is_restoring() {
             self.append_restore(now);
         }
--- a/tests/restored_log.rs
+++ b/tests/restored_log.rs
@@ -56,7 +56,7 @@
     let before = run.simulation().log.next();
     command(run, "patch id=retire base=1 retire=digest host=north-h1");
     advance(run, READ_MS);
-    expect_all(run, "before the return", |state| is_retired(state));
+    expect_all(run, "before the return", is_retired);
     let count = run.simulation().log.next() - before;
     command(run, &format!("log restore-older={count}"));
 }
@@ -238,6 +238,24 @@
     expect_no_violation(&run);
 }
 
+// Neither the log's start nor a checkpoint is left, so the hosts' own state is all there is.
+fn keeps_the_state_without_a_checkpoint() {
+    let mut run = site(7);
+    command(&mut run, "log keep=4");
+    command(&mut run, "log restore-older=2");
+    advance(&mut run, RECOVERY_MS);
+    command(
+        &mut run,
+        "patch id=retire base=1 retire=digest host=south-h1",
+    );
+    advance(&mut run, RECOVERY_MS);
+    restart_all(&mut run);
+    advance(&mut run, RECOVERY_MS);
+    expect_all(&run, "after restarts", is_retired);
+    expect_agreement(&run, "after restarts");
+    expect_no_violation(&run);
+}
+
 fn gives_lost_offsets_out_again() {
     let mut log = log_state::LogState::new();
     for text in ["a", "b", "c"] {
@@ -274,6 +292,8 @@
     joins_host_started_meanwhile: joins_a_host_that_starts_before_the_others_notice();
     // Guards against a position that is lost again while the state is rebuilt.
     two_returns_are_survived: survives_two_returns();
+    // Guards against a log from which no host can start after the return.
+    keeps_state_without_checkpoint: keeps_the_state_without_a_checkpoint();
     // Guards against a checkpoint of another history, which covers offsets that are given out later.
     checkpoint_beyond_the_end: passes_over_a_checkpoint_beyond_the_end();
 }
