--- a/src/replay/restore.rs
+++ b/src/replay/restore.rs
@@ -163,8 +163,8 @@
     fn adopt_patches(&mut self, known: &replay::ReplayState) {
         self.state.configuration = sync::Arc::clone(&known.configuration);
         self.state.witnesses = known.witnesses.clone();
-        self.state.verdicts = known.verdicts.clone();
-        self.state.patches = known.patches.clone();
+        self.state.verdicts.clone_from(&known.verdicts);
+        self.state.patches.clone_from(&known.patches);
     }
 
     fn reapply(&mut self, patch: &replay::AcceptedPatch) -> usize {
