--- a/lab/src/scenario/mod.rs
+++ b/lab/src/scenario/mod.rs
@@ -278,8 +278,12 @@
 
     fn change_log(&mut self, command: &ScenarioCommand) -> Result<String, String> {
         if command.text("keep").is_some() {
-            let keep = command.value("keep")?;
-            self.simulation.log.trim(keep);
+            self.simulation.log.trim(command.value("keep")?);
+            return Ok(String::new());
+        }
+        if command.text("restore-older").is_some() {
+            let count = command.value("restore-older")?;
+            self.simulation.log.restore_older(count);
             return Ok(String::new());
         }
         if command.arguments.contains_key("lose-past") {
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -2,8 +2,10 @@
 //! for the caller to perform; it does no input or output itself.
 
 mod domains;
+mod history;
 mod log;
 mod peers;
+mod rebuild;
 mod updates;
 
 use std::collections;
@@ -97,7 +99,24 @@
         /// The offset at which the log ends.
         next: u64,
     },
-    /// The replayed state was replaced by that of a checkpoint or of a peer.
+    /// A page of the log did not agree with the host's position.
+    PositionLost {
+        /// How the page disagreed.
+        check: replay::PositionCheck,
+        /// The host's next offset.
+        known: u64,
+        /// The offset of the oldest record that the log retains.
+        earliest: u64,
+        /// The offset at which the log ends.
+        next: u64,
+    },
+    /// What a host had replayed before the log lost records was merged.
+    StateRestored {
+        /// The number of changes that could not be applied again.
+        omitted: usize,
+    },
+    /// The replayed state was replaced by that of a checkpoint, of the log's new history, or of a
+    /// peer.
     StateAdopted {
         /// The state's configuration version.
         version: u64,
@@ -150,7 +169,6 @@
     pub(crate) settings: ControlSettings,
     pub(crate) charts: domain::DomainCharts,
     pub(crate) replay: replay::LogReplay,
-    pub(crate) checkpoint_assembly: replay::CheckpointAssembly,
     pub(crate) domains: collections::BTreeMap<names::DomainName, domain::DomainControl>,
     pub(crate) claim_jitters: collections::BTreeMap<names::DomainName, time::Duration>,
     pub(crate) append_queue: append_queue::AppendQueue,
@@ -162,7 +180,9 @@
     pub(crate) leaving: collections::BTreeSet<names::ServerName>,
     pub(crate) read_in_flight: bool,
     pub(crate) next_read_at: clock::MonoTime,
-    pub(crate) scan_from: Option<u64>,
+    pub(crate) next_check_at: clock::MonoTime,
+    pub(crate) last_check: replay::PositionCheck,
+    pub(crate) rebuild: Option<rebuild::LogRebuild>,
     pub(crate) regressed_reads: u32,
     pub(crate) next_exchange_at: clock::MonoTime,
     pub(crate) checkpoint_seen: LastCheckpoint,
@@ -190,7 +210,6 @@
         Ok(Self {
             charts: domain::DomainCharts::new()?,
             replay: replay::LogReplay::new()?,
-            checkpoint_assembly: replay::CheckpointAssembly::new(),
             domains: collections::BTreeMap::new(),
             claim_jitters: collections::BTreeMap::new(),
             append_queue: append_queue::AppendQueue::new(host.clone(), incarnation),
@@ -202,7 +221,9 @@
             leaving: collections::BTreeSet::new(),
             read_in_flight: false,
             next_read_at: clock::MonoTime::default(),
-            scan_from: None,
+            next_check_at: clock::MonoTime::default(),
+            last_check: replay::PositionCheck::Current,
+            rebuild: None,
             regressed_reads: 0,
             next_exchange_at: clock::MonoTime::default(),
             checkpoint_seen: LastCheckpoint::default(),
--- a/src/replay/mod.rs
+++ b/src/replay/mod.rs
@@ -1,6 +1,9 @@
 //! Replay of the log: hosts that applied the same records have the same state.
 
 mod checkpoint;
+mod position;
+mod restore;
+mod witnesses;
 
 use std::collections;
 use std::sync;
@@ -12,9 +15,15 @@
 use crate::record;
 
 pub use crate::replay::checkpoint::CheckpointAssembly;
+pub use crate::replay::position::PositionCheck;
+pub use crate::replay::position::RecordMark;
+pub use crate::replay::witnesses::WitnessSets;
 
 /// The number of patch verdicts that are kept.
 pub const MAX_VERDICTS: usize = 1_024;
+/// The number of changes of the latest accepted patches that are kept, so that the patches can be
+/// applied again.
+pub const MAX_KEPT_CHANGES: usize = 1_024;
 /// The maximum size of the text in one part of a checkpoint, in bytes.
 pub const CHECKPOINT_PART_BYTES: usize = 256 * 1_024;
 
@@ -83,21 +92,6 @@
     pub verdict: PatchVerdict,
 }
 
-/// The witnesses of a domain: the servers whose promises elect its granter. While a new set
-/// replaces the settled one, a majority of each is needed; the two differ by one server, so that
-/// any majority of one intersects any majority of the other.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-#[derive(serde::Serialize, serde::Deserialize)]
-#[serde(rename_all = "kebab-case")]
-pub struct WitnessSets {
-    /// The number of the newest set: the configuration version that introduced it.
-    pub number: u64,
-    /// The settled set.
-    pub settled: Vec<names::ServerName>,
-    /// The set that is to replace it, not settled yet.
-    pub pending: Option<Vec<names::ServerName>>,
-}
-
 /// The owner of a shard and its fence, as recorded in the log.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(serde::Serialize, serde::Deserialize)]
@@ -109,6 +103,17 @@
     pub fence: fence::GrantFence,
 }
 
+/// An accepted patch.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case")]
+pub struct AcceptedPatch {
+    /// The patch.
+    pub id: names::RecordId,
+    /// Its changes.
+    pub changes: Vec<configuration::ConfigurationChange>,
+}
+
 /// The effect of one record.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum ReplayEffect {
@@ -124,6 +129,13 @@
     Settled,
     /// A part of a checkpoint was read.
     CheckpointSeen,
+    /// What a host had replayed before the log lost records was merged.
+    Restored {
+        /// The hash of the host's state.
+        digest: u64,
+        /// The number of changes that could not be applied again.
+        omitted: usize,
+    },
     /// The text was not a valid record.
     Skipped(record::RecordError),
 }
@@ -131,16 +143,23 @@
 /// The state replayed from the log.
 #[derive(Clone, Debug, Default, PartialEq)]
 #[derive(serde::Serialize, serde::Deserialize)]
-#[serde(rename_all = "kebab-case")]
+#[serde(default, rename_all = "kebab-case")]
 pub struct ReplayState {
     /// The offset of the next record to apply.
     pub next_offset: u64,
+    /// The record before that offset. `None` before the first record, and in a checkpoint of a build
+    /// without this field.
+    pub last_record: Option<position::RecordMark>,
     /// The configuration's version.
     pub version: u64,
     /// The configuration.
     pub configuration: sync::Arc<configuration::Configuration>,
     /// The verdicts on the latest patches, oldest first.
     pub verdicts: collections::VecDeque<VerdictEntry>,
+    /// The latest accepted patches with at most [`MAX_KEPT_CHANGES`] changes in all, oldest first.
+    pub patches: collections::VecDeque<AcceptedPatch>,
+    /// The parts read so far of a state by which the log is being restored.
+    pub restoring: CheckpointAssembly,
     /// The owner of each assigned shard.
     pub assignments: collections::BTreeMap<names::ShardId, ShardAssignment>,
     /// The highest term of each domain.
@@ -157,7 +176,7 @@
 
 /// Applies the log's records in order; patches by the chart `patch`.
 pub struct LogReplay {
-    table: chart::ChartTable<PatchVocabulary>,
+    table: sync::Arc<chart::ChartTable<PatchVocabulary>>,
     state: ReplayState,
 }
 
@@ -168,7 +187,7 @@
     /// Fails when the chart `patch` is invalid.
     pub fn new() -> Result<Self, chart::ChartError> {
         Ok(Self {
-            table: chart::ChartTable::new()?,
+            table: sync::Arc::new(chart::ChartTable::new()?),
             state: ReplayState::default(),
         })
     }
@@ -180,6 +199,15 @@
         self
     }
 
+    /// Creates a replay that continues from another state.
+    #[must_use]
+    pub fn fork(&self, state: ReplayState) -> Self {
+        Self {
+            table: sync::Arc::clone(&self.table),
+            state,
+        }
+    }
+
     /// Returns the state.
     #[must_use]
     pub const fn state(&self) -> &ReplayState {
@@ -202,6 +230,7 @@
     /// skipped.
     pub fn apply(&mut self, text: &str) -> ReplayEffect {
         self.state.next_offset += 1;
+        self.state.last_record = Some(position::RecordMark::new(text));
         let record = match record::LogRecord::decode(text) {
             Ok(record) => record,
             Err(error) => {
@@ -215,6 +244,7 @@
             record::RecordBody::Term(body) => self.apply_term(body),
             record::RecordBody::Settle(body) => self.apply_settle(&body),
             record::RecordBody::Checkpoint(body) => self.apply_checkpoint(&body),
+            record::RecordBody::Restore(body) => self.apply_restore(&body),
         }
     }
 
@@ -239,6 +269,7 @@
                 PatchAction::RaiseVersion => {
                     if let Ok(merge) = &merged {
                         self.raise_version(merge.clone());
+                        self.keep_patch(id, &body.changes);
                     }
                     continue;
                 }
@@ -299,12 +330,8 @@
     // place them again.
     fn drop_given_up_assignments(&mut self) {
         let configuration = sync::Arc::clone(&self.state.configuration);
-        let is_gone = |name: &names::ServerName| {
-            let server = configuration.find_server(name);
-            let domain = server.and_then(|s| configuration.find_domain(&s.domain));
-            domain.is_some_and(configuration::DomainSpec::is_gone)
-        };
-        self.state.assignments.retain(|_, a| !is_gone(&a.server));
+        let assignments = &mut self.state.assignments;
+        assignments.retain(|_, a| !is_given_up(&configuration, &a.server));
     }
 
     fn apply_assign(&mut self, body: record::AssignBody) -> ReplayEffect {
@@ -341,56 +368,15 @@
     }
 }
 
+// Reports whether the domain of a server was given up.
+fn is_given_up(configuration: &configuration::Configuration, name: &names::ServerName) -> bool {
+    let server = configuration.find_server(name);
+    let domain = server.and_then(|s| configuration.find_domain(&s.domain));
+    domain.is_some_and(configuration::DomainSpec::is_gone)
+}
+
 #[derive(Clone)]
 struct PatchMerge {
     configuration: sync::Arc<configuration::Configuration>,
     witnesses: collections::BTreeMap<names::DomainName, WitnessSets>,
 }
-
-impl WitnessSets {
-    fn propose(&mut self, next: Vec<names::ServerName>, number: u64) -> Result<(), String> {
-        let newest = self.pending.as_ref().unwrap_or(&self.settled);
-        if *newest == next {
-            return Ok(());
-        }
-        if self.settled.is_empty() {
-            self.settled = next;
-            self.number = number;
-            return Ok(());
-        }
-        if self.pending.is_some() {
-            return Err("its former change of checked servers is not settled yet".into());
-        }
-        let added = next.iter().filter(|n| !self.settled.contains(n)).count();
-        let removed = self.settled.iter().filter(|n| !next.contains(n)).count();
-        if added + removed > 1 {
-            return Err("add or remove its checked servers one patch at a time".into());
-        }
-        self.pending = Some(next);
-        self.number = number;
-        Ok(())
-    }
-
-    fn settle(&mut self, number: u64) {
-        if number == self.number
-            && let Some(next) = self.pending.take()
-        {
-            self.settled = next;
-        }
-    }
-
-    /// Reports whether the servers for which `holds` is true are a majority of the settled set and,
-    /// if there is one, of the pending set.
-    pub fn has_majority(&self, holds: impl Fn(&names::ServerName) -> bool) -> bool {
-        let sets = [Some(&self.settled), self.pending.as_ref()];
-        sets.into_iter().flatten().all(|set| {
-            let count = set.iter().filter(|name| holds(name)).count();
-            count * 2 > set.len()
-        })
-    }
-
-    /// Returns the members of the settled and of the pending set; a server in both appears twice.
-    pub fn members(&self) -> impl Iterator<Item = &names::ServerName> {
-        self.settled.iter().chain(self.pending.iter().flatten())
-    }
-}
