Lose releases to servers that a host cannot reach in the simulation

What was missed: in the granting simulation a release reached a server that its host was cut off from, which then had seen the higher fence and refused every older grant.

Cause: send_grant looked at the cuts, release did not.

A release to such a server is now unanswered, and not carried out. The numbers that the simulation draws are the same in every schedule. It is stricter: nothing that failed before passes now.

--- a/lab/src/grants/simulation/orders.rs
+++ b/lab/src/grants/simulation/orders.rs
@@ -189,8 +189,9 @@
     pub(super) fn release(&mut self, host: usize, incarnation: u64, order: order::ReleaseOrder) {
         let index = self.server_of(&order.address);
         let working = self.random.random_range(0..simulation::MAX_WORK_MS);
+        let is_cut = self.hosts[host].cut_from.contains(&index);
         let server = &mut self.servers[index];
-        let outcome = if !server.alive {
+        let outcome = if is_cut || !server.alive {
             order::OrderOutcome::Unanswered
         } else if server.server.incarnation.server == order.life.server {
             let range = &order.range;
@@ -200,6 +201,7 @@
             order::OrderOutcome::Replaced
         };
         let lost = !self.is_reliable && self.chance(20);
+        let lost = lost || is_cut;
         let outcome = if lost {
             order::OrderOutcome::Unanswered
         } else {
