Take a host for one that followed the log only if it read to the end of the era

A host was cut off from the store at 8.0 s. Meanwhile a server that did not respond lost its keys, when its hold had expired, and never got the release. The store came back older at 15.4 s while the other hosts were killed. The host claimed the role at 19.3 s and renewed by its table of 8.0 s; the server accepted.

Cause: "has followed the log" meant a confirmation within 12 s before the claim. That is a granter's right, which protects what it granted itself. It says nothing of what others granted up to the end of the era. The class of the incident: something is taken for the proof of a thing that it does not identify.

Why this works: a host that did not grant counts as having followed only if it sent its last read within 3.5 s before it saw the new era; a waiting read takes 3 s at most. Otherwise its claim is provisional: it renews nothing, and each range gets a fence of the new era once the other hosts have shown that they gave nothing away.

What remains: a cut of less than 3.5 s before the return is seen, beside the loss of every host that knows more, and a server that did not respond.

--- a/lab/src/grants/faults.rs
+++ b/lab/src/grants/faults.rs
@@ -180,6 +180,33 @@
         }
     }
 
+    /// Cuts a host that does not grant off from the store and the other hosts, and those from the first
+    /// server. Returns the host.
+    pub fn cut_follower_off(&mut self) -> usize {
+        let follower = self.hosts.iter().position(|h| !h.granter.is_granting());
+        let follower = follower.unwrap_or(0);
+        for (index, host) in self.hosts.iter_mut().enumerate() {
+            if index == follower {
+                host.cut_from_store = true;
+                host.cut_from_hosts = true;
+            } else {
+                host.cut_from.insert(0);
+            }
+        }
+        follower
+    }
+
+    /// Heals all cuts, and kills all hosts' processes but that of `survivor`, which becomes the
+    /// candidate for the granter role.
+    pub fn kill_all_but(&mut self, survivor: usize) {
+        self.heal();
+        for host in (0..simulation::HOSTS).filter(|host| *host != survivor) {
+            self.kill_host(host);
+        }
+        self.members.insert(survivor, self.now);
+        self.owner = Some(survivor);
+    }
+
     /// Takes the granter off the list of possible granters that other hosts know.
     pub fn unlist_granter(&mut self) {
         let granting = self.hosts.iter().position(|h| h.granter.is_granting());
--- a/src/ownership/granter/era.rs
+++ b/src/ownership/granter/era.rs
@@ -17,6 +17,9 @@
 /// can go on with renewals.
 pub const PROVISIONAL_CLAIM_DELAY_MS: u64 = 2_000;
 
+/// How long before the store was seen to be back a host that did not grant must have sent its last read
+/// of the log, in milliseconds, to count as having followed it to the end. A read waits for 3 s at most.
+pub const FOLLOWED_WITHIN_MS: u64 = 3_500;
 /// How long after a return a host waits for a newer table that another host knows, in milliseconds. By
 /// then no former granter sends orders any more.
 pub const NEWER_TABLE_WAIT_MS: u64 = election::MAX_UNCONFIRMED_MS;
@@ -232,9 +235,17 @@
         }
     }
 
-    // Whether this host has followed the log up to the end of the era of its table.
+    // Whether this host may lack grants of the era of its table. A granter may renew while its right
+    // lasts: until then others take keys only by a release, after which the server refuses it. Another
+    // host has to have followed the log.
     fn is_provisional(&self, now: clock::MonoTime) -> bool {
-        !self.era.has_followed || !self.election.is_confirmed(now)
+        let is_complete = self.is_granting() || self.has_followed_to_the_end();
+        !(self.era.has_followed && is_complete && self.election.is_confirmed(now))
+    }
+
+    fn has_followed_to_the_end(&self) -> bool {
+        let within = time::Duration::from_millis(FOLLOWED_WITHIN_MS);
+        self.era.seen < self.election.confirmed() + within
     }
 
     // Whether a candidate may claim. In a new era the former granter comes first.
--- a/tests/claims.rs
+++ b/tests/claims.rs
@@ -155,6 +155,20 @@
     assert!(!record.is_provisional);
 }
 
+// The same for one that it sent long before the return, to a host that was then cut off.
+fn does_not_renew_by_a_table_read_long_before_the_return() {
+    let mut case = ClaimCase::new();
+    case.read(table(40, "granter"));
+    let end = case.granter.log_end();
+    let sent_ms = RETURN_MS - granter::era::FOLLOWED_WITHIN_MS;
+    case.granter.note_read(end, fixtures::at(sent_ms));
+    case.restore(table(30, "granter"));
+    let delay_ms = granter::era::PROVISIONAL_CLAIM_DELAY_MS;
+    assert_eq!(case.claim_within(delay_ms - TICK_MS), None);
+    let record = case.claim().lost_grants.expect("the era is new");
+    assert!(record.is_provisional);
+}
+
 // Guards against a service that stops for good where the only host that knows the newest table does not
 // hand it out.
 fn claims_without_the_newer_table_once_no_former_granter_can_order() {
@@ -188,5 +202,6 @@
     takes_the_newer_table_of_another_host_before_it_claims,
     does_not_renew_by_another_hosts_table_of_unknown_age,
     renews_by_a_table_that_the_store_sent,
+    does_not_renew_by_a_table_read_long_before_the_return,
     claims_without_the_newer_table_once_no_former_granter_can_order,
 }
--- a/tests/restored_grants.rs
+++ b/tests/restored_grants.rs
@@ -17,6 +17,9 @@
 const SEEDS: u64 = 60;
 /// How much later the fault comes in each further seed.
 const STEP: time::Duration = time::Duration::from_millis(37);
+/// How long a host is cut off before the store goes away, in milliseconds: longer than a hold, shorter
+/// than a granter's right without confirmation.
+const CUT_MS: u64 = 7_000;
 /// How long the store is away where most hosts are killed, in milliseconds.
 const RETURN_MS: u64 = 500;
 /// How long after the return the keys must be held where one host knows the newest table, in
@@ -129,6 +132,20 @@
     }
 }
 
+// Guards against a host that renews holds by a table of before its cut, whose keys had moved meanwhile:
+// a server that had not responded took keys under a lower fence than the server that had got them.
+fn expect_sound_after_a_cut_of_the_survivor() {
+    for seed in 0..SEEDS {
+        let mut simulation = simulation::GrantSimulation::with_reliable_network(seed);
+        simulation.run(millis(8_000) + STEP * u32::try_from(seed).unwrap_or(0));
+        let survivor = simulation.cut_follower_off();
+        simulation.run(millis(CUT_MS));
+        simulation.restore_store(millis(CUT_MS + 1_000), millis(RETURN_MS));
+        simulation.kill_all_but(survivor);
+        expect_sound_and_covered(&mut simulation, seed);
+    }
+}
+
 macro_rules! restored_cases {
     ($($name:ident: $run:expr;)*) => {$(
         #[test]
@@ -153,6 +170,7 @@
     restored_store_twice_in_a_row:
         expect_case(RestoredCase { age_ms: 2_500, outage_ms: 400, then: &[(900, AfterRestore::Restore)] });
     restored_store_beside_an_unlisted_granter: expect_sound_beside_an_unlisted_granter();
+    restored_store_then_a_host_claims_that_was_cut_off: expect_sound_after_a_cut_of_the_survivor();
     restored_store_known_to_a_follower_only: expect_renewals_by_a_followers_table();
     restored_store_while_a_claim_is_in_flight: expect_case(RestoredCase {
         age_ms: 2_500,
