Try: send grants only over connections that are older than the last confirmation

What callers could see: two servers hold a key, where a server released it and restarted, and a granter that is cut off from the store and the hosts renews the old range at the new process. An order names the server and not its start.

Design: a connection leads to one process. A grant goes only over a connection that was opened no later than the granter's last confirmation; a newer one is kept, the order is withheld, the log is read at once, and the order goes out after that read.

--- a/src/edge/router/control/granting.rs
+++ b/src/edge/router/control/granting.rs
@@ -92,6 +92,9 @@
                 order::GranterAction::Release(order) => {
                     actix::spawn(rc::Rc::clone(self).send_release(order));
                 }
+                order::GranterAction::Confirm => {
+                    actix::spawn(rc::Rc::clone(self).confirm_role());
+                }
                 order::GranterAction::Yield => {
                     actix::spawn(rc::Rc::clone(self).yield_role());
                 }
@@ -105,6 +108,17 @@
         self.leave().await;
     }
 
+    // Confirms that no other host has claimed the granter role, and lets the granter decide.
+    async fn confirm_role(self: rc::Rc<Self>) {
+        let is_unchanged = self.read_confirmation().await;
+        let now = self.clock.now();
+        self.state
+            .borrow_mut()
+            .granter
+            .note_confirmation_ended(is_unchanged, now);
+        self.decide();
+    }
+
     async fn append_table(
         self: rc::Rc<Self>,
         number: u64,
@@ -192,7 +206,9 @@
         self.metrics.note_order("grant", outcome.as_str());
         let now = self.clock.now();
         let term = self.state.borrow().granter.table().term;
-        if !matches!(outcome, order::OrderOutcome::Done(_)) {
+        if outcome == order::OrderOutcome::Withheld {
+            log_order("grant-withheld", term, &order.range, &order.life, &outcome);
+        } else if !matches!(outcome, order::OrderOutcome::Done(_)) {
             tracing::warn!(
                 event = "grant-unanswered",
                 term,
@@ -207,8 +223,10 @@
         let mut state = self.state.borrow_mut();
         let changed = state.granter.note_granted(&order, &outcome, now);
         drop(state);
-        if changed {
+        if changed && outcome != order::OrderOutcome::Withheld {
             log_order("grant-ended", term, &order.range, &order.life, &outcome);
+        }
+        if changed {
             self.decide();
         }
     }
--- a/src/edge/router/http_client.rs
+++ b/src/edge/router/http_client.rs
@@ -15,6 +15,8 @@
 use hyper::client::conn::http1;
 use hyper_util::rt;
 
+use crate::clock;
+use crate::clock::MonoClock as _;
 use crate::edge::router::body as request_body;
 
 /// Time-out of a connection attempt where the client has no other, in milliseconds.
@@ -61,13 +63,19 @@
         /// The cause.
         error: String,
     },
+    /// Nothing of the request was sent, since the connection was opened too late for it.
+    #[snafu(display("peer={peer} sent=no fault=\"the connection was opened too late\""))]
+    OpenedLate {
+        /// The address of the peer.
+        peer: net::SocketAddr,
+    },
 }
 
 impl HttpError {
     /// Reports whether nothing of the request was sent.
     #[must_use]
     pub const fn is_unsent(&self) -> bool {
-        matches!(self, Self::Unsent { .. })
+        matches!(self, Self::Unsent { .. } | Self::OpenedLate { .. })
     }
 }
 
@@ -83,6 +91,8 @@
 
 struct HttpConnection {
     sender: RequestSender,
+    // Not before the moment at which the peer accepted the connection.
+    opened: clock::MonoTime,
     // Kept so that the task is aborted when the connection is dropped.
     _task: ConnectionTask,
 }
@@ -92,6 +102,25 @@
     expires: time::Instant,
 }
 
+// How long a connection may be reused after a response.
+#[derive(Clone, Copy, Debug)]
+enum ReuseWindow {
+    Closed,
+    Unstated,
+    Stated(time::Duration),
+}
+
+impl ReuseWindow {
+    // `None` where the peer closes the connection.
+    const fn within(self, default_idle: time::Duration) -> Option<time::Duration> {
+        match self {
+            Self::Closed => None,
+            Self::Unstated => Some(default_idle),
+            Self::Stated(window) => Some(window),
+        }
+    }
+}
+
 /// A response whose body has not been read yet.
 pub struct HttpResponse {
     /// The status and the headers.
@@ -105,8 +134,7 @@
     body: body::Incoming,
     connection: HttpConnection,
     peer: net::SocketAddr,
-    // How long the connection may be reused after this response; `None` where the peer closes it.
-    reuse_window: Option<time::Duration>,
+    reuse_window: ReuseWindow,
 }
 
 /// HTTP client of one thread, with a pool of idle connections for each address.
@@ -114,6 +142,8 @@
 pub struct HttpClient {
     idle: rc::Rc<cell::RefCell<collections::HashMap<net::SocketAddr, Vec<IdleConnection>>>>,
     connect_timeout: time::Duration,
+    default_idle: time::Duration,
+    clock: clock::SystemClock,
 }
 
 impl Default for HttpClient {
@@ -135,6 +165,23 @@
         Self {
             idle: rc::Rc::default(),
             connect_timeout,
+            default_idle: time::Duration::from_millis(DEFAULT_IDLE_MS),
+            clock: clock::SystemClock::new(),
+        }
+    }
+
+    /// Takes the times at which connections are opened from `clock`.
+    #[must_use]
+    pub fn with_clock(self, clock: clock::SystemClock) -> Self {
+        Self { clock, ..self }
+    }
+
+    /// Reuses a connection for `idle` where the peer states no keep-alive time-out.
+    #[must_use]
+    pub fn with_default_idle(self, idle: time::Duration) -> Self {
+        Self {
+            default_idle: idle,
+            ..self
         }
     }
 
@@ -159,6 +206,38 @@
         self.send_anew(peer, request).await
     }
 
+    /// Sends a request over an idle connection that was opened at `latest` or before, and waits for
+    /// the head of the response. Where there is none, a new connection is kept for a later try.
+    ///
+    /// # Errors
+    /// Fails with `OpenedLate` where there is no such connection, and otherwise like `send`.
+    pub async fn send_opened_by(
+        &self,
+        peer: net::SocketAddr,
+        latest: clock::MonoTime,
+        request: hyper::Request<request_body::RequestBody>,
+    ) -> Result<HttpResponse, HttpError> {
+        let mut request = request;
+        while let Some(connection) = self.take_opened_by(peer, latest) {
+            match exchange(peer, connection, request).await {
+                Ok(response) => return Ok(response),
+                Err(ExchangeError::Returned(unsent)) => request = *unsent,
+                Err(ExchangeError::Failed(error)) => return Err(error),
+            }
+        }
+        if !self.has_idle(peer) {
+            let mut connection = connect(peer, self.connect_timeout, self.clock).await?;
+            let ready = connection.sender.ready().await;
+            ready.map_err(|error| HttpError::Unsent {
+                step: "handshake",
+                peer,
+                error: error_chain(&error),
+            })?;
+            self.keep(peer, connection, self.default_idle);
+        }
+        Err(HttpError::OpenedLate { peer })
+    }
+
     /// Sends a request over a new connection and waits for the head of the response, which cannot
     /// be a copy of an earlier one.
     ///
@@ -169,7 +248,7 @@
         peer: net::SocketAddr,
         request: hyper::Request<request_body::RequestBody>,
     ) -> Result<HttpResponse, HttpError> {
-        let connection = connect(peer, self.connect_timeout).await?;
+        let connection = connect(peer, self.connect_timeout, self.clock).await?;
         exchange(peer, connection, request)
             .await
             .map_err(|error| match error {
@@ -193,9 +272,13 @@
             reuse_window,
             ..
         } = body;
-        let Some(window) = reuse_window else {
-            return;
-        };
+        if let Some(window) = reuse_window.within(self.default_idle) {
+            self.keep(peer, connection, window);
+        }
+    }
+
+    // Adds an idle connection to the pool.
+    fn keep(&self, peer: net::SocketAddr, connection: HttpConnection, window: time::Duration) {
         if connection.sender.is_closed() {
             return;
         }
@@ -232,6 +315,37 @@
         }
         None
     }
+
+    // Takes the connection that has been idle longest of those that were opened at `latest` or
+    // before, so that all of them stay in use.
+    fn take_opened_by(
+        &self,
+        peer: net::SocketAddr,
+        latest: clock::MonoTime,
+    ) -> Option<HttpConnection> {
+        let mut pools = self.idle.borrow_mut();
+        let pool = pools.get_mut(&peer)?;
+        pool.retain(IdleConnection::may_be_used);
+        let position = pool.iter().position(|idle| {
+            idle.connection.opened <= latest && idle.connection.sender.is_ready()
+        })?;
+        Some(pool.remove(position).connection)
+    }
+
+    fn has_idle(&self, peer: net::SocketAddr) -> bool {
+        let mut pools = self.idle.borrow_mut();
+        let Some(pool) = pools.get_mut(&peer) else {
+            return false;
+        };
+        pool.retain(IdleConnection::may_be_used);
+        !pool.is_empty()
+    }
+}
+
+impl IdleConnection {
+    fn may_be_used(&self) -> bool {
+        time::Instant::now() < self.expires && !self.connection.sender.is_closed()
+    }
 }
 
 impl ResponseBody {
@@ -326,11 +440,13 @@
 async fn connect(
     peer: net::SocketAddr,
     limit: time::Duration,
+    clock: clock::SystemClock,
 ) -> Result<HttpConnection, HttpError> {
     let unsent = |step: &'static str, error: String| HttpError::Unsent { step, peer, error };
     let connected = tokio::time::timeout(limit, tokio::net::TcpStream::connect(peer)).await;
     let connected = connected.map_err(|_| unsent("connect", "timeout".into()))?;
     let stream = connected.map_err(|e| unsent("connect", e.to_string()))?;
+    let opened = clock.now();
     set_options(&stream).map_err(|e| unsent("set-options", e.to_string()))?;
     let handshake = http1::handshake(rt::TokioIo::new(stream)).await;
     let (sender, connection) = handshake.map_err(|e| unsent("handshake", e.to_string()))?;
@@ -340,6 +456,7 @@
     });
     Ok(HttpConnection {
         sender,
+        opened,
         _task: ConnectionTask(task),
     })
 }
@@ -358,23 +475,21 @@
     socket.set_tcp_keepalive(&keepalive)
 }
 
-// How long the connection may be reused after this response; `None` where the peer closes it.
-fn reuse_window(headers: &hyper::HeaderMap) -> Option<time::Duration> {
+fn reuse_window(headers: &hyper::HeaderMap) -> ReuseWindow {
     let text = |name: hyper::header::HeaderName| {
         let value = headers.get(name).and_then(|value| value.to_str().ok());
         value.unwrap_or_default().to_ascii_lowercase()
     };
     if text(hyper::header::CONNECTION).contains("close") {
-        return None;
+        return ReuseWindow::Closed;
     }
     let stated = text(hyper::header::HeaderName::from_static("keep-alive"));
     let options = stated.split(',').map(str::trim);
     let mut options = options;
     let seconds = options.find_map(|option| option.strip_prefix("timeout="));
     let seconds = seconds.and_then(|seconds| seconds.parse::<u64>().ok());
-    let default = time::Duration::from_millis(DEFAULT_IDLE_MS);
-    let window = seconds.map_or(default, |s| {
-        time::Duration::from_secs(s).mul_f64(IDLE_REUSE_RATIO)
-    });
-    Some(window)
+    seconds.map_or(ReuseWindow::Unstated, |seconds| {
+        let stated = time::Duration::from_secs(seconds);
+        ReuseWindow::Stated(stated.mul_f64(IDLE_REUSE_RATIO))
+    })
 }
--- a/src/ownership/election.rs
+++ b/src/ownership/election.rs
@@ -94,6 +94,12 @@
         self.confirmed = self.confirmed.max(at);
     }
 
+    /// Returns the last time at which no other host had claimed the role.
+    #[must_use]
+    pub const fn confirmed(&self) -> clock::MonoTime {
+        self.confirmed
+    }
+
     /// Reports whether this host may send orders at `now`.
     #[must_use]
     pub fn may_order(&self, now: clock::MonoTime) -> bool {
