Count no reading of the log from before a process began as its own

A host that had been cut off since 8.0 s gave its copy of the table to hosts that had started at 15.7 s; one of these claimed at 19.5 s, not provisionally, and renewed by it.

Cause: a host states how long ago its table was known as the newest, and the receiver counts that back from its request. A process's clock begins with the process, and the subtraction stops at its beginning. So an age of 8 s became the 0.5 s for which the process had run. A log line at each confirmation showed it: until=MonoTime(0).

Ruled out: a read of the store while it was away (no confirmation came from one); the age itself, which was right.

Why this works: an age beyond the time for which the process has run has no time on its clock, and counts for nothing, so the claim is provisional. The other subtractions of this kind (the end of former granters by a host's uptime) err towards waiting longer.

--- a/lab/src/grants/simulation/mod.rs
+++ b/lab/src/grants/simulation/mod.rs
@@ -448,7 +448,8 @@
                 let version = table.version;
                 granter.note_lost_table(*table);
                 if let Some(until) = confirmed {
-                    granter.note_followed_elsewhere(version, until);
+                    let age = self.now.since(until);
+                    granter.note_followed_elsewhere(version, self.now, age);
                 }
             }
             SimulationEvent::Fault => self.inject_random_fault(),
--- a/src/edge/router/control/lost_tables.rs
+++ b/src/edge/router/control/lost_tables.rs
@@ -78,8 +78,8 @@
 
     // Applies how far another host had followed the log when it answered a request sent at `asked`.
     pub(super) fn apply_followed(&self, followed: status::FollowedTable, asked: clock::MonoTime) {
-        let until = asked.saturating_sub(time::Duration::from_millis(followed.age_millis));
+        let age = time::Duration::from_millis(followed.age_millis);
         let granter = &mut self.state.borrow_mut().granter;
-        granter.note_followed_elsewhere(followed.version, until);
+        granter.note_followed_elsewhere(followed.version, asked, age);
     }
 }
--- a/src/ownership/granter/era.rs
+++ b/src/ownership/granter/era.rs
@@ -116,18 +116,21 @@
         true
     }
 
-    /// Records that the log held nothing newer than the table of the version given at `until`, by
-    /// another host's reads.
+    /// Handles what another host answered to a request sent at `asked`: by its reads, the log had held
+    /// nothing newer than the table of the version given until `age` before. What was before this
+    /// process began has no time on its clock, and counts for nothing.
     pub fn note_followed_elsewhere(
         &mut self,
         version: assignment::TableVersion,
-        until: clock::MonoTime,
+        asked: clock::MonoTime,
+        age: time::Duration,
     ) {
         let is_watching = self.election.state() == election::ElectionState::Watching;
         let is_same = self.table.version == version && version.revision > 0;
-        if is_watching && is_same {
+        let is_since_start = asked.since(clock::MonoTime::from_micros(0)) >= age;
+        if is_watching && is_same && is_since_start {
             self.era.has_followed = true;
-            self.election.confirm(until);
+            self.election.confirm(asked.saturating_sub(age));
         }
     }
 
--- a/tests/claims.rs
+++ b/tests/claims.rs
@@ -127,7 +127,8 @@
     let now = fixtures::at(case.now_ms);
     let version = newest.version;
     assert!(case.granter.note_lost_table(newest));
-    case.granter.note_followed_elsewhere(version, now);
+    case.granter
+        .note_followed_elsewhere(version, now, time::Duration::ZERO);
     let record = case.claim().lost_grants.expect("the era is new");
     assert_eq!(record.base.revision, 60);
     assert!(!record.is_provisional);
@@ -169,6 +170,21 @@
     assert!(record.is_provisional);
 }
 
+// The same for one that another host had read before this process began: its clock has no such time.
+fn does_not_renew_by_a_table_read_before_the_process_began() {
+    let mut case = ClaimCase::new();
+    case.now_ms = granter::era::FOLLOWED_WITHIN_MS / 2;
+    let known = table(40, "granter");
+    let version = known.version;
+    case.read(known);
+    let asked = fixtures::at(case.now_ms);
+    let age = time::Duration::from_millis(2 * granter::era::FOLLOWED_WITHIN_MS);
+    case.granter.note_followed_elsewhere(version, asked, age);
+    case.restore(table(30, "granter"));
+    let record = case.claim().lost_grants.expect("the era is new");
+    assert!(record.is_provisional);
+}
+
 // Guards against a service that stops for good where the only host that knows the newest table does not
 // hand it out.
 fn claims_without_the_newer_table_once_no_former_granter_can_order() {
@@ -203,5 +219,6 @@
     does_not_renew_by_another_hosts_table_of_unknown_age,
     renews_by_a_table_that_the_store_sent,
     does_not_renew_by_a_table_read_long_before_the_return,
+    does_not_renew_by_a_table_read_before_the_process_began,
     claims_without_the_newer_table_once_no_former_granter_can_order,
 }
