--- a/lab/src/grants/simulation/mod.rs
+++ b/lab/src/grants/simulation/mod.rs
@@ -443,15 +443,7 @@
                 table,
                 confirmed,
                 ..
-            } => {
-                let granter = &mut self.hosts[host].granter;
-                let version = table.version;
-                granter.note_lost_table(*table);
-                if let Some(until) = confirmed {
-                    let age = self.now.since(until);
-                    granter.note_followed_elsewhere(version, self.now, age);
-                }
-            }
+            } => self.take_lost_table(host, *table, confirmed),
             SimulationEvent::Fault => self.inject_random_fault(),
         }
     }
--- a/lab/src/grants/simulation/peers.rs
+++ b/lab/src/grants/simulation/peers.rs
@@ -58,6 +58,22 @@
         self.push(RELAY_MS, relay);
     }
 
+    // A host takes a table that the store has lost and another host knew as the newest at `confirmed`.
+    pub(super) fn take_lost_table(
+        &mut self,
+        host: usize,
+        table: assignment::AssignmentTable,
+        confirmed: Option<clock::MonoTime>,
+    ) {
+        let granter = &mut self.hosts[host].granter;
+        let version = table.version;
+        granter.note_lost_table(table);
+        if let Some(until) = confirmed {
+            let age = self.now.since(until);
+            granter.note_followed_elsewhere(version, self.now, age);
+        }
+    }
+
     // A granter queries the hosts of former granters.
     pub(super) fn query_former_granters(&mut self, host: usize) {
         self.push(
