--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -1,10 +1,11 @@
 //! The cases.
 
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 
+use crate::http::{self, Message};
 use crate::record::Record;
 use crate::site::Site;
 use crate::store::{ASSIGNMENTS, SERVERS};
@@ -15,10 +16,10 @@
 /// Runs a case; returns whether the rule was broken.
 pub fn run(case: &str, trouble: bool, record: &Record) -> Outcome {
     match case {
-        "leaving" => leaving(trouble, record),
         "foreign-key" => foreign_key(trouble, record),
         "foreign-entry" => foreign_entry(trouble, record),
         "idle-router" => idle_router(trouble, record),
+        "stop" => stop(trouble, record),
         _ => Err(format!("unknown case {case}")),
     }
 }
@@ -37,10 +38,14 @@
 
 // Starts three routers, five workers with keys and five without, and waits until all routers are ready.
 fn deploy(record: &Record) -> Result<Deployment, String> {
+    deploy_with(record, Duration::from_millis(100))
+}
+
+// The same, with the time that a request takes.
+fn deploy_with(record: &Record, work: Duration) -> Result<Deployment, String> {
     let mut site = Site::start(record).map_err(text)?;
     let start = |number: u8, name: &str, service: &str, sharded: bool| {
         let address = site.worker_address(number);
-        let work = Duration::from_millis(100);
         Worker::start((name, service, sharded), address, work, &site.store, record).map_err(text)
     };
     let stock = (1..=5).map(|n| start(n, &format!("i-stock-{n}"), "stock", true));
@@ -62,65 +67,6 @@
     })
 }
 
-// DRAIN: a worker that leaves says so in its answers, while it is partitioned from the store.
-fn leaving(trouble: bool, record: &Record) -> Outcome {
-    const DRAIN: Duration = Duration::from_millis(2_000);
-    // Three heartbeat intervals without a beat, after which the store removes an entry.
-    const EXPIRY: Duration = Duration::from_millis(4_500);
-    // How long the worker serves on: drain_ms and a little longer.
-    const SERVES_ON: Duration = Duration::from_millis(3_500);
-    const CLIENTS: u32 = 10;
-    let Deployment { site, orders, .. } = deploy(record)?;
-    let worker = &orders[0];
-    let (late, lost) = (AtomicU32::new(0), AtomicU32::new(0));
-    let (late, lost) = (&late, &lost);
-    worker.leaving.store(true, Ordering::SeqCst);
-    worker.beats.store(false, Ordering::SeqCst);
-    record.line(format!("{} leaves", worker.id));
-    if !trouble {
-        worker.draining.store(true, Ordering::SeqCst);
-        worker.write_entry(&site.store);
-    }
-    let begun = Instant::now();
-    let told = Mutex::new(None::<Instant>);
-    thread::scope(|scope| {
-        for client in 1..=CLIENTS {
-            let (site, told) = (&site, &told);
-            scope.spawn(move || {
-                let mut number = 0;
-                while begun.elapsed() < Duration::from_secs(8) {
-                    number += 1;
-                    let id = format!("order-{client}-{number}");
-                    let sent = Instant::now();
-                    let (status, body) = site.send(1, "POST", "/orders/a", &id, None);
-                    let mut told = told.lock().unwrap();
-                    if status == 200 && body.starts_with(&worker.id) && told.is_none() {
-                        *told = Some(Instant::now());
-                        record.line("router 1 has passed on an answer with Server-Leaving");
-                    }
-                    if told.is_some_and(|told| sent > told + DRAIN) && worker.has_run(&id) {
-                        late.fetch_add(1, Ordering::SeqCst);
-                        lost.fetch_add(u32::from(status != 200), Ordering::SeqCst);
-                        record.line(format!(
-                            "{id} reached {} too late, answered with {status}",
-                            worker.id
-                        ));
-                    }
-                }
-            });
-        }
-        thread::sleep(SERVES_ON);
-        worker.end();
-        thread::sleep(EXPIRY - SERVES_ON);
-        site.store.put(SERVERS, &worker.id, "");
-        record.line(format!("the store removes the entry of {}", worker.id));
-    });
-    let (late, lost) = (late.load(Ordering::SeqCst), lost.load(Ordering::SeqCst));
-    record.line(format!("{late} orders reached {} later than drain_ms after router 1 had passed on its Server-Leaving", worker.id));
-    record.line(format!("{lost} of them were begun and not answered by it"));
-    Ok(late > 0)
-}
-
 // RECOVER: another writer's entries lie in the list of workers when all processes are killed.
 fn foreign_key(trouble: bool, record: &Record) -> Outcome {
     const RECOVERY: Duration = Duration::from_secs(15);
@@ -238,6 +184,117 @@
     Ok(late > 0)
 }
 
+// LOST: a router gets SIGTERM while requests wait for a worker.
+fn stop(trouble: bool, record: &Record) -> Outcome {
+    const CLIENTS: u64 = 250;
+    const GRACE: Duration = Duration::from_secs(6);
+    const LOSS_SLACK: Duration = Duration::from_millis(200);
+    const BALANCED: Duration = Duration::from_secs(2);
+    let Deployment {
+        mut site, orders, ..
+    } = deploy_with(record, Duration::from_millis(500))?;
+    let fronts = [1, 2, 3].map(|number| site.front(number));
+    let done = AtomicBool::new(false);
+    let stopped = Mutex::new(None::<Instant>);
+    let cut = Mutex::new(Vec::new());
+    thread::scope(|scope| {
+        for client in 0..3 * CLIENTS {
+            let (done, stopped, cut) = (&done, &stopped, &cut);
+            let home = (client % 3) as usize;
+            scope.spawn(move || {
+                thread::sleep(Duration::from_millis(client * 5));
+                let mut connection = None;
+                for number in 0.. {
+                    if done.load(Ordering::SeqCst) {
+                        return;
+                    }
+                    // The platform's balancer has taken the stopping router out.
+                    let is_out = stopped
+                        .lock()
+                        .unwrap()
+                        .is_some_and(|at| at.elapsed() > BALANCED);
+                    let router = if is_out && home == 0 {
+                        1 + client as usize % 2
+                    } else {
+                        home
+                    };
+                    if connection.is_none() {
+                        connection = http::Connection::open(fronts[router])
+                            .ok()
+                            .map(|c| (c, router));
+                    }
+                    let Some((open, at)) = connection.as_mut() else {
+                        thread::sleep(Duration::from_millis(100));
+                        continue;
+                    };
+                    let (at, id) = (*at, format!("plan-{client}-{number}"));
+                    let sent = Instant::now();
+                    let answer = open.call(&plan(&id), Duration::from_secs(9));
+                    let pause = match answer {
+                        Ok(answer) => {
+                            if answer.header("connection") == Some("close") {
+                                connection = None;
+                            }
+                            let after = answer.header("retry-after").and_then(|v| v.parse().ok());
+                            Duration::from_secs_f64(after.unwrap_or(0.0))
+                        }
+                        Err(error) => {
+                            let was_cut = error.kind() != std::io::ErrorKind::WouldBlock;
+                            if was_cut && at == 0 && sent.elapsed() > LOSS_SLACK {
+                                cut.lock().unwrap().push((id, sent, sent.elapsed()));
+                            }
+                            connection = None;
+                            Duration::ZERO
+                        }
+                    };
+                    thread::sleep(pause + Duration::from_millis(client * 37 % 4_000));
+                }
+            });
+        }
+        thread::sleep(Duration::from_secs(14));
+        if trouble {
+            site.signal_router(1, "-TERM");
+            *stopped.lock().unwrap() = Some(Instant::now());
+            site.wait_for_end(1, GRACE + Duration::from_secs(1));
+        } else {
+            thread::sleep(GRACE);
+        }
+        thread::sleep(Duration::from_millis(500));
+        done.store(true, Ordering::SeqCst);
+    });
+    let stopped = stopped.lock().unwrap().unwrap_or_else(Instant::now);
+    let mut lost = 0;
+    for (id, sent, waited) in cut.lock().unwrap().iter() {
+        let has_run = orders.iter().any(|worker| worker.has_run(id));
+        let since = (*sent + Duration::from_secs(60))
+            .duration_since(stopped)
+            .as_secs_f64()
+            - 60.0;
+        record.line(format!(
+            "{id}, sent {since:.2} s after SIGTERM, was read and cut off after {waited:?}; a worker had it: {has_run}"
+        ));
+        lost += u32::from(!has_run);
+    }
+    record.line(format!(
+        "{lost} requests that no worker had were cut off without an answer"
+    ));
+    Ok(lost > 0)
+}
+
+fn plan(id: &str) -> Message {
+    let request = Message {
+        method: "POST".to_owned(),
+        target: "/plans/a".to_owned(),
+        ..Message::default()
+    };
+    let request = request
+        .with("host", "desk.example")
+        .with("x-request-id", id);
+    request
+        .with("x-request-deadline", 8_000)
+        .with_body(vec![b'p'; 4_096])
+}
+
 // OWNER: another writer's entry, with fields missing and of another type, lies under a worker's id.
 fn foreign_entry(trouble: bool, record: &Record) -> Outcome {
     let Deployment { site, stock, .. } = deploy(record)?;
--- a/review/standin/http.rs
+++ b/review/standin/http.rs
@@ -219,3 +219,25 @@
     let mut reader = BufReader::new(stream);
     read_message(&mut reader)?.ok_or_else(|| bad("closed without an answer"))
 }
+
+/// A client's connection that is kept open between requests.
+pub struct Connection {
+    writer: TcpStream,
+    reader: BufReader<TcpStream>,
+}
+
+impl Connection {
+    pub fn open(address: SocketAddr) -> io::Result<Self> {
+        let writer = TcpStream::connect_timeout(&address, Duration::from_secs(1))?;
+        writer.set_nodelay(true)?;
+        let reader = BufReader::new(writer.try_clone()?);
+        Ok(Self { writer, reader })
+    }
+
+    /// Sends one request and waits for its answer.
+    pub fn call(&mut self, request: &Message, limit: Duration) -> io::Result<Message> {
+        self.writer.set_read_timeout(Some(limit))?;
+        write_message(&mut self.writer, request)?;
+        read_message(&mut self.reader)?.ok_or_else(|| bad("closed without an answer"))
+    }
+}
--- a/review/standin/site.rs
+++ b/review/standin/site.rs
@@ -74,7 +74,7 @@
     /// Writes the operator's configuration: `stock` with keys, `orders` without.
     pub fn put_config(&self, version: u64) {
         let config = format!(
-            r#"{{"version":{version},"services":[{{"name":"stock","health_path":"/health","max_conns":120,"protocol":"h1","tls":false,"use_shards":true,"warmup_s":5.0,"grants":"call"}},{{"name":"orders","health_path":"/health","max_conns":120,"protocol":"h1","tls":false}}],"limits":{{"max_header_bytes":16384,"max_body_bytes":67108864,"header_timeout_ms":3000,"idle_timeout_ms":15000}},"hosts":[{{"host":"desk.example","paths":[{{"name":"r-stock","path_prefix":"/stock/","kind":"safe","timeout_ms":1200,"target_latency_ms":400,"priority":1,"service":"stock","max_attempts":2}},{{"name":"r-bookings","path_prefix":"/bookings/","kind":"unsafe","timeout_ms":1200,"target_latency_ms":400,"priority":1,"service":"stock","max_attempts":2}},{{"name":"r-orders","path_prefix":"/orders/","kind":"unsafe","timeout_ms":1500,"target_latency_ms":500,"priority":1,"service":"orders","max_attempts":2}}]}}]}}"#
+            r#"{{"version":{version},"services":[{{"name":"stock","health_path":"/health","max_conns":120,"protocol":"h1","tls":false,"use_shards":true,"warmup_s":5.0,"grants":"call"}},{{"name":"orders","health_path":"/health","max_conns":120,"protocol":"h1","tls":false}}],"limits":{{"max_header_bytes":16384,"max_body_bytes":67108864,"header_timeout_ms":3000,"idle_timeout_ms":15000}},"hosts":[{{"host":"desk.example","paths":[{{"name":"r-stock","path_prefix":"/stock/","kind":"safe","timeout_ms":1200,"target_latency_ms":400,"priority":1,"service":"stock","max_attempts":2}},{{"name":"r-bookings","path_prefix":"/bookings/","kind":"unsafe","timeout_ms":1200,"target_latency_ms":400,"priority":1,"service":"stock","max_attempts":2}},{{"name":"r-plans","path_prefix":"/plans/","kind":"upload","timeout_ms":8000,"target_latency_ms":4000,"priority":2,"service":"orders","max_attempts":2}},{{"name":"r-orders","path_prefix":"/orders/","kind":"unsafe","timeout_ms":1500,"target_latency_ms":500,"priority":1,"service":"orders","max_attempts":2}}]}}]}}"#
         );
         self.store.put("keyed.op", "config", &config);
         self.record
@@ -116,6 +116,26 @@
         self.record.line(format!("router {number} is killed"));
     }
 
+    /// Sends a signal to a router, by the option of `kill`.
+    pub fn signal_router(&self, number: u8, signal: &str) {
+        if let Some(router) = self.routers.iter().find(|r| r.number == number) {
+            let id = router.child.id().to_string();
+            let _ = Command::new("kill").args([signal, &id]).status();
+            self.record.line(format!("router {number} gets {signal}"));
+        }
+    }
+
+    /// Waits for the end of a router's process, at most for `limit`.
+    pub fn wait_for_end(&mut self, number: u8, limit: Duration) {
+        let until = Instant::now() + limit;
+        if let Some(router) = self.routers.iter_mut().find(|r| r.number == number) {
+            while Instant::now() < until && matches!(router.child.try_wait(), Ok(None)) {
+                std::thread::sleep(Duration::from_millis(10));
+            }
+            self.record.line(format!("router {number} has ended"));
+        }
+    }
+
     pub fn is_ready(&self, number: u8) -> bool {
         let request = Message {
             method: "GET".to_owned(),
--- a/review/standin/worker.rs
+++ b/review/standin/worker.rs
@@ -34,8 +34,6 @@
     pub beats: AtomicBool,
     /// Whether its entry says that it drains.
     pub draining: AtomicBool,
-    /// Whether it says in its answers that it leaves.
-    pub leaving: AtomicBool,
     /// The ids of the requests that it ran.
     pub runs: Mutex<Vec<String>>,
     // Whether its process has ended.
@@ -73,7 +71,6 @@
             work,
             beats: AtomicBool::new(true),
             draining: AtomicBool::new(false),
-            leaving: AtomicBool::new(false),
             ended: AtomicBool::new(false),
             server: OnceLock::new(),
             runs: Mutex::default(),
@@ -155,9 +152,6 @@
         if let Some(id) = request.header("x-request-id") {
             response = response.with("x-request-id", id);
         }
-        if self.leaving.load(Ordering::SeqCst) {
-            response = response.with("server-leaving", 1);
-        }
         Some(response.with("keep-alive", "timeout=10"))
     }
 
