--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -253,7 +253,7 @@
         }
         thread::sleep(Duration::from_secs(14));
         if trouble {
-            site.signal_router(1, "-TERM");
+            site.stop_router(1);
             *stopped.lock().unwrap() = Some(Instant::now());
             site.wait_for_end(1, GRACE + Duration::from_secs(1));
         } else {
--- a/review/standin/site.rs
+++ b/review/standin/site.rs
@@ -29,6 +29,12 @@
     child: Child,
 }
 
+const SIGTERM: i32 = 15;
+
+unsafe extern "C" {
+    fn kill(process: i32, signal: i32) -> i32;
+}
+
 pub struct Site {
     pub store: Store,
     pub record: Record,
@@ -116,12 +122,12 @@
         self.record.line(format!("router {number} is killed"));
     }
 
-    /// Sends a signal to a router, by the option of `kill`.
-    pub fn signal_router(&self, number: u8, signal: &str) {
+    /// Sends SIGTERM to a router.
+    pub fn stop_router(&self, number: u8) {
         if let Some(router) = self.routers.iter().find(|r| r.number == number) {
-            let id = router.child.id().to_string();
-            let _ = Command::new("kill").args([signal, &id]).status();
-            self.record.line(format!("router {number} gets {signal}"));
+            // SAFETY: the process was started here and has not been waited for.
+            unsafe { kill(router.child.id().cast_signed(), SIGTERM) };
+            self.record.line(format!("router {number} gets SIGTERM"));
         }
     }
 
