--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -229,9 +229,11 @@
                     };
                     let (at, id) = (*at, format!("plan-{client}-{number}"));
                     let sent = Instant::now();
+                    record.line(format!("client sends {id} to router {}", at + 1));
                     let answer = open.call(&plan(&id), Duration::from_secs(9));
                     let pause = match answer {
                         Ok(answer) => {
+                            record.line(format!("client {id} gets {}", answer.status));
                             if answer.header("connection") == Some("close") {
                                 connection = None;
                             }
@@ -239,6 +241,7 @@
                             Duration::from_secs_f64(after.unwrap_or(0.0))
                         }
                         Err(error) => {
+                            record.line(format!("client {id} gets no answer: {error}"));
                             let was_cut = error.kind() != std::io::ErrorKind::WouldBlock;
                             if was_cut && at == 0 && sent.elapsed() > LOSS_SLACK {
                                 cut.lock().unwrap().push((id, sent, sent.elapsed()));
@@ -310,7 +313,22 @@
             stock[0].id
         ));
     }
-    Ok(held_twice(&stock, Duration::from_secs(6), record))
+    let done = AtomicBool::new(false);
+    thread::scope(|scope| {
+        scope.spawn(|| {
+            for number in 0.. {
+                if done.load(Ordering::SeqCst) {
+                    return;
+                }
+                let id = format!("lookup-{number}");
+                let (router, key) = ((number % 3 + 1) as u8, number * 500 % 65_536);
+                site.send(router, "GET", "/stock/a", &id, Some(key));
+            }
+        });
+        let is_broken = held_twice(&stock, Duration::from_secs(6), record);
+        done.store(true, Ordering::SeqCst);
+        Ok(is_broken)
+    })
 }
 
 // Watches the workers for `span`. Reports whether two of them held the same key for over half a second.
--- a/review/standin/worker.rs
+++ b/review/standin/worker.rs
@@ -243,6 +243,7 @@
         if self.sharded && self.fence_of(key, Instant::now()).is_none() {
             return Some(Message::response(421).with("x-not-executed", 1));
         }
+        self.record.line(format!("{} runs {id}", self.id));
         self.runs.lock().unwrap().push(id.clone());
         self.working.lock().unwrap().insert(id.clone(), key);
         thread::sleep(self.work);
