Refuse requests that wait past the end of their host

Cause: body, queue and exchange each waited for the request's own deadline; only RouterHost::stop knew when the process ends, and it closed what was left.

Change: the times of the stop are made once (serving::shutdown) and shared with all threads. The scheduler refuses at once what it does not expect to end in time, takes nothing that would not, and refuses what still waits when less than twice a service time is left. A body without an end is refused, an exchange without a response by then ends as broken and is not retried. It works because every place where a request waits now ends by the end of the host, and not only by its deadline. Two flags and a channel are replaced by the one watch.

--- a/lab/src/platform_site/settings.rs
+++ b/lab/src/platform_site/settings.rs
@@ -38,6 +38,21 @@
     configuration_with(version, added)
 }
 
+/// The time-out of the route of [`configuration_with_plans`], in milliseconds.
+const PLANS_TIMEOUT_MS: u64 = 8_000;
+/// The latency objective of that route, in milliseconds.
+const PLANS_OBJECTIVE_MS: u64 = 4_000;
+
+/// Returns a configuration with a third route, `/plans/`, whose requests may wait for seconds.
+#[must_use]
+pub fn configuration_with_plans(version: u64) -> serde_json::Value {
+    let mut configuration = configuration_with(version, &["plans"]);
+    let path = &mut configuration["hosts"][0]["paths"][2];
+    path["timeout_ms"] = PLANS_TIMEOUT_MS.into();
+    path["target_latency_ms"] = PLANS_OBJECTIVE_MS.into();
+    configuration
+}
+
 /// Returns a configuration that routes `/stock/` to a sharded service, and `/orders/` and a path for
 /// each name in `added` to a pool of servers.
 #[must_use]
--- a/src/edge/router/admin.rs
+++ b/src/edge/router/admin.rs
@@ -11,6 +11,7 @@
 use crate::clock::MonoClock as _;
 use crate::edge::listen;
 use crate::edge::router::metrics;
+use crate::edge::router::shutdown_watch;
 use crate::edge::router::traffic;
 use crate::names;
 use crate::serving::report;
@@ -30,8 +31,8 @@
     pub own: status::HostRecord,
     /// Whether the host is ready to serve.
     pub ready: sync::Arc<atomic::AtomicBool>,
-    /// Whether the host is stopping.
-    pub stopping: sync::Arc<atomic::AtomicBool>,
+    /// The host's shutdown.
+    pub shutdown: shutdown_watch::ShutdownWatch,
     /// The number of requests in flight.
     pub in_flight: sync::Arc<atomic::AtomicI64>,
     /// The view that the control thread publishes.
@@ -44,7 +45,7 @@
 
 impl AdminState {
     fn phase(&self) -> report::HostPhase {
-        if self.stopping.load(atomic::Ordering::Relaxed) {
+        if self.shutdown.times().is_some() {
             return report::HostPhase::Stopping;
         }
         if self.ready.load(atomic::Ordering::Relaxed) {
--- a/src/edge/router/control/granting.rs
+++ b/src/edge/router/control/granting.rs
@@ -7,6 +7,7 @@
 use crate::clock::MonoClock as _;
 use crate::edge::router::control;
 use crate::edge::router::ports;
+use crate::edge::router::shutdown_watch;
 use crate::ownership::assignment;
 use crate::ownership::order;
 use crate::serving::topic;
@@ -22,11 +23,11 @@
     O: ports::OrderPort,
     D: ports::RecordDecoder,
 {
-    pub(super) async fn join(self: rc::Rc<Self>, stopping: tokio::sync::watch::Receiver<bool>) {
+    pub(super) async fn join(self: rc::Rc<Self>, shutdown: shutdown_watch::ShutdownWatch) {
         let mut has_joined = false;
         loop {
             tokio::time::sleep(self.join_interval).await;
-            if *stopping.borrow() {
+            if shutdown.times().is_some() {
                 self.leave().await;
                 return;
             }
--- a/src/edge/router/control/hosts.rs
+++ b/src/edge/router/control/hosts.rs
@@ -10,6 +10,7 @@
 use crate::clock::MonoClock as _;
 use crate::edge::router::control;
 use crate::edge::router::ports;
+use crate::edge::router::shutdown_watch;
 use crate::edge::router::status_exchange;
 use crate::edge::router::store_reader;
 use crate::ownership::former_granters;
@@ -42,15 +43,14 @@
     D: ports::RecordDecoder,
 {
     // Registers this host in the store, and removes the registration when the host stops.
-    pub(super) async fn register(self: rc::Rc<Self>, stopping: tokio::sync::watch::Receiver<bool>) {
+    pub(super) async fn register(self: rc::Rc<Self>, shutdown: shutdown_watch::ShutdownWatch) {
         let own = self.state.borrow().cluster.own().clone();
         let Some(record) = control::encode_record(own.host.as_str(), &own) else {
             return;
         };
         let era = self.append_host(&record).await;
-        let mut stopping = stopping;
         let stopped = tokio::select! {
-            stopped = stopping.wait_for(|stopping| *stopping) => stopped.is_ok(),
+            _ = shutdown.begun() => true,
             () = self.keep_registered(&record, era) => false,
         };
         if stopped {
--- a/src/edge/router/control/mod.rs
+++ b/src/edge/router/control/mod.rs
@@ -19,6 +19,7 @@
 use crate::clock::MonoClock as _;
 use crate::edge::router::metrics;
 use crate::edge::router::ports;
+use crate::edge::router::shutdown_watch;
 use crate::edge::router::status_exchange;
 use crate::edge::router::traffic;
 use crate::names;
@@ -61,8 +62,8 @@
     pub own: status::HostRecord,
     /// How long servers go on serving after they have reported that they are draining.
     pub drain: time::Duration,
-    /// Becomes true when the host stops.
-    pub stopping: tokio::sync::watch::Receiver<bool>,
+    /// The host's shutdown.
+    pub shutdown: shutdown_watch::ShutdownWatch,
     /// The metrics.
     pub metrics: sync::Arc<metrics::RouterMetrics>,
 }
@@ -172,8 +173,8 @@
         thread.update_reading();
         actix::spawn(rc::Rc::clone(&thread).watch_era());
         actix::spawn(rc::Rc::clone(&thread).follow_supplier());
-        actix::spawn(rc::Rc::clone(&thread).join(parts.stopping.clone()));
-        actix::spawn(rc::Rc::clone(&thread).register(parts.stopping));
+        actix::spawn(rc::Rc::clone(&thread).join(parts.shutdown.clone()));
+        actix::spawn(rc::Rc::clone(&thread).register(parts.shutdown));
         actix::spawn(rc::Rc::clone(&thread).tick());
         actix::spawn(rc::Rc::clone(&thread).report_key_loads());
         actix::spawn(rc::Rc::clone(&thread).exchange_with_hosts());
--- a/src/edge/router/front/mod.rs
+++ b/src/edge/router/front/mod.rs
@@ -5,7 +5,6 @@
 
 use std::rc;
 use std::sync;
-use std::sync::atomic;
 use std::time;
 
 use actix_web::web;
@@ -29,6 +28,9 @@
 pub const MAX_BUFFERED_BODY_BYTES: usize = 1 << 20;
 /// The `retry-after` of requests that are refused before a route is found, in milliseconds.
 pub const EARLY_RETRY_AFTER_MS: u64 = 50;
+/// The response to a request that the host cannot serve before it ends.
+const STOPPING: local_response::LocalResponse =
+    local_response::LocalResponse::Refused(scheduler::SchedulerRefusal::Stopping);
 
 // A caller's request, from its arrival to its response.
 struct CallerRequest<C: ports::HeaderCodec> {
@@ -66,7 +68,7 @@
             local_response::respond(response, retry_after)
         }
     };
-    if shared.parts.stopping.load(atomic::Ordering::Relaxed) {
+    if shared.parts.shutdown.times().is_some() {
         let close = actix_web::http::header::HeaderValue::from_static("close");
         response
             .headers_mut()
@@ -89,8 +91,9 @@
         let arrived = thread.parts.clock.now();
         let headers = thread.parts.codec.read_request(caller.headers());
         let early = |response| (response, headers.id.clone());
-        if thread.parts.closed.load(atomic::Ordering::Relaxed) {
-            return Err(early(local_response::LocalResponse::Stopping));
+        let shutdown = thread.parts.shutdown.times();
+        if shutdown.is_some_and(|times| times.is_closed(arrived)) {
+            return Err(early(STOPPING));
         }
         let view = thread.parts.view.load();
         let routes = view
@@ -167,8 +170,12 @@
             }
             Ok(false)
         };
-        let is_complete = tokio::time::timeout(time_left, read).await;
-        let is_complete = is_complete.unwrap_or(Err(local_response::LocalResponse::BodyTimeout))?;
+        let is_complete = tokio::select! {
+            result = tokio::time::timeout(time_left, read) => {
+                result.unwrap_or(Err(local_response::LocalResponse::BodyTimeout))?
+            }
+            () = self.thread.ended() => return Err(STOPPING),
+        };
         let head = head.freeze();
         if is_complete {
             return Ok(body::CallerBody::new(head));
@@ -267,7 +274,9 @@
     }
 
     fn has_time_left(&self) -> bool {
-        self.thread.parts.clock.now() < self.deadline
+        let now = self.thread.parts.clock.now();
+        let shutdown = self.thread.parts.shutdown.times();
+        now < self.deadline && shutdown.is_none_or(|times| now < times.ends_at)
     }
 
     fn dispatch_request(
@@ -288,7 +297,8 @@
         }
     }
 
-    // Sends the request to a server. Returns `None` when the deadline passes first.
+    // Sends the request to a server. Returns `None` when the deadline passes first. Where the host ends
+    // first, the request may have run.
     async fn attempt(
         &self,
         record: &directory::ServerRecord,
@@ -310,7 +320,12 @@
         let options = options.with_buffered_bytes(self.buffered_bytes());
         let client = &self.thread.client;
         let sent = exchange::attempt(codec, client, record.address, options, request, id);
-        tokio::time::timeout(time_left, sent).await.ok()
+        tokio::select! {
+            end = tokio::time::timeout(time_left, sent) => end.ok(),
+            () = self.thread.ended() => {
+                Some(exchange::AttemptEnd::Broken("the host ends".to_owned()))
+            }
+        }
     }
 
     // Adds the expected service time to the work of the request's key, whether or not the request
--- a/src/edge/router/front/responses.rs
+++ b/src/edge/router/front/responses.rs
@@ -126,7 +126,11 @@
                 after_ms = elapsed.as_millis()
             );
         }
-        let retry_after = (response.status() == 503).then(|| self.retry_after(now));
+        let retry_after = match response {
+            // Other hosts serve the caller now.
+            front::STOPPING => Some(time::Duration::from_millis(front::EARLY_RETRY_AFTER_MS)),
+            _ => (response.status() == 503).then(|| self.retry_after(now)),
+        };
         local_response::respond(response, retry_after)
     }
 
--- a/src/edge/router/host.rs
+++ b/src/edge/router/host.rs
@@ -9,6 +9,7 @@
 
 use crate::chart;
 use crate::clock;
+use crate::clock::MonoClock as _;
 use crate::edge::caller_listener;
 use crate::edge::listen;
 use crate::edge::router::admin;
@@ -17,9 +18,11 @@
 use crate::edge::router::local_response;
 use crate::edge::router::metrics;
 use crate::edge::router::ports;
+use crate::edge::router::shutdown_watch;
 use crate::edge::router::status_exchange;
 use crate::edge::router::traffic;
 use crate::serving::scheduler;
+use crate::serving::shutdown;
 use crate::serving::status;
 use crate::serving::view;
 
@@ -29,13 +32,10 @@
 pub const IDLE_TIMEOUT_S: u64 = 120;
 /// How long a caller may take to send a request's head, in seconds.
 pub const HEAD_TIMEOUT_S: u64 = 10;
-/// How long a stopping host goes on accepting requests, in milliseconds. The platform takes a host
-/// out of use after two failed readiness checks, which are one second apart.
-pub const LAME_DUCK_MS: u64 = 2_600;
 /// How long a stopping host waits for connections on which no request is under way, in milliseconds.
 pub const IDLE_CONNECTIONS_MS: u64 = 500;
-/// The part of the grace period that is kept in reserve for shutting down, in milliseconds.
-pub const STOP_MARGIN_MS: u64 = 400;
+/// How long the last responses take to be sent, in milliseconds.
+pub const LAST_RESPONSES_MS: u64 = 150;
 /// The interval at which a stopping host checks for requests in flight, in milliseconds.
 pub const STOP_POLL_MS: u64 = 50;
 
@@ -107,9 +107,8 @@
 /// A running host.
 pub struct RouterHost {
     settings: RouterSettings,
-    stopping: sync::Arc<atomic::AtomicBool>,
-    closed: sync::Arc<atomic::AtomicBool>,
-    stop: tokio::sync::watch::Sender<bool>,
+    clock: clock::SystemClock,
+    shutdown: shutdown_watch::ShutdownSender,
     in_flight: sync::Arc<atomic::AtomicI64>,
     front: caller_listener::CallerListener,
     control: actix::Arbiter,
@@ -128,10 +127,8 @@
         let view: traffic::SharedView =
             sync::Arc::new(arc_swap::ArcSwap::from_pointee(view::ServingView::new()));
         let ready = sync::Arc::new(atomic::AtomicBool::new(false));
-        let stopping = sync::Arc::new(atomic::AtomicBool::new(false));
-        let closed = sync::Arc::new(atomic::AtomicBool::new(false));
         let in_flight = sync::Arc::new(atomic::AtomicI64::new(0));
-        let (stop, stop_seen) = tokio::sync::watch::channel(false);
+        let (shutdown, shutdown_watch) = shutdown_watch::ShutdownWatch::new();
         let (reports, reports_in) = tokio::sync::mpsc::unbounded_channel();
         let chart = chart::ChartTable::new().map_err(|source| RouterError::Chart { source })?;
         let control = actix::Arbiter::new();
@@ -142,7 +139,7 @@
             view: sync::Arc::clone(&view),
             ready: sync::Arc::clone(&ready),
             reports: reports_in,
-            stopping: stop_seen,
+            shutdown: shutdown_watch.clone(),
         };
         start_control(&control, &settings, adapter.clone(), shared).await?;
         let traffic = traffic::TrafficParts {
@@ -150,8 +147,7 @@
             view,
             scheduler: settings.scheduler.clone(),
             chart: sync::Arc::new(chart),
-            stopping: sync::Arc::clone(&stopping),
-            closed: sync::Arc::clone(&closed),
+            shutdown: shutdown_watch.clone(),
             in_flight: sync::Arc::clone(&in_flight),
             reports,
             clock,
@@ -160,7 +156,7 @@
         let admin = admin::AdminState {
             own: settings.own.clone(),
             ready,
-            stopping: sync::Arc::clone(&stopping),
+            shutdown: shutdown_watch,
             in_flight: sync::Arc::clone(&in_flight),
             view: sync::Arc::clone(&traffic.view),
             metrics,
@@ -178,9 +174,8 @@
         );
         Ok(Self {
             settings,
-            stopping,
-            closed,
-            stop,
+            clock,
+            shutdown,
             in_flight,
             front,
             control,
@@ -188,22 +183,18 @@
     }
 
     /// Stops gracefully: fails the readiness check, gives up the granter role, and completes the
-    /// requests in flight within the grace period.
+    /// requests in flight within the grace period. Those that cannot be completed are refused, or end
+    /// as broken where a server may have run them.
     pub async fn stop(&self) {
-        self.stopping.store(true, atomic::Ordering::Relaxed);
-        // The control thread may have ended.
-        let _ = self.stop.send(true);
+        let times = shutdown::ShutdownTimes::new(self.clock.now(), self.settings.grace);
+        self.shutdown.send_replace(Some(times));
         tracing::info!(event = "host-draining", in_flight = self.in_flight());
-        let limit = self
-            .settings
-            .grace
-            .saturating_sub(time::Duration::from_millis(STOP_MARGIN_MS));
-        let lame_duck = time::Duration::from_millis(LAME_DUCK_MS).min(limit);
-        tokio::time::sleep(lame_duck).await;
-        // Callers may still send requests on connections that have been idle since; those are
-        // refused at once.
-        self.closed.store(true, atomic::Ordering::Relaxed);
-        let idle = self.wait_until_idle(limit.saturating_sub(lame_duck));
+        // Callers may still send requests on connections that have been idle since; from then on they
+        // are refused at once.
+        tokio::time::sleep(times.closes_at.since(self.clock.now())).await;
+        let last_responses = time::Duration::from_millis(LAST_RESPONSES_MS);
+        let limit = times.ends_at.since(self.clock.now()) + last_responses;
+        let idle = self.wait_until_idle(limit);
         let stopped = self.front.stop(local_response::stopping_refusal, idle);
         if let Err(error) = stopped.await {
             tracing::warn!(event = "callers-not-refused", fault = %error);
@@ -240,7 +231,7 @@
     view: traffic::SharedView,
     ready: sync::Arc<atomic::AtomicBool>,
     reports: tokio::sync::mpsc::UnboundedReceiver<traffic::TrafficReport>,
-    stopping: tokio::sync::watch::Receiver<bool>,
+    shutdown: shutdown_watch::ShutdownWatch,
 }
 
 // Starts the control thread and waits until it listens for the other hosts.
@@ -291,7 +282,7 @@
         max_hold: settings.max_hold,
         own: settings.own,
         drain: settings.scheduler.drain,
-        stopping: shared.stopping,
+        shutdown: shared.shutdown,
         metrics: shared.metrics,
     };
     let started = control::ControlThread::start(parts);
--- a/src/edge/router/local_response.rs
+++ b/src/edge/router/local_response.rs
@@ -15,8 +15,6 @@
     RoutesUnconfirmed,
     /// No set of routes is known yet.
     Starting,
-    /// The host is about to end.
-    Stopping,
     /// A required header is missing or malformed, or the body could not be read.
     Malformed,
     /// The request's head is too large.
@@ -41,7 +39,6 @@
         Self::NoRoute,
         Self::RoutesUnconfirmed,
         Self::Starting,
-        Self::Stopping,
         Self::Malformed,
         Self::HeadTooLarge,
         Self::BodyTooLarge,
@@ -50,6 +47,7 @@
         Self::Refused(scheduler::SchedulerRefusal::NoServer),
         Self::Refused(scheduler::SchedulerRefusal::TooLate),
         Self::Refused(scheduler::SchedulerRefusal::Budget),
+        Self::Refused(scheduler::SchedulerRefusal::Stopping),
         Self::NotRun,
         Self::Broken,
         Self::Timeout,
@@ -64,11 +62,7 @@
             Self::HeadTooLarge => 431,
             Self::BodyTooLarge => 413,
             Self::BodyTimeout => 408,
-            Self::RoutesUnconfirmed
-            | Self::Starting
-            | Self::Stopping
-            | Self::Refused(_)
-            | Self::NotRun => 503,
+            Self::RoutesUnconfirmed | Self::Starting | Self::Refused(_) | Self::NotRun => 503,
             Self::Broken => 502,
             Self::Timeout => 504,
         }
@@ -81,7 +75,6 @@
             Self::NoRoute => "no-route",
             Self::RoutesUnconfirmed => "routes-unconfirmed",
             Self::Starting => "starting",
-            Self::Stopping => "stopping",
             Self::Malformed => "malformed",
             Self::HeadTooLarge => "head-too-large",
             Self::BodyTooLarge => "body-too-large",
@@ -90,6 +83,7 @@
             Self::Refused(scheduler::SchedulerRefusal::NoServer) => "no-server",
             Self::Refused(scheduler::SchedulerRefusal::TooLate) => "too-late",
             Self::Refused(scheduler::SchedulerRefusal::Budget) => "retry-budget",
+            Self::Refused(scheduler::SchedulerRefusal::Stopping) => "stopping",
             Self::NotRun => "not-run",
             Self::Broken => "broken",
             Self::Timeout => "timeout",
@@ -100,7 +94,7 @@
 /// Makes the response to a request that reaches a host after it has stopped accepting.
 #[must_use]
 pub fn stopping_refusal(_head: &str) -> String {
-    let local = LocalResponse::Stopping;
+    let local = LocalResponse::Refused(scheduler::SchedulerRefusal::Stopping);
     let delay = time::Duration::from_millis(front::EARLY_RETRY_AFTER_MS);
     let retry_after = retry_after_text(delay);
     let headers = [("retry-after", retry_after.as_str())];
--- a/src/edge/router/traffic.rs
+++ b/src/edge/router/traffic.rs
@@ -15,6 +15,7 @@
 use crate::edge::router::log_budget;
 use crate::edge::router::metrics;
 use crate::edge::router::ports;
+use crate::edge::router::shutdown_watch;
 use crate::edge::router::slots;
 use crate::names;
 use crate::ownership::assignment;
@@ -56,10 +57,8 @@
     pub scheduler: scheduler::SchedulerSettings,
     /// The chart `delivery`.
     pub chart: sync::Arc<chart::ChartTable<delivery::DeliveryVocabulary>>,
-    /// Whether the host is stopping: responses close their connections.
-    pub stopping: sync::Arc<atomic::AtomicBool>,
-    /// Whether new requests are refused.
-    pub closed: sync::Arc<atomic::AtomicBool>,
+    /// The host's shutdown.
+    pub shutdown: shutdown_watch::ShutdownWatch,
     /// The number of requests in flight.
     pub in_flight: sync::Arc<atomic::AtomicI64>,
     /// Receives the reports.
@@ -168,7 +167,10 @@
         let events = {
             let mut scheduler = self.scheduler.borrow_mut();
             scheduler.sync(&view, now);
-            scheduler.dispatch_waiting(now)
+            let shutdown = self.parts.shutdown.times();
+            let ended = shutdown.map(|times| scheduler.end_by(times.ends_at, now));
+            let dispatched = scheduler.dispatch_waiting(now);
+            ended.into_iter().flatten().chain(dispatched)
         };
         for event in events {
             let (ticket, result) = match event {
@@ -198,6 +200,11 @@
             .finish(incarnation, end, elapsed, now);
     }
 
+    // Waits until the host, while it stops, has responded to each request.
+    pub(crate) async fn ended(&self) {
+        self.parts.shutdown.ended(&self.parts.clock).await;
+    }
+
     /// Returns the requests that this host has running or waiting.
     #[must_use]
     pub fn demand(&self) -> view::HostDemand {
--- a/src/serving/mod.rs
+++ b/src/serving/mod.rs
@@ -10,6 +10,7 @@
 pub mod replica;
 pub mod report;
 pub mod scheduler;
+pub mod shutdown;
 pub mod status;
 pub mod topic;
 pub mod upstream;
--- a/src/serving/scheduler/mod.rs
+++ b/src/serving/scheduler/mod.rs
@@ -8,6 +8,7 @@
 
 mod host_demand;
 mod selection;
+mod shutdown;
 mod tracked_server;
 mod wait_estimate;
 
@@ -37,6 +38,9 @@
 /// Fraction of the expected service time that must be left until the deadline for a request to be
 /// sent.
 pub const MIN_START_FRACTION: f64 = 0.6;
+/// How many times the expected service time must be left until the host ends for a request to be sent:
+/// one that is refused can go to another host, one that is cut off at a server may not.
+pub const END_START_FACTOR: f64 = 2.0;
 /// By how many percent each percent of failures raises the expected response time of a server.
 pub const FAILURE_PENALTY: f64 = 6.0;
 /// What each kilobyte of the body adds to the expected response time of a server in another failure
@@ -88,6 +92,8 @@
     TooLate,
     /// The retry budget is exhausted.
     Budget,
+    /// The host ends before a server could respond.
+    Stopping,
 }
 
 /// The decision on a waiting request.
@@ -131,6 +137,8 @@
     servers: collections::BTreeMap<names::ServerName, tracked_server::TrackedServer>,
     queues: collections::BTreeMap<names::ServiceName, ServiceQueue>,
     next: u64,
+    // The time by which the host ends, once it is stopping.
+    ends_at: Option<clock::MonoTime>,
 }
 
 impl RequestScheduler {
@@ -143,6 +151,7 @@
             servers: collections::BTreeMap::new(),
             queues: collections::BTreeMap::new(),
             next: 0,
+            ends_at: None,
         }
     }
 
@@ -317,8 +326,8 @@
             }
         }
         for (place, waiting) in entries {
-            if pool_full && waiting.request.key.is_none() && !is_too_late(&waiting, service_ms, now)
-            {
+            let fits_pool = !pool_full || waiting.request.key.is_some();
+            if !fits_pool && self.late_refusal(&waiting, service_ms, now).is_none() {
                 kept.insert(place, waiting);
                 continue;
             }
@@ -348,11 +357,21 @@
             queue.entries = kept;
         }
     }
-}
 
-// Whether too little time is left for a server to respond.
-fn is_too_late(waiting: &Waiting, service_ms: f64, now: clock::MonoTime) -> bool {
-    millis(waiting.request.deadline.since(now)) < service_ms * MIN_START_FRACTION
+    // Why too little time is left for a server to respond, if it is.
+    fn late_refusal(
+        &self,
+        waiting: &Waiting,
+        service_ms: f64,
+        now: clock::MonoTime,
+    ) -> Option<SchedulerRefusal> {
+        if self.ends_before(0.0, service_ms, now) {
+            return Some(SchedulerRefusal::Stopping);
+        }
+        let left_ms = millis(waiting.request.deadline.since(now));
+        let is_late = left_ms < service_ms * MIN_START_FRACTION;
+        is_late.then_some(SchedulerRefusal::TooLate)
+    }
 }
 
 fn millis(span: time::Duration) -> f64 {
--- a/src/serving/scheduler/selection.rs
+++ b/src/serving/scheduler/selection.rs
@@ -26,8 +26,8 @@
         service_ms: f64,
         now: clock::MonoTime,
     ) -> Decision {
-        if scheduler::is_too_late(waiting, service_ms, now) {
-            return Decision::GiveUp(scheduler::SchedulerRefusal::TooLate);
+        if let Some(refusal) = self.late_refusal(waiting, service_ms, now) {
+            return Decision::GiveUp(refusal);
         }
         match waiting.request.key {
             Some(key) => self.decide_keyed(waiting, key, now),
--- a/src/serving/scheduler/wait_estimate.rs
+++ b/src/serving/scheduler/wait_estimate.rs
@@ -33,6 +33,9 @@
             return Err(scheduler::SchedulerRefusal::TooLate);
         }
         let wait = self.wait_ms(request, now);
+        if self.ends_before(wait, service, now) {
+            return Err(scheduler::SchedulerRefusal::Stopping);
+        }
         if wait.is_infinite() {
             return Err(scheduler::SchedulerRefusal::NoServer);
         }
@@ -46,9 +49,29 @@
 
     // The expected wait of a new request, in milliseconds; infinite where no server is available.
     fn wait_ms(&self, request: &scheduler::DispatchRequest, now: clock::MonoTime) -> f64 {
+        let ahead = match request
+            .key
+            .map(|key| self.view.owner(&request.service, key))
+        {
+            None => self.ahead(request, |other| other.key.is_none()),
+            Some(view::KeyOwner::Server(owner)) => self.ahead(request, |other| {
+                other.key.is_some() && self.is_owner(other, owner)
+            }),
+            Some(_) => 0.0,
+        };
+        self.wait_behind_ms(request, ahead, now)
+    }
+
+    // The expected wait of a request behind `ahead` others that wait for the same servers.
+    pub(super) fn wait_behind_ms(
+        &self,
+        request: &scheduler::DispatchRequest,
+        ahead: f64,
+        now: clock::MonoTime,
+    ) -> f64 {
         match request.key {
-            Some(key) => self.keyed_wait_ms(request, key, now),
-            None => self.pool_wait_ms(request, now),
+            Some(key) => self.keyed_wait_ms(request, key, ahead, now),
+            None => self.pool_wait_ms(request, ahead, now),
         }
     }
 
@@ -56,6 +79,7 @@
         &self,
         request: &scheduler::DispatchRequest,
         key: u16,
+        ahead: f64,
         now: clock::MonoTime,
     ) -> f64 {
         let incarnation = match self.view.owner(&request.service, key) {
@@ -73,15 +97,17 @@
         if !server.accepts_keyed(incarnation, now) {
             return f64::INFINITY;
         }
-        let ahead = self.ahead(request, |other| {
-            other.key.is_some() && self.is_owner(other, incarnation)
-        });
         let limit = self.limit(server);
         let queued = ahead + f64::from(server.running) - limit + 1.0;
         (queued.max(0.0) / limit) * server.service_ms()
     }
 
-    fn pool_wait_ms(&self, request: &scheduler::DispatchRequest, now: clock::MonoTime) -> f64 {
+    fn pool_wait_ms(
+        &self,
+        request: &scheduler::DispatchRequest,
+        ahead: f64,
+        now: clock::MonoTime,
+    ) -> f64 {
         let servers = self.servers.values();
         let usable: Vec<_> = servers
             .filter(|server| server.accepts(&request.service, now))
@@ -95,7 +121,6 @@
             .iter()
             .map(|server| self.limit(server) / server.service_ms())
             .sum();
-        let ahead = self.ahead(request, |other| other.key.is_none());
         let queued = ahead + f64::from(running) - room + 1.0;
         queued.max(0.0) / rate
     }
--- a/tests/scheduler.rs
+++ b/tests/scheduler.rs
@@ -302,6 +302,85 @@
     );
 }
 
+// Fills a server, and lets `waiting` more requests of long objectives wait for it.
+fn wait_at_a_full_server(waiting: usize) -> SchedulerCase {
+    let mut case = SchedulerCase::new(&[("near", "north")]);
+    case.fill();
+    for _ in 0..waiting {
+        let mut request = SchedulerCase::request(1, 20_000);
+        request.objective = fixtures::at(10_000);
+        let queued = case.scheduler.enqueue(request, fixtures::at(0));
+        queued.expect("the request is queued");
+    }
+    case
+}
+
+fn count_stopping(events: &[scheduler::SchedulerEvent]) -> usize {
+    let stopping = scheduler::SchedulerRefusal::Stopping;
+    let refused = events.iter().filter(|event| {
+        matches!(event, scheduler::SchedulerEvent::GivenUp(_, refusal) if *refusal == stopping)
+    });
+    refused.count()
+}
+
+// Guards against requests that wait for a server although the host ends before it could respond. Those
+// whose turn comes in time stay, and the others are refused at once.
+fn refuses_at_once_what_waits_past_the_end_of_the_host() {
+    const WAITING: usize = 40;
+    let mut case = wait_at_a_full_server(WAITING);
+    let events = case.scheduler.end_by(fixtures::at(600), fixtures::at(0));
+    let refused = count_stopping(&events);
+    assert_eq!(refused, events.len(), "{events:?}");
+    assert!((1..WAITING).contains(&refused), "{refused} were refused");
+    let again = case.scheduler.end_by(fixtures::at(600), fixtures::at(1));
+    assert_eq!(again.len(), 0, "{again:?}");
+}
+
+// Guards against requests that stay in the queue, because servers take longer than expected, until the
+// host ends.
+fn refuses_what_has_waited_until_the_end_of_the_host() {
+    let mut case = wait_at_a_full_server(3);
+    let events = case.scheduler.end_by(fixtures::at(5_000), fixtures::at(0));
+    assert_eq!(events.len(), 0, "{events:?}");
+    let events = case.scheduler.dispatch_waiting(fixtures::at(4_000));
+    assert_eq!(count_stopping(&events), 0, "{events:?}");
+    let events = case.scheduler.dispatch_waiting(fixtures::at(4_900));
+    assert!(count_stopping(&events) > 0, "{events:?}");
+    assert!(!case.scheduler.has_waiting());
+}
+
+// Guards against a new request or a retry that a stopping host takes and cannot complete.
+fn takes_no_request_that_ends_after_the_host() {
+    let mut case = SchedulerCase::new(&[("near", "north")]);
+    case.scheduler.end_by(fixtures::at(500), fixtures::at(0));
+    let mut request = SchedulerCase::request(1, 20_000);
+    request.objective = fixtures::at(10_000);
+    let early = case.scheduler.enqueue(request.clone(), fixtures::at(0));
+    assert!(early.is_ok());
+    let late = case.scheduler.enqueue(request.clone(), fixtures::at(400));
+    assert_eq!(late, Err(scheduler::SchedulerRefusal::Stopping));
+    request.is_retry = true;
+    let retried = case.scheduler.enqueue(request, fixtures::at(400));
+    assert!(retried.is_ok(), "a retry is refused when it is dispatched");
+    let events = case.scheduler.dispatch_waiting(fixtures::at(400));
+    assert!(count_stopping(&events) > 0, "{events:?}");
+    assert!(!case.scheduler.has_waiting());
+}
+
+// Guards against a request for a key that moves and that waits until the host ends.
+fn refuses_requests_for_a_moving_key_before_the_host_ends() {
+    let mut moving = MoveCase::new();
+    moving.note_move(Some(2), fixtures::at(0));
+    assert_eq!(moving.enqueue(fixtures::at(0)), Ok(()));
+    let scheduler = &mut moving.case.scheduler;
+    assert_eq!(
+        scheduler.end_by(fixtures::at(400), fixtures::at(0)).len(),
+        0
+    );
+    let events = scheduler.dispatch_waiting(fixtures::at(300));
+    assert_eq!(count_stopping(&events), 1, "{events:?}");
+}
+
 // A scheduler with one server that holds all keys; `note_move` starts and ends a move of them.
 struct MoveCase {
     case: SchedulerCase,
@@ -477,6 +556,10 @@
     avoids_a_server_that_fails,
     pauses_a_server_that_cannot_be_reached,
     repeats_within_its_part_of_the_budget,
+    refuses_at_once_what_waits_past_the_end_of_the_host,
+    refuses_what_has_waited_until_the_end_of_the_host,
+    takes_no_request_that_ends_after_the_host,
+    refuses_requests_for_a_moving_key_before_the_host_ends,
     holds_requests_for_a_key_that_moves,
     refuses_at_once_for_a_key_whose_move_takes_too_long,
     gives_up_waiting_when_a_move_takes_too_long,
--- a/tests/traffic.rs
+++ b/tests/traffic.rs
@@ -11,6 +11,7 @@
 use zinniastack::clock::MonoClock as _;
 use zinniastack::edge::router::metrics;
 use zinniastack::edge::router::ports;
+use zinniastack::edge::router::shutdown_watch;
 use zinniastack::edge::router::traffic;
 use zinniastack::names;
 use zinniastack::ownership::assignment;
@@ -73,6 +74,7 @@
         let (reports, _) = tokio::sync::mpsc::unbounded_channel();
         let clock = clock::SystemClock::new();
         let chart = chart::ChartTable::new().expect("the chart is valid");
+        let (_, shutdown) = shutdown_watch::ShutdownWatch::new();
         let parts = traffic::TrafficParts {
             codec: UnusedCodec,
             view: sync::Arc::new(arc_swap::ArcSwap::from_pointee(view)),
@@ -83,8 +85,7 @@
                 drain: time::Duration::from_secs(2),
             },
             chart: sync::Arc::new(chart),
-            stopping: sync::Arc::default(),
-            closed: sync::Arc::default(),
+            shutdown,
             in_flight: sync::Arc::default(),
             reports,
             clock,
