Answer the requests in flight when a second signal ends a host

Change: the host tells the requests that it ends. Those that wait, or whose bodies are not there, are refused (stopping, not-run); those at a server end as a broken exchange (unknown) and are not sent again. The process exits once the responses are sent, after 0.3 s at the latest.

Ruled out: the first signal. There the host waits until each request has ended by its own deadline, so nothing waits past the end of the process.

Test: answers_what_is_in_flight_on_a_second_signal.

--- a/lab/tests/processes.rs
+++ b/lab/tests/processes.rs
@@ -313,6 +313,7 @@
     serves_the_keys_of_a_frozen_server_elsewhere,
     takes_back_a_paused_granter_without_a_second_owner,
     cuts_no_request_on_sigterm,
+    answers_what_is_in_flight_on_a_second_signal,
     answers_what_it_has_accepted_when_it_stops,
     accounts_for_every_order_when_a_host_is_killed,
     accounts_for_every_order_when_a_server_freezes,
@@ -463,6 +464,45 @@
         assert_eq!(exit.code(), Some(0));
     }
 
+    // Guards against requests that wait, or are at a server, and get no response when a second signal ends
+    // their host.
+    pub async fn answers_what_is_in_flight_on_a_second_signal() {
+        let mut site = ProcessSite::start(2, 3, &["stock"]);
+        let changes = site.configuration().to_changes();
+        site.submit(0, 0, changes).await;
+        for key in 0..16 {
+            site.send_until_ran(0, "stock", &key.to_string()).await;
+        }
+        for server in &site.servers {
+            let faults = zinnia_lab::http::ServerFaults {
+                slow_ms: 20_000,
+                ..Default::default()
+            };
+            set_faults(server.spec.address, &faults).await;
+        }
+        let address = site.hosts[0].callers;
+        let calls = (0..60).map(|key| {
+            let request =
+                caller::CallerRequest::new("stock", &key.to_string(), &format!("cut-{key}"));
+            let client = &site.client;
+            async move { client.send(address, &request).await }
+        });
+        let signals = async {
+            for _ in 0..2 {
+                tokio::time::sleep(LOAD_TIME).await;
+                site.hosts[0].process.signal("-TERM");
+            }
+        };
+        let calls = futures_util::future::join_all(calls);
+        let (responses, ()) = futures_util::future::join(calls, signals).await;
+        for response in &responses {
+            let response = response.as_ref().expect("a complete response");
+            assert!(["not-run", "unknown"].contains(&response.outcome.as_str()));
+        }
+        let exit = site.hosts[0].process.child.wait().expect("the host exits");
+        assert_eq!(exit.code(), Some(1));
+    }
+
     // Guards against requests that are cut off when a host stops: those on their way to its threads, and
     // those in the queue of its listener.
     pub async fn answers_what_it_has_accepted_when_it_stops() {
--- a/src/cmd/entry.rs
+++ b/src/cmd/entry.rs
@@ -113,7 +113,7 @@
         () = entry.stop() => Ok(cmd::EXIT_OK),
         second = wait_for_signal() => {
             second?;
-            tracing::warn!(event = "host-cut", cut = entry.in_flight());
+            entry.cut().await;
             Ok(cmd::EXIT_FAILED)
         }
     }
--- a/src/edge/callers.rs
+++ b/src/edge/callers.rs
@@ -49,6 +49,17 @@
     pub metrics: sync::Arc<metrics::HostMetrics>,
     /// Whether the host is stopping.
     pub stopping: atomic::AtomicBool,
+    /// Becomes true when the host ends at once, without completing the requests in flight.
+    pub ending: tokio::sync::watch::Sender<bool>,
+}
+
+impl CallerContext {
+    /// Waits until the host ends at once.
+    pub(crate) async fn ended(&self) {
+        let mut ending = self.ending.subscribe();
+        // The sender lives as long as this context.
+        let _ = ending.wait_for(|ending| *ending).await;
+    }
 }
 
 /// A request that ended without a response of its owner.
@@ -213,7 +224,10 @@
     let mut buffer = web::BytesMut::new();
     loop {
         let left = deadline.since(context.clock.now());
-        let next = tokio::time::timeout(left, payload.next()).await;
+        let next = tokio::select! {
+            next = tokio::time::timeout(left, payload.next()) => next,
+            () = context.ended() => return Err(refuse(outcome::RefusalReason::Stopping)),
+        };
         let next = next.map_err(|_| refuse(outcome::RefusalReason::DeadlineQueued))?;
         let Some(chunk) = next else {
             return Ok(exchange::WorkBody::Buffered(buffer.freeze()));
--- a/src/edge/host.rs
+++ b/src/edge/host.rs
@@ -33,6 +33,11 @@
 /// The backlog of the callers' listener: the most connections that wait to be accepted.
 pub const LISTEN_BACKLOG: u32 = 1_024;
 
+/// How long a host that ends at once takes at most to answer the requests in flight, in milliseconds.
+pub const CUT_TIMEOUT_MS: u64 = 300;
+/// The interval at which such a host checks for requests in flight, in milliseconds.
+pub const CUT_POLL_MS: u64 = 20;
+
 /// The settings of one entry host.
 #[derive(Clone, Debug)]
 pub struct HostSettings {
@@ -122,6 +127,7 @@
             chart: sync::Arc::new(chart),
             metrics: sync::Arc::clone(&metrics),
             stopping: atomic::AtomicBool::new(false),
+            ending: tokio::sync::watch::Sender::new(false),
         });
         let operators = web::Data::new(operators::OperatorContext {
             control: control.clone(),
@@ -176,6 +182,20 @@
         self.dispatch_arbiter.stop();
         tracing::info!(event = "host-stopped", cut = 0);
     }
+
+    /// Ends at once: refuses the requests that wait, and ends those that are at a server as ones that
+    /// may have run. Waits until their responses are sent, at most for [`CUT_TIMEOUT_MS`].
+    pub async fn cut(&self) {
+        tracing::warn!(event = "host-cut", cut = self.in_flight());
+        self.callers.ending.send_replace(true);
+        let started = time::Instant::now();
+        let limit = time::Duration::from_millis(CUT_TIMEOUT_MS);
+        while self.in_flight() > 0 && started.elapsed() < limit {
+            tokio::time::sleep(time::Duration::from_millis(CUT_POLL_MS)).await;
+        }
+        // A response is counted as sent when it is made.
+        tokio::time::sleep(time::Duration::from_millis(CUT_POLL_MS)).await;
+    }
 }
 
 struct SharedParts {
--- a/src/edge/request_driver.rs
+++ b/src/edge/request_driver.rs
@@ -146,7 +146,13 @@
         };
         let body = take_body(state);
         let sending = self.client.send(&request, hosts, body);
-        let result = tokio::time::timeout(request.time_left, sending).await;
+        let result = tokio::select! {
+            result = tokio::time::timeout(request.time_left, sending) => result,
+            () = self.context.ended() => {
+                let fault = "the host ends".to_owned();
+                Ok(Err(exchange::WorkFailure::Broken(fault)))
+            }
+        };
         apply_result(state, result)
     }
 
@@ -177,8 +183,13 @@
             is_retry: state.flow.retries() > 0,
         };
         let time_left = self.deadline.since(now);
-        let acquired =
-            tokio::time::timeout(time_left, self.context.dispatch.acquire(request)).await;
+        let acquired = tokio::select! {
+            biased;
+            () = self.context.ended() => Ok(Err(outcome::RefusalReason::Stopping)),
+            acquired = tokio::time::timeout(time_left, self.context.dispatch.acquire(request)) => {
+                acquired
+            }
+        };
         match acquired {
             Err(_) => flow::RequestEvent::DeadlinePassed,
             Ok(Err(reason)) => {
