Pass over a supplier of records whose response is overdue

Cause: a host decided where its records come from by calls that had failed, and a call to a dark host fails only at its time-out: 1.1 s for a status update, 2 s for records. It waited so for each host in rank in turn, and took one back that had just started and had no records.

Change: the chart `responses` passes a host over once its response is overdue (0.3 s, or twice the last one), or lacks what this host had when it asked, until it has responded in time. Records then come from the store until another candidate has responded; all candidates are asked at once. Requests under way go on, but keep nothing waiting. To whom demand is reported and who may grant still follows calls that failed. It works because no wait for one host stands between a record and this one any more.

--- a/lab/src/host_simulation.rs
+++ b/lab/src/host_simulation.rs
@@ -38,6 +38,8 @@
 /// The interval of a host's requests to its supplier, in milliseconds. They stand for requests that
 /// wait for records.
 pub const POLL_MS: u64 = 50;
+/// The time after which a request for records without a response fails, in milliseconds.
+pub const RECORDS_TIMEOUT_MS: u64 = 2_000;
 /// The pause after a call of the store that failed, in milliseconds.
 pub const STORE_RETRY_MS: u64 = 400;
 
@@ -111,6 +113,8 @@
     pub bytes: u64,
     // The number of the next read's event.
     next_read: u64,
+    // Where it gets its records from.
+    source: upstream::RecordSource,
 }
 
 /// Simulated entry hosts in several failure domains, and the store.
@@ -146,13 +150,13 @@
             by_name: collections::BTreeMap::new(),
         };
         for (index, own) in records.iter().enumerate() {
-            let drain = time::Duration::from_secs(3);
-            let mut cluster = cluster::ClusterState::new(own.clone(), now, drain);
+            let mut cluster = new_cluster(own, now);
             for other in &records {
                 cluster.note_host(&other.host, Some(other.clone()));
             }
             cluster.note_hosts_known(now);
             simulation.by_name.insert(own.host.clone(), index);
+            let source = cluster.record_source();
             simulation.hosts.push(SimulatedHost {
                 cluster,
                 replica: replica::TopicReplica::new(),
@@ -162,6 +166,7 @@
                 messages: 0,
                 bytes: 0,
                 next_read: 0,
+                source,
             });
             simulation.set_demand(index, 1.0);
             for event in [HostEvent::Exchange(index), HostEvent::Check(index)] {
@@ -208,6 +213,23 @@
         self.store_end.offset -= lost;
     }
 
+    /// Starts a host that is down again: it knows the other hosts, and has no records.
+    pub fn restart(&mut self, host: usize) {
+        let own = self.hosts[host].cluster.own().clone();
+        let mut cluster = new_cluster(&own, self.now);
+        let others = self.hosts.iter().map(|other| other.cluster.own().clone());
+        for other in others.collect::<Vec<_>>() {
+            cluster.note_host(&other.host, Some(other.clone()));
+        }
+        cluster.note_hosts_known(self.now);
+        let state = &mut self.hosts[host];
+        state.source = cluster.record_source();
+        state.cluster = cluster;
+        state.replica = replica::TopicReplica::new();
+        state.is_up = true;
+        self.set_demand(host, 1.0);
+    }
+
     /// Runs for `duration` of simulated time.
     pub fn run(&mut self, duration: time::Duration) {
         let end = self.now + duration;
@@ -266,11 +288,13 @@
                 if self.hosts[to].is_up {
                     let now = self.now;
                     self.hosts[to].cluster.note_response(*update, now);
+                    self.follow_source(to);
                 }
             }
             HostEvent::Failed { host, target } => {
                 let now = self.now;
                 self.hosts[host].cluster.note_exchange_failed(&target, now);
+                self.follow_source(host);
             }
         }
     }
@@ -289,9 +313,23 @@
 
     fn exchange(&mut self, host: usize) {
         self.push(EXCHANGE_MS, HostEvent::Exchange(host));
-        if !self.hosts[host].is_up {
-            return;
+        if self.hosts[host].is_up {
+            self.send_requests(host);
         }
+    }
+
+    // A host whose source of records has changed gives up its request to the former one, and exchanges
+    // status updates at once.
+    fn follow_source(&mut self, host: usize) {
+        let source = self.hosts[host].cluster.record_source();
+        if self.hosts[host].source != source {
+            self.hosts[host].source = source;
+            self.push_read(host, MESSAGE_MS);
+            self.send_requests(host);
+        }
+    }
+
+    fn send_requests(&mut self, host: usize) {
         let grants = self.grants(host);
         let targets = self.hosts[host].cluster.exchange_targets(&grants, self.now);
         for target in targets {
@@ -305,9 +343,10 @@
         target: &exchange::ExchangeTarget,
         grants: &cluster::GrantSnapshot,
     ) {
-        let update = self.hosts[from]
-            .cluster
-            .request_for(target, grants, self.now);
+        let now = self.now;
+        let cluster = &mut self.hosts[from].cluster;
+        cluster.note_asked(&target.host, grants.ends, now);
+        let update = cluster.request_for(target, grants, now);
         self.count(from, &update);
         let to = self.by_name[&target.host];
         if !self.hosts[to].is_up || self.is_lost() {
@@ -354,6 +393,7 @@
         let now = self.now;
         let ends = self.grants(host).ends;
         self.hosts[host].cluster.check_supply(now);
+        self.follow_source(host);
         self.check_era(host);
         if let Some(source) = self.hosts[host].cluster.next_record_source(&ends, now) {
             let source = self.by_name[&source.host];
@@ -380,14 +420,15 @@
             self.push_read(host, CHECK_MS);
             return;
         }
-        let delay = match self.hosts[host].cluster.source() {
+        let delay = match self.hosts[host].cluster.record_source() {
             upstream::RecordSource::Store => self.read_store(host),
             upstream::RecordSource::Host(record) => {
                 let source = self.by_name[&record.host];
-                if self.hosts[source].is_up && !self.is_lost() {
+                let answers = self.hosts[source].is_up;
+                if answers && !self.is_lost() {
                     self.copy_records(source, host);
                 }
-                POLL_MS
+                if answers { POLL_MS } else { RECORDS_TIMEOUT_MS }
             }
         };
         self.push_read(host, delay);
@@ -435,6 +476,12 @@
     }
 }
 
+fn new_cluster(own: &status::HostRecord, now: clock::MonoTime) -> cluster::ClusterState {
+    let drain = time::Duration::from_secs(3);
+    let created = cluster::ClusterState::new(own.clone(), now, drain);
+    created.expect("the chart is valid")
+}
+
 fn record(index: usize, domains: usize) -> status::HostRecord {
     status::HostRecord {
         host: fixtures::name(&format!("host-{index:05}")),
--- a/src/chart/mod.rs
+++ b/src/chart/mod.rs
@@ -350,7 +350,7 @@
 }
 
 /// The text of every chart, in order of name.
-pub const CHART_SOURCES: [&str; 9] = [
+pub const CHART_SOURCES: [&str; 10] = [
     include_str!("../../charts/delivery.toml"),
     include_str!("../../charts/grant.toml"),
     include_str!("../../charts/granting.toml"),
@@ -359,5 +359,6 @@
     include_str!("../../charts/lease.toml"),
     include_str!("../../charts/patch.toml"),
     include_str!("../../charts/request.toml"),
+    include_str!("../../charts/responses.toml"),
     include_str!("../../charts/term.toml"),
 ];
--- a/src/cmd/chart.rs
+++ b/src/cmd/chart.rs
@@ -8,7 +8,7 @@
 Prints a state chart as a Mermaid diagram or, with --dot, in Graphviz's DOT language.
 
 Usage: zinnia chart [--dot] NAME
-Charts: delivery, grant, granting, host, key-range, lease, patch, request, term";
+Charts: delivery, grant, granting, host, key-range, lease, patch, request, responses, term";
 
 /// The arguments of zinnia chart.
 #[derive(Debug)]
--- a/src/edge/router/control/hosts.rs
+++ b/src/edge/router/control/hosts.rs
@@ -111,6 +111,7 @@
     }
 
     pub(super) async fn exchange_with_hosts(self: rc::Rc<Self>) {
+        let mut sources = self.record_source.subscribe();
         loop {
             for target in self.exchange_targets() {
                 // A slow host is not asked again before it has responded.
@@ -118,7 +119,9 @@
                     actix::spawn(rc::Rc::clone(&self).exchange_with_host(target));
                 }
             }
-            tokio::time::sleep(time::Duration::from_millis(STATUS_EXCHANGE_INTERVAL_MS)).await;
+            let interval = time::Duration::from_millis(STATUS_EXCHANGE_INTERVAL_MS);
+            // Another source of records has other hosts to ask.
+            let _ = tokio::time::timeout(interval, sources.changed()).await;
         }
     }
 
@@ -140,8 +143,9 @@
     async fn exchange_with_host(self: rc::Rc<Self>, target: exchange::ExchangeTarget) {
         let asked = self.clock.now();
         let request = {
-            let state = self.state.borrow();
+            let mut state = self.state.borrow_mut();
             let grants = state.grant_snapshot();
+            state.cluster.note_asked(&target.host, grants.ends, asked);
             state.cluster.request_for(&target, &grants, asked)
         };
         let response = self.status_client.exchange(target.peers, request).await;
--- a/src/edge/router/control/mod.rs
+++ b/src/edge/router/control/mod.rs
@@ -29,6 +29,7 @@
 use crate::serving::replica;
 use crate::serving::status;
 use crate::serving::topic;
+use crate::serving::upstream;
 use crate::serving::view;
 
 /// The interval of the granter's decisions, in milliseconds.
@@ -119,6 +120,11 @@
     exchanging: cell::RefCell<collections::BTreeSet<names::HostName>>,
     // Whether this host reads each topic of the store, in the order of `StoreTopic::ALL`.
     reading: [tokio::sync::watch::Sender<bool>; 4],
+    // The hosts whose records are requested, with their incarnations: the supplier, and former ones that
+    // have yet to respond.
+    following: cell::RefCell<collections::BTreeSet<(names::HostName, u64)>>,
+    // Where this host gets the store's records from.
+    record_source: tokio::sync::watch::Sender<upstream::RecordSource>,
     // The highest era of the store that this host or another has seen.
     era: tokio::sync::watch::Sender<u64>,
     // Counts the changes of this host's copies of the topics.
@@ -141,7 +147,7 @@
     pub fn start(parts: ControlParts<S, O, D>) -> Result<rc::Rc<Self>, chart::ChartError> {
         let incarnation = parts.own.granter_incarnation();
         let state = ControlState {
-            cluster: cluster::ClusterState::new(parts.own, parts.clock.now(), parts.drain),
+            cluster: cluster::ClusterState::new(parts.own, parts.clock.now(), parts.drain)?,
             granter: granter::KeyGranter::new(incarnation, parts.max_hold)?,
             replicas: topic::StoreTopic::ALL.map(|_| replica::TopicReplica::new()),
             routes: None,
@@ -160,6 +166,8 @@
             status_client: status_exchange::StatusExchangeClient::new(),
             exchanging: cell::RefCell::default(),
             reading: topic::StoreTopic::ALL.map(|_| tokio::sync::watch::Sender::new(false)),
+            following: cell::RefCell::default(),
+            record_source: tokio::sync::watch::Sender::new(upstream::RecordSource::Store),
             era: tokio::sync::watch::Sender::new(0),
             changes: tokio::sync::watch::Sender::new(0),
             join_interval: parts.join_interval,
@@ -222,16 +230,11 @@
         loop {
             tokio::time::sleep(time::Duration::from_millis(TICK_MS)).await;
             self.decide();
+            self.check_supply();
             self.update_reading();
             self.request_records();
             let now = self.clock.now();
-            let mut state = self.state.borrow_mut();
-            let expired = state.cluster.expire(now);
-            let supply_lost = state.cluster.check_supply(now);
-            drop(state);
-            if supply_lost {
-                tracing::warn!(event = "supply-lost");
-            }
+            let expired = self.state.borrow_mut().cluster.expire(now);
             if expired
                 || now.since(last)
                     >= time::Duration::from_millis(hosts::STATUS_EXCHANGE_INTERVAL_MS)
@@ -242,6 +245,13 @@
         }
     }
 
+    fn check_supply(&self) {
+        let now = self.clock.now();
+        if self.state.borrow_mut().cluster.check_supply(now) {
+            tracing::warn!(event = "supply-lost");
+        }
+    }
+
     async fn report_key_loads(self: rc::Rc<Self>) {
         loop {
             tokio::time::sleep(time::Duration::from_millis(LOAD_REPORT_INTERVAL_MS)).await;
--- a/src/edge/router/control/records.rs
+++ b/src/edge/router/control/records.rs
@@ -40,20 +40,34 @@
     O: ports::OrderPort,
     D: ports::RecordDecoder,
 {
-    // Requests the records of the host that supplies this one, as long as there is one.
+    // Requests the records of the host that supplies this one, as long as there is one. A request to a
+    // former supplier goes on beside it: where this host's own link is slow, its response still comes.
     pub(super) async fn follow_supplier(self: rc::Rc<Self>) {
-        let mut pending = PendingPages::new();
-        let mut last = None;
+        let mut sources = self.record_source.subscribe();
+        // The sender lives as long as this thread.
         loop {
-            let source = self.state.borrow().cluster.source();
-            let upstream::RecordSource::Host(host) = source else {
-                tokio::time::sleep(time::Duration::from_millis(control::TICK_MS)).await;
-                continue;
-            };
-            if last.replace(host.host.clone()).as_ref() != Some(&host.host) {
-                tracing::info!(event = "supplier-changed", host = %host.host);
-                pending.clear();
+            let source = sources.borrow_and_update().clone();
+            match source {
+                upstream::RecordSource::Store => {
+                    tracing::info!(event = "supplier-changed", host = "");
+                }
+                upstream::RecordSource::Host(host) => {
+                    tracing::info!(event = "supplier-changed", host = %host.host);
+                    let life = (host.host.clone(), host.incarnation);
+                    if self.following.borrow_mut().insert(life) {
+                        actix::spawn(rc::Rc::clone(&self).follow_host(host));
+                    }
+                }
             }
+            let _ = sources.changed().await;
+        }
+    }
+
+    // Requests a host's records again and again, as long as it is the supplier.
+    async fn follow_host(self: rc::Rc<Self>, host: status::HostRecord) {
+        let mut pending = PendingPages::new();
+        let source = upstream::RecordSource::Host(host.clone());
+        while *self.record_source.borrow() == source {
             let request = self.record_request(&pending, SUPPLY_WAIT_MS);
             let asked = self.clock.now();
             match self.status_client.records(host.peers, request).await {
@@ -64,6 +78,8 @@
                 }
             }
         }
+        let life = (host.host, host.incarnation);
+        self.following.borrow_mut().remove(&life);
     }
 
     // Starts the request for store records that is due because this host lags, if any.
@@ -79,31 +95,51 @@
         }
     }
 
+    // Receives the records of a host. Where it does not respond in time, another host may be asked beside
+    // it.
     async fn receive_records(self: rc::Rc<Self>, host: status::HostRecord) {
+        let mut receiving = std::pin::pin!(self.receive_pages(&host));
+        let is_answered = tokio::select! {
+            is_answered = &mut receiving => Some(is_answered),
+            () = self.passed_over(&host) => None,
+        };
+        let in_time = is_answered.unwrap_or(false);
+        self.state.borrow_mut().cluster.note_request_ended(in_time);
+        if is_answered.is_none() {
+            receiving.await;
+        }
+    }
+
+    // Requests the pages of a host's records until they are complete. Reports whether all requests were
+    // answered.
+    async fn receive_pages(&self, host: &status::HostRecord) -> bool {
         let mut pending = PendingPages::new();
         loop {
             let request = self.record_request(&pending, 0);
             let asked = self.clock.now();
-            let response = self.status_client.records(host.peers, request).await;
-            let is_answered = response.is_ok();
-            match response {
-                Ok(relay) => {
-                    tracing::info!(
-                        event = "records-received",
-                        host = %host.host,
-                        records = relay.pages.iter().map(|page| page.records.len()).sum::<usize>()
-                    );
-                    self.apply_relay(&host.host, relay, asked, &mut pending);
-                }
+            let relay = match self.status_client.records(host.peers, request).await {
+                Ok(relay) => relay,
                 Err(error) => {
                     tracing::warn!(event = "records-not-received", host = %host.host, fault = %error);
+                    return false;
                 }
+            };
+            tracing::info!(
+                event = "records-received",
+                host = %host.host,
+                records = relay.pages.iter().map(|page| page.records.len()).sum::<usize>()
+            );
+            self.apply_relay(&host.host, relay, asked, &mut pending);
+            if pending.is_empty() {
+                return true;
             }
-            if pending.is_empty() || !is_answered {
-                let mut state = self.state.borrow_mut();
-                state.cluster.note_request_ended(is_answered);
-                return;
-            }
+        }
+    }
+
+    // Waits until a host is passed over.
+    async fn passed_over(&self, host: &status::HostRecord) {
+        while !self.state.borrow().cluster.is_passed_over(&host.host) {
+            tokio::time::sleep(time::Duration::from_millis(control::TICK_MS)).await;
         }
     }
 
--- a/src/edge/router/control/store.rs
+++ b/src/edge/router/control/store.rs
@@ -54,16 +54,23 @@
         store_reader::follow(source, position, on_update).await;
     }
 
-    // Starts and stops the reads of the topics as this host's part in reading the store changes.
+    // Starts and stops the reads of the topics, and the requests to a supplier, as this host's source of
+    // records changes.
     pub(super) fn update_reading(&self) {
         let now = self.clock.now();
         let state = self.state.borrow();
+        let source = state.cluster.record_source();
         for (topic, reading) in topic::StoreTopic::ALL.iter().zip(&self.reading) {
             // A granter has to read for itself that no other host has claimed the role.
             let grants = *topic == topic::StoreTopic::Assignments && state.granter.is_granting();
-            let reads = grants || state.cluster.reads(*topic, now);
+            let reads = grants || state.cluster.reads_by(&source, *topic, now);
             reading.send_if_modified(|is_reading| std::mem::replace(is_reading, reads) != reads);
         }
+        self.record_source.send_if_modified(|known| {
+            let is_changed = *known != source;
+            *known = source;
+            is_changed
+        });
     }
 
     fn read_position(&self, topic: topic::StoreTopic) -> store_reader::ReadPosition {
--- a/src/serving/cluster/exchange.rs
+++ b/src/serving/cluster/exchange.rs
@@ -9,6 +9,7 @@
 use crate::serving::cluster;
 use crate::serving::demand;
 use crate::serving::status;
+use crate::serving::topic;
 use crate::serving::upstream;
 
 /// A host to exchange status updates with.
@@ -50,14 +51,37 @@
             }
             upstream::RecordSource::Store => self.domain_targets(grants, now),
         };
-        if let Some(record) = self.upstream.retried(&self.hosts, now)
-            && targets.iter().all(|target| target.host != record.host)
-        {
-            targets.push(ExchangeTarget::new(&record, status::ExchangePurpose::Query));
+        let queried = self.upstream.retried(&self.hosts, now);
+        for record in queried.into_iter().chain(self.other_candidates()) {
+            if targets.iter().all(|target| target.host != record.host) {
+                targets.push(ExchangeTarget::new(&record, status::ExchangePurpose::Query));
+            }
         }
         targets
     }
 
+    // The other hosts that may supply this one, while the usual one is passed over: all at once, since
+    // what ends one may have ended them too.
+    fn other_candidates(&self) -> Vec<status::HostRecord> {
+        match self.source() {
+            upstream::RecordSource::Host(usual) if self.responses.is_passed_over(&usual.host) => {
+                self.upstream.candidates(&self.hosts)
+            }
+            _ => Vec::new(),
+        }
+    }
+
+    /// Records that a status update is sent to another host. `ends` are the positions at which this
+    /// host's copies end.
+    pub fn note_asked(
+        &mut self,
+        host: &names::HostName,
+        ends: topic::TopicEnds,
+        now: clock::MonoTime,
+    ) {
+        self.responses.note_asked(host, ends, now);
+    }
+
     fn domain_targets(
         &self,
         grants: &cluster::GrantSnapshot,
@@ -203,6 +227,7 @@
         let Some(host) = self.note_peer(&response, now) else {
             return;
         };
+        self.responses.note_answered(&host, &response.ends, now);
         for server in response.removed_servers.into_iter().flatten() {
             self.directory.note_removed(server, now);
         }
@@ -218,6 +243,13 @@
     /// Records that an exchange with a host failed.
     pub fn note_exchange_failed(&mut self, host: &names::HostName, now: clock::MonoTime) {
         self.upstream.note_failure(host, now);
+        self.responses.note_failed(host);
+    }
+
+    /// Reports whether a host is passed over, since its response is overdue, or a call to it has failed.
+    #[must_use]
+    pub fn is_passed_over(&self, host: &names::HostName) -> bool {
+        self.responses.is_passed_over(host)
     }
 
     fn note_supply(&mut self, store_lost: bool, now: clock::MonoTime) {
@@ -275,9 +307,10 @@
         Some(host)
     }
 
-    /// Counts the store as lost where the host that supplies this one has not responded for some
-    /// time. Reports whether that changed.
+    /// Passes over the hosts whose responses are overdue, and counts the store as lost where the host that
+    /// supplies this one has not responded for some time. Reports whether that changed.
     pub fn check_supply(&mut self, now: clock::MonoTime) -> bool {
+        self.responses.check(now);
         let stale = time::Duration::from_millis(cluster::SUPPLY_STALE_MS);
         let Some(supply) = &mut self.supply else {
             return false;
--- a/src/serving/cluster/mod.rs
+++ b/src/serving/cluster/mod.rs
@@ -8,6 +8,7 @@
 use std::sync;
 use std::time;
 
+use crate::chart;
 use crate::clock;
 use crate::names;
 use crate::ownership::assignment;
@@ -15,6 +16,7 @@
 use crate::serving::catch_up;
 use crate::serving::demand;
 use crate::serving::directory;
+use crate::serving::responses;
 use crate::serving::status;
 use crate::serving::topic;
 use crate::serving::upstream;
@@ -70,14 +72,21 @@
     loads: demand::LoadReport,
     reports: demand::DemandReports,
     catch_up: catch_up::CatchUpState,
+    responses: responses::ResponseTracker,
 }
 
 impl ClusterState {
     /// Creates the state of a host that started at `started` and knows only itself. `drain` is how
     /// long servers go on serving after they have announced that they will end.
-    #[must_use]
-    pub fn new(own: status::HostRecord, started: clock::MonoTime, drain: time::Duration) -> Self {
-        Self {
+    ///
+    /// # Errors
+    /// Fails when the chart `responses` is invalid.
+    pub fn new(
+        own: status::HostRecord,
+        started: clock::MonoTime,
+        drain: time::Duration,
+    ) -> Result<Self, chart::ChartError> {
+        Ok(Self {
             upstream: upstream::UpstreamSelection::new(own.clone()),
             own,
             started,
@@ -95,7 +104,8 @@
             loads: demand::LoadReport::default(),
             reports: demand::DemandReports::new(),
             catch_up: catch_up::CatchUpState::new(),
-        }
+            responses: responses::ResponseTracker::new()?,
+        })
     }
 
     /// Returns this host's own record.
@@ -162,6 +172,7 @@
                 }
                 self.peers.remove(name);
                 self.reports.remove(name);
+                self.responses.remove(name);
             }
         }
     }
@@ -195,28 +206,55 @@
         self.store_era
     }
 
-    /// Returns where this host gets the store's records from.
+    /// Returns the host to which this one reports, or the store where it reports to none: its source of
+    /// records as far as calls that have failed tell.
     #[must_use]
     pub fn source(&self) -> upstream::RecordSource {
         self.upstream.source(&self.hosts)
     }
 
+    /// Returns where this host gets the store's records from at present. A host whose response is overdue,
+    /// or that lacks what this one has, is passed over: then records come from the store until another host
+    /// has responded.
+    #[must_use]
+    pub fn record_source(&self) -> upstream::RecordSource {
+        match self.source() {
+            upstream::RecordSource::Host(usual) if self.responses.is_passed_over(&usual.host) => {
+                let responds = |host: &names::HostName| self.responses.is_responsive(host);
+                self.upstream.replacement(&self.hosts, responds)
+            }
+            source => source,
+        }
+    }
+
     /// Reports whether this host reads a topic of the store itself.
     #[must_use]
     pub fn reads(&self, topic: topic::StoreTopic, now: clock::MonoTime) -> bool {
+        self.reads_by(&self.record_source(), topic, now)
+    }
+
+    /// Reports the same where `source` is [`Self::record_source`].
+    #[must_use]
+    pub fn reads_by(
+        &self,
+        source: &upstream::RecordSource,
+        topic: topic::StoreTopic,
+        now: clock::MonoTime,
+    ) -> bool {
         let Some(known) = self.hosts_known else {
             return topic == topic::StoreTopic::Hosts;
         };
         let settled = now >= known + time::Duration::from_millis(SETTLING_MS);
-        let reads = self.source() == upstream::RecordSource::Store;
+        let reads = *source == upstream::RecordSource::Store;
         reads && (settled || topic == topic::StoreTopic::Hosts)
     }
 
     /// Reports whether this host may claim the granter role: those that read the store take it in
-    /// turn.
+    /// turn, but not those that do so only until their supplier responds again.
     #[must_use]
     pub fn may_grant(&self, now: clock::MonoTime) -> bool {
-        self.reads(topic::StoreTopic::Assignments, now)
+        let reads = self.reads(topic::StoreTopic::Assignments, now);
+        reads && self.source() == upstream::RecordSource::Store
     }
 
     /// Returns the other hosts that may have granted: in each domain those that may read the store, and
@@ -234,7 +272,7 @@
     /// fail, or those of the host that supplies it.
     #[must_use]
     pub fn store_lost(&self) -> bool {
-        match (&self.supply, self.source()) {
+        match (&self.supply, self.record_source()) {
             (Some(supply), upstream::RecordSource::Host(_)) => supply.store_lost,
             _ => !self.lost.is_empty(),
         }
--- a/src/serving/cluster/records.rs
+++ b/src/serving/cluster/records.rs
@@ -25,7 +25,7 @@
         if !self.catch_up.is_due(self.store_lost(), now) {
             return None;
         }
-        let source = self.record_source(own, now)?;
+        let source = self.catch_up_source(own, now)?;
         self.catch_up.note_sent(now);
         Some(source)
     }
@@ -48,7 +48,7 @@
     // The host to request records from: any that has something newer. The first attempt prefers this
     // host's failure domain. A hash spreads the requests of many hosts, and those of one host after
     // failures.
-    fn record_source(
+    fn catch_up_source(
         &self,
         own: &topic::TopicEnds,
         now: clock::MonoTime,
--- a/src/serving/mod.rs
+++ b/src/serving/mod.rs
@@ -9,6 +9,7 @@
 pub mod estimate;
 pub mod replica;
 pub mod report;
+pub mod responses;
 pub mod scheduler;
 pub mod shutdown;
 pub mod status;
--- a/src/serving/topic.rs
+++ b/src/serving/topic.rs
@@ -125,6 +125,19 @@
         ends
     }
 
+    /// Reports whether the copies end where a host can serve by them, and those that end at `other` have
+    /// older routes or lack a topic whole.
+    #[must_use]
+    pub fn exceeds_for_serving(&self, other: &Self) -> bool {
+        let lacks = |topic| other.end(topic).offset == 0 && self.end(topic).offset > 0;
+        let served = [
+            StoreTopic::Routes,
+            StoreTopic::Servers,
+            StoreTopic::Assignments,
+        ];
+        self.routes_version > other.routes_version || served.into_iter().any(lacks)
+    }
+
     /// Reports whether `other` has a later end of any topic, or a higher version.
     #[must_use]
     pub fn is_behind(&self, other: &Self) -> bool {
--- a/src/serving/upstream.rs
+++ b/src/serving/upstream.rs
@@ -75,13 +75,11 @@
         }
     }
 
-    /// Returns where this host gets the store's records from.
+    /// Returns where this host gets the store's records from, as far as calls that have failed tell.
     #[must_use]
     pub fn source(&self, hosts: &HostRegistry) -> RecordSource {
         let candidates = self.candidates(hosts);
-        let sound = candidates
-            .iter()
-            .find(|record| !self.faults.contains_key(&record.host));
+        let sound = candidates.iter().find(|record| self.is_sound(record));
         if let Some(record) = sound {
             return RecordSource::Host((*record).clone());
         }
@@ -94,6 +92,20 @@
         }
     }
 
+    /// Returns the source in place of [`Self::source`] while that is a host that is passed over though no
+    /// call to it has failed: the first candidate that `responds`, or the store.
+    #[must_use]
+    pub fn replacement(
+        &self,
+        hosts: &HostRegistry,
+        responds: impl Fn(&names::HostName) -> bool,
+    ) -> RecordSource {
+        let candidates = self.candidates(hosts).into_iter();
+        let mut sound = candidates.filter(|record| self.is_sound(record));
+        let responding = sound.find(|record| responds(&record.host));
+        responding.map_or(RecordSource::Store, RecordSource::Host)
+    }
+
     /// Returns a host that would be a better source than the present one and is due for another
     /// query after a failure.
     #[must_use]
@@ -180,6 +192,10 @@
         self.faults.insert(host.clone(), fault);
     }
 
+    fn is_sound(&self, record: &status::HostRecord) -> bool {
+        !self.faults.contains_key(&record.host)
+    }
+
     fn is_rejected(&self, record: &status::HostRecord) -> bool {
         let fault = self.faults.get(&record.host);
         fault.is_some_and(|fault| fault.kind == FaultKind::StoreLost)
@@ -191,8 +207,9 @@
         fault.is_some_and(|fault| fault.kind == FaultKind::Unresponsive && fault.delay >= gone)
     }
 
-    // This host's rank among the hosts of its domain that are not gone, 0 for the first.
-    fn rank(&self, hosts: &HostRegistry) -> usize {
+    /// Returns this host's rank among the hosts of its domain that are not gone, 0 for the first.
+    #[must_use]
+    pub fn rank(&self, hosts: &HostRegistry) -> usize {
         let ranked = self.ranked(hosts).into_iter();
         let mut present = ranked.filter(|record| !self.is_gone(record));
         let position = present.position(|record| record.host == self.own.host);
@@ -205,10 +222,11 @@
         ranked_hosts(&self.own.domain, others.chain([&self.own]))
     }
 
-    // The hosts with better ranks that may supply this host, in the order of preference. The first
-    // hosts of a large domain are relays, which get the records from the first of all and share the
-    // others among themselves.
-    fn candidates(&self, hosts: &HostRegistry) -> Vec<status::HostRecord> {
+    /// Returns the hosts with better ranks that may supply this host, in the order of preference. The
+    /// first hosts of a large domain are relays, which get the records from the first of all and share the
+    /// others among themselves.
+    #[must_use]
+    pub fn candidates(&self, hosts: &HostRegistry) -> Vec<status::HostRecord> {
         let ranked = self.ranked(hosts).into_iter();
         let ranked: Vec<_> = ranked.filter(|record| !self.is_gone(record)).collect();
         if ranked.len() <= MAX_READING_HOSTS {
--- a/tests/catch_up.rs
+++ b/tests/catch_up.rs
@@ -29,7 +29,8 @@
         peers: ([10, 0, 0, 1], 7_200).into(),
         link_mbps: None,
     };
-    cluster::ClusterState::new(record, fixtures::at(0), time::Duration::from_secs(2))
+    let created = cluster::ClusterState::new(record, fixtures::at(0), time::Duration::from_secs(2));
+    created.expect("the chart is valid")
 }
 
 fn ends(end: u64) -> topic::TopicEnds {
--- a/tests/cluster.rs
+++ b/tests/cluster.rs
@@ -27,6 +27,7 @@
         fixtures::at(0),
         drain,
     )
+    .expect("the chart is valid")
 }
 
 fn server(
--- a/tests/host_exchange.rs
+++ b/tests/host_exchange.rs
@@ -3,6 +3,7 @@
 use std::time;
 
 use zinnia_lab::host_simulation;
+use zinniastack::serving::upstream;
 
 /// Time for the hosts to find their sources after the start.
 const SETTLED: time::Duration = time::Duration::from_secs(3);
@@ -164,6 +165,105 @@
     assert_eq!(hosts.readers(), DOMAINS);
 }
 
+/// The users' shortest bound for leaving servers and configurations, in milliseconds.
+const APPLY_MS: u64 = 2_000;
+
+// The hosts of a domain in the order in which they would supply the others.
+fn ranked(hosts: &host_simulation::HostSimulation, domain: usize) -> Vec<usize> {
+    let records = hosts.hosts.iter().map(|host| host.cluster.own());
+    let registry = records.map(|record| (record.host.clone(), record.clone()));
+    let registry = registry.collect();
+    let rank = |host: &usize| {
+        let own = hosts.hosts[*host].cluster.own().clone();
+        upstream::UpstreamSelection::new(own).rank(&registry)
+    };
+    let mut ranked: Vec<_> = (domain..hosts.hosts.len()).step_by(DOMAINS).collect();
+    ranked.sort_by_key(rank);
+    ranked
+}
+
+// Takes the first `count` hosts of each domain down just before a record is appended, and runs until the
+// users' bound. Returns how many of the others do not have the record.
+fn uninformed_after_a_loss(count: usize, hosts: &mut host_simulation::HostSimulation) -> usize {
+    for domain in 0..DOMAINS {
+        for host in &ranked(hosts, domain)[..count] {
+            hosts.hosts[*host].is_up = false;
+        }
+    }
+    hosts.append();
+    hosts.run(millis(APPLY_MS));
+    let up = hosts.hosts.iter().filter(|host| host.is_up);
+    up.count() - hosts.informed()
+}
+
+// Guards against hosts that go on by an old version: their supplier, and the hosts that would come after it,
+// lost power, and they waited for each in turn until a call to it had failed.
+fn records_spread_when_all_suppliers_are_lost() {
+    for count in 1..=4 {
+        let mut hosts = settled(60);
+        assert_eq!(
+            uninformed_after_a_loss(count, &mut hosts),
+            0,
+            "{count} lost"
+        );
+    }
+}
+
+// Guards against a half of all hosts that loses power and hides a record from the other half.
+fn records_spread_when_half_of_the_hosts_are_lost() {
+    for seed in 0..20_u64 {
+        let mut hosts = host_simulation::HostSimulation::new(seed, 60, DOMAINS);
+        hosts.run(SETTLED);
+        for (index, host) in hosts.hosts.iter_mut().enumerate() {
+            let number = u64::try_from(index).expect("few hosts");
+            host.is_up = !(number * 7 + seed * 13).is_multiple_of(20) && (number + seed) % 9 > 4;
+        }
+        hosts.append();
+        hosts.run(millis(APPLY_MS));
+        let up = hosts.hosts.iter().filter(|host| host.is_up).count();
+        assert_eq!(hosts.informed(), up, "seed {seed}");
+    }
+}
+
+// Guards against hosts that return to a supplier that has started again and has no records yet.
+fn records_spread_while_suppliers_start_again() {
+    let mut hosts = settled(60);
+    uninformed_after_a_loss(3, &mut hosts);
+    for host in 0..hosts.hosts.len() {
+        if !hosts.hosts[host].is_up {
+            hosts.restart(host);
+            // It cannot reach the store for a while.
+            hosts.hosts[host].is_rejected = true;
+        }
+    }
+    hosts.run(millis(300));
+    hosts.append();
+    hosts.run(millis(APPLY_MS));
+    let informed = hosts
+        .hosts
+        .iter()
+        .filter(|host| !host.is_rejected && host.replica.position() == hosts.store_end);
+    let sound = hosts.hosts.iter().filter(|host| !host.is_rejected);
+    assert_eq!(informed.count(), sound.count());
+}
+
+// Guards against hosts that go on calling the store once another host can supply them: of a domain whose
+// reader is lost, each may read once until the next one has responded.
+fn a_lost_reader_makes_the_others_read_once() {
+    const LOST_MS: u64 = 2_000;
+    let mut hosts = settled(118);
+    let before: u64 = hosts.hosts.iter().map(|host| host.store_calls).sum();
+    let reader = reader_of(&hosts, 0);
+    hosts.hosts[reader].is_up = false;
+    hosts.run(millis(LOST_MS));
+    let after: u64 = hosts.hosts.iter().map(|host| host.store_calls).sum();
+    assert_eq!(hosts.readers(), DOMAINS);
+    let by_domain = u64::try_from(118_usize.div_ceil(DOMAINS)).expect("few hosts");
+    let readers = u64::try_from(DOMAINS).expect("few domains");
+    let most = by_domain + readers * (LOST_MS / host_simulation::WAIT_MS + 1);
+    assert!(after - before <= most, "{} calls", after - before);
+}
+
 // Guards against a domain that learns nothing because the store rejects the host that reads for it.
 fn a_rejected_reader_is_replaced() {
     let mut hosts = settled(118);
@@ -312,6 +412,10 @@
     five_hosts_are_counted_once,
     messages_of_a_host_are_bounded,
     a_lost_reader_is_replaced,
+    records_spread_when_all_suppliers_are_lost,
+    records_spread_when_half_of_the_hosts_are_lost,
+    records_spread_while_suppliers_start_again,
+    a_lost_reader_makes_the_others_read_once,
     a_rejected_reader_is_replaced,
     a_reader_that_is_served_again_is_taken_back,
     few_hosts_call_a_store_that_is_down,
