Show a server that takes the order of a killed granter after a cut

What callers saw: two servers held the same keys (OWNER) beside a cut.

The simulation of granting lost an order with the process that had sent it.

Ruled out: the other schedules do not change, since only the new cases cut servers off from all hosts.

--- a/lab/src/grants/faults.rs
+++ b/lab/src/grants/faults.rs
@@ -42,6 +42,10 @@
             self.restore_at_random();
             return;
         }
+        if self.has_server_cuts && self.chance(5) {
+            self.cut_servers_off_at_random();
+            return;
+        }
         let host = self.random.random_range(0..simulation::HOSTS);
         let server = self.random.random_range(0..self.servers.len());
         let kinds = if self.has_cut_granters { 16 } else { 14 };
@@ -103,6 +107,9 @@
     }
 
     fn heal(&mut self) {
+        if !self.is_connected() {
+            self.reconnect_servers();
+        }
         for host in &mut self.hosts {
             host.cut_from_store = false;
             host.cut_from_hosts = false;
@@ -142,7 +149,7 @@
             )
         };
         self.queue.retain(kept);
-        drop(old);
+        self.hold_orders(host, old.held_orders);
         self.push(501, simulation::SimulationEvent::Unfreeze(host));
     }
 
--- a/lab/src/grants/simulation/event.rs
+++ b/lab/src/grants/simulation/event.rs
@@ -2,6 +2,7 @@
 
 use std::cmp;
 
+use crate::grants::simulation::held_orders;
 use crate::grants::simulation::stored_log;
 use zinniastack::clock;
 use zinniastack::ownership::assignment;
@@ -75,6 +76,12 @@
         // When the log was last known to hold nothing newer.
         confirmed: Option<clock::MonoTime>,
     },
+    // The machine of a killed process sends an order again.
+    Resend {
+        host: usize,
+        held: held_orders::HeldOrder,
+    },
+    KillGranter,
     Fault,
 }
 
--- a/lab/src/grants/simulation/mod.rs
+++ b/lab/src/grants/simulation/mod.rs
@@ -4,6 +4,7 @@
 
 mod checks;
 mod event;
+pub(crate) mod held_orders;
 mod log;
 mod orders;
 mod peers;
@@ -85,6 +86,8 @@
     pub(crate) cut_from: collections::BTreeSet<usize>,
     // The servers to which the host has an open connection.
     connected: collections::BTreeSet<usize>,
+    // The orders that were sent over such connections to servers that are cut off.
+    pub(crate) held_orders: Vec<held_orders::HeldOrder>,
     pub(crate) delayed: Vec<SimulationEvent>,
 }
 
@@ -125,6 +128,11 @@
     // Whether the random faults include a granter that is cut off from the store and the other hosts,
     // and servers carry out orders for their earlier incarnations.
     pub(crate) has_cut_granters: bool,
+    // Whether the random faults include servers that are cut off from all hosts.
+    pub(crate) has_server_cuts: bool,
+    // The servers that are cut off from all hosts, and when such a cut ended last.
+    unreachable: collections::BTreeSet<usize>,
+    reconnected: clock::MonoTime,
     // Whether orders and their answers are never lost or delayed beyond the usual.
     is_reliable: bool,
     pub(crate) gap_duration: time::Duration,
@@ -166,6 +174,9 @@
             violations: Vec::new(),
             faults,
             has_cut_granters: false,
+            has_server_cuts: false,
+            unreachable: collections::BTreeSet::new(),
+            reconnected: clock::MonoTime::from_micros(0),
             is_reliable: false,
             gap_duration: time::Duration::ZERO,
         };
@@ -202,6 +213,16 @@
         }
     }
 
+    /// Creates a simulation whose random faults include servers that are cut off from all hosts, often
+    /// shortly before the granter is killed.
+    #[must_use]
+    pub fn with_server_cuts(seed: u64, faults: u32) -> Self {
+        Self {
+            has_server_cuts: true,
+            ..Self::new(seed, faults, GrantMutation::None)
+        }
+    }
+
     /// Creates a simulation whose random faults include a store that comes back older.
     #[must_use]
     pub fn with_restores(seed: u64, faults: u32) -> Self {
@@ -264,6 +285,7 @@
             cut_from_hosts: false,
             cut_from: collections::BTreeSet::new(),
             connected: collections::BTreeSet::new(),
+            held_orders: Vec::new(),
             delayed: Vec::new(),
         }
     }
@@ -444,6 +466,8 @@
                 confirmed,
                 ..
             } => self.take_lost_table(host, *table, confirmed),
+            SimulationEvent::Resend { host, held } => self.resend(host, held),
+            SimulationEvent::KillGranter => self.kill_granter(),
             SimulationEvent::Fault => self.inject_random_fault(),
         }
     }
@@ -489,7 +513,7 @@
             order::GranterAction::Grant(order) => self.send_grant(host, order),
             order::GranterAction::Release(order) => {
                 let server = self.server_of(&order.address);
-                if self.hosts[host].cut_from.contains(&server) {
+                if self.is_cut(host, server) {
                     let outcome = order::OrderOutcome::Unsent;
                     self.push(
                         300,
--- a/lab/src/grants/simulation/orders.rs
+++ b/lab/src/grants/simulation/orders.rs
@@ -2,6 +2,7 @@
 
 use crate::grants::key_server;
 use crate::grants::simulation;
+use crate::grants::simulation::held_orders;
 use rand::RngExt as _;
 use std::net;
 use zinniastack::clock;
@@ -12,10 +13,14 @@
     pub(super) fn send_grant(&mut self, host: usize, order: order::GrantOrder) {
         let incarnation = self.hosts[host].incarnation;
         let server = self.server_of(&order.address);
-        if self.hosts[host].cut_from.contains(&server) || !self.servers[server].alive {
+        if self.is_cut(host, server) || !self.servers[server].alive {
             // An order sent over a connection that was open before the server became unreachable
             // gets no answer; after that, connecting mostly fails, and the order is unsent.
             let has_connection = self.hosts[host].connected.remove(&server);
+            if has_connection && self.unreachable.contains(&server) {
+                let held = held_orders::HeldOrder::new(order.clone(), self.now);
+                self.hosts[host].held_orders.push(held);
+            }
             let sent = has_connection || (!self.is_reliable && self.chance(20));
             let (after, outcome) = if sent {
                 (order::ORDER_TIMEOUT_MS, order::OrderOutcome::Unanswered)
@@ -189,7 +194,7 @@
     pub(super) fn release(&mut self, host: usize, incarnation: u64, order: order::ReleaseOrder) {
         let index = self.server_of(&order.address);
         let working = self.random.random_range(0..simulation::MAX_WORK_MS);
-        let is_cut = self.hosts[host].cut_from.contains(&index);
+        let is_cut = self.is_cut(host, index);
         let server = &mut self.servers[index];
         let outcome = if is_cut || !server.alive {
             order::OrderOutcome::Unanswered
--- a/tests/ownership.rs
+++ b/tests/ownership.rs
@@ -16,6 +16,11 @@
 const ISOLATED_STEP: time::Duration = time::Duration::from_millis(37);
 /// Schedules with an isolated granter.
 const ISOLATED_SEEDS: u64 = 50;
+/// How much later the granter is killed beside a cut, and the tenth part of how much longer the cut lasts,
+/// in each further schedule.
+const CUT_STEP: time::Duration = time::Duration::from_millis(37);
+/// Schedules with a granter that is killed beside a cut.
+const CUT_SEEDS: u64 = 24;
 /// Faults in a schedule.
 const FAULTS: u32 = 40;
 /// Length of a schedule, in seconds of virtual time.
@@ -48,6 +53,13 @@
     });
 }
 
+// An order of a killed granter arrived at a server after a cut, when its keys had another holder.
+fn expect_no_violation_with_server_cuts(first: u64, faults: u32) {
+    expect_sound(first, |seed| {
+        simulation::GrantSimulation::with_server_cuts(seed, faults)
+    });
+}
+
 fn expect_sound(first: u64, create: impl Fn(u64) -> simulation::GrantSimulation) {
     for seed in first..first + SCHEDULES {
         let mut simulation = create(seed);
@@ -94,6 +106,26 @@
     simulation
 }
 
+// Cuts two servers off, kills the granter before it has reset their connections, and ends the cut.
+fn expect_no_violation_when_killed_beside_a_cut() {
+    for seed in 0..CUT_SEEDS {
+        let mut simulation = simulation::GrantSimulation::with_reliable_network(seed);
+        let step = CUT_STEP * u32::try_from(seed).unwrap_or(0);
+        simulation.run(time::Duration::from_secs(6) + step);
+        simulation.cut_servers_off(2);
+        simulation.run(time::Duration::from_millis(100) + step);
+        simulation.kill_granter();
+        simulation.run(time::Duration::from_secs(5) + step * 10);
+        simulation.reconnect_servers();
+        simulation.run(time::Duration::from_secs(RUN_S));
+        assert!(
+            simulation.violations().is_empty(),
+            "seed {seed}: {:?}",
+            simulation.violations()
+        );
+    }
+}
+
 fn expect_no_violation_when_isolated(frozen: bool) {
     for seed in 0..ISOLATED_SEEDS {
         let simulation = isolate(seed, frozen, simulation::GrantMutation::None);
@@ -129,6 +161,9 @@
     holds_keys_alone_under_many_faults: expect_no_violation(20_000, FAULTS);
     holds_restarted_servers_keys_alone_beside_few_cut_granters: expect_no_violation_with_cut_granters(10_000, 6);
     holds_restarted_servers_keys_alone_beside_many_cut_granters: expect_no_violation_with_cut_granters(20_000, FAULTS);
+    holds_keys_alone_beside_few_server_cuts: expect_no_violation_with_server_cuts(30_000, 6);
+    holds_keys_alone_beside_many_server_cuts: expect_no_violation_with_server_cuts(40_000, FAULTS);
+    holds_keys_alone_when_orders_of_a_killed_granter_arrive_after_a_cut: expect_no_violation_when_killed_beside_a_cut();
     finds_a_lapse_counted_from_sending: expect_detected(simulation::GrantMutation::LapseFromSending);
     keeps_to_its_right_when_cut_from_the_store: expect_no_violation_when_isolated(false);
     keeps_to_its_right_over_a_freeze: expect_no_violation_when_isolated(true);
