Order servers whose holds expired unanswered to refuse earlier grants

What callers saw: two servers held the same keys (OWNER) when the granter was killed within its order time-out after a failure domain had been cut off.

Cause: the granter had sent renewals into the cut, over open connections, and was killed before it had reset them. Its machine went on sending the bytes, at growing intervals, and a server got them after the cut. Meanwhile its hold had expired, and its keys had another holder. That the former granter's process had ended, and that a hold had expired, were taken for the proof that no order was on its way.

Ruled out: an outdated granter (no process of that term ran any more), an order reset by a living granter (all ended before a connection was made), a late execution by the server (its time counts from the arrival).

Change: a server whose hold has expired without a response stays in the assignment table's list. The granter orders it, every 200 ms over a new connection, to release all keys that it has lost, under the newest fence, until it confirms. It is assigned no keys before. Chart fencing, module ownership::fencing.

--- a/lab/src/grants/faults.rs
+++ b/lab/src/grants/faults.rs
@@ -42,7 +42,7 @@
             self.restore_at_random();
             return;
         }
-        if self.has_server_cuts && self.chance(5) {
+        if self.server_cuts.are_random && self.chance(5) {
             self.cut_servers_off_at_random();
             return;
         }
@@ -107,9 +107,7 @@
     }
 
     fn heal(&mut self) {
-        if !self.is_connected() {
-            self.reconnect_servers();
-        }
+        self.reconnect_servers();
         for host in &mut self.hosts {
             host.cut_from_store = false;
             host.cut_from_hosts = false;
--- a/lab/src/grants/simulation/event.rs
+++ b/lab/src/grants/simulation/event.rs
@@ -56,6 +56,17 @@
         order: order::ReleaseOrder,
         outcome: order::OrderOutcome,
     },
+    Fence {
+        host: usize,
+        incarnation: u64,
+        order: order::FenceOrder,
+    },
+    Fenced {
+        host: usize,
+        incarnation: u64,
+        order: order::FenceOrder,
+        outcome: order::OrderOutcome,
+    },
     QueryFormer(usize),
     HostQuery {
         host: usize,
--- a/lab/src/grants/simulation/held_orders.rs
+++ b/lab/src/grants/simulation/held_orders.rs
@@ -1,6 +1,7 @@
 //! Orders that a host's machine still holds when its process is killed: sent into a cut, over a connection
 //! that was open, they are sent again at growing intervals until they arrive after the cut.
 
+use std::collections;
 use std::time;
 
 use rand::RngExt as _;
@@ -15,6 +16,29 @@
 /// milliseconds.
 const THAW_MS: u64 = 300;
 
+/// The servers that are cut off from all hosts.
+#[derive(Debug, Default)]
+pub(crate) struct ServerCuts {
+    // Whether such cuts are among the random faults.
+    pub(crate) are_random: bool,
+    unreachable: collections::BTreeSet<usize>,
+    // When a cut ended last.
+    ended: clock::MonoTime,
+}
+
+impl ServerCuts {
+    pub(crate) fn random() -> Self {
+        Self {
+            are_random: true,
+            ..Self::default()
+        }
+    }
+
+    pub(super) fn contains(&self, server: usize) -> bool {
+        self.unreachable.contains(&server)
+    }
+}
+
 // A grant order that the server has not acknowledged.
 #[derive(Clone, Debug)]
 pub(crate) struct HeldOrder {
@@ -36,21 +60,20 @@
 impl simulation::GrantSimulation {
     /// Cuts the first `count` servers off from all hosts.
     pub fn cut_servers_off(&mut self, count: usize) {
-        self.unreachable.extend(0..count);
+        self.server_cuts.unreachable.extend(0..count);
     }
 
     /// Ends the cut of [`Self::cut_servers_off`].
     pub fn reconnect_servers(&mut self) {
-        self.unreachable.clear();
-        self.reconnected = self.now;
-    }
-
-    pub(crate) fn is_connected(&self) -> bool {
-        self.unreachable.is_empty()
+        let cuts = &mut self.server_cuts;
+        if !cuts.unreachable.is_empty() {
+            cuts.unreachable.clear();
+            cuts.ended = self.now;
+        }
     }
 
     pub(super) fn is_cut(&self, host: usize, server: usize) -> bool {
-        self.unreachable.contains(&server) || self.hosts[host].cut_from.contains(&server)
+        self.server_cuts.contains(server) || self.hosts[host].cut_from.contains(&server)
     }
 
     // Cuts some servers off from all hosts, often shortly before the granter is killed.
@@ -80,7 +103,7 @@
 
     pub(super) fn resend(&mut self, host: usize, held: HeldOrder) {
         let server = self.server_of(&held.order.address);
-        if self.unreachable.contains(&server) {
+        if self.server_cuts.contains(server) {
             let interval_ms = 2 * held.interval_ms;
             let held = HeldOrder {
                 interval_ms,
@@ -92,7 +115,7 @@
             );
             return;
         }
-        let counted = self.reconnected + time::Duration::from_millis(THAW_MS);
+        let counted = self.server_cuts.ended + time::Duration::from_millis(THAW_MS);
         let arrives = self.now.max(counted);
         let arrival = simulation::SimulationEvent::Grant {
             host,
--- a/lab/src/grants/simulation/mod.rs
+++ b/lab/src/grants/simulation/mod.rs
@@ -128,11 +128,7 @@
     // Whether the random faults include a granter that is cut off from the store and the other hosts,
     // and servers carry out orders for their earlier incarnations.
     pub(crate) has_cut_granters: bool,
-    // Whether the random faults include servers that are cut off from all hosts.
-    pub(crate) has_server_cuts: bool,
-    // The servers that are cut off from all hosts, and when such a cut ended last.
-    unreachable: collections::BTreeSet<usize>,
-    reconnected: clock::MonoTime,
+    pub(crate) server_cuts: held_orders::ServerCuts,
     // Whether orders and their answers are never lost or delayed beyond the usual.
     is_reliable: bool,
     pub(crate) gap_duration: time::Duration,
@@ -174,9 +170,7 @@
             violations: Vec::new(),
             faults,
             has_cut_granters: false,
-            has_server_cuts: false,
-            unreachable: collections::BTreeSet::new(),
-            reconnected: clock::MonoTime::from_micros(0),
+            server_cuts: held_orders::ServerCuts::default(),
             is_reliable: false,
             gap_duration: time::Duration::ZERO,
         };
@@ -218,7 +212,7 @@
     #[must_use]
     pub fn with_server_cuts(seed: u64, faults: u32) -> Self {
         Self {
-            has_server_cuts: true,
+            server_cuts: held_orders::ServerCuts::random(),
             ..Self::new(seed, faults, GrantMutation::None)
         }
     }
@@ -369,6 +363,9 @@
             }
             | SimulationEvent::Released {
                 host, incarnation, ..
+            }
+            | SimulationEvent::Fenced {
+                host, incarnation, ..
             } => Some((*host, Some(*incarnation))),
             _ => None,
         }
@@ -442,13 +439,18 @@
                 order,
                 outcome,
                 ..
-            } => {
-                let now = self.clock_of(host);
-                self.hosts[host]
-                    .granter
-                    .note_released(&order, &outcome, now);
-                self.decide(host);
-            }
+            } => self.released(host, &order, &outcome),
+            SimulationEvent::Fence {
+                host,
+                incarnation,
+                order,
+            } => self.fence(host, incarnation, order),
+            SimulationEvent::Fenced {
+                host,
+                order,
+                outcome,
+                ..
+            } => self.fenced(host, &order, &outcome),
             SimulationEvent::QueryFormer(host) => self.query_former_granters(host),
             SimulationEvent::HostQuery {
                 host,
@@ -536,6 +538,15 @@
                     );
                 }
             }
+            order::GranterAction::Fence(order) => {
+                let delay = self.delay();
+                let fence = SimulationEvent::Fence {
+                    host,
+                    incarnation,
+                    order,
+                };
+                self.push(delay, fence);
+            }
             order::GranterAction::Yield => {
                 self.members.remove(&host);
                 self.hosts[host].granter.note_candidate(false);
--- a/lab/src/grants/simulation/orders.rs
+++ b/lab/src/grants/simulation/orders.rs
@@ -7,6 +7,7 @@
 use std::net;
 use zinniastack::clock;
 use zinniastack::ownership::assignment;
+use zinniastack::ownership::fencing;
 use zinniastack::ownership::order;
 
 impl simulation::GrantSimulation {
@@ -17,7 +18,7 @@
             // An order sent over a connection that was open before the server became unreachable
             // gets no answer; after that, connecting mostly fails, and the order is unsent.
             let has_connection = self.hosts[host].connected.remove(&server);
-            if has_connection && self.unreachable.contains(&server) {
+            if has_connection && self.server_cuts.contains(server) {
                 let held = held_orders::HeldOrder::new(order.clone(), self.now);
                 self.hosts[host].held_orders.push(held);
             }
@@ -228,6 +229,63 @@
         );
     }
 
+    pub(super) fn released(
+        &mut self,
+        host: usize,
+        order: &order::ReleaseOrder,
+        outcome: &order::OrderOutcome,
+    ) {
+        let now = self.clock_of(host);
+        let granter = &mut self.hosts[host].granter;
+        granter.note_released(order, outcome, now);
+        self.decide(host);
+    }
+
+    pub(super) fn fenced(
+        &mut self,
+        host: usize,
+        order: &order::FenceOrder,
+        outcome: &order::OrderOutcome,
+    ) {
+        let now = self.clock_of(host);
+        let granter = &mut self.hosts[host].granter;
+        if granter.note_fenced(order, outcome, now) {
+            self.decide(host);
+        }
+    }
+
+    pub(super) fn fence(&mut self, host: usize, incarnation: u64, order: order::FenceOrder) {
+        let index = self.server_of(&order.address);
+        let is_cut = self.is_cut(host, index);
+        // The response is lost, where there is a connection.
+        let is_lost = !self.is_reliable && self.chance(20);
+        let server = &mut self.servers[index];
+        let (after, outcome) = if is_cut || !server.alive {
+            (
+                fencing::FENCE_CONNECT_TIMEOUT_MS,
+                order::OrderOutcome::Unsent,
+            )
+        } else if server.server.incarnation.server == order.life.server {
+            for range in &order.ranges {
+                server.server.release(range.first, range.last, range.fence);
+            }
+            if is_lost {
+                (order::ORDER_TIMEOUT_MS, order::OrderOutcome::Unanswered)
+            } else {
+                (2, order::OrderOutcome::Done(None))
+            }
+        } else {
+            (2, order::OrderOutcome::Replaced)
+        };
+        let ended = simulation::SimulationEvent::Fenced {
+            host,
+            incarnation,
+            order,
+            outcome,
+        };
+        self.push(after, ended);
+    }
+
     pub(super) fn server_of(&self, address: &net::SocketAddr) -> usize {
         let position = self.servers.iter().position(|server| {
             let port = server.address.port();
--- a/src/edge/router/control/granting.rs
+++ b/src/edge/router/control/granting.rs
@@ -94,6 +94,9 @@
                 order::GranterAction::Release(order) => {
                     actix::spawn(rc::Rc::clone(self).send_release(order));
                 }
+                order::GranterAction::Fence(order) => {
+                    actix::spawn(rc::Rc::clone(self).send_fence(order));
+                }
                 order::GranterAction::Yield => {
                     actix::spawn(rc::Rc::clone(self).yield_role());
                 }
@@ -227,6 +230,19 @@
             .note_released(&order, &outcome, now);
         self.decide();
     }
+
+    async fn send_fence(self: rc::Rc<Self>, order: order::FenceOrder) {
+        let outcome = self.orders.fence(&order).await;
+        self.metrics.note_order("fence", outcome.as_str());
+        let now = self.clock.now();
+        let is_fenced = {
+            let granter = &mut self.state.borrow_mut().granter;
+            granter.note_fenced(&order, &outcome, now)
+        };
+        if is_fenced {
+            self.decide();
+        }
+    }
 }
 
 // Logs the outcome of an order, with what tells it from other orders to the server.
--- a/src/edge/router/ports.rs
+++ b/src/edge/router/ports.rs
@@ -146,6 +146,10 @@
         &self,
         order: &order::ReleaseOrder,
     ) -> impl future::Future<Output = order::OrderOutcome>;
+
+    /// Orders a server to release all keys that it has lost. The response is never that of another order.
+    fn fence(&self, order: &order::FenceOrder)
+    -> impl future::Future<Output = order::OrderOutcome>;
 }
 
 /// The parsed headers of a caller's request.
--- a/src/ownership/assignment.rs
+++ b/src/ownership/assignment.rs
@@ -35,6 +35,17 @@
     pub address: net::SocketAddr,
 }
 
+/// A server whose hold has expired without a response: it may still accept an earlier grant.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct UnfencedServer {
+    /// The service.
+    pub service: names::ServiceName,
+    /// The server.
+    pub holder: KeyHolder,
+}
+
 /// The assignment of a range of keys to one server.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(serde::Serialize, serde::Deserialize)]
@@ -131,6 +142,8 @@
     pub granter: Option<GranterIncarnation>,
     /// Granters of earlier terms whose orders may still arrive, as far as the granter knows.
     pub former_granters: Vec<GranterIncarnation>,
+    /// Servers that may still accept an earlier grant.
+    pub unfenced_servers: Vec<UnfencedServer>,
     /// Grants that the store may have lost, until they have certainly expired.
     pub lost_grants: Option<LostGrantsRecord>,
     /// The longest hold that the granter orders, in milliseconds.
@@ -155,6 +168,34 @@
         self.former_granters.iter().chain(&self.granter)
     }
 
+    /// Returns the newest fence that was allocated.
+    #[must_use]
+    pub fn newest_fence(&self) -> u64 {
+        self.next_fence.saturating_sub(1)
+    }
+
+    /// Returns the first and last keys of the spans of a service that are not assigned to a server, whichever
+    /// of its incarnations.
+    #[must_use]
+    pub fn keys_of_others(
+        &self,
+        service: &names::ServiceName,
+        server: &names::ServerName,
+    ) -> Vec<(u16, u16)> {
+        let ranges = self.services.get(service).into_iter().flatten();
+        let own = ranges.filter(|range| range.holder.life.server == *server);
+        let mut spans = Vec::new();
+        let mut next = Some(0);
+        for range in own {
+            if let Some(first) = next.filter(|first| *first < range.first) {
+                spans.push((first, range.first - 1));
+            }
+            next = range.last.checked_add(1);
+        }
+        spans.extend(next.map(|first| (first, MAX_KEY)));
+        spans
+    }
+
     /// Allocates the next fence.
     pub fn allocate_fence(&mut self) -> u64 {
         let fence = self.next_fence.max(1);
--- a/src/ownership/granter/appends.rs
+++ b/src/ownership/granter/appends.rs
@@ -71,6 +71,7 @@
         let state = self.election.state();
         if state == election::ElectionState::Claiming {
             self.take_over_former(previous, now);
+            self.fencing.take_over(&self.table.unfenced_servers, now);
         }
         if state != election::ElectionState::Granting {
             self.start_lost_grants(now);
--- a/src/ownership/granter/mod.rs
+++ b/src/ownership/granter/mod.rs
@@ -16,6 +16,7 @@
 use crate::names;
 use crate::ownership::assignment;
 use crate::ownership::election;
+use crate::ownership::fencing;
 use crate::ownership::former_granters;
 use crate::ownership::hold_expiry;
 use crate::ownership::key_load;
@@ -38,6 +39,7 @@
     range_chart: chart::ChartTable<tracked_range::RangeVocabulary>,
     election: election::GranterElection,
     hold_expiry: hold_expiry::HoldExpiry,
+    fencing: fencing::ServerFencing,
     former_granters: former_granters::FormerGranters,
     table: assignment::AssignmentTable,
     end: Option<topic::LogPosition>,
@@ -90,6 +92,7 @@
             range_chart: chart::ChartTable::new()?,
             election: election::GranterElection::new()?,
             hold_expiry: hold_expiry::HoldExpiry::new(hold),
+            fencing: fencing::ServerFencing::new()?,
             table: assignment::AssignmentTable::default(),
             end: None,
             era: era::EraState::default(),
@@ -356,6 +359,7 @@
         }
         if self.election.may_order(now) {
             self.push_due_orders(now, servers, &mut actions);
+            self.push_due_fences(now, servers, &mut actions);
         }
         actions
     }
--- a/src/ownership/granter/orders.rs
+++ b/src/ownership/granter/orders.rs
@@ -3,6 +3,7 @@
 use std::time;
 
 use crate::clock;
+use crate::ownership::assignment;
 use crate::ownership::granter;
 use crate::ownership::hold_expiry;
 use crate::ownership::order;
@@ -91,6 +92,38 @@
         }
     }
 
+    /// Handles the outcome of an order to a server whose hold had expired. Reports whether the server refuses
+    /// earlier grants from now on.
+    pub fn note_fenced(
+        &mut self,
+        order: &order::FenceOrder,
+        outcome: &order::OrderOutcome,
+        now: clock::MonoTime,
+    ) -> bool {
+        if *outcome == order::OrderOutcome::Replaced {
+            self.ended.insert(order.life.clone());
+        }
+        if *outcome == order::OrderOutcome::Rejected {
+            self.rejected.insert(order.life.clone(), order.address);
+        }
+        self.fencing.note_ended(order, outcome, now)
+    }
+
+    // Orders servers whose holds have expired to refuse earlier grants. One that has restarted elsewhere has
+    // no connection on which such a grant could arrive.
+    pub(super) fn push_due_fences(
+        &mut self,
+        now: clock::MonoTime,
+        servers: &directory::ServerDirectory,
+        actions: &mut Vec<order::GranterAction>,
+    ) {
+        self.fencing.expire(now, |holder| {
+            self.ended.contains(&holder.life) || tracked_range::has_other_address(holder, servers)
+        });
+        let orders = self.fencing.due_orders(now, &self.table);
+        actions.extend(orders.into_iter().map(order::GranterAction::Fence));
+    }
+
     // Tracks the ranges of the newest table; ranges that did not change keep their state.
     pub(super) fn sync_tracked_ranges(&mut self, now: clock::MonoTime) {
         let mut previous = std::mem::take(&mut self.tracked_ranges);
@@ -119,7 +152,19 @@
             tracked
                 .formers
                 .retain(|former| !self.ended.contains(&former.holder.life));
-            tracked_range::release_formers(id, tracked, now, &self.hold_expiry, servers, actions);
+            let expired = tracked_range::release_formers(
+                id,
+                tracked,
+                now,
+                &self.hold_expiry,
+                servers,
+                actions,
+            );
+            for holder in expired {
+                let service = id.service.clone();
+                let server = assignment::UnfencedServer { service, holder };
+                self.fencing.note_expired(server, now);
+            }
             let is_vacated =
                 tracked.state == tracked_range::RangeState::Vacating && tracked.formers.is_empty();
             if is_vacated && may_start {
--- a/src/ownership/granter/plans.rs
+++ b/src/ownership/granter/plans.rs
@@ -69,6 +69,7 @@
             _ => was_uncertain,
         });
         changed |= self.drop_former_granters(&mut next, now);
+        changed |= self.record_unfenced_servers(&mut next);
         let settled = now >= self.planned_at + time::Duration::from_millis(PLAN_INTERVAL_MS);
         for service in services {
             let candidates = self.candidates(now, service, servers);
@@ -92,7 +93,7 @@
     }
 
     // The servers of a service that may be assigned keys: ready ones that have not ended and are
-    // not excluded as unresponsive.
+    // not excluded as unresponsive, and refuse earlier grants.
     fn candidates(
         &self,
         now: clock::MonoTime,
@@ -103,6 +104,7 @@
             record.service == *service
                 && record.state == directory::ServerState::Ready
                 && !self.is_excluded(&record.life, now)
+                && !self.fencing.is_unfenced(&record.life.server)
                 && !self.ended.contains(&record.life)
         });
         let ready: Vec<_> = ready.collect();
@@ -172,6 +174,14 @@
         changed
     }
 
+    // Records the servers that may still accept an earlier grant, for a successor.
+    fn record_unfenced_servers(&self, next: &mut assignment::AssignmentTable) -> bool {
+        let servers = self.fencing.servers();
+        let changed = next.unfenced_servers != servers;
+        next.unfenced_servers = servers;
+        changed
+    }
+
     // Allocates a new fence for each range in one of the states given: its order was refused because
     // the server has seen a higher one, or the store may have lost one.
     fn reissue(
--- a/src/ownership/order.rs
+++ b/src/ownership/order.rs
@@ -55,6 +55,19 @@
     pub address: net::SocketAddr,
 }
 
+/// An order to a server to release the keys that it has lost, so that it refuses earlier grants of them.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct FenceOrder {
+    /// The number of the order at this host.
+    pub number: u64,
+    /// The server's incarnation.
+    pub life: assignment::ServerIncarnation,
+    /// The address that the order is sent to.
+    pub address: net::SocketAddr,
+    /// The keys, under the newest fence.
+    pub ranges: Vec<RangeId>,
+}
+
 /// An action that the granter asks its caller to perform.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum GranterAction {
@@ -71,6 +84,8 @@
     Grant(GrantOrder),
     /// Send a release order.
     Release(ReleaseOrder),
+    /// Send a release order to a server whose hold has expired without a response.
+    Fence(FenceOrder),
     /// Leave the granter role to another host for a while.
     Yield,
 }
--- a/src/ownership/table_records.rs
+++ b/src/ownership/table_records.rs
@@ -30,6 +30,8 @@
     term: u64,
     granter: Option<assignment::GranterIncarnation>,
     former_granters: Vec<assignment::GranterIncarnation>,
+    // Headers of earlier builds have none.
+    unfenced_servers: Option<Vec<assignment::UnfencedServer>>,
     lost_grants: Option<assignment::LostGrantsRecord>,
     longest_hold_millis: u64,
     next_fence: u64,
@@ -40,6 +42,7 @@
         Self {
             version: Some(table.version),
             digest: Some(digest),
+            unfenced_servers: Some(table.unfenced_servers.clone()),
             lost_grants: table.lost_grants.clone(),
             term: table.term,
             granter: table.granter.clone(),
@@ -298,6 +301,7 @@
         let version = header.version.filter(|_| !mixed).unwrap_or_default();
         assignment::AssignmentTable {
             version,
+            unfenced_servers: header.unfenced_servers.clone().unwrap_or_default(),
             lost_grants: header.lost_grants.clone(),
             term: header.term,
             granter: header.granter.clone(),
--- a/src/ownership/tracked_range.rs
+++ b/src/ownership/tracked_range.rs
@@ -65,6 +65,8 @@
     pub(crate) next_order_at: clock::MonoTime,
 }
 
+// Pushes the release orders that are due. Returns the former holders that are dropped because their holds
+// have expired without a response.
 pub(crate) fn release_formers(
     id: &order::RangeId,
     tracked: &mut TrackedRange,
@@ -72,11 +74,13 @@
     hold_expiry: &hold_expiry::HoldExpiry,
     servers: &directory::ServerDirectory,
     actions: &mut Vec<order::GranterAction>,
-) {
-    tracked.formers.retain(|former| {
-        let incarnation = &former.holder.life;
-        !has_other_address(&former.holder, servers) && !hold_expiry.has_expired(incarnation, now)
-    });
+) -> Vec<assignment::KeyHolder> {
+    tracked
+        .formers
+        .retain(|former| !has_other_address(&former.holder, servers));
+    let is_expired = |former: &mut FormerHolder| hold_expiry.has_expired(&former.holder.life, now);
+    let expired = tracked.formers.extract_if(.., is_expired);
+    let expired = expired.map(|former| former.holder).collect();
     for former in &mut tracked.formers {
         if former.in_flight || now < former.next_order_at {
             continue;
@@ -88,11 +92,15 @@
             address: former.holder.address,
         }));
     }
+    expired
 }
 
 // Whether the server has restarted at another address. At the same address a later incarnation may
 // hold the keys: orders name the server and not its start.
-fn has_other_address(holder: &assignment::KeyHolder, servers: &directory::ServerDirectory) -> bool {
+pub(crate) fn has_other_address(
+    holder: &assignment::KeyHolder,
+    servers: &directory::ServerDirectory,
+) -> bool {
     let record = servers.find(&holder.life.server);
     has_restarted(&holder.life, servers)
         && record.is_some_and(|record| record.address != holder.address)
--- a/tests/granting.rs
+++ b/tests/granting.rs
@@ -146,6 +146,10 @@
                 }
                 self.granter.note_released(&order, &outcome, now);
             }
+            order::GranterAction::Fence(order) => {
+                let outcome = self.outcome_of(&order.address);
+                self.granter.note_fenced(&order, &outcome, now);
+            }
             order::GranterAction::Yield => self.yields += 1,
         }
     }
