Count the bytes that callers and servers send through a host

Nothing that a host counted told a link that callers fill from a lost store: `relayed_bytes` counts records between hosts only.

Ruled out: the records between hosts, by `hosts-exchanged` in the trace (docs/incidents/full-links.md).

The change: metrics `request_bytes` and `response_bytes`, and every 5 s, beside `hosts-exchanged`, a line `link-used` with both. No decision changes.

The other tests were not run.

--- a/src/edge/router/control/hosts.rs
+++ b/src/edge/router/control/hosts.rs
@@ -29,11 +29,13 @@
 /// milliseconds.
 pub const REGISTRATION_INTERVAL_MS: u64 = 5;
 
-// What this host has exchanged with other hosts since it started.
+// What this host has exchanged with other hosts, callers and servers since it started.
 struct ExchangeCounts {
     done: u64,
     failed: u64,
     relayed_bytes: u64,
+    request_bytes: u64,
+    response_bytes: u64,
 }
 
 impl<S, O, D> control::ControlThread<S, O, D>
@@ -186,7 +188,7 @@
         }
     }
 
-    // Logs what was exchanged with other hosts since the last line.
+    // Logs what was exchanged with other hosts, and what crossed the link, since the last lines.
     pub(super) async fn log_exchanges(self: rc::Rc<Self>) {
         let mut logged = self.exchange_counts();
         loop {
@@ -198,6 +200,11 @@
                 failed = counts.failed - logged.failed,
                 relayed_bytes = counts.relayed_bytes - logged.relayed_bytes
             );
+            tracing::info!(
+                event = "link-used",
+                request_bytes = counts.request_bytes - logged.request_bytes,
+                response_bytes = counts.response_bytes - logged.response_bytes
+            );
             logged = counts;
         }
     }
@@ -207,6 +214,8 @@
             done: self.metrics.status_exchange_count("done"),
             failed: self.metrics.status_exchange_count("failed"),
             relayed_bytes: self.metrics.relayed_bytes.get(),
+            request_bytes: self.metrics.request_bytes.get(),
+            response_bytes: self.metrics.response_bytes.get(),
         }
     }
 
--- a/src/edge/router/front/mod.rs
+++ b/src/edge/router/front/mod.rs
@@ -145,6 +145,8 @@
             Ok(body) => body,
             Err(response) => return self.respond_locally(response, None),
         };
+        let metrics = &self.thread.parts.metrics;
+        metrics.request_bytes.inc_by(body.size());
         self.deliver(body).await
     }
 
--- a/src/edge/router/front/responses.rs
+++ b/src/edge/router/front/responses.rs
@@ -47,6 +47,9 @@
             response.append_header((name, value.as_bytes()));
         }
         self.log_answered(&slot, status.as_u16());
+        let buffered = u64::try_from(server_response.prefix.len()).unwrap_or(u64::MAX);
+        let metrics = &self.thread.parts.metrics;
+        metrics.response_bytes.inc_by(length.unwrap_or(buffered));
         let Some(body) = server_response.remainder else {
             drop(slot);
             return response.body(server_response.prefix);
--- a/src/edge/router/metrics.rs
+++ b/src/edge/router/metrics.rs
@@ -86,6 +86,10 @@
     pub latency: LatencyFamily,
     /// Attempts at servers, by how they ended.
     pub attempts: family::Family<AttemptLabel, counter::Counter>,
+    /// The size of the bodies that were read from callers, in bytes.
+    pub request_bytes: counter::Counter<u64, atomic::AtomicU64>,
+    /// The size of the servers' responses that were sent to callers, in bytes.
+    pub response_bytes: counter::Counter<u64, atomic::AtomicU64>,
     /// Calls to the store.
     pub store_calls: family::Family<StoreCallLabel, counter::Counter>,
     /// Orders to servers.
@@ -127,6 +131,8 @@
             registry: registry::Registry::with_prefix("zinnia_router"),
             latency: family::Family::new_with_constructor(latency_histogram),
             attempts: family::Family::default(),
+            request_bytes: counter::Counter::default(),
+            response_bytes: counter::Counter::default(),
             store_calls: family::Family::default(),
             orders: family::Family::default(),
             status_exchanges: family::Family::default(),
@@ -162,6 +168,18 @@
             "Ends of attempts at servers, by service",
             attempts,
         );
+        let request = self.request_bytes.clone();
+        registry.register(
+            "request_bytes",
+            "Bytes of bodies that were read from callers",
+            request,
+        );
+        let response = self.response_bytes.clone();
+        registry.register(
+            "response_bytes",
+            "Bytes of servers' responses that were sent to callers",
+            response,
+        );
         let in_flight = self.in_flight.clone();
         registry.register("in_flight", "Requests under way", in_flight);
         let left_out = self.lines_left_out.clone();
