--- a/lab/src/grants/simulation/mod.rs
+++ b/lab/src/grants/simulation/mod.rs
@@ -26,6 +26,7 @@
 use crate::grants::key_server;
 
 pub(crate) use crate::grants::simulation::event::OrderDelivery;
+pub(crate) use crate::grants::simulation::event::OrderSending;
 pub(crate) use crate::grants::simulation::event::QueuedEvent;
 pub(crate) use crate::grants::simulation::event::SimulationEvent;
 
@@ -70,6 +71,8 @@
     LapsedIsDead,
     /// A response from a former granter's host is taken as proof that the former granter has ended.
     AnswerIsEnd,
+    /// Grants are sent over connections that were opened after the last confirmation.
+    LateConnection,
 }
 
 pub(crate) struct SimulatedHost {
@@ -83,8 +86,8 @@
     pub(crate) cut_from_store: bool,
     pub(crate) cut_from_hosts: bool,
     pub(crate) cut_from: collections::BTreeSet<usize>,
-    // The servers to which the host has an open connection.
-    connected: collections::BTreeSet<usize>,
+    // The host's connections, by server.
+    pub(crate) connections: collections::BTreeMap<usize, orders::ServerConnection>,
     pub(crate) delayed: Vec<SimulationEvent>,
 }
 
@@ -185,10 +188,10 @@
     /// the other hosts, but not from the servers. Those compare only names, like the platform's: after
     /// a restart they carry out orders for their earlier incarnations.
     #[must_use]
-    pub fn with_cut_granters(seed: u64, faults: u32) -> Self {
+    pub fn with_cut_granters(seed: u64, faults: u32, mutation: GrantMutation) -> Self {
         Self {
             has_cut_granters: true,
-            ..Self::new(seed, faults, GrantMutation::None)
+            ..Self::new(seed, faults, mutation)
         }
     }
 
@@ -263,7 +266,7 @@
             cut_from_store: false,
             cut_from_hosts: false,
             cut_from: collections::BTreeSet::new(),
-            connected: collections::BTreeSet::new(),
+            connections: collections::BTreeMap::new(),
             delayed: Vec::new(),
         }
     }
@@ -347,6 +350,9 @@
             }
             | SimulationEvent::Released {
                 host, incarnation, ..
+            }
+            | SimulationEvent::Confirmed {
+                host, incarnation, ..
             } => Some((*host, Some(*incarnation))),
             _ => None,
         }
@@ -389,10 +395,10 @@
                 host,
                 incarnation,
                 order,
-                delivery,
+                sending,
                 arrived,
             } => {
-                self.grant(host, incarnation, order, delivery, arrived);
+                self.grant(host, incarnation, order, sending, arrived);
             }
             SimulationEvent::Granted {
                 host,
@@ -402,14 +408,25 @@
             } => {
                 let now = self.clock_of(host);
                 if outcome == order::OrderOutcome::Done(None) {
-                    let server = self.server_of(&order.address);
-                    self.hosts[host].connected.insert(server);
+                    self.note_answered(host, &order);
                 }
                 let is_first = self.hosts[host].granter.note_granted(&order, &outcome, now);
                 if is_first {
                     self.decide(host);
                 }
             }
+            SimulationEvent::Confirm {
+                host,
+                incarnation,
+                end,
+                sent,
+            } => self.answer_confirmation(host, incarnation, end, sent),
+            SimulationEvent::Confirmed {
+                host,
+                is_unchanged,
+                sent,
+                ..
+            } => self.note_confirmation(host, is_unchanged, sent),
             SimulationEvent::Release {
                 host,
                 incarnation,
@@ -512,6 +529,7 @@
                     );
                 }
             }
+            order::GranterAction::Confirm => self.send_confirmation(host),
             order::GranterAction::Yield => {
                 self.members.remove(&host);
                 self.hosts[host].granter.note_candidate(false);
--- a/lab/src/grants/simulation/orders.rs
+++ b/lab/src/grants/simulation/orders.rs
@@ -8,6 +8,20 @@
 use zinniastack::ownership::assignment;
 use zinniastack::ownership::order;
 
+/// How many orders one connection carries on average before it breaks.
+const ORDERS_PER_CONNECTION: u32 = 60;
+
+/// A host's connection to a server.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ServerConnection {
+    // When it was opened, by the host's clock.
+    opened: clock::MonoTime,
+    // The process of the server that it leads to.
+    born: u64,
+    // Whether the server has carried out an order that was sent over it, as far as the host knows.
+    has_answered: bool,
+}
+
 impl simulation::GrantSimulation {
     pub(super) fn send_grant(&mut self, host: usize, order: order::GrantOrder) {
         let incarnation = self.hosts[host].incarnation;
@@ -15,7 +29,8 @@
         if self.hosts[host].cut_from.contains(&server) || !self.servers[server].alive {
             // An order sent over a connection that was open before the server became unreachable
             // gets no answer; after that, connecting mostly fails, and the order is unsent.
-            let has_connection = self.hosts[host].connected.remove(&server);
+            let known = self.hosts[host].connections.remove(&server);
+            let has_connection = known.is_some_and(|known| known.has_answered);
             let sent = has_connection || (!self.is_reliable && self.chance(20));
             let (after, outcome) = if sent {
                 (order::ORDER_TIMEOUT_MS, order::OrderOutcome::Unanswered)
@@ -33,6 +48,18 @@
             );
             return;
         }
+        let Some(born) = self.connect(host, server, &order) else {
+            let outcome = order::OrderOutcome::Withheld;
+            let withheld = simulation::SimulationEvent::Granted {
+                host,
+                incarnation,
+                order,
+                outcome,
+            };
+            let delay = self.delay();
+            self.push(delay, withheld);
+            return;
+        };
         let delivery = match self.random.random_range(0..40) {
             _ if self.is_reliable => simulation::OrderDelivery::Answered,
             0 => simulation::OrderDelivery::ResponseLost,
@@ -67,21 +94,49 @@
                 host,
                 incarnation,
                 order,
-                delivery,
+                sending: simulation::OrderSending { delivery, born },
                 arrived: None,
             },
         );
     }
 
+    // The process of the server to which the order's connection leads; `None` where the connection
+    // was opened too late for the order.
+    fn connect(&mut self, host: usize, server: usize, order: &order::GrantOrder) -> Option<u64> {
+        let born = self.servers[server].server.incarnation.born;
+        let breaks = !self.is_reliable && self.chance(ORDERS_PER_CONNECTION);
+        let known = self.hosts[host].connections.get(&server).copied();
+        let opened = self.clock_of(host);
+        let connection = known
+            .filter(|known| known.born == born && !breaks)
+            .unwrap_or(ServerConnection {
+                opened,
+                born,
+                has_answered: false,
+            });
+        self.hosts[host].connections.insert(server, connection);
+        let ignores_opening = self.mutation == simulation::GrantMutation::LateConnection;
+        (ignores_opening || connection.opened <= order.connected_by).then_some(born)
+    }
+
+    // Records that an order has been carried out, as a response over the connection shows.
+    pub(super) fn note_answered(&mut self, host: usize, order: &order::GrantOrder) {
+        let server = self.server_of(&order.address);
+        if let Some(connection) = self.hosts[host].connections.get_mut(&server) {
+            connection.has_answered = true;
+        }
+    }
+
     pub(super) fn grant(
         &mut self,
         host: usize,
         incarnation: u64,
         order: order::GrantOrder,
-        delivery: simulation::OrderDelivery,
+        sending: simulation::OrderSending,
         arrived: Option<clock::MonoTime>,
     ) {
         let index = self.server_of(&order.address);
+        let delivery = sending.delivery;
         let is_postponed = delivery == simulation::OrderDelivery::AppliedLate && arrived.is_none();
         if is_postponed {
             let arrived = Some(self.now);
@@ -92,14 +147,15 @@
                     host,
                     incarnation,
                     order,
-                    delivery,
+                    sending,
                     arrived,
                 },
             );
             return;
         }
         let server = &mut self.servers[index];
-        if !server.alive {
+        // The connection ended with the process that it led to.
+        if !server.alive || server.server.incarnation.born != sending.born {
             if delivery == simulation::OrderDelivery::Answered {
                 let outcome = order::OrderOutcome::Unanswered;
                 let ended = simulation::SimulationEvent::Granted {
--- a/src/edge/router/host.rs
+++ b/src/edge/router/host.rs
@@ -75,7 +75,7 @@
     fn new_store(&self) -> Self::Store;
 
     /// Creates the sender of orders.
-    fn new_orders(&self) -> Self::Orders;
+    fn new_orders(&self, clock: clock::SystemClock) -> Self::Orders;
 
     /// Creates the decoder of records.
     fn new_decoder(&self) -> Self::Decoder;
@@ -271,7 +271,7 @@
     })?;
     let parts = control::ControlParts {
         store: adapter.new_store(),
-        orders: adapter.new_orders(),
+        orders: adapter.new_orders(shared.clock),
         decoder: adapter.new_decoder(),
         clock: shared.clock,
         view: shared.view,
--- a/src/edge/router/mod.rs
+++ b/src/edge/router/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod admin;
 pub mod body;
+mod connection_pool;
 pub mod control;
 pub mod exchange;
 pub mod front;
--- a/src/ownership/granter/orders.rs
+++ b/src/ownership/granter/orders.rs
@@ -13,8 +13,8 @@
 pub const RENEWALS_PER_HOLD: u32 = 4;
 
 impl granter::KeyGranter {
-    /// Handles the outcome of a grant order. Reports whether the range's state changed, or the
-    /// server was found to have been replaced.
+    /// Handles the outcome of a grant order. Reports whether the granter has to decide again: the
+    /// range's state changed, the order was withheld, or the server was found to have been replaced.
     pub fn note_granted(
         &mut self,
         order: &order::GrantOrder,
@@ -27,10 +27,14 @@
             self.unresponsive.remove(&order.life);
         }
         let renewal = self.hold / RENEWALS_PER_HOLD;
+        if *outcome == order::OrderOutcome::Withheld {
+            return self.note_withheld(&order.range, now);
+        }
         let Some(tracked) = self.tracked_ranges.get_mut(&order.range) else {
             return false;
         };
         tracked.in_flight = false;
+        tracked.withheld_at = None;
         let event = match outcome {
             order::OrderOutcome::Replaced => {
                 self.ended.insert(order.life.clone());
@@ -43,7 +47,9 @@
             }
             order::OrderOutcome::Done(_) => tracked_range::RangeEvent::Accepted,
             order::OrderOutcome::Refused => tracked_range::RangeEvent::Refused,
-            order::OrderOutcome::Unanswered | order::OrderOutcome::Unsent => {
+            order::OrderOutcome::Unanswered
+            | order::OrderOutcome::Unsent
+            | order::OrderOutcome::Withheld => {
                 tracked.next_order_at = now + time::Duration::from_millis(order::ORDER_RETRY_MS);
                 return false;
             }
@@ -111,6 +117,7 @@
         servers: &directory::ServerDirectory,
         actions: &mut Vec<order::GranterAction>,
     ) {
+        let confirmed = self.election.confirmed();
         let has_losses = self.table.lost_grants.is_some();
         let is_provisional = self.lost_grants.is_provisional();
         for (id, tracked) in &mut self.tracked_ranges {
@@ -128,7 +135,7 @@
                     .step_unguarded(tracked.state, tracked_range::RangeEvent::Vacated);
                 tracked.state = step.map_or(tracked.state, |step| step.next);
             }
-            let due = !tracked.in_flight && now >= tracked.next_order_at;
+            let due = tracked.is_due(now, confirmed);
             let incarnation = &tracked.holder.life;
             let gone = tracked_range::has_restarted(incarnation, servers)
                 || self.ended.contains(incarnation);
@@ -144,6 +151,7 @@
                     life: tracked.holder.life.clone(),
                     address: tracked.holder.address,
                     hold: self.hold,
+                    connected_by: confirmed,
                     handover: tracked.handover.clone(),
                 }));
             }
--- a/src/ownership/order.rs
+++ b/src/ownership/order.rs
@@ -4,6 +4,7 @@
 use std::sync;
 use std::time;
 
+use crate::clock;
 use crate::names;
 use crate::ownership::assignment;
 use crate::ownership::hold_expiry;
@@ -40,6 +41,8 @@
     pub address: net::SocketAddr,
     /// How long the server may hold the keys, counted from the arrival of the order.
     pub hold: time::Duration,
+    /// The latest time at which the connection that carries the order may have been opened.
+    pub connected_by: clock::MonoTime,
     /// The handover token that the former holder returned on release.
     pub handover: Option<sync::Arc<str>>,
 }
@@ -71,6 +74,8 @@
     Grant(GrantOrder),
     /// Send a release order.
     Release(ReleaseOrder),
+    /// Read the log without waiting, to confirm that no other host has claimed the role.
+    Confirm,
     /// Leave the granter role to another host for a while.
     Yield,
 }
@@ -104,6 +109,9 @@
     Unanswered,
     /// The connection could not be opened.
     Unsent,
+    /// Nothing was sent: the connection was opened later than the order allows. It is kept open for
+    /// the next try.
+    Withheld,
     /// A different server responded at the address: the intended one has ended.
     Replaced,
     /// The response says that the server does not support the order, as one of an unsharded service
@@ -120,6 +128,7 @@
             Self::Refused => "refused",
             Self::Unanswered => "unanswered",
             Self::Unsent => "unsent",
+            Self::Withheld => "withheld",
             Self::Replaced => "replaced",
             Self::Rejected => "rejected",
         }
@@ -132,6 +141,7 @@
             }
             Self::Unanswered => hold_expiry::OrderArrival::Possible,
             Self::Unsent => hold_expiry::OrderArrival::Unsent,
+            Self::Withheld => hold_expiry::OrderArrival::Withheld,
         }
     }
 }
--- a/src/ownership/tracked_range.rs
+++ b/src/ownership/tracked_range.rs
@@ -63,6 +63,16 @@
     pub(crate) handover: Option<sync::Arc<str>>,
     pub(crate) in_flight: bool,
     pub(crate) next_order_at: clock::MonoTime,
+    // When the last order was withheld: the right must be confirmed after that.
+    pub(crate) withheld_at: Option<clock::MonoTime>,
+}
+
+impl TrackedRange {
+    // Whether an order is due, given the time of the last confirmation of the granter's right.
+    pub(crate) fn is_due(&self, now: clock::MonoTime, confirmed: clock::MonoTime) -> bool {
+        let may_go = self.withheld_at.is_some_and(|at| confirmed >= at);
+        !self.in_flight && (may_go || now >= self.next_order_at)
+    }
 }
 
 pub(crate) fn release_formers(
@@ -137,5 +147,6 @@
         handover: None,
         in_flight: false,
         next_order_at: now,
+        withheld_at: None,
     }
 }
--- a/tests/granting.rs
+++ b/tests/granting.rs
@@ -146,6 +146,10 @@
                 }
                 self.granter.note_released(&order, &outcome, now);
             }
+            order::GranterAction::Confirm => {
+                self.granter.note_confirmed(now);
+                self.granter.note_confirmation_ended(true, now);
+            }
             order::GranterAction::Yield => self.yields += 1,
         }
     }
