Count a server's drain time from when the host learned of it

What callers saw: a host that had no request since it read that a server drains sent requests for the server's keys later than the drain time after that read, until the server ended; the one at work then was lost (502).

Cause: RequestScheduler::sync took the time of its call as the start of the drain. A traffic thread calls it with a request, or for requests that wait, so at a host without requests the time began with the next request. The view did not say since when a server drains.

Ruled out: a view that is published late (the control thread publishes with each record that it applies), and a wrong start there (it noted none).

Change: the directory notes when the host learned of a server's state (KnownServer), the view carries it, and sync has no time any more. A server that was draining in the first record that the host had of its incarnation may have drained for any time: no requests for its keys are sent to it. The record has no time to go by. The cost: a host that has just started refuses them (no-server, 503) until the keys have moved.

Tests: counts_a_servers_drain_time_while_no_request_comes, on the code before: "left: Ok(()) right: Err(NoServer)". The others guard what is new; with mutations (the first record counts as the start of the state; an unknown start as not over) three were red: knows_not_since_when_a_server_drains_that_it_found_draining (left: Some(MonoTime(200000)), right: None), knows_not_since_when_a_server_drains_that_was_born_again (left: Some(MonoTime(900000)), right: None) and sends_no_keys_to_a_server_that_was_found_draining (left: Ok(()), right: Err(NoServer)). tells_when_it_learned_that_a_server_drains was not red with either. Existing tests give the time to note_server, note and KnownServer, and none to sync; what they assert is unchanged.

--- a/src/edge/router/control/store.rs
+++ b/src/edge/router/control/store.rs
@@ -276,7 +276,7 @@
                 continue;
             }
             match self.decoder.server(record) {
-                Ok(server) => self.note_server(server),
+                Ok(server) => self.note_server(server, now),
                 Err(error) => self.note_rejected(topic::StoreTopic::Servers, &error),
             }
         }
@@ -286,7 +286,7 @@
         }
     }
 
-    fn note_server(&self, server: directory::ServerRecord) {
+    fn note_server(&self, server: directory::ServerRecord, now: clock::MonoTime) {
         let mut state = self.state.borrow_mut();
         let known = state.cluster.directory().find(&server.life.server);
         let unchanged = known.is_some_and(|k| k.life == server.life && k.state == server.state);
@@ -310,7 +310,7 @@
                 same_address = former.address == server.address
             );
         }
-        state.cluster.note_server(server);
+        state.cluster.note_server(server, now);
     }
 
     fn apply_hosts(&self, records: &[topic::LogRecord]) {
--- a/src/edge/router/traffic.rs
+++ b/src/edge/router/traffic.rs
@@ -166,7 +166,7 @@
         let view = self.parts.view.load_full();
         let events = {
             let mut scheduler = self.scheduler.borrow_mut();
-            scheduler.sync(&view, now);
+            scheduler.sync(&view);
             let shutdown = self.parts.shutdown.times();
             let ended = shutdown.map(|times| scheduler.end_by(times.ends_at, now));
             let dispatched = scheduler.dispatch_waiting(now);
@@ -224,7 +224,7 @@
         let (service, priority) = (request.service.clone(), request.priority);
         let ticket = {
             let mut scheduler = self.scheduler.borrow_mut();
-            scheduler.sync(&view, now);
+            scheduler.sync(&view);
             scheduler.enqueue(request, now)?
         };
         let (sender, receiver) = tokio::sync::oneshot::channel();
--- a/src/serving/cluster/mod.rs
+++ b/src/serving/cluster/mod.rs
@@ -137,9 +137,9 @@
         self.routes.as_ref().map_or(0, |routes| routes.version)
     }
 
-    /// Applies a server's record.
-    pub fn note_server(&mut self, record: directory::ServerRecord) {
-        self.directory.note(record);
+    /// Applies a server's record, received at `now`.
+    pub fn note_server(&mut self, record: directory::ServerRecord, now: clock::MonoTime) {
+        self.directory.note(record, now);
     }
 
     /// Applies the removal of a server's record.
@@ -324,8 +324,8 @@
     /// Creates the view for the traffic threads.
     #[must_use]
     pub fn view(&self, grants: &view::SharedGrants, now: clock::MonoTime) -> view::ServingView {
-        let servers = self.directory.servers();
-        let servers = servers.map(|record| (record.life.server.clone(), sync::Arc::clone(record)));
+        let servers = self.directory.known_servers();
+        let servers = servers.map(|known| (known.record.life.server.clone(), known.clone()));
         let others = self.reports.sum_others(now);
         view::ServingView {
             routes: self.routes.clone(),
--- a/src/serving/directory.rs
+++ b/src/serving/directory.rs
@@ -75,6 +75,36 @@
     }
 }
 
+/// A server as one host knows it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct KnownServer {
+    /// The server's newest record.
+    pub record: sync::Arc<ServerRecord>,
+    /// When this host learned that the server entered its state; `None` where the first record that the
+    /// host had of this incarnation has that state, so that the server may have entered it long before.
+    pub state_since: Option<clock::MonoTime>,
+}
+
+impl KnownServer {
+    // What is known of a server once its `record` was received at `now`.
+    fn with_record(known: Option<&Self>, record: ServerRecord, now: clock::MonoTime) -> Self {
+        let known = known.filter(|known| known.record.life == record.life);
+        let state_since = known.and_then(|known| {
+            let is_same = known.record.state == record.state;
+            if is_same {
+                known.state_since
+            } else {
+                Some(now)
+            }
+        });
+        let record = sync::Arc::new(record);
+        Self {
+            record,
+            state_since,
+        }
+    }
+}
+
 /// A server that has left, as one host tells another.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(serde::Serialize, serde::Deserialize)]
@@ -105,8 +135,8 @@
 /// The servers that a host may send requests to.
 #[derive(Debug, Default)]
 pub struct ServerDirectory {
-    entries: collections::BTreeMap<names::ServerName, sync::Arc<ServerRecord>>,
-    lapsed: collections::BTreeMap<names::ServerName, (sync::Arc<ServerRecord>, clock::MonoTime)>,
+    entries: collections::BTreeMap<names::ServerName, KnownServer>,
+    lapsed: collections::BTreeMap<names::ServerName, (KnownServer, clock::MonoTime)>,
     removed: collections::BTreeMap<names::ServerName, RemovedRecord>,
     untrusted_until: clock::MonoTime,
     reregistration_timeout: time::Duration,
@@ -133,12 +163,14 @@
         }
     }
 
-    /// Applies a server's record, unless a newer one is known or was removed. The removed record itself
-    /// counts again only where the removal may have been an effect of a failure of the store.
-    pub fn note(&mut self, record: ServerRecord) {
+    /// Applies a server's record, received at `now`, unless a newer one is known or was removed. The
+    /// removed record itself counts again only where the removal may have been an effect of a failure of
+    /// the store.
+    pub fn note(&mut self, record: ServerRecord, now: clock::MonoTime) {
         let name = record.life.server.clone();
-        let is_outdated = match self.find(&name) {
-            Some(known) => record.version() < known.version(),
+        let known = self.find_known(&name);
+        let is_outdated = match known {
+            Some(known) => record.version() < known.record.version(),
             None => self
                 .removed
                 .get(&name)
@@ -147,17 +179,19 @@
         if is_outdated {
             return;
         }
+        let known = KnownServer::with_record(known, record, now);
         self.lapsed.remove(&name);
         self.removed.remove(&name);
-        self.entries.insert(name, sync::Arc::new(record));
+        self.entries.insert(name, known);
     }
 
     /// Applies the removal of a record. Soon after a failure of the store, a ready server stays in
     /// the directory for a while, so that it can register again.
     pub fn remove(&mut self, name: &names::ServerName, now: clock::MonoTime) {
-        let Some(record) = self.entries.remove(name) else {
+        let Some(known) = self.entries.remove(name) else {
             return;
         };
+        let record = &known.record;
         let may_return = now < self.untrusted_until && record.state == ServerState::Ready;
         let removed = RemovedRecord {
             version: record.version(),
@@ -167,7 +201,7 @@
         self.removed.insert(name.clone(), removed);
         if may_return {
             let until = now + self.reregistration_timeout;
-            self.lapsed.insert(name.clone(), (record, until));
+            self.lapsed.insert(name.clone(), (known, until));
         }
     }
 
@@ -219,7 +253,7 @@
             self.remove(name, now);
         }
         for record in records {
-            self.note(record);
+            self.note(record, now);
         }
     }
 
@@ -237,7 +271,12 @@
 
     /// Returns all servers, including draining ones and those that have yet to register again.
     pub fn servers(&self) -> impl Iterator<Item = &sync::Arc<ServerRecord>> {
-        let lapsed = self.lapsed.values().map(|(record, _)| record);
+        self.known_servers().map(|known| &known.record)
+    }
+
+    /// Returns the same servers with what this host knows of them.
+    pub fn known_servers(&self) -> impl Iterator<Item = &KnownServer> {
+        let lapsed = self.lapsed.values().map(|(known, _)| known);
         self.entries.values().chain(lapsed)
     }
 
@@ -245,7 +284,7 @@
     #[must_use]
     pub fn digest(&self) -> u64 {
         let mut hasher = xxh3::Xxh3Default::new();
-        for record in self.entries.values() {
+        for KnownServer { record, .. } in self.entries.values() {
             hasher.update(record.life.server.as_str().as_bytes());
             hasher.update(&record.life.born.to_le_bytes());
             hasher.update(&[u8::from(record.state == ServerState::Draining)]);
@@ -256,7 +295,11 @@
     /// Returns the record of a server.
     #[must_use]
     pub fn find(&self, name: &names::ServerName) -> Option<&sync::Arc<ServerRecord>> {
-        let lapsed = || self.lapsed.get(name).map(|(record, _)| record);
+        self.find_known(name).map(|known| &known.record)
+    }
+
+    fn find_known(&self, name: &names::ServerName) -> Option<&KnownServer> {
+        let lapsed = || self.lapsed.get(name).map(|(known, _)| known);
         self.entries.get(name).or_else(lapsed)
     }
 }
--- a/src/serving/report.rs
+++ b/src/serving/report.rs
@@ -144,9 +144,9 @@
         let own = ranges.iter().filter(|r| r.holder.life == record.life);
         own.count()
     };
-    let servers = view.servers.values().map(|record| ServerLine {
-        record: (**record).clone(),
-        ranges: count_of(record),
+    let servers = view.servers.values().map(|known| ServerLine {
+        record: (*known.record).clone(),
+        ranges: count_of(&known.record),
     });
     HostReport {
         own,
@@ -176,6 +176,7 @@
     routes.services.get(service).filter(|spec| spec.sharded)?;
     let range = view.table.find(service, key);
     let holder = range.and_then(|range| view.servers.get(&range.holder.life.server));
+    let holder = holder.map(|known| &known.record);
     let holder = holder.filter(|record| range.is_some_and(|r| r.holder.life == record.life));
     let held = range.and_then(|range| view.ages.held_since(range));
     let standing = match view.owner(service, key) {
--- a/src/serving/scheduler/mod.rs
+++ b/src/serving/scheduler/mod.rs
@@ -130,6 +130,17 @@
     pub drain: time::Duration,
 }
 
+impl SchedulerSettings {
+    // The time from which a server that drains gets no more requests for its keys. One whose drain began
+    // at an unknown time may end at any moment.
+    fn drained_at(&self, known: &directory::KnownServer) -> Option<clock::MonoTime> {
+        let drains = known.record.state == directory::ServerState::Draining;
+        let part = self.drain.mul_f64(DRAIN_FRACTION);
+        let until = known.state_since.map(|since| since + part);
+        drains.then(|| until.unwrap_or_default())
+    }
+}
+
 /// The request scheduler of one traffic thread.
 pub struct RequestScheduler {
     settings: SchedulerSettings,
@@ -155,28 +166,28 @@
         }
     }
 
-    /// Applies a new view of servers and assignments.
-    pub fn sync(&mut self, view: &sync::Arc<view::ServingView>, now: clock::MonoTime) {
+    /// Applies a new view of servers and assignments, however long ago it was published.
+    pub fn sync(&mut self, view: &sync::Arc<view::ServingView>) {
         if sync::Arc::ptr_eq(&self.view, view) {
             return;
         }
         self.view = sync::Arc::clone(view);
-        for (name, record) in view.servers.iter() {
+        for (name, known) in view.servers.iter() {
             match self.servers.get_mut(name) {
-                Some(server) if server.record.life == record.life => {
-                    server.record = sync::Arc::clone(record);
+                Some(server) if server.record.life == known.record.life => {
+                    server.record = sync::Arc::clone(&known.record);
+                    server.drained_at = self.settings.drained_at(known);
                 }
                 _ => {
-                    let server = tracked_server::TrackedServer::new(sync::Arc::clone(record));
+                    let record = sync::Arc::clone(&known.record);
+                    let drained_at = self.settings.drained_at(known);
+                    let server = tracked_server::TrackedServer::new(record, drained_at);
                     self.servers.insert(name.clone(), server);
                 }
             }
         }
         for (name, server) in &mut self.servers {
             server.listed = view.servers.contains_key(name);
-            let drains = server.record.state == directory::ServerState::Draining;
-            let until = now + self.settings.drain.mul_f64(DRAIN_FRACTION);
-            server.drained_at = server.drained_at.or(Some(until)).filter(|_| drains);
         }
         self.servers
             .retain(|_, server| server.running > 0 || server.listed);
--- a/src/serving/scheduler/tracked_server.rs
+++ b/src/serving/scheduler/tracked_server.rs
@@ -24,11 +24,14 @@
 }
 
 impl TrackedServer {
-    pub(super) fn new(record: sync::Arc<directory::ServerRecord>) -> Self {
+    pub(super) fn new(
+        record: sync::Arc<directory::ServerRecord>,
+        drained_at: Option<clock::MonoTime>,
+    ) -> Self {
         Self {
             record,
             listed: true,
-            drained_at: None,
+            drained_at,
             running: 0,
             waiting: 0,
             estimate: estimate::ServerEstimate::new(),
--- a/src/serving/view.rs
+++ b/src/serving/view.rs
@@ -60,8 +60,7 @@
     /// Whether store calls fail at this host, so that newer routes may exist.
     pub store_lost: bool,
     /// The servers, by name.
-    pub servers:
-        sync::Arc<collections::BTreeMap<names::ServerName, sync::Arc<directory::ServerRecord>>>,
+    pub servers: sync::Arc<collections::BTreeMap<names::ServerName, directory::KnownServer>>,
     /// The assignment table.
     pub table: sync::Arc<assignment::AssignmentTable>,
     /// Since when its assignments are known.
--- a/tests/cluster.rs
+++ b/tests/cluster.rs
@@ -3,6 +3,8 @@
 use std::time;
 
 use zinnia_lab::fixtures;
+use zinniastack::clock;
+use zinniastack::names;
 use zinniastack::ownership::assignment;
 use zinniastack::serving::cluster;
 use zinniastack::serving::demand;
@@ -90,8 +92,8 @@
 
 fn counts_other_hosts_waiting_requests_in_equal_parts_at_all_servers() {
     let (mut from, mut to) = (host("a"), host("b"));
-    to.note_server(server("s1", 1, 1, READY));
-    to.note_server(server("s2", 1, 1, READY));
+    to.note_server(server("s1", 1, 1, READY), fixtures::at(0));
+    to.note_server(server("s2", 1, 1, READY), fixtures::at(0));
     let demand = view::HostDemand {
         servers: [(fixtures::name("s1"), 2.0)].into(),
         pool_waiting: [(fixtures::name("stock"), 3)].into(),
@@ -135,14 +137,14 @@
 
 fn drops_a_removed_server_at_once() {
     let mut cluster = host("a");
-    cluster.note_server(server("s1", 1, 1, READY));
+    cluster.note_server(server("s1", 1, 1, READY), fixtures::at(0));
     cluster.remove_server(&fixtures::name("s1"), fixtures::at(10));
     assert_eq!(cluster.directory().servers().count(), 0);
 }
 
 fn keeps_a_lapsed_server_for_a_moment_after_an_outage() {
     let mut cluster = host("a");
-    cluster.note_server(server("s1", 1, 1, READY));
+    cluster.note_server(server("s1", 1, 1, READY), fixtures::at(0));
     cluster.note_store("servers", true, fixtures::at(10));
     cluster.remove_server(&fixtures::name("s1"), fixtures::at(20));
     assert_eq!(cluster.directory().servers().count(), 1);
@@ -154,7 +156,7 @@
 fn keeps_a_lapsed_server_no_longer_than_it_serves_on() {
     let drain = time::Duration::from_secs(1);
     let mut cluster = host_with_drain("a", drain);
-    cluster.note_server(server("s1", 1, 1, READY));
+    cluster.note_server(server("s1", 1, 1, READY), fixtures::at(0));
     cluster.note_store("servers", true, fixtures::at(10));
     cluster.remove_server(&fixtures::name("s1"), fixtures::at(20));
     assert_eq!(cluster.directory().servers().count(), 1);
@@ -167,11 +169,11 @@
 // Guards against a server that is given up because a restored store has yet to get its entry again.
 fn keeps_a_server_that_a_restored_store_has_lost_for_a_moment() {
     let mut cluster = host("a");
-    cluster.note_server(server("s1", 1, 1, READY));
+    cluster.note_server(server("s1", 1, 1, READY), fixtures::at(0));
     cluster.note_store_restored(fixtures::at(10));
     cluster.remove_server(&fixtures::name("s1"), fixtures::at(10));
     assert_eq!(cluster.directory().servers().count(), 1);
-    cluster.note_server(server("s1", 1, 2, READY));
+    cluster.note_server(server("s1", 1, 2, READY), fixtures::at(10));
     cluster.expire(fixtures::at(10 + directory::REREGISTRATION_TIMEOUT_MS));
     assert_eq!(cluster.directory().servers().count(), 1);
 }
@@ -195,16 +197,50 @@
 
 fn keeps_no_leaving_server_that_lapsed() {
     let mut cluster = host("a");
-    cluster.note_server(server("s1", 1, 1, DRAINING));
+    cluster.note_server(server("s1", 1, 1, DRAINING), fixtures::at(0));
     cluster.note_store("servers", true, fixtures::at(10));
     cluster.remove_server(&fixtures::name("s1"), fixtures::at(20));
     assert_eq!(cluster.directory().servers().count(), 0);
 }
 
+fn state_since(cluster: &cluster::ClusterState) -> Option<clock::MonoTime> {
+    let view = cluster.view(&view::SharedGrants::default(), fixtures::at(5_000));
+    let known = view.servers.get::<names::ServerName>(&fixtures::name("s1"));
+    known.expect("the server is known").state_since
+}
+
+// Guards against a drain time that counts from another time than that at which the host learned of the
+// drain. Later records of the same state do not renew it.
+fn tells_when_it_learned_that_a_server_drains() {
+    let mut cluster = host("a");
+    cluster.note_server(server("s1", 1, 1, READY), fixtures::at(0));
+    cluster.note_server(server("s1", 1, 2, READY), fixtures::at(100));
+    cluster.note_server(server("s1", 1, 3, DRAINING), fixtures::at(200));
+    cluster.note_server(server("s1", 1, 4, DRAINING), fixtures::at(900));
+    assert_eq!(state_since(&cluster), Some(fixtures::at(200)));
+}
+
+// Guards against a host that has just started and counts from its start the time of a drain that began
+// before.
+fn knows_not_since_when_a_server_drains_that_it_found_draining() {
+    let mut cluster = host("a");
+    cluster.note_server(server("s1", 1, 3, DRAINING), fixtures::at(200));
+    cluster.note_server(server("s1", 1, 4, DRAINING), fixtures::at(900));
+    assert_eq!(state_since(&cluster), None);
+}
+
+// Guards against the same of a server that has started again since the host had its last record.
+fn knows_not_since_when_a_server_drains_that_was_born_again() {
+    let mut cluster = host("a");
+    cluster.note_server(server("s1", 1, 3, READY), fixtures::at(200));
+    cluster.note_server(server("s1", 2, 1, DRAINING), fixtures::at(900));
+    assert_eq!(state_since(&cluster), None);
+}
+
 fn ignores_an_entry_that_comes_late() {
     let mut cluster = host("a");
-    cluster.note_server(server("s1", 1, 5, DRAINING));
-    cluster.note_server(server("s1", 1, 4, READY));
+    cluster.note_server(server("s1", 1, 5, DRAINING), fixtures::at(0));
+    cluster.note_server(server("s1", 1, 4, READY), fixtures::at(0));
     let state = cluster
         .directory()
         .find(&fixtures::name("s1"))
@@ -214,9 +250,9 @@
 
 fn ignores_a_late_entry_of_a_removed_server() {
     let mut cluster = host("a");
-    cluster.note_server(server("s1", 1, 5, READY));
+    cluster.note_server(server("s1", 1, 5, READY), fixtures::at(0));
     cluster.remove_server(&fixtures::name("s1"), fixtures::at(10));
-    cluster.note_server(server("s1", 1, 4, READY));
+    cluster.note_server(server("s1", 1, 4, READY), fixtures::at(10));
     assert_eq!(cluster.directory().servers().count(), 0);
 }
 
@@ -224,21 +260,21 @@
 // older copy that has its last entry.
 fn ignores_the_last_entry_of_a_removed_server() {
     let mut cluster = host("a");
-    cluster.note_server(server("s1", 1, 5, READY));
+    cluster.note_server(server("s1", 1, 5, READY), fixtures::at(0));
     cluster.remove_server(&fixtures::name("s1"), fixtures::at(10));
-    cluster.note_server(server("s1", 1, 5, READY));
+    cluster.note_server(server("s1", 1, 5, READY), fixtures::at(10));
     assert_eq!(cluster.directory().servers().count(), 0);
-    cluster.note_server(server("s1", 1, 6, READY));
+    cluster.note_server(server("s1", 1, 6, READY), fixtures::at(10));
     assert_eq!(cluster.directory().servers().count(), 1);
 }
 
 // The store may have lost an entry that its server writes again unchanged.
 fn takes_back_a_lapsed_server_with_its_last_entry() {
     let mut cluster = host("a");
-    cluster.note_server(server("s1", 1, 5, READY));
+    cluster.note_server(server("s1", 1, 5, READY), fixtures::at(0));
     cluster.note_store("servers", true, fixtures::at(10));
     cluster.remove_server(&fixtures::name("s1"), fixtures::at(20));
-    cluster.note_server(server("s1", 1, 5, READY));
+    cluster.note_server(server("s1", 1, 5, READY), fixtures::at(20));
     cluster.expire(fixtures::at(20 + directory::REREGISTRATION_TIMEOUT_MS));
     assert_eq!(cluster.directory().servers().count(), 1);
 }
@@ -246,23 +282,23 @@
 // Guards against a live server that stays unused: its entry comes back unchanged after it was dropped.
 fn takes_back_a_dropped_server_with_its_last_entry() {
     let mut cluster = host("a");
-    cluster.note_server(server("s1", 1, 5, READY));
+    cluster.note_server(server("s1", 1, 5, READY), fixtures::at(0));
     cluster.note_store("servers", true, fixtures::at(10));
     cluster.remove_server(&fixtures::name("s1"), fixtures::at(20));
     cluster.expire(fixtures::at(20 + directory::REREGISTRATION_TIMEOUT_MS));
     assert_eq!(cluster.directory().servers().count(), 0);
-    cluster.note_server(server("s1", 1, 4, READY));
+    cluster.note_server(server("s1", 1, 4, READY), fixtures::at(2_000));
     assert_eq!(cluster.directory().servers().count(), 0);
-    cluster.note_server(server("s1", 1, 5, READY));
+    cluster.note_server(server("s1", 1, 5, READY), fixtures::at(2_000));
     assert_eq!(cluster.directory().servers().count(), 1);
 }
 
 fn ignores_the_last_entry_of_a_leaving_server_that_lapsed() {
     let mut cluster = host("a");
-    cluster.note_server(server("s1", 1, 5, DRAINING));
+    cluster.note_server(server("s1", 1, 5, DRAINING), fixtures::at(0));
     cluster.note_store("servers", true, fixtures::at(10));
     cluster.remove_server(&fixtures::name("s1"), fixtures::at(20));
-    cluster.note_server(server("s1", 1, 5, DRAINING));
+    cluster.note_server(server("s1", 1, 5, DRAINING), fixtures::at(20));
     assert_eq!(cluster.directory().servers().count(), 0);
 }
 
@@ -270,10 +306,10 @@
 // has left: the others know it, the copy does not.
 fn learns_from_another_host_which_servers_have_left() {
     let (mut from, mut to) = (host("a"), host("b"));
-    from.note_server(server("s1", 1, 5, READY));
+    from.note_server(server("s1", 1, 5, READY), fixtures::at(0));
     from.remove_server(&fixtures::name("s1"), fixtures::at(10));
-    to.note_server(server("s1", 1, 4, READY));
-    to.note_server(server("s2", 1, 1, READY));
+    to.note_server(server("s1", 1, 4, READY), fixtures::at(10));
+    to.note_server(server("s2", 1, 1, READY), fixtures::at(10));
     exchange_at(&mut from, &mut to, 20);
     let names: Vec<_> = to
         .directory()
@@ -281,9 +317,9 @@
         .map(|record| record.life.server.clone())
         .collect();
     assert_eq!(names, [fixtures::name("s2")]);
-    to.note_server(server("s1", 1, 5, READY));
+    to.note_server(server("s1", 1, 5, READY), fixtures::at(20));
     assert_eq!(to.directory().servers().count(), 1);
-    to.note_server(server("s1", 2, 1, READY));
+    to.note_server(server("s1", 2, 1, READY), fixtures::at(20));
     exchange_at(&mut from, &mut to, 30);
     assert_eq!(
         to.directory().servers().count(),
@@ -295,18 +331,18 @@
 // Guards against a server that another host gave up in an outage and that is known to be alive.
 fn keeps_a_server_whose_entry_another_host_may_get_again() {
     let (mut from, mut to) = (host("a"), host("b"));
-    from.note_server(server("s1", 1, 5, READY));
+    from.note_server(server("s1", 1, 5, READY), fixtures::at(0));
     from.note_store("servers", true, fixtures::at(5));
     from.remove_server(&fixtures::name("s1"), fixtures::at(10));
-    to.note_server(server("s1", 1, 5, READY));
+    to.note_server(server("s1", 1, 5, READY), fixtures::at(10));
     exchange_at(&mut from, &mut to, 20);
     assert_eq!(to.directory().servers().count(), 1);
 }
 
 fn takes_a_server_that_was_born_again() {
     let mut cluster = host("a");
-    cluster.note_server(server("s1", 1, 5, DRAINING));
-    cluster.note_server(server("s1", 2, 1, READY));
+    cluster.note_server(server("s1", 1, 5, DRAINING), fixtures::at(0));
+    cluster.note_server(server("s1", 2, 1, READY), fixtures::at(0));
     let born = cluster
         .directory()
         .find(&fixtures::name("s1"))
@@ -336,6 +372,9 @@
     keeps_a_server_that_a_restored_store_has_lost_for_a_moment,
     ignores_the_record_of_a_host_that_has_left,
     keeps_no_leaving_server_that_lapsed,
+    tells_when_it_learned_that_a_server_drains,
+    knows_not_since_when_a_server_drains_that_it_found_draining,
+    knows_not_since_when_a_server_drains_that_was_born_again,
     ignores_an_entry_that_comes_late,
     ignores_a_late_entry_of_a_removed_server,
     ignores_the_last_entry_of_a_removed_server,
--- a/tests/granting.rs
+++ b/tests/granting.rs
@@ -72,7 +72,7 @@
         let granter = granter::KeyGranter::new(own, time::Duration::from_secs(10));
         let mut directory = directory::ServerDirectory::new();
         for number in 0..servers {
-            directory.note(record(number));
+            directory.note(record(number), fixtures::at(0));
         }
         Self {
             granter: granter.expect("the charts are valid"),
@@ -294,10 +294,10 @@
 fn orders_by_the_log_when_an_append_is_read_before_its_response() {
     let mut case = GranterCase::new(3);
     case.run(4_000);
-    case.directory.note(record(3));
+    case.directory.note(record(3), fixtures::at(0));
     let (number, first, at) = case.next_append();
     case.read(first.clone());
-    case.directory.note(record(4));
+    case.directory.note(record(4), fixtures::at(0));
     let (_, second, _) = case.next_append();
     assert_ne!(first, second);
     let now = fixtures::at(case.now_ms);
@@ -314,7 +314,7 @@
 fn claims_only_by_the_response_to_its_claim() {
     let mut case = GranterCase::new(3);
     case.run(4_000);
-    case.directory.note(record(3));
+    case.directory.note(record(3), fixtures::at(0));
     let (number, appended, at) = case.next_append();
     case.end += 1;
     case.read(assignment::AssignmentTable {
@@ -338,7 +338,7 @@
 fn counts_its_right_from_the_first_sending_of_an_append() {
     let mut case = GranterCase::new(3);
     case.run(4_000);
-    case.directory.note(record(3));
+    case.directory.note(record(3), fixtures::at(0));
     let (_, planned, _) = case.next_append();
     let sent_ms = case.now_ms;
     case.next_append();
@@ -361,11 +361,12 @@
         born: 2,
         ..server_incarnation(number)
     };
-    case.directory.note(directory::ServerRecord {
+    let restarted = directory::ServerRecord {
         life: restarted,
         state: directory::ServerState::Draining,
         ..record(number)
-    });
+    };
+    case.directory.note(restarted, fixtures::at(4_000));
     case.run(1_000);
     let moved = case.first_key.iter().find(|(server, _)| *server != first);
     let (_, moved_ms) = moved.expect("the keys move");
--- a/tests/scheduler.rs
+++ b/tests/scheduler.rs
@@ -40,6 +40,17 @@
     }
 }
 
+// A server that the host has known in its state since `since`, or found in it.
+fn known(
+    record: directory::ServerRecord,
+    since: Option<clock::MonoTime>,
+) -> directory::KnownServer {
+    directory::KnownServer {
+        record: sync::Arc::new(record),
+        state_since: since,
+    }
+}
+
 /// A scheduler with the serving view it works on.
 struct SchedulerCase {
     scheduler: scheduler::RequestScheduler,
@@ -50,7 +61,7 @@
     fn new(servers: &[(&str, &str)]) -> Self {
         let records = servers.iter().map(|(server, domain)| {
             let record = record(server, domain, directory::ServerState::Ready);
-            (fixtures::name(server), sync::Arc::new(record))
+            (fixtures::name(server), known(record, None))
         });
         let view = view::ServingView {
             servers: sync::Arc::new(records.collect()),
@@ -60,12 +71,20 @@
             scheduler: scheduler::RequestScheduler::new(settings()),
             view,
         };
-        case.sync(fixtures::at(0));
+        case.sync();
         case
     }
 
-    fn sync(&mut self, now: clock::MonoTime) {
-        self.scheduler.sync(&sync::Arc::new(self.view.clone()), now);
+    fn sync(&mut self) {
+        self.scheduler.sync(&sync::Arc::new(self.view.clone()));
+    }
+
+    // Applies a view in which the server `near` drains since `since`.
+    fn note_drain(&mut self, since: Option<clock::MonoTime>) {
+        let draining = record("near", "north", directory::ServerState::Draining);
+        let servers = [(fixtures::name("near"), known(draining, since))];
+        self.view.servers = sync::Arc::new(servers.into());
+        self.sync();
     }
 
     fn request(priority: u32, deadline_ms: u64) -> scheduler::DispatchRequest {
@@ -157,7 +176,7 @@
     let mut case = SchedulerCase::new(&[("near", "north")]);
     let demand = [(fixtures::name("near"), 40.0)].into_iter().collect();
     case.view.demand = sync::Arc::new(demand);
-    case.sync(fixtures::at(0));
+    case.sync();
     assert_eq!(case.fill(), 1);
 }
 
@@ -179,9 +198,7 @@
 
 fn sends_nothing_to_a_server_that_drains() {
     let mut case = SchedulerCase::new(&[("near", "north")]);
-    let draining = record("near", "north", directory::ServerState::Draining);
-    case.view.servers = sync::Arc::new([(fixtures::name("near"), sync::Arc::new(draining))].into());
-    case.sync(fixtures::at(10));
+    case.note_drain(Some(fixtures::at(10)));
     let refused = case
         .scheduler
         .enqueue(SchedulerCase::request(1, 1_000), fixtures::at(10));
@@ -197,7 +214,7 @@
             .is_some()
     );
     case.view.servers = sync::Arc::default();
-    case.sync(fixtures::at(10));
+    case.sync();
     let refused = case
         .scheduler
         .enqueue(SchedulerCase::request(1, 1_000), fixtures::at(10));
@@ -421,7 +438,7 @@
         let ages = self.case.view.ages.with_table(&table, now);
         self.case.view.ages = sync::Arc::new(ages);
         self.case.view.table = sync::Arc::new(table);
-        self.case.sync(now);
+        self.case.sync();
     }
 
     fn request(now: clock::MonoTime) -> scheduler::DispatchRequest {
@@ -465,10 +482,7 @@
 fn sends_keys_to_a_leaving_server_for_a_part_of_its_time() {
     let mut moving = MoveCase::new();
     moving.note_move(None, fixtures::at(0));
-    let leaving = record("near", "north", directory::ServerState::Draining);
-    moving.case.view.servers =
-        sync::Arc::new([(fixtures::name("near"), sync::Arc::new(leaving))].into());
-    moving.case.sync(fixtures::at(100));
+    moving.case.note_drain(Some(fixtures::at(100)));
     let end = fixtures::at(100) + settings().drain.mul_f64(scheduler::DRAIN_FRACTION);
     assert_eq!(moving.enqueue(fixtures::at(200)), Ok(()));
     assert_eq!(
@@ -477,6 +491,33 @@
     );
 }
 
+// Guards against a drain time that counts from the first request after it: a thread without requests
+// applies a view only when the next one comes.
+fn counts_a_servers_drain_time_while_no_request_comes() {
+    let mut moving = MoveCase::new();
+    moving.note_move(None, fixtures::at(0));
+    let since = fixtures::at(100);
+    let end = since + settings().drain.mul_f64(scheduler::DRAIN_FRACTION);
+    // This is the first view that the scheduler gets since the drain began.
+    moving.case.note_drain(Some(since));
+    assert_eq!(
+        moving.enqueue(end),
+        Err(scheduler::SchedulerRefusal::NoServer)
+    );
+}
+
+// Guards against a host that has just started and sends to a server that has drained for longer than the
+// host knows.
+fn sends_no_keys_to_a_server_that_was_found_draining() {
+    let mut moving = MoveCase::new();
+    moving.note_move(None, fixtures::at(0));
+    moving.case.note_drain(None);
+    assert_eq!(
+        moving.enqueue(fixtures::at(1)),
+        Err(scheduler::SchedulerRefusal::NoServer)
+    );
+}
+
 // Seen in deploy/days/granter, seed 752073468619, with a drain time of 1 s: a host that read the
 // draining entry after 400 ms sent a request to the server 1,003 ms after it had announced its
 // drain.
@@ -565,5 +606,7 @@
     gives_up_waiting_when_a_move_takes_too_long,
     waits_anew_for_the_next_move_of_a_key,
     sends_keys_to_a_leaving_server_for_a_part_of_its_time,
+    counts_a_servers_drain_time_while_no_request_comes,
+    sends_no_keys_to_a_server_that_was_found_draining,
     sends_nothing_at_the_end_of_a_servers_time_however_short,
 }
--- a/tests/traffic.rs
+++ b/tests/traffic.rs
@@ -66,7 +66,11 @@
             state: directory::ServerState::Ready,
             sequence: 1,
         };
-        let servers = [(fixtures::name("near"), sync::Arc::new(server))].into();
+        let known = directory::KnownServer {
+            record: sync::Arc::new(server),
+            state_since: None,
+        };
+        let servers = [(fixtures::name("near"), known)].into();
         let view = view::ServingView {
             servers: sync::Arc::new(servers),
             ..view::ServingView::new()
