Encode the key that the next page of records begins after

With keys such as "lote 001" in the list of servers, hosts that started never read it: 15 s after the start 0 of 20 requests were served, and nothing changed after that.

Cause: the last key of a page of `log-newest` stood in the next query as it is. With a space the request could not be built, and the reader began again with the first page; with `&` or `%` it asked for another place. Ruled out: the entries themselves, which are refused one by one.

--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -18,3 +18,4 @@
 pub mod router;
 pub mod rpc;
 pub mod servers;
+pub mod url;
