Set entries of services that no routes name apart

Under the name of a server that is up, with a later `born` and another address, such an entry replaced the server's: its keys were free at once.

Cause: no part compared the entry's service with the routes. The decoder cannot: servers may register before the routes that name their service.

Change: the cluster state sets such entries apart; they replace no known server and count once routes name the service. When a server truly restarts, its keys move when they did before. A host without routes takes all entries and sets these apart with its first routes.

--- a/src/edge/router/control/store.rs
+++ b/src/edge/router/control/store.rs
@@ -288,6 +288,15 @@
 
     fn note_server(&self, server: directory::ServerRecord) {
         let mut state = self.state.borrow_mut();
+        if !state.cluster.names_service(&server.service) {
+            tracing::debug!(
+                event = "server-of-unnamed-service",
+                server = %server.life.server,
+                service = %server.service
+            );
+            state.cluster.note_server(server);
+            return;
+        }
         let known = state.cluster.directory().find(&server.life.server);
         let unchanged = known.is_some_and(|k| k.life == server.life && k.state == server.state);
         if !unchanged {
--- a/src/serving/cluster/mod.rs
+++ b/src/serving/cluster/mod.rs
@@ -56,6 +56,8 @@
     started: clock::MonoTime,
     routes: Option<sync::Arc<specification::RouteSet>>,
     directory: directory::ServerDirectory,
+    // The newest records of services that the routes in force do not name.
+    unnamed: collections::BTreeMap<names::ServerName, directory::ServerRecord>,
     servers_known: bool,
     hosts: upstream::HostRegistry,
     // The incarnations of hosts that have removed their records.
@@ -92,6 +94,7 @@
             started,
             routes: None,
             directory: directory::ServerDirectory::with_drain(drain),
+            unnamed: collections::BTreeMap::new(),
             servers_known: false,
             hosts: upstream::HostRegistry::new(),
             left: collections::BTreeMap::new(),
@@ -127,23 +130,56 @@
         if routes.version <= known && self.routes.is_some() {
             return false;
         }
-        self.routes = Some(sync::Arc::new(routes));
+        let is_first = self.routes.replace(sync::Arc::new(routes)).is_none();
+        if is_first {
+            self.set_unnamed_apart();
+        }
+        for record in std::mem::take(&mut self.unnamed).into_values() {
+            self.note_server(record);
+        }
         true
     }
 
+    // Before a host knows routes, it takes the records of all services.
+    fn set_unnamed_apart(&mut self) {
+        let servers = self.directory.servers();
+        let unnamed = servers.filter(|record| !self.names_service(&record.service));
+        let unnamed: Vec<_> = unnamed.cloned().collect();
+        for record in unnamed {
+            let name = record.life.server.clone();
+            self.directory.forget(&name);
+            self.unnamed
+                .insert(name, sync::Arc::unwrap_or_clone(record));
+        }
+    }
+
+    /// Reports whether the routes in force name a service; any is named before there are routes.
+    #[must_use]
+    pub fn names_service(&self, service: &names::ServiceName) -> bool {
+        let routes = self.routes.as_ref();
+        routes.is_none_or(|routes| routes.services.contains_key(service))
+    }
+
     /// Returns the version of the routes in force, 0 for none.
     #[must_use]
     pub fn routes_version(&self) -> u64 {
         self.routes.as_ref().map_or(0, |routes| routes.version)
     }
 
-    /// Applies a server's record.
+    /// Applies a server's record. One of a service that the routes do not name may be another writer's: it
+    /// replaces nothing, and counts once they name the service.
     pub fn note_server(&mut self, record: directory::ServerRecord) {
-        self.directory.note(record);
+        if self.names_service(&record.service) {
+            self.unnamed.remove(&record.life.server);
+            self.directory.note(record);
+        } else {
+            self.unnamed.insert(record.life.server.clone(), record);
+        }
     }
 
     /// Applies the removal of a server's record.
     pub fn remove_server(&mut self, name: &names::ServerName, now: clock::MonoTime) {
+        self.unnamed.remove(name);
         self.directory.remove(name, now);
     }
 
--- a/src/serving/directory.rs
+++ b/src/serving/directory.rs
@@ -171,6 +171,12 @@
         }
     }
 
+    /// Drops the record of a server that may not be its own. The server has not left.
+    pub fn forget(&mut self, name: &names::ServerName) {
+        self.entries.remove(name);
+        self.lapsed.remove(name);
+    }
+
     /// Returns the servers that have certainly left a short time ago.
     #[must_use]
     pub fn recently_removed(&self, now: clock::MonoTime) -> Vec<RemovedServer> {
--- a/tests/cluster.rs
+++ b/tests/cluster.rs
@@ -4,6 +4,7 @@
 
 use zinnia_lab::fixtures;
 use zinniastack::ownership::assignment;
+use zinniastack::routing::specification;
 use zinniastack::serving::cluster;
 use zinniastack::serving::demand;
 use zinniastack::serving::directory;
@@ -314,6 +315,82 @@
     assert_eq!(born, Some(2));
 }
 
+// The record of another start of `text` at another address, of a service that the routes may not name.
+fn server_of_service(text: &str, service: &str, born: u64) -> directory::ServerRecord {
+    directory::ServerRecord {
+        service: fixtures::name(service),
+        address: ([10, 0, 0, 9], 80).into(),
+        ..server(text, born, 1, READY)
+    }
+}
+
+fn routes_with_services(version: u64, services: &[&str]) -> specification::RouteSet {
+    let none = fixtures::routes(version);
+    let services = services.iter().map(|service| specification::ServiceSpec {
+        name: fixtures::name(service),
+        sharded: true,
+        max_connections: 1,
+    });
+    specification::RouteSet::new(version, Vec::new(), services.collect(), none.limits)
+        .expect("the route set is valid")
+}
+
+fn known_service(cluster: &cluster::ClusterState, text: &str) -> Option<String> {
+    let record = cluster.directory().find(&fixtures::name(text))?;
+    Some(record.service.to_string())
+}
+
+// Guards against another writer's entry, of a service that no routes name, under the name of a server: it
+// counted as a later start of that server at another address, which frees the server's keys at once.
+fn keeps_a_server_beside_an_entry_of_an_unnamed_service() {
+    let mut cluster = host("a");
+    cluster.note_routes(routes_with_services(1, &["stock"]));
+    cluster.note_server(server("s1", 1, 1, READY));
+    cluster.note_server(server_of_service("s1", "lotes", 2));
+    let known = cluster.directory().find(&fixtures::name("s1")).cloned();
+    assert_eq!(known.as_deref(), Some(&server("s1", 1, 1, READY)));
+    cluster.note_server(server("s1", 1, 2, READY));
+    cluster.note_routes(routes_with_services(2, &["stock", "lotes"]));
+    let known = cluster.directory().find(&fixtures::name("s1")).cloned();
+    assert_eq!(known.as_deref(), Some(&server("s1", 1, 2, READY)));
+}
+
+// Guards against the same at a host that reads the servers before the routes.
+fn knows_no_server_of_an_unnamed_service_once_it_has_routes() {
+    let mut cluster = host("a");
+    cluster.note_server(server("s1", 1, 1, READY));
+    cluster.note_server(server_of_service("s2", "lotes", 2));
+    cluster.note_routes(routes_with_services(1, &["stock"]));
+    assert_eq!(known_service(&cluster, "s1").as_deref(), Some("stock"));
+    assert_eq!(known_service(&cluster, "s2"), None);
+}
+
+// Guards against servers that register before the routes that name their service, and are not used.
+fn takes_a_server_once_its_service_is_named() {
+    let mut cluster = host("a");
+    cluster.note_routes(routes_with_services(1, &["stock"]));
+    cluster.note_server(server_of_service("s1", "lotes", 2));
+    cluster.note_server(server_of_service("s2", "lotes", 2));
+    cluster.remove_server(&fixtures::name("s2"), fixtures::at(10));
+    assert_eq!(known_service(&cluster, "s1"), None);
+    cluster.note_routes(routes_with_services(2, &["stock", "lotes"]));
+    assert_eq!(known_service(&cluster, "s1").as_deref(), Some("lotes"));
+    assert_eq!(known_service(&cluster, "s2"), None);
+}
+
+// Guards against a server that drains and is lost because the routes no longer name its service.
+fn keeps_the_servers_of_a_service_that_is_no_longer_named() {
+    let mut cluster = host("a");
+    cluster.note_routes(routes_with_services(1, &["stock"]));
+    cluster.note_server(server("s1", 1, 1, READY));
+    cluster.note_routes(routes_with_services(2, &[]));
+    assert_eq!(known_service(&cluster, "s1").as_deref(), Some("stock"));
+    cluster.note_server(server("s1", 1, 2, DRAINING));
+    cluster.note_routes(routes_with_services(3, &["stock"]));
+    let known = cluster.directory().find(&fixtures::name("s1")).cloned();
+    assert_eq!(known.as_deref(), Some(&server("s1", 1, 2, DRAINING)));
+}
+
 macro_rules! cluster_cases {
     ($($name:ident),* $(,)?) => {
         mod cases {
@@ -345,4 +422,8 @@
     takes_a_server_that_was_born_again,
     learns_from_another_host_which_servers_have_left,
     keeps_a_server_whose_entry_another_host_may_get_again,
+    keeps_a_server_beside_an_entry_of_an_unnamed_service,
+    knows_no_server_of_an_unnamed_service_once_it_has_routes,
+    takes_a_server_once_its_service_is_named,
+    keeps_the_servers_of_a_service_that_is_no_longer_named,
 }
