Encode what explain and patch put into a path

`zinnia explain` and `zinnia patch` put the service, the key and the patch's id into a path as they are: a key `a?b` asked for the key `a`, `a/b` for no path of the host.

Change: both use `edge::url::encode`.

--- a/src/cmd/explain.rs
+++ b/src/cmd/explain.rs
@@ -3,6 +3,7 @@
 use crate::cmd;
 use crate::edge::operators;
 use crate::edge::router::admin;
+use crate::edge::url;
 use crate::serving::report;
 
 /// The usage text.
@@ -49,7 +50,8 @@
         return Ok(cmd::EXIT_OK);
     };
     let router = cmd::router_address(args.router.as_deref())?;
-    let path = format!("{}/{}/{}", admin::EXPLAIN_PATH, args.service, args.key);
+    let (service, key) = (url::encode(&args.service), url::encode(&args.key));
+    let path = format!("{}/{service}/{key}", admin::EXPLAIN_PATH);
     if let Some(router) = router {
         let not_found = "there is no such service whose servers own keys, or the key is not a number from 0 to 65535";
         return cmd::show_response(router, &path, not_found, args.json, print_router);
--- a/src/cmd/patch.rs
+++ b/src/cmd/patch.rs
@@ -7,6 +7,7 @@
 use crate::cmd::check;
 use crate::edge::controller;
 use crate::edge::operators;
+use crate::edge::url;
 use crate::membership;
 use crate::names;
 use crate::replay;
@@ -67,7 +68,7 @@
             actix::System::new().block_on(submit(host, &submission))?
         }
         "show" => {
-            let path = format!("/patches/{}", args.subject);
+            let path = format!("/patches/{}", url::encode(&args.subject));
             cmd::get_from_host(host, &path)?
         }
         other => {
@@ -87,7 +88,7 @@
 ) -> Result<Option<controller::PatchStatus>, cmd::CommandError> {
     let mut status: Option<controller::PatchStatus> =
         cmd::call_host(host, "/patches", Some(submission)).await?;
-    let path = format!("/patches/{}", submission.id);
+    let path = format!("/patches/{}", url::encode(submission.id.as_str()));
     for _ in 0..IN_FORCE_POLLS {
         let spread = status.as_ref().and_then(|s| s.spread.as_ref());
         if spread.is_none_or(membership::VersionRollout::is_everywhere) {
--- a/tests/commands.rs
+++ b/tests/commands.rs
@@ -1,7 +1,11 @@
 //! Tests the commands and settings of the program, and that docs/OPERATIONS.md and
 //! docs/DEVELOPERS.md cover every metric, refusal reason and flag.
 
+use std::io::Read as _;
+use std::io::Write as _;
+use std::net;
 use std::process;
+use std::thread;
 
 use zinniastack::cmd::check;
 use zinniastack::cmd::entry;
@@ -120,6 +124,35 @@
     );
 }
 
+// Expects that a command requests `target` of the host whose address replaces `HOST`. It answers with 404.
+fn expect_target(arguments: &[&str], code: i32, target: &str) {
+    let listener = net::TcpListener::bind(("127.0.0.1", 0)).expect("a port is free");
+    let host = listener.local_addr().expect("the listener has an address");
+    let serving = thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("the command connects");
+        let mut request = [0; 1_024];
+        let read = stream.read(&mut request).expect("the command sends a call");
+        let response = b"HTTP/1.1 404 Not Found\r\ncontent-length: 0\r\n\r\n";
+        stream.write_all(response).expect("the command reads");
+        String::from_utf8_lossy(&request[..read]).into_owned()
+    });
+    let host = host.to_string();
+    let arguments: Vec<_> = arguments
+        .iter()
+        .map(|argument| {
+            if *argument == "HOST" {
+                &host
+            } else {
+                *argument
+            }
+        })
+        .collect();
+    expect_exit(&arguments, code, "");
+    let request = serving.join().expect("the host has answered");
+    let line = request.lines().next();
+    assert_eq!(line, Some(format!("GET {target} HTTP/1.1").as_str()));
+}
+
 macro_rules! command_cases {
     ($($name:ident: $check:expr;)*) => {$(
         #[test]
@@ -142,6 +175,13 @@
         &["status", "--operators", "127.0.0.1:1"], 1, "step=call-host peer=127.0.0.1:1");
     submit_without_base: expect_exit(
         &["patch", "submit", "--operators", "127.0.0.1:1", "examples/small.toml"], 2, "--base");
+    // The next three guard against a command that shows another key or patch than the one named.
+    explains_a_key_with_the_marks_of_a_path: expect_target(
+        &["explain", "--operators", "HOST", "stock", "a/b?c#d"], 1, "/explain/stock/a%2Fb%3Fc%23d");
+    explains_a_service_that_no_host_has: expect_target(
+        &["explain", "--router", "HOST", "a b", "%41"], 1, "/explain/a%20b/%2541");
+    shows_a_patch_with_the_marks_of_a_path: expect_target(
+        &["patch", "show", "--operators", "HOST", "night/7?"], 5, "/patches/night%2F7%3F");
     check_passes: expect_exit(&["check", "examples/small.toml"], 0, "valid configuration");
     check_finds_no_file: expect_exit(&["check", "no-such-file"], 1, "file=no-such-file");
     manizales_is_sound: expect_valid(include_str!("../examples/manizales.toml"));
