--- a/src/ownership/former_granters.rs
+++ b/src/ownership/former_granters.rs
@@ -12,7 +12,7 @@
 use crate::ownership::election;
 
 /// How long after a granter has stopped its orders may still arrive, in milliseconds. By then each
-/// has had a response or its connection has been reset.
+/// has had a response, or its connection has been reset unless the process was killed.
 pub const ORDERS_IN_FLIGHT_MS: u64 = 700;
 
 /// Another host's response to a status request.
--- a/src/ownership/hold_expiry.rs
+++ b/src/ownership/hold_expiry.rs
@@ -2,7 +2,8 @@
 //!
 //! A hold counts from the arrival of the order at the server. A response shows that the order
 //! arrived earlier. Where no response comes, the sender resets the connection; after that the
-//! order cannot arrive.
+//! order cannot arrive. A process that was killed resets nothing: `fencing` is for what its machine
+//! may still send.
 
 use std::collections;
 use std::time;
