Note who responds to an order in one place, and derive when a fence is due

Cause: note_fenced repeated the two checks of note_released, whether another server or one without keys responds at the address, and note_granted had them a third time. PendingFence kept when an order was sent only to work out when the next is due.

Behaviour as before, no test changed.

Ruled out: a shared path for all three outcomes, since a range that is no longer tracked ends two of them earlier.

--- a/src/ownership/fencing.rs
+++ b/src/ownership/fencing.rs
@@ -69,7 +69,7 @@
     // The number of the order in flight.
     number: u64,
     since: clock::MonoTime,
-    ordered_at: clock::MonoTime,
+    // When the next order is due, unless one is in flight.
     next_at: clock::MonoTime,
 }
 
@@ -80,7 +80,6 @@
             server,
             number: 0,
             since: now,
-            ordered_at: now,
             next_at: now,
         }
     }
@@ -177,8 +176,7 @@
             return false;
         };
         pending.state = step.next;
-        let interval = time::Duration::from_millis(FENCE_INTERVAL_MS);
-        pending.next_at = now.max(pending.ordered_at + interval);
+        pending.next_at = now.max(pending.next_at);
         let is_fenced = step.actions.contains(&FencingAction::Forget);
         if is_fenced {
             tracing::info!(
@@ -241,7 +239,7 @@
                 self.last_number += 1;
                 pending.number = self.last_number;
                 pending.state = step.next;
-                pending.ordered_at = now;
+                pending.next_at = now + time::Duration::from_millis(FENCE_INTERVAL_MS);
                 orders.push(pending.order(table));
             }
         }
--- a/src/ownership/granter/orders.rs
+++ b/src/ownership/granter/orders.rs
@@ -1,5 +1,6 @@
 //! The orders that follow from the assignment table, and the handling of their outcomes.
 
+use std::net;
 use std::time;
 
 use crate::clock;
@@ -34,12 +35,12 @@
         tracked.in_flight = false;
         let event = match outcome {
             order::OrderOutcome::Replaced => {
-                self.ended.insert(order.life.clone());
+                self.note_responder(&order.life, order.address, outcome);
                 return true;
             }
             order::OrderOutcome::Rejected => {
-                self.rejected.insert(order.life.clone(), order.address);
                 tracked.next_order_at = now + time::Duration::from_millis(order::ORDER_RETRY_MS);
+                self.note_responder(&order.life, order.address, outcome);
                 return false;
             }
             order::OrderOutcome::Done(_) => tracked_range::RangeEvent::Accepted,
@@ -78,18 +79,13 @@
         let former = &mut tracked.formers[position];
         former.in_flight = false;
         former.next_order_at = now + time::Duration::from_millis(order::ORDER_RETRY_MS);
-        if *outcome == order::OrderOutcome::Rejected {
-            self.rejected.insert(order.life.clone(), order.address);
-        }
-        if *outcome == order::OrderOutcome::Replaced {
-            self.ended.insert(order.life.clone());
-        }
         if let order::OrderOutcome::Done(handover) = outcome {
             tracked.formers.remove(position);
             if handover.is_some() {
                 tracked.handover.clone_from(handover);
             }
         }
+        self.note_responder(&order.life, order.address, outcome);
     }
 
     /// Handles the outcome of an order to a server whose hold had expired. Reports whether the server refuses
@@ -100,13 +96,24 @@
         outcome: &order::OrderOutcome,
         now: clock::MonoTime,
     ) -> bool {
+        self.note_responder(&order.life, order.address, outcome);
+        self.fencing.note_ended(order, outcome, now)
+    }
+
+    // Records what the outcome of an order tells of the server at the address: another one responds there, or
+    // one without keys.
+    fn note_responder(
+        &mut self,
+        life: &assignment::ServerIncarnation,
+        address: net::SocketAddr,
+        outcome: &order::OrderOutcome,
+    ) {
         if *outcome == order::OrderOutcome::Replaced {
-            self.ended.insert(order.life.clone());
+            self.ended.insert(life.clone());
         }
         if *outcome == order::OrderOutcome::Rejected {
-            self.rejected.insert(order.life.clone(), order.address);
+            self.rejected.insert(life.clone(), address);
         }
-        self.fencing.note_ended(order, outcome, now)
     }
 
     // Orders servers whose holds have expired to refuse earlier grants. One that has restarted elsewhere has
