Log a server's record apart from applying it

Cause: the line for entries of services that no routes name stood before an early return that applied the record a second time in the same words.

Change: log_server has the lines, note_server applies. Behaviour as before, no test changed.

Ruled out: leaving the line out; an entry that names no server is looked for there.

--- a/src/edge/router/control/store.rs
+++ b/src/edge/router/control/store.rs
@@ -287,14 +287,19 @@
     }
 
     fn note_server(&self, server: directory::ServerRecord, now: clock::MonoTime) {
-        let mut state = self.state.borrow_mut();
+        self.log_server(&server);
+        self.state.borrow_mut().cluster.note_server(server, now);
+    }
+
+    // Logs what a server's record changes.
+    fn log_server(&self, server: &directory::ServerRecord) {
+        let state = self.state.borrow();
         if !state.cluster.names_service(&server.service) {
             tracing::debug!(
                 event = "server-of-unnamed-service",
                 server = %server.life.server,
                 service = %server.service
             );
-            state.cluster.note_server(server, now);
             return;
         }
         let known = state.cluster.directory().find(&server.life.server);
@@ -319,7 +324,6 @@
                 same_address = former.address == server.address
             );
         }
-        state.cluster.note_server(server, now);
     }
 
     fn apply_hosts(&self, records: &[topic::LogRecord]) {
