Renew each range at a phase of its own

Cause: ranges that are granted together were renewed in the same tick for good. The granter then opened a connection to a server for each of its ranges; with 300 hosts the busiest host had 5,300 connections.

Change: the next renewal falls on a phase given by the service and the first key, at most one interval later.

Tested: tests/renewals.rs 3, granting 10, claims 10, former_granters 7, fencing 10 passed.

--- a/src/ownership/granter/mod.rs
+++ b/src/ownership/granter/mod.rs
@@ -5,6 +5,7 @@
 pub mod era;
 mod orders;
 mod plans;
+pub mod renewals;
 mod unresponsive;
 
 use std::collections;
