Evacuate failure domains by operators' records

The adapter decodes the records, evacuation.rs decides by the chart 'evacuation' which domains are evacuated, the scheduler sends nothing to their servers, and the granter moves their ranges in paced steps.

--- a/src/chart/mod.rs
+++ b/src/chart/mod.rs
@@ -350,8 +350,9 @@
 }
 
 /// The text of every chart, in order of name.
-pub const CHART_SOURCES: [&str; 11] = [
+pub const CHART_SOURCES: [&str; 12] = [
     include_str!("../../charts/delivery.toml"),
+    include_str!("../../charts/evacuation.toml"),
     include_str!("../../charts/fencing.toml"),
     include_str!("../../charts/grant.toml"),
     include_str!("../../charts/granting.toml"),
--- a/src/cmd/status.rs
+++ b/src/cmd/status.rs
@@ -69,6 +69,12 @@
         "ranges         {}, {} moving",
         status.ranges, status.ranges_moving
     );
+    for line in &status.evacuated {
+        println!(
+            "evacuated      {}, {} servers, {} ranges left",
+            line.domain, line.servers, line.ranges
+        );
+    }
     println!();
     println!(
         "{:<20} {:<16} {:<16} {:>7}  STATE",
--- a/src/edge/router/control/granting.rs
+++ b/src/edge/router/control/granting.rs
@@ -81,6 +81,7 @@
                 granter.note_possible_granters(cluster.possible_granters());
                 granter.note_newest_elsewhere(cluster.newest_table(now));
             }
+            granter.note_evacuated(cluster.evacuated());
             granter.tick(now, &services, cluster.directory())
         };
         for action in actions {
--- a/src/edge/router/control/mod.rs
+++ b/src/edge/router/control/mod.rs
@@ -2,6 +2,7 @@
 //! report to the decision modules, and performs the actions they return.
 
 mod eras;
+mod evacuations;
 mod granting;
 mod hosts;
 mod lost_tables;
@@ -63,6 +64,8 @@
     pub own: status::HostRecord,
     /// How long servers go on serving after they have reported that they are draining.
     pub drain: time::Duration,
+    /// The time within which the last request must have reached an evacuated failure domain.
+    pub evacuate: time::Duration,
     /// The host's shutdown.
     pub shutdown: shutdown_watch::ShutdownWatch,
     /// The metrics.
@@ -146,8 +149,9 @@
     /// Fails when a chart is not valid.
     pub fn start(parts: ControlParts<S, O, D>) -> Result<rc::Rc<Self>, chart::ChartError> {
         let incarnation = parts.own.granter_incarnation();
+        let cluster = cluster::ClusterState::new(parts.own, parts.clock.now(), parts.drain)?;
         let state = ControlState {
-            cluster: cluster::ClusterState::new(parts.own, parts.clock.now(), parts.drain)?,
+            cluster: cluster.with_evacuate(parts.evacuate),
             granter: granter::KeyGranter::new(incarnation, parts.max_hold)?,
             replicas: topic::StoreTopic::ALL.map(|_| replica::TopicReplica::new()),
             routes: None,
@@ -203,7 +207,9 @@
         let view = state.cluster.view(&state.grants, now);
         self.view.store(sync::Arc::new(view));
         let ready = state.cluster.is_ready(&state.grants.table);
+        let ready = ready && Self::knows_evacuations(&state, now);
         self.update_gauges(&state);
+        self.report_evacuations(&mut state);
         self.ready.store(ready, sync::atomic::Ordering::Relaxed);
     }
 
--- a/src/edge/router/control/store.rs
+++ b/src/edge/router/control/store.rs
@@ -6,6 +6,7 @@
 use crate::clock;
 use crate::clock::MonoClock as _;
 use crate::edge::router::control;
+use crate::edge::router::control::evacuations;
 use crate::edge::router::ports;
 use crate::edge::router::store_reader;
 use crate::names;
@@ -121,6 +122,7 @@
                     self.note_stated_era();
                     self.state.borrow_mut().granter.note_confirmed(sent);
                 }
+                self.note_operators_read(topic, sent);
             }
             store_reader::StoreUpdate::Failed(error) => {
                 tracing::warn!(event = "store-call-failed", topic = topic.as_str(), fault = %error);
@@ -150,6 +152,7 @@
         if topic == topic::StoreTopic::Assignments {
             self.state.borrow_mut().granter.note_read(end, sent);
         }
+        self.note_operators_read(topic, sent);
     }
 
     fn apply_snapshot(
@@ -207,6 +210,7 @@
             state.cluster.note_store_era(end.era);
             let replica = &mut state.replicas[topic.index()];
             let is_restored = replica.is_filled() && end.era > replica.position().era;
+            let listed = evacuations::listed_keys(topic, &records);
             let changed = replica.replace(records, end);
             if is_restored {
                 state.cluster.note_store_restored(now);
@@ -220,6 +224,8 @@
             }
             if is_restored && topic == topic::StoreTopic::Hosts {
                 registered_only(changed)
+            } else if is_restored && topic == topic::StoreTopic::Routes {
+                evacuations::without_lost(changed, &listed)
             } else {
                 changed
             }
@@ -230,7 +236,10 @@
 
     pub(super) fn apply_changes(&self, topic: topic::StoreTopic, changed: &[topic::LogRecord]) {
         match topic {
-            topic::StoreTopic::Routes => self.apply_routes(changed),
+            topic::StoreTopic::Routes => {
+                self.apply_routes(changed);
+                self.apply_evacuations(changed);
+            }
             topic::StoreTopic::Servers => self.apply_servers(changed),
             topic::StoreTopic::Hosts => self.apply_hosts(changed),
             topic::StoreTopic::Assignments => self.apply_table(changed),
--- a/src/edge/router/host.rs
+++ b/src/edge/router/host.rs
@@ -58,6 +58,8 @@
     pub max_hold: time::Duration,
     /// The time from the request to stop to the end of the process.
     pub grace: time::Duration,
+    /// The time within which the last request must have reached an evacuated failure domain.
+    pub evacuate: time::Duration,
 }
 
 /// Creates the parts of a platform's adapter, each on the thread that uses it.
@@ -282,6 +284,7 @@
         max_hold: settings.max_hold,
         own: settings.own,
         drain: settings.scheduler.drain,
+        evacuate: settings.evacuate,
         shutdown: shared.shutdown,
         metrics: shared.metrics,
     };
--- a/src/edge/router/metrics.rs
+++ b/src/edge/router/metrics.rs
@@ -72,6 +72,14 @@
     pub topic: &'static str,
 }
 
+/// The label of an operator's record that was ignored.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+#[derive(prometheus_client::encoding::EncodeLabelSet)]
+pub struct CauseLabel {
+    /// Why it was ignored.
+    pub cause: &'static str,
+}
+
 type LatencyFamily =
     family::Family<RequestLabel, histogram::Histogram, fn() -> histogram::Histogram>;
 
@@ -111,6 +119,12 @@
     pub granting: gauge::Gauge,
     /// Ranges that are moving to another server.
     pub ranges_moving: gauge::Gauge,
+    /// Failure domains that are evacuated.
+    pub domains_evacuated: gauge::Gauge,
+    /// Ranges that servers of evacuated failure domains hold.
+    pub ranges_evacuating: gauge::Gauge,
+    /// Records about evacuations that had no effect.
+    pub evacuations_ignored: family::Family<CauseLabel, counter::Counter>,
     /// The version of the routes in force.
     pub routes_version: gauge::Gauge,
     /// Whether calls of this host to the store are failing.
@@ -143,6 +157,9 @@
             takeovers: counter::Counter::default(),
             granting: gauge::Gauge::default(),
             ranges_moving: gauge::Gauge::default(),
+            domains_evacuated: gauge::Gauge::default(),
+            ranges_evacuating: gauge::Gauge::default(),
+            evacuations_ignored: family::Family::default(),
             routes_version: gauge::Gauge::default(),
             store_lost: gauge::Gauge::default(),
             store_era: gauge::Gauge::default(),
@@ -151,6 +168,7 @@
         };
         metrics.register_requests();
         metrics.register_control();
+        metrics.register_evacuations();
         sync::Arc::new(metrics)
     }
 
@@ -252,6 +270,35 @@
         );
     }
 
+    fn register_evacuations(&mut self) {
+        let registry = &mut self.registry;
+        let domains = self.domains_evacuated.clone();
+        registry.register(
+            "domains_evacuated",
+            "Failure domains that are evacuated",
+            domains,
+        );
+        let ranges = self.ranges_evacuating.clone();
+        registry.register(
+            "ranges_evacuating",
+            "Ranges that servers of evacuated failure domains hold",
+            ranges,
+        );
+        let ignored = self.evacuations_ignored.clone();
+        registry.register(
+            "evacuations_ignored",
+            "Records about evacuations that had no effect, by cause",
+            ignored,
+        );
+    }
+
+    /// Counts a record about an evacuation that had no effect.
+    pub fn note_evacuation_ignored(&self, cause: &'static str) {
+        self.evacuations_ignored
+            .get_or_create(&CauseLabel { cause })
+            .inc();
+    }
+
     /// Records a request that has ended `seconds` after its arrival.
     pub fn note_end(&self, route: &str, end: &'static str, seconds: f64) {
         let route = route.to_owned();
--- a/src/edge/router/ports.rs
+++ b/src/edge/router/ports.rs
@@ -10,6 +10,7 @@
 use crate::ownership::order;
 use crate::routing::specification;
 use crate::serving::directory;
+use crate::serving::evacuation;
 use crate::serving::topic;
 
 /// The newest record of each key.
@@ -128,6 +129,16 @@
         record: &topic::KeyedRecord,
     ) -> Result<Option<specification::RouteSet>, DecodeError>;
 
+    /// Decodes an operator's record about the evacuation of a failure domain. Returns `None` for a record
+    /// that is not one.
+    ///
+    /// # Errors
+    /// Fails when the record names no domain, or its value is not the one of a request.
+    fn evacuation(
+        &self,
+        record: &topic::KeyedRecord,
+    ) -> Result<Option<evacuation::EvacuationRecord>, DecodeError>;
+
     /// Decodes a server's registration.
     ///
     /// # Errors
--- a/src/ownership/granter/mod.rs
+++ b/src/ownership/granter/mod.rs
@@ -3,12 +3,14 @@
 
 pub mod appends;
 pub mod era;
+mod evacuations;
 mod orders;
 mod plans;
 mod unresponsive;
 
 use std::collections;
 use std::net;
+use std::sync;
 use std::time;
 
 use crate::chart;
@@ -16,6 +18,7 @@
 use crate::names;
 use crate::ownership::assignment;
 use crate::ownership::election;
+use crate::ownership::evacuation as departure;
 use crate::ownership::fencing;
 use crate::ownership::former_granters;
 use crate::ownership::hold_expiry;
@@ -26,6 +29,7 @@
 use crate::serving::demand;
 use crate::serving::directory;
 use crate::serving::estimate;
+use crate::serving::evacuation;
 use crate::serving::topic;
 
 /// Upper bound of the hold that an order grants, in milliseconds. The servers' own limit may be
@@ -71,6 +75,8 @@
     service_times: collections::BTreeMap<names::ServerName, f64>,
     // For each service without ranges, the number of its servers and since when it is unchanged.
     server_counts: collections::BTreeMap<names::ServiceName, (usize, clock::MonoTime)>,
+    evacuated: sync::Arc<evacuation::EvacuatedDomains>,
+    departures: departure::DeparturePacing,
 }
 
 impl KeyGranter {
@@ -117,6 +123,8 @@
             key_loads: key_load::ServiceLoad::new(),
             service_times: collections::BTreeMap::new(),
             server_counts: collections::BTreeMap::new(),
+            evacuated: sync::Arc::default(),
+            departures: departure::DeparturePacing::new(),
         })
     }
 
--- a/src/ownership/granter/plans.rs
+++ b/src/ownership/granter/plans.rs
@@ -77,11 +77,13 @@
             if !stable && !next.services.contains_key(service) {
                 continue;
             }
+            let staying = self.staying_ranges(service, &candidates, servers, now);
             let key_loads = self.key_loads.entry(service.clone()).or_default();
             let plan = plan::PlanInput {
                 candidates: &candidates,
                 key_loads,
                 may_move: settled,
+                staying: &staying,
             };
             changed |= plan::plan_service(&mut next, service, &plan);
         }
@@ -107,7 +109,7 @@
                 && !self.fencing.is_unfenced(&record.life.server)
                 && !self.ended.contains(&record.life)
         });
-        let ready: Vec<_> = ready.collect();
+        let ready = self.without_evacuated(ready.collect(), now);
         let time_of = |record: &&sync::Arc<directory::ServerRecord>| {
             self.service_times.get(&record.life.server).copied()
         };
--- a/src/ownership/mod.rs
+++ b/src/ownership/mod.rs
@@ -6,6 +6,7 @@
 
 pub mod assignment;
 pub mod election;
+pub mod evacuation;
 pub mod fencing;
 pub mod former_granters;
 pub mod granter;
--- a/src/ownership/plan.rs
+++ b/src/ownership/plan.rs
@@ -5,6 +5,7 @@
 
 use crate::names;
 use crate::ownership::assignment;
+use crate::ownership::evacuation;
 use crate::ownership::key_load;
 
 /// Difference in level between two servers from which keys move, by the steady load average.
@@ -67,6 +68,8 @@
     pub key_loads: &'a key_load::KeyLoadMaps,
     /// Whether keys may move to balance load.
     pub may_move: bool,
+    /// The ranges that stay for now with servers that are no candidates.
+    pub staying: &'a evacuation::StayingRanges,
 }
 
 /// Changes the ranges of a service so that every key is assigned to a candidate server. Reports
@@ -84,7 +87,7 @@
     if state.ranges.is_empty() {
         state.assign_initially();
     } else {
-        state.reassign_lost();
+        state.reassign_lost(plan.staying);
         state.fill_new_servers();
         if plan.may_move {
             state.move_for_load(STEADY_GAP);
@@ -170,12 +173,13 @@
     }
 
     // Reassigns the ranges of servers that are no longer candidates to the least loaded ones, in
-    // pieces of at most about half a fair load, so that the load spreads.
-    fn reassign_lost(&mut self) {
+    // pieces of at most about half a fair load, so that the load spreads. Those that stay for now are left.
+    fn reassign_lost(&mut self, staying: &evacuation::StayingRanges) {
         let fair = self.fair_load();
         let mut index = 0;
         while index < self.ranges.len() {
-            if self.loads.contains_key(&self.ranges[index].holder.life) {
+            let range = &self.ranges[index];
+            if self.loads.contains_key(&range.holder.life) || staying.contains(&range.first) {
                 index += 1;
                 continue;
             }
--- a/src/serving/cluster/exchange.rs
+++ b/src/serving/cluster/exchange.rs
@@ -197,6 +197,7 @@
             demand: None,
             loads: None,
             removed_servers: None,
+            evacuations: Some(self.evacuations.statements()),
         }
     }
 
@@ -255,6 +256,8 @@
     fn note_supply(&mut self, store_lost: bool, now: clock::MonoTime) {
         if store_lost {
             self.directory.note_store_lost(now);
+        } else {
+            self.evacuations.note_current(now);
         }
         // Failures of this host's own calls say nothing of the host that supplies it.
         self.lost.clear();
@@ -294,6 +297,8 @@
             return None;
         }
         self.note_store_era(update.store_era.unwrap_or(0));
+        let statements = update.evacuations.clone().unwrap_or_default();
+        self.evacuations.note_statements(statements, now);
         self.hosts.insert(host.clone(), update.record.clone());
         self.upstream.note_response(&host, update.store_lost, now);
         let peer = cluster::PeerState {
--- a/src/serving/cluster/mod.rs
+++ b/src/serving/cluster/mod.rs
@@ -1,6 +1,7 @@
 //! The state of the cluster as one host knows it: routes, servers and other hosts, and the view of
 //! it for the traffic threads.
 
+mod evacuations;
 pub mod exchange;
 mod records;
 
@@ -16,6 +17,7 @@
 use crate::serving::catch_up;
 use crate::serving::demand;
 use crate::serving::directory;
+use crate::serving::evacuation;
 use crate::serving::responses;
 use crate::serving::status;
 use crate::serving::topic;
@@ -75,6 +77,7 @@
     reports: demand::DemandReports,
     catch_up: catch_up::CatchUpState,
     responses: responses::ResponseTracker,
+    evacuations: evacuation::EvacuationState,
 }
 
 impl ClusterState {
@@ -108,6 +111,7 @@
             reports: demand::DemandReports::new(),
             catch_up: catch_up::CatchUpState::new(),
             responses: responses::ResponseTracker::new()?,
+            evacuations: evacuation::EvacuationState::new()?,
         })
     }
 
@@ -357,6 +361,7 @@
 
     /// Drops expired server records. Reports whether the view changes.
     pub fn expire(&mut self, now: clock::MonoTime) -> bool {
+        self.evacuations.expire(now);
         self.directory.expire(now)
     }
 
@@ -375,6 +380,7 @@
             // A host that does not report at the moment may still be up.
             hosts: 1 + others.hosts.max(self.hosts.len()),
             demand: sync::Arc::new(others.by_server(&self.directory)),
+            evacuated: sync::Arc::clone(self.evacuations.domains()),
         }
     }
 }
--- a/src/serving/mod.rs
+++ b/src/serving/mod.rs
@@ -7,6 +7,7 @@
 pub mod demand;
 pub mod directory;
 pub mod estimate;
+pub mod evacuation;
 pub mod replica;
 pub mod report;
 pub mod responses;
--- a/src/serving/report.rs
+++ b/src/serving/report.rs
@@ -61,6 +61,19 @@
     pub ranges: usize,
 }
 
+/// An evacuated failure domain.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct EvacuationLine {
+    /// The domain.
+    pub domain: names::DomainName,
+    /// How many servers it has.
+    pub servers: usize,
+    /// How many ranges of keys its servers still hold.
+    pub ranges: usize,
+}
+
 /// The cluster as one host knows it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(serde::Serialize, serde::Deserialize)]
@@ -80,6 +93,9 @@
     pub ranges: usize,
     /// The number of ranges that are moving to another server.
     pub ranges_moving: usize,
+    /// The evacuated failure domains; earlier builds report none.
+    #[serde(default)]
+    pub evacuated: Vec<EvacuationLine>,
     /// The servers.
     pub servers: Vec<ServerLine>,
 }
@@ -97,6 +113,8 @@
     MoveOverdue,
     /// They are refused because the holder's incarnation is not registered any more.
     HolderGone,
+    /// They are refused because the holder is in an evacuated failure domain.
+    HolderEvacuated,
     /// They are refused because the key was never assigned.
     NeverGranted,
 }
@@ -110,6 +128,9 @@
             Self::Moving => "requests wait for the end of a move",
             Self::MoveOverdue => "requests are refused: a former holder does not respond",
             Self::HolderGone => "requests are refused: the holder is not registered",
+            Self::HolderEvacuated => {
+                "requests are refused: the holder's failure domain is evacuated"
+            }
             Self::NeverGranted => "requests are refused: the key was never assigned",
         }
     }
@@ -148,6 +169,7 @@
         record: (*known.record).clone(),
         ranges: count_of(&known.record),
     });
+    let servers: Vec<_> = servers.collect();
     HostReport {
         own,
         routes_version: view.routes.as_ref().map_or(0, |routes| routes.version),
@@ -160,10 +182,24 @@
             .map(|incarnation| incarnation.host.clone()),
         ranges: ranges.len(),
         ranges_moving: ranges.iter().filter(|r| !r.formers.is_empty()).count(),
-        servers: servers.collect(),
+        evacuated: report_evacuated(view, &servers),
+        servers,
     }
 }
 
+fn report_evacuated(view: &view::ServingView, servers: &[ServerLine]) -> Vec<EvacuationLine> {
+    let domains = view.evacuated.evacuated();
+    let lines = domains.map(|domain| {
+        let own = servers.iter().filter(|line| line.record.domain == *domain);
+        EvacuationLine {
+            domain: domain.clone(),
+            servers: own.clone().count(),
+            ranges: own.map(|line| line.ranges).sum(),
+        }
+    });
+    lines.collect()
+}
+
 /// Returns the report of a key; none where the service is unknown or not sharded.
 #[must_use]
 pub fn report_key(
@@ -179,11 +215,14 @@
     let holder = holder.map(|known| &known.record);
     let holder = holder.filter(|record| range.is_some_and(|r| r.holder.life == record.life));
     let held = range.and_then(|range| view.ages.held_since(range));
+    let until = holder.and_then(|record| view.evacuated.keyed_until(&record.domain));
+    let is_cut_off = until.is_some_and(|until| now >= until);
     let standing = match view.owner(service, key) {
         view::KeyOwner::None => KeyStatus::NeverGranted,
         view::KeyOwner::Moving(range) if view.ages.is_overdue(range, now) => KeyStatus::MoveOverdue,
         view::KeyOwner::Moving(_) => KeyStatus::Moving,
         view::KeyOwner::Server(_) if holder.is_none() => KeyStatus::HolderGone,
+        view::KeyOwner::Server(_) if is_cut_off => KeyStatus::HolderEvacuated,
         view::KeyOwner::Server(_) => KeyStatus::Served,
     };
     Some(KeyReport {
--- a/src/serving/scheduler/mod.rs
+++ b/src/serving/scheduler/mod.rs
@@ -6,6 +6,7 @@
 //! the slots go to requests that finish in time. Each host keeps to its share of a server, so that
 //! the servers' own queues stay short.
 
+mod evacuation;
 mod host_demand;
 mod selection;
 mod shutdown;
@@ -191,6 +192,7 @@
         }
         self.servers
             .retain(|_, server| server.running > 0 || server.listed);
+        self.apply_evacuations();
     }
 
     /// Adds a request to the queue, where it waits until [`Self::dispatch_waiting`] decides.
--- a/src/serving/scheduler/tracked_server.rs
+++ b/src/serving/scheduler/tracked_server.rs
@@ -15,6 +15,8 @@
     pub(super) listed: bool,
     // The time from which a draining server gets no more requests.
     pub(super) drained_at: Option<clock::MonoTime>,
+    // Until when keyed requests go to the server, where its failure domain is evacuated.
+    pub(super) evacuated_until: Option<clock::MonoTime>,
     pub(super) running: u32,
     pub(super) waiting: u32,
     pub(super) estimate: estimate::ServerEstimate,
@@ -32,6 +34,7 @@
             record,
             listed: true,
             drained_at,
+            evacuated_until: None,
             running: 0,
             waiting: 0,
             estimate: estimate::ServerEstimate::new(),
@@ -55,6 +58,7 @@
         self.listed
             && self.record.life == *incarnation
             && self.drained_at.is_none_or(|until| now < until)
+            && self.evacuated_until.is_none_or(|until| now < until)
             && !self.estimate.is_backing_off(now)
     }
 
@@ -62,6 +66,7 @@
         self.listed
             && self.record.service == *service
             && self.record.state == directory::ServerState::Ready
+            && self.evacuated_until.is_none()
             && !self.estimate.is_backing_off(now)
     }
 }
--- a/src/serving/status.rs
+++ b/src/serving/status.rs
@@ -6,6 +6,7 @@
 use crate::ownership::assignment;
 use crate::serving::demand;
 use crate::serving::directory;
+use crate::serving::evacuation;
 use crate::serving::replica;
 use crate::serving::topic;
 
@@ -83,6 +84,9 @@
     /// The servers that have left a short time ago, for a host that has just started: the store may have
     /// come back from a copy that has their records. Earlier builds send none.
     pub removed_servers: Option<Vec<directory::RemovedServer>>,
+    /// What the sender knows of evacuated failure domains: the store may have lost the records. Earlier
+    /// builds send none.
+    pub evacuations: Option<Vec<evacuation::EvacuationStatement>>,
 }
 
 /// The part of a topic that a host requests from another.
--- a/src/serving/view.rs
+++ b/src/serving/view.rs
@@ -9,6 +9,7 @@
 use crate::routing::specification;
 use crate::serving::ages;
 use crate::serving::directory;
+use crate::serving::evacuation;
 
 /// The number of running and waiting requests for each server.
 pub type ServerDemand = collections::BTreeMap<names::ServerName, f64>;
@@ -69,6 +70,8 @@
     pub demand: sync::Arc<ServerDemand>,
     /// How many hosts are up, including this one.
     pub hosts: usize,
+    /// The failure domains that are evacuated or return.
+    pub evacuated: sync::Arc<evacuation::EvacuatedDomains>,
 }
 
 impl ServingView {
@@ -83,6 +86,7 @@
             ages: sync::Arc::default(),
             demand: sync::Arc::default(),
             hosts: 1,
+            evacuated: sync::Arc::default(),
         }
     }
 
--- a/tests/plans.rs
+++ b/tests/plans.rs
@@ -6,6 +6,7 @@
 use zinnia_lab::fixtures;
 use zinniastack::names;
 use zinniastack::ownership::assignment;
+use zinniastack::ownership::evacuation;
 use zinniastack::ownership::key_load;
 use zinniastack::ownership::plan;
 
@@ -53,6 +54,7 @@
             candidates,
             key_loads: &self.key_loads,
             may_move: true,
+            staying: &evacuation::StayingRanges::new(),
         };
         let changed = plan::plan_service(&mut self.table, &service(), &plan);
         self.expect_all_keys_covered();
