--- a/src/edge/router/control/evacuations.rs
+++ b/src/edge/router/control/evacuations.rs
@@ -9,6 +9,7 @@
 use crate::edge::router::ports;
 use crate::ownership::assignment;
 use crate::serving::evacuation;
+use crate::serving::status;
 use crate::serving::topic;
 
 impl<S, O, D> control::ControlThread<S, O, D>
@@ -33,6 +34,21 @@
                 Err(error) => self.note_rejected(topic::StoreTopic::Routes, &error),
             }
         }
+        let mut state = self.state.borrow_mut();
+        if state.replicas[topic::StoreTopic::Routes.index()].is_filled() {
+            state.cluster.note_operators_read();
+        }
+    }
+
+    // Records what the status of another host, requested at `asked`, says of the operators' topic.
+    pub(super) fn note_supplier_status(
+        &self,
+        status: &status::HostStatusUpdate,
+        asked: clock::MonoTime,
+    ) {
+        let mut state = self.state.borrow_mut();
+        let ends = state.ends();
+        state.cluster.note_supplier_status(status, &ends, asked);
     }
 
     // Records that a read of the operators' topic, sent at `sent`, has been applied.
--- a/src/edge/router/control/hosts.rs
+++ b/src/edge/router/control/hosts.rs
@@ -157,6 +157,7 @@
                 self.metrics.note_status_exchange("done");
                 self.note_former_granter(&response, asked);
                 let now = self.clock.now();
+                self.note_supplier_status(&response, asked);
                 self.state.borrow_mut().cluster.note_response(response, now);
             }
             Err(error) => {
--- a/src/ownership/granter/evacuations.rs
+++ b/src/ownership/granter/evacuations.rs
@@ -75,6 +75,7 @@
                 && record.state == directory::ServerState::Ready
                 && self.evacuated.is_evacuated(&record.domain)
                 && !self.is_excluded(&record.life, now)
+                && !self.fencing.is_unfenced(&record.life.server)
                 && !self.ended.contains(&record.life)
         });
         leaving.map(|record| record.life.clone()).collect()
--- a/src/serving/cluster/evacuations.rs
+++ b/src/serving/cluster/evacuations.rs
@@ -8,7 +8,9 @@
 use crate::names;
 use crate::serving::cluster;
 use crate::serving::evacuation;
+use crate::serving::status;
 use crate::serving::topic;
+use crate::serving::upstream;
 
 /// The era of a store that has never come back from an older copy.
 const FIRST_ERA: u64 = 1;
@@ -40,6 +42,26 @@
         self.evacuations.note_record(record, position, now);
     }
 
+    /// Records that all records of the operators' topic have been applied.
+    pub const fn note_operators_read(&mut self) {
+        self.evacuations.note_read();
+    }
+
+    /// Applies what the status of the host that supplies this one, requested at `asked`, says of the operators'
+    /// topic. `own` are the positions at which this host's copies end.
+    pub fn note_supplier_status(
+        &mut self,
+        status: &status::HostStatusUpdate,
+        own: &topic::TopicEnds,
+        asked: clock::MonoTime,
+    ) {
+        let routes = topic::StoreTopic::Routes;
+        let supplies = matches!(self.source(), upstream::RecordSource::Host(r) if r.host == status.record.host);
+        if supplies && !status.store_lost && status.ends.end(routes) <= own.end(routes) {
+            self.evacuations.note_current(asked);
+        }
+    }
+
     /// Records that this host's copy of the operators' topic lacked nothing at `at`.
     pub fn note_operators_current(&mut self, at: clock::MonoTime) {
         self.evacuations.note_current(at);
--- a/src/serving/cluster/exchange.rs
+++ b/src/serving/cluster/exchange.rs
@@ -256,8 +256,6 @@
     fn note_supply(&mut self, store_lost: bool, now: clock::MonoTime) {
         if store_lost {
             self.directory.note_store_lost(now);
-        } else {
-            self.evacuations.note_current(now);
         }
         // Failures of this host's own calls say nothing of the host that supplies it.
         self.lost.clear();
--- a/src/serving/evacuation.rs
+++ b/src/serving/evacuation.rs
@@ -228,8 +228,8 @@
     keyed_until: clock::MonoTime,
     // Since when the domain has been in its phase.
     since: clock::MonoTime,
-    // Whether it is known that no server or host names the domain.
-    is_unknown: bool,
+    // Whether a server or host has named the domain, or it has been noted that none does.
+    is_checked: bool,
 }
 
 /// What one host knows of evacuations.
@@ -237,7 +237,8 @@
     table: chart::ChartTable<EvacuationVocabulary>,
     domains: collections::BTreeMap<names::DomainName, DomainState>,
     shared: sync::Arc<EvacuatedDomains>,
-    // When this host's copy of the operators' topic was last known to lack nothing.
+    // Whether this host's copy of the operators' topic is complete, and when it was last known to lack nothing.
+    is_read: bool,
     current_at: Option<clock::MonoTime>,
     notices: Vec<EvacuationNotice>,
 }
@@ -253,6 +254,7 @@
             table: chart::ChartTable::new()?,
             domains: collections::BTreeMap::new(),
             shared: sync::Arc::new(EvacuatedDomains::new(bound)),
+            is_read: false,
             current_at: None,
             notices: Vec::new(),
         })
@@ -270,9 +272,18 @@
         &self.shared
     }
 
-    /// Records that this host's copy of the operators' topic lacked nothing at `at`.
+    /// Records that all records of this host's copy of the operators' topic have been applied, once it has
+    /// all of them.
+    pub const fn note_read(&mut self) {
+        self.is_read = true;
+    }
+
+    /// Records that this host's copy of the operators' topic lacked nothing at `at`. Before it has been read,
+    /// that tells nothing of the records in it.
     pub fn note_current(&mut self, at: clock::MonoTime) {
-        self.current_at = self.current_at.max(Some(at));
+        if self.is_read {
+            self.current_at = self.current_at.max(Some(at));
+        }
     }
 
     /// Applies a record of this host's copy, which stands at `position`.
@@ -314,16 +325,17 @@
         statements.collect()
     }
 
-    /// Notes which evacuated domains no server or host names. Called once all of them are known.
+    /// Notes which newly evacuated domains no server or host names. Called once all of those are known. The
+    /// request stays: it takes effect where such a server registers later.
     pub fn check_names(&mut self, is_named: impl Fn(&names::DomainName) -> bool) {
         for (domain, state) in &mut self.domains {
-            let is_unknown = state.phase == EvacuationPhase::Evacuated && !is_named(domain);
-            if is_unknown && !state.is_unknown {
+            let is_due = state.phase == EvacuationPhase::Evacuated && !state.is_checked;
+            if is_due && !is_named(domain) {
                 let cause = IgnoredCause::UnknownDomain;
                 let notice = EvacuationNotice::Ignored(domain.clone(), cause);
                 self.notices.push(notice);
             }
-            state.is_unknown = is_unknown;
+            state.is_checked |= is_due;
         }
     }
 
@@ -365,7 +377,7 @@
             position,
             keyed_until: now,
             since: now,
-            is_unknown: false,
+            is_checked: false,
         });
         state.position = position;
         let event = if is_requested {
@@ -412,6 +424,7 @@
                 let until = self.keyed_until(now);
                 if let Some(state) = self.domains.get_mut(&domain) {
                     state.keyed_until = until;
+                    state.is_checked = false;
                 }
                 EvacuationNotice::Evacuated(domain, until.since(now))
             }
--- a/tests/charts.rs
+++ b/tests/charts.rs
@@ -8,6 +8,7 @@
 use zinniastack::lease;
 use zinniastack::lifecycle;
 use zinniastack::replay;
+use zinniastack::serving::evacuation;
 
 zinniastack::chart_words!(
     /// States of a door.
@@ -121,6 +122,7 @@
     request_is_sound: expect_valid::<flow::RequestVocabulary>();
     host_is_sound: expect_valid::<lifecycle::HostVocabulary>();
     a_step_follows_its_guard: steps_by_guard();
+    evacuation_is_sound: expect_valid::<evacuation::EvacuationVocabulary>();
     every_chart_is_drawn: draws_every_chart();
     unknown_state: expect_error("next = \"open\"", "next = \"ajar\"", "state 'ajar' is unknown");
     unknown_event: expect_error("event = \"pushed\"", "event = \"kicked\"", "event 'kicked'");
