--- a/lab/src/platform_site/worker/mod.rs
+++ b/lab/src/platform_site/worker/mod.rs
@@ -75,6 +75,8 @@
     stopped: bool,
     sequence: u64,
     runs: collections::BTreeMap<String, u32>,
+    /// The failure domain in its entry.
+    pub zone: String,
     /// How long a request takes, in milliseconds.
     pub work_ms: u64,
     /// The injected faults.
@@ -102,6 +104,7 @@
             stopped: false,
             sequence: 0,
             runs: collections::BTreeMap::new(),
+            zone: "north".to_owned(),
             work_ms: 5,
             faults: WorkerFaults::default(),
         }
@@ -178,7 +181,7 @@
         }
         self.sequence += 1;
         let entry = serde_json::json!({
-            "service": self.service, "address": address, "zone": "north", "version": "v1",
+            "service": self.service, "address": address, "zone": self.zone, "version": "v1",
             "slots": 4, "state": if self.draining { "draining" } else { "ready" },
             "cold_remaining_ms": 0, "sequence": self.sequence, "born": self.life().born,
         });
