--- a/src/ownership/granter/mod.rs
+++ b/src/ownership/granter/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod appends;
 pub mod era;
+mod evacuations;
 mod orders;
 mod plans;
 pub mod renewals;
@@ -10,6 +11,7 @@
 
 use std::collections;
 use std::net;
+use std::sync;
 use std::time;
 
 use crate::chart;
@@ -17,6 +19,7 @@
 use crate::names;
 use crate::ownership::assignment;
 use crate::ownership::election;
+use crate::ownership::evacuation as departure;
 use crate::ownership::fencing;
 use crate::ownership::former_granters;
 use crate::ownership::hold_expiry;
@@ -27,6 +30,7 @@
 use crate::serving::demand;
 use crate::serving::directory;
 use crate::serving::estimate;
+use crate::serving::evacuation;
 use crate::serving::topic;
 
 /// Upper bound of the hold that an order grants, in milliseconds. The servers' own limit may be
@@ -72,6 +76,8 @@
     service_times: collections::BTreeMap<names::ServerName, f64>,
     // For each service without ranges, the number of its servers and since when it is unchanged.
     server_counts: collections::BTreeMap<names::ServiceName, (usize, clock::MonoTime)>,
+    evacuated: sync::Arc<evacuation::EvacuatedDomains>,
+    departures: departure::DeparturePacing,
 }
 
 impl KeyGranter {
@@ -118,6 +124,8 @@
             key_loads: key_load::ServiceLoad::new(),
             service_times: collections::BTreeMap::new(),
             server_counts: collections::BTreeMap::new(),
+            evacuated: sync::Arc::default(),
+            departures: departure::DeparturePacing::new(),
         })
     }
 
--- a/src/serving/cluster/exchange.rs
+++ b/src/serving/cluster/exchange.rs
@@ -197,6 +197,7 @@
             demand: None,
             loads: None,
             removed_servers: None,
+            evacuations: Some(self.evacuations.statements()),
         }
     }
 
@@ -294,6 +295,8 @@
             return None;
         }
         self.note_store_era(update.store_era.unwrap_or(0));
+        let statements = update.evacuations.clone().unwrap_or_default();
+        self.evacuations.note_statements(statements, now);
         self.hosts.insert(host.clone(), update.record.clone());
         self.upstream.note_response(&host, update.store_lost, now);
         let peer = cluster::PeerState {
