Decode when servers are cold, and derive each host's part of what they bear

Change: cold_start_s and cold_per_s of a service, cold_remaining_ms of a server and the bounds cold_excess and cold_slack are decoded. An unusable cold_remaining_ms is counted, logged once and ignored, also where it is beyond the range of a double. serving/cold.rs derives a host's quota at a cold server from the registered hosts; the view carries the quotas. Nothing uses them yet.

Tested: cargo check of all targets; no test run yet.

--- a/lab/src/grants/simulation/log.rs
+++ b/lab/src/grants/simulation/log.rs
@@ -183,6 +183,7 @@
                 directory::ServerState::Ready
             },
             sequence: server.sequence,
+            cold_remaining: Some(time::Duration::ZERO),
         }
     }
 
--- a/src/edge/router/control/hosts.rs
+++ b/src/edge/router/control/hosts.rs
@@ -51,6 +51,8 @@
             return;
         };
         let era = self.append_host(&record).await;
+        let now = self.clock.now();
+        self.state.borrow_mut().cluster.note_registered(now);
         let stopped = tokio::select! {
             _ = shutdown.begun() => true,
             () = self.keep_registered(&record, era) => false,
--- a/src/edge/router/control/mod.rs
+++ b/src/edge/router/control/mod.rs
@@ -26,6 +26,7 @@
 use crate::ownership::granter;
 use crate::ownership::table_records;
 use crate::serving::cluster;
+use crate::serving::cold;
 use crate::serving::replica;
 use crate::serving::status;
 use crate::serving::topic;
@@ -63,6 +64,8 @@
     pub own: status::HostRecord,
     /// How long servers go on serving after they have reported that they are draining.
     pub drain: time::Duration,
+    /// The bound on the requests that arrive at cold servers.
+    pub cold_bounds: cold::ColdBounds,
     /// The host's shutdown.
     pub shutdown: shutdown_watch::ShutdownWatch,
     /// The metrics.
@@ -147,7 +150,8 @@
     pub fn start(parts: ControlParts<S, O, D>) -> Result<rc::Rc<Self>, chart::ChartError> {
         let incarnation = parts.own.granter_incarnation();
         let state = ControlState {
-            cluster: cluster::ClusterState::new(parts.own, parts.clock.now(), parts.drain)?,
+            cluster: cluster::ClusterState::new(parts.own, parts.clock.now(), parts.drain)?
+                .with_cold_bounds(parts.cold_bounds),
             granter: granter::KeyGranter::new(incarnation, parts.max_hold)?,
             replicas: topic::StoreTopic::ALL.map(|_| replica::TopicReplica::new()),
             routes: None,
@@ -201,6 +205,7 @@
         } = &mut *state;
         grants.sync(granter.table(), now);
         let view = state.cluster.view(&state.grants, now);
+        self.metrics.note_cold(&view.cold);
         self.view.store(sync::Arc::new(view));
         let ready = state.cluster.is_ready(&state.grants.table);
         self.update_gauges(&state);
--- a/src/edge/router/control/store.rs
+++ b/src/edge/router/control/store.rs
@@ -288,9 +288,30 @@
 
     fn note_server(&self, server: directory::ServerRecord, now: clock::MonoTime) {
         self.log_server(&server);
+        self.note_cold_time(&server);
         self.state.borrow_mut().cluster.note_server(server, now);
     }
 
+    // Counts a cold time that is ignored; the first one of each incarnation is logged.
+    fn note_cold_time(&self, server: &directory::ServerRecord) {
+        if server.cold_remaining.is_some() {
+            return;
+        }
+        self.metrics.cold_times_ignored.inc();
+        let state = self.state.borrow();
+        let known = state.cluster.directory().find(&server.life.server);
+        let is_first =
+            known.is_none_or(|known| known.life != server.life || known.cold_remaining.is_some());
+        if is_first {
+            tracing::warn!(
+                event = "cold-time-ignored",
+                server = %server.life.server,
+                born = server.life.born,
+                fault = "the remaining cold time is negative or not a sensible number"
+            );
+        }
+    }
+
     // Logs what a server's record changes.
     fn log_server(&self, server: &directory::ServerRecord) {
         let state = self.state.borrow();
--- a/src/edge/router/host.rs
+++ b/src/edge/router/host.rs
@@ -21,6 +21,7 @@
 use crate::edge::router::shutdown_watch;
 use crate::edge::router::status_exchange;
 use crate::edge::router::traffic;
+use crate::serving::cold;
 use crate::serving::scheduler;
 use crate::serving::shutdown;
 use crate::serving::status;
@@ -52,6 +53,8 @@
     pub metrics: Option<net::SocketAddr>,
     /// The request scheduler's settings.
     pub scheduler: scheduler::SchedulerSettings,
+    /// The bound on the requests that arrive at cold servers.
+    pub cold_bounds: cold::ColdBounds,
     /// The interval at which the host renews its membership in the group of hosts that may grant.
     pub join_interval: time::Duration,
     /// The longest hold that servers accept.
@@ -282,6 +285,7 @@
         max_hold: settings.max_hold,
         own: settings.own,
         drain: settings.scheduler.drain,
+        cold_bounds: settings.cold_bounds,
         shutdown: shared.shutdown,
         metrics: shared.metrics,
     };
--- a/src/edge/router/metrics.rs
+++ b/src/edge/router/metrics.rs
@@ -10,6 +10,8 @@
 use prometheus_client::metrics::histogram;
 use prometheus_client::registry;
 
+use crate::serving::cold;
+
 /// The bucket bounds of the latency histograms, in seconds.
 pub const LATENCY_BOUNDS_S: [f64; 10] = [0.005, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.2, 3.0];
 
@@ -105,6 +107,12 @@
     pub late_append_outcomes: counter::Counter,
     /// Registrations of servers that had restarted under their names.
     pub server_restarts: counter::Counter,
+    /// Records of servers whose remaining cold time was ignored.
+    pub cold_times_ignored: counter::Counter,
+    /// Servers that are cold, of the services that limit the requests to those.
+    pub cold_servers: gauge::Gauge,
+    /// Cold servers that this host may send requests to.
+    pub cold_servers_open: gauge::Gauge,
     /// How often this host took up the granter role.
     pub takeovers: counter::Counter,
     /// Whether this host is the granter.
@@ -140,6 +148,9 @@
             records_refused: family::Family::default(),
             late_append_outcomes: counter::Counter::default(),
             server_restarts: counter::Counter::default(),
+            cold_times_ignored: counter::Counter::default(),
+            cold_servers: gauge::Gauge::default(),
+            cold_servers_open: gauge::Gauge::default(),
             takeovers: counter::Counter::default(),
             granting: gauge::Gauge::default(),
             ranges_moving: gauge::Gauge::default(),
@@ -151,6 +162,7 @@
         };
         metrics.register_requests();
         metrics.register_control();
+        metrics.register_cold();
         sync::Arc::new(metrics)
     }
 
@@ -252,6 +264,36 @@
         );
     }
 
+    fn register_cold(&mut self) {
+        let registry = &mut self.registry;
+        let ignored = self.cold_times_ignored.clone();
+        registry.register(
+            "cold_times_ignored",
+            "Records of servers whose remaining cold time was ignored",
+            ignored,
+        );
+        let cold = self.cold_servers.clone();
+        registry.register(
+            "cold_servers",
+            "Cold servers of services that limit the requests to those",
+            cold,
+        );
+        let open = self.cold_servers_open.clone();
+        registry.register(
+            "cold_servers_open",
+            "Cold servers that this host may send requests to",
+            open,
+        );
+    }
+
+    /// Updates the gauges of cold servers.
+    pub fn note_cold(&self, servers: &cold::ColdServers) {
+        let gauge_value = |count: usize| i64::try_from(count).unwrap_or(i64::MAX);
+        self.cold_servers.set(gauge_value(servers.len()));
+        let open = servers.values().filter(|share| share.quota > 0).count();
+        self.cold_servers_open.set(gauge_value(open));
+    }
+
     /// Records a request that has ended `seconds` after its arrival.
     pub fn note_end(&self, route: &str, end: &'static str, seconds: f64) {
         let route = route.to_owned();
--- a/src/routing/specification.rs
+++ b/src/routing/specification.rs
@@ -8,6 +8,10 @@
 
 /// Upper bound of a route's time-out, in milliseconds.
 pub const MAX_ROUTE_TIMEOUT_MS: u64 = 600_000;
+/// The rate from which a limit on requests to cold servers is no limit, in requests a second.
+pub const MAX_COLD_PER_S: f64 = 1_000_000.0;
+/// Upper bound of the time for which a server is cold after it has started, in seconds.
+pub const MAX_COLD_START_S: u32 = 3_600;
 
 /// Whether the requests of a route may be retried after they may have run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -64,6 +68,41 @@
     pub parts: Vec<SplitPart>,
 }
 
+/// The limit on requests to a server that is cold.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct ColdLimit {
+    /// How long a server is cold after it has started.
+    pub duration: time::Duration,
+    /// How many requests a cold server can bear in 1,000 seconds.
+    pub per_1000_s: u32,
+}
+
+impl ColdLimit {
+    /// Creates the limit of `per_s` requests a second; `None` where that is no limit. A rate is rounded
+    /// down to three decimal places.
+    #[must_use]
+    pub fn new(duration: time::Duration, per_s: f64) -> Option<Self> {
+        let is_limit = per_s > 0.0 && per_s < MAX_COLD_PER_S;
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "positive and below MAX_COLD_PER_S"
+        )]
+        is_limit.then(|| Self {
+            duration: duration.min(time::Duration::from_secs(u64::from(MAX_COLD_START_S))),
+            per_1000_s: (per_s * 1_000.0) as u32,
+        })
+    }
+
+    /// Returns how many requests a cold server can bear in a second.
+    #[must_use]
+    pub fn per_s(&self) -> f64 {
+        f64::from(self.per_1000_s) / 1_000.0
+    }
+}
+
 /// A service.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(serde::Serialize, serde::Deserialize)]
@@ -75,6 +114,8 @@
     pub sharded: bool,
     /// Maximum number of connections that one server accepts from all hosts together.
     pub max_connections: u32,
+    /// The limit on requests to its cold servers, if there is one.
+    pub cold: Option<ColdLimit>,
 }
 
 /// Limits on callers' requests and connections.
--- a/src/serving/cluster/exchange.rs
+++ b/src/serving/cluster/exchange.rs
@@ -311,6 +311,12 @@
     /// supplies this one has not responded for some time. Reports whether that changed.
     pub fn check_supply(&mut self, now: clock::MonoTime) -> bool {
         self.responses.check(now);
+        let is_stale = self.note_stale_supply(now);
+        self.check_host_list(now);
+        is_stale
+    }
+
+    fn note_stale_supply(&mut self, now: clock::MonoTime) -> bool {
         let stale = time::Duration::from_millis(cluster::SUPPLY_STALE_MS);
         let Some(supply) = &mut self.supply else {
             return false;
--- a/src/serving/cluster/mod.rs
+++ b/src/serving/cluster/mod.rs
@@ -1,6 +1,7 @@
 //! The state of the cluster as one host knows it: routes, servers and other hosts, and the view of
 //! it for the traffic threads.
 
+mod cold_servers;
 pub mod exchange;
 mod records;
 
@@ -14,6 +15,7 @@
 use crate::ownership::assignment;
 use crate::routing::specification;
 use crate::serving::catch_up;
+use crate::serving::cold;
 use crate::serving::demand;
 use crate::serving::directory;
 use crate::serving::responses;
@@ -75,6 +77,8 @@
     reports: demand::DemandReports,
     catch_up: catch_up::CatchUpState,
     responses: responses::ResponseTracker,
+    cold_bounds: cold::ColdBounds,
+    host_list: cold::HostListAge,
 }
 
 impl ClusterState {
@@ -108,6 +112,8 @@
             reports: demand::DemandReports::new(),
             catch_up: catch_up::CatchUpState::new(),
             responses: responses::ResponseTracker::new()?,
+            cold_bounds: cold::ColdBounds::new(),
+            host_list: cold::HostListAge::new(),
         })
     }
 
@@ -189,6 +195,7 @@
     /// Records that the records of all servers are known.
     pub fn note_servers_known(&mut self) {
         self.servers_known = true;
+        self.directory.note_complete();
     }
 
     /// Records that the other registered hosts are known.
@@ -375,6 +382,7 @@
             // A host that does not report at the moment may still be up.
             hosts: 1 + others.hosts.max(self.hosts.len()),
             demand: sync::Arc::new(others.by_server(&self.directory)),
+            cold: sync::Arc::new(self.cold_servers(now)),
         }
     }
 }
--- a/src/serving/directory.rs
+++ b/src/serving/directory.rs
@@ -10,6 +10,7 @@
 use crate::clock;
 use crate::names;
 use crate::ownership::assignment;
+use crate::serving::cold;
 
 /// Upper bound of the time that a server whose record lapsed in an outage of the store has to
 /// register again, in milliseconds.
@@ -66,6 +67,9 @@
     pub state: ServerState,
     /// The number of this record, which rises within one incarnation of the server.
     pub sequence: u64,
+    /// How much longer the server is cold, counted from when the record is received; `None` where it
+    /// states no usable time.
+    pub cold_remaining: Option<time::Duration>,
 }
 
 impl ServerRecord {
@@ -83,11 +87,18 @@
     /// When this host learned that the server entered its state; `None` where the first record that the
     /// host had of this incarnation has that state, so that the server may have entered it long before.
     pub state_since: Option<clock::MonoTime>,
+    /// What this host knows of the incarnation's cold times.
+    pub cold: cold::ColdTimes,
 }
 
 impl KnownServer {
     // What is known of a server once its `record` was received at `now`.
-    fn with_record(known: Option<&Self>, record: ServerRecord, now: clock::MonoTime) -> Self {
+    fn with_record(
+        known: Option<&Self>,
+        record: ServerRecord,
+        cold: cold::ColdTimes,
+        now: clock::MonoTime,
+    ) -> Self {
         let known = known.filter(|known| known.record.life == record.life);
         let state_since = known.and_then(|known| {
             let is_same = known.record.state == record.state;
@@ -97,10 +108,12 @@
                 Some(now)
             }
         });
-        let record = sync::Arc::new(record);
+        let is_repeated = known.is_some_and(|known| known.record.version() == record.version());
+        let remaining = record.cold_remaining.filter(|_| !is_repeated);
         Self {
-            record,
+            record: sync::Arc::new(record),
             state_since,
+            cold: cold.with_remaining(remaining.unwrap_or_default(), now),
         }
     }
 }
@@ -124,6 +137,7 @@
     // Whether the server may write the same record again, because the removal may be an effect of a
     // failure of the store.
     may_return: bool,
+    cold: cold::ColdTimes,
 }
 
 impl RemovedRecord {
@@ -140,6 +154,8 @@
     removed: collections::BTreeMap<names::ServerName, RemovedRecord>,
     untrusted_until: clock::MonoTime,
     reregistration_timeout: time::Duration,
+    // Whether all servers that were there before this host are known, so that others have started since.
+    is_complete: bool,
 }
 
 impl ServerDirectory {
@@ -179,12 +195,40 @@
         if is_outdated {
             return;
         }
-        let known = KnownServer::with_record(known, record, now);
+        let cold = self.cold_times(&record.life);
+        let cold = cold.unwrap_or_else(|| self.first_cold_times(now));
+        let known = KnownServer::with_record(known, record, cold, now);
         self.lapsed.remove(&name);
         self.removed.remove(&name);
         self.entries.insert(name, known);
     }
 
+    /// Records that all servers that were there before this host are known. A new incarnation counts as
+    /// one that has started since.
+    pub fn note_complete(&mut self) {
+        self.is_complete = true;
+    }
+
+    // The cold times of an incarnation that this host has had a record of.
+    fn cold_times(&self, life: &assignment::ServerIncarnation) -> Option<cold::ColdTimes> {
+        let known = self.find_known(&life.server);
+        let known = known.filter(|known| known.record.life == *life);
+        let removed = self.removed.get(&life.server);
+        let removed = removed.filter(|removed| removed.version.0 == life.born);
+        let known = known.map(|known| known.cold);
+        known.or_else(|| removed.map(|removed| removed.cold))
+    }
+
+    // The cold times of an incarnation whose first record is received at `now`.
+    fn first_cold_times(&self, now: clock::MonoTime) -> cold::ColdTimes {
+        let times = cold::ColdTimes::new();
+        if self.is_complete {
+            times.with_start(now)
+        } else {
+            times
+        }
+    }
+
     /// Applies the removal of a record. Soon after a failure of the store, a ready server stays in
     /// the directory for a while, so that it can register again.
     pub fn remove(&mut self, name: &names::ServerName, now: clock::MonoTime) {
@@ -197,6 +241,7 @@
             version: record.version(),
             at: now,
             may_return,
+            cold: known.cold,
         };
         self.removed.insert(name.clone(), removed);
         if may_return {
@@ -233,10 +278,12 @@
     /// Applies that a server has left, as another host knows it, unless a newer record of it is known.
     pub fn note_removed(&mut self, server: RemovedServer, now: clock::MonoTime) {
         let RemovedServer { life, sequence } = server;
+        let cold = self.cold_times(&life).unwrap_or_default();
         let removed = RemovedRecord {
             version: (life.born, sequence),
             at: now,
             may_return: false,
+            cold,
         };
         let known = self.find(&life.server).map(|record| record.version());
         let known = known.or_else(|| Some(self.removed.get(&life.server)?.version));
--- a/src/serving/mod.rs
+++ b/src/serving/mod.rs
@@ -3,6 +3,7 @@
 pub mod ages;
 pub mod catch_up;
 pub mod cluster;
+pub mod cold;
 pub mod delivery;
 pub mod demand;
 pub mod directory;
--- a/src/serving/view.rs
+++ b/src/serving/view.rs
@@ -8,6 +8,7 @@
 use crate::ownership::assignment;
 use crate::routing::specification;
 use crate::serving::ages;
+use crate::serving::cold;
 use crate::serving::directory;
 
 /// The number of running and waiting requests for each server.
@@ -69,6 +70,8 @@
     pub demand: sync::Arc<ServerDemand>,
     /// How many hosts are up, including this one.
     pub hosts: usize,
+    /// The servers that are cold, with this host's part of the requests that they can bear.
+    pub cold: sync::Arc<cold::ColdServers>,
 }
 
 impl ServingView {
@@ -83,6 +86,7 @@
             ages: sync::Arc::default(),
             demand: sync::Arc::default(),
             hosts: 1,
+            cold: sync::Arc::default(),
         }
     }
 
--- a/tests/cluster.rs
+++ b/tests/cluster.rs
@@ -50,6 +50,7 @@
         slots: 4,
         state,
         sequence,
+        cold_remaining: Some(time::Duration::ZERO),
     }
 }
 
@@ -366,6 +367,7 @@
         name: fixtures::name(service),
         sharded: true,
         max_connections: 1,
+        cold: None,
     });
     specification::RouteSet::new(version, Vec::new(), services.collect(), none.limits)
         .expect("the route set is valid")
--- a/tests/granting.rs
+++ b/tests/granting.rs
@@ -49,6 +49,7 @@
         slots: 4,
         state: directory::ServerState::Ready,
         sequence: 1,
+        cold_remaining: Some(time::Duration::ZERO),
     }
 }
 
--- a/tests/routing.rs
+++ b/tests/routing.rs
@@ -42,6 +42,7 @@
         name: fixtures::name(text),
         sharded: false,
         max_connections: 10,
+        cold: None,
     }
 }
 
--- a/tests/scheduler.rs
+++ b/tests/scheduler.rs
@@ -9,6 +9,7 @@
 use zinniastack::edge::router::control::store;
 use zinniastack::ownership::assignment;
 use zinniastack::serving::ages;
+use zinniastack::serving::cold;
 use zinniastack::serving::directory;
 use zinniastack::serving::estimate;
 use zinniastack::serving::scheduler;
@@ -37,6 +38,7 @@
         slots: SLOTS,
         state,
         sequence: 1,
+        cold_remaining: Some(time::Duration::ZERO),
     }
 }
 
@@ -48,6 +50,7 @@
     directory::KnownServer {
         record: sync::Arc::new(record),
         state_since: since,
+        cold: cold::ColdTimes::new(),
     }
 }
 
--- a/tests/traffic.rs
+++ b/tests/traffic.rs
@@ -15,6 +15,7 @@
 use zinniastack::edge::router::traffic;
 use zinniastack::names;
 use zinniastack::ownership::assignment;
+use zinniastack::serving::cold;
 use zinniastack::serving::directory;
 use zinniastack::serving::scheduler;
 use zinniastack::serving::view;
@@ -65,10 +66,12 @@
             slots: SLOTS,
             state: directory::ServerState::Ready,
             sequence: 1,
+            cold_remaining: Some(time::Duration::ZERO),
         };
         let known = directory::KnownServer {
             record: sync::Arc::new(server),
             state_since: None,
+            cold: cold::ColdTimes::new(),
         };
         let servers = [(fixtures::name("near"), known)].into();
         let view = view::ServingView {
