Keep requests to cold servers within the host's quota

Cause: the scheduler takes a server that has just started for an idle one.

Change: a request counts from when it is assigned until a second after it has certainly arrived. Unkeyed requests use cold servers where no warm one has room. Keyed ones wait for the holder while their objective allows, and are refused with the cause cold-server otherwise. A host that stops sends nothing to cold servers.

Tested: cargo check of all targets; no test run yet.

--- a/src/edge/router/local_response.rs
+++ b/src/edge/router/local_response.rs
@@ -35,7 +35,7 @@
 
 impl LocalResponse {
     /// All local responses.
-    pub const ALL: [Self; 15] = [
+    pub const ALL: [Self; 16] = [
         Self::NoRoute,
         Self::RoutesUnconfirmed,
         Self::Starting,
@@ -48,6 +48,7 @@
         Self::Refused(scheduler::SchedulerRefusal::TooLate),
         Self::Refused(scheduler::SchedulerRefusal::Budget),
         Self::Refused(scheduler::SchedulerRefusal::Stopping),
+        Self::Refused(scheduler::SchedulerRefusal::ColdServer),
         Self::NotRun,
         Self::Broken,
         Self::Timeout,
@@ -84,6 +85,7 @@
             Self::Refused(scheduler::SchedulerRefusal::TooLate) => "too-late",
             Self::Refused(scheduler::SchedulerRefusal::Budget) => "retry-budget",
             Self::Refused(scheduler::SchedulerRefusal::Stopping) => "stopping",
+            Self::Refused(scheduler::SchedulerRefusal::ColdServer) => "cold-server",
             Self::NotRun => "not-run",
             Self::Broken => "broken",
             Self::Timeout => "timeout",
--- a/src/serving/scheduler/mod.rs
+++ b/src/serving/scheduler/mod.rs
@@ -6,6 +6,7 @@
 //! the slots go to requests that finish in time. Each host keeps to its share of a server, so that
 //! the servers' own queues stay short.
 
+mod cold_servers;
 mod host_demand;
 mod selection;
 mod shutdown;
@@ -94,6 +95,8 @@
     Budget,
     /// The host ends before a server could respond.
     Stopping,
+    /// The server is cold, and this host's part of the requests that it can bear is used up.
+    ColdServer,
 }
 
 /// The decision on a waiting request.
@@ -251,6 +254,7 @@
         }
         server.running = server.running.saturating_sub(1);
         server.estimate.note(end, elapsed, now);
+        server.note_arrival_end(end, now);
         if end == estimate::ExchangeEnd::Answered {
             server.answered.0 += millis(elapsed);
             server.answered.1 += 1;
--- a/src/serving/scheduler/selection.rs
+++ b/src/serving/scheduler/selection.rs
@@ -53,10 +53,12 @@
         let Some(server) = server.filter(|server| server.accepts_keyed(incarnation, now)) else {
             return Self::decide_unavailable(waiting, now);
         };
-        if f64::from(server.running) + 1.0 <= self.limit(server) {
+        if self.has_room(server, now) {
             return Decision::Send(sync::Arc::clone(&server.record));
         }
-        Decision::Wait
+        let cold_wait_ms = self.cold_wait_ms(server, 0.0, now);
+        let refusal = self.cold_refusal(waiting, cold_wait_ms, now);
+        refusal.map_or(Decision::Wait, Decision::GiveUp)
     }
 
     // The server that holds the key is unavailable. Requests wait for a limited time, because the
@@ -73,16 +75,18 @@
         let request = &waiting.request;
         let servers = self.servers.values();
         let usable: Vec<_> = servers
-            .filter(|server| server.accepts(&request.service, now))
+            .filter(|server| self.is_usable(server, request, now))
             .collect();
         if usable.is_empty() {
-            return Decision::GiveUp(scheduler::SchedulerRefusal::NoServer);
+            return self.decide_closed_pool(waiting, now);
         }
         let remote_penalty_ms = scheduler::REMOTE_PENALTY_MS
             + scheduler::REMOTE_PENALTY_MS_PER_KB
                 * scheduler::to_f64(usize::try_from(request.body_bytes).unwrap_or(0))
                 / 1_000.0;
-        let has_local = usable.iter().any(|server| self.is_local(server));
+        let has_local = usable
+            .iter()
+            .any(|server| self.is_local(server) && self.is_warm(server, now));
         let local_wait = time::Duration::from_secs_f64(remote_penalty_ms / 1_000.0);
         let local_wait = local_wait.min(time::Duration::from_millis(scheduler::MAX_LOCAL_WAIT_MS));
         let only_local = has_local && now.since(waiting.since) < local_wait;
@@ -92,15 +96,18 @@
         let free: Vec<_> = usable
             .iter()
             .copied()
-            .filter(|server| f64::from(server.running) + 1.0 <= self.limit(server))
+            .filter(|server| self.has_room(server, now))
             .collect();
         if free.is_empty() {
             return Decision::PoolFull;
         }
+        // Cold servers are used where no warm one has room.
+        let has_warm = free.iter().any(|server| self.is_warm(server, now));
         let open = free
             .iter()
             .copied()
             .filter(|server| self.is_local(server) || !only_local)
+            .filter(|server| !has_warm || self.is_warm(server, now))
             .filter(|server| !avoided(server) || usable.len() == 1);
         let score = |server: &tracked_server::TrackedServer| {
             let penalty_ms = if self.is_local(server) {
@@ -116,6 +123,15 @@
         })
     }
 
+    // All ready servers are cold, and none takes requests of this host before it is warm.
+    fn decide_closed_pool(&self, waiting: &scheduler::Waiting, now: clock::MonoTime) -> Decision {
+        let Some(wait_ms) = self.closed_pool_wait_ms(&waiting.request, now) else {
+            return Decision::GiveUp(scheduler::SchedulerRefusal::NoServer);
+        };
+        let refusal = self.cold_refusal(waiting, wait_ms, now);
+        refusal.map_or(Decision::Wait, Decision::GiveUp)
+    }
+
     // The estimated response time of a server, in milliseconds.
     fn score_ms(server: &tracked_server::TrackedServer) -> f64 {
         let fill = f64::from(server.running + 1) / f64::from(server.record.slots.max(1));
--- a/src/serving/scheduler/tracked_server.rs
+++ b/src/serving/scheduler/tracked_server.rs
@@ -5,6 +5,7 @@
 use crate::clock;
 use crate::names;
 use crate::ownership::assignment;
+use crate::serving::cold;
 use crate::serving::directory;
 use crate::serving::estimate;
 use crate::serving::scheduler;
@@ -21,6 +22,8 @@
     // The service times of the requests answered since the last report, in milliseconds, and their
     // number.
     pub(super) answered: (f64, u32),
+    // The requests that have ended and may have arrived in the last second.
+    pub(super) arrivals: cold::ArrivalWindow,
 }
 
 impl TrackedServer {
@@ -36,6 +39,7 @@
             waiting: 0,
             estimate: estimate::ServerEstimate::new(),
             answered: (0.0, 0),
+            arrivals: cold::ArrivalWindow::new(),
         }
     }
 
--- a/src/serving/scheduler/wait_estimate.rs
+++ b/src/serving/scheduler/wait_estimate.rs
@@ -39,10 +39,8 @@
         if wait.is_infinite() {
             return Err(scheduler::SchedulerRefusal::NoServer);
         }
-        let room = scheduler::millis(request.objective.since(now)) - service;
-        let accepted = room.max(left * scheduler::LATE_WAIT_FRACTION);
-        if wait > accepted {
-            return Err(scheduler::SchedulerRefusal::Crowded);
+        if wait > request.accepted_wait_ms(service, now) {
+            return Err(self.long_wait_refusal(request, now));
         }
         Ok(())
     }
@@ -99,7 +97,8 @@
         }
         let limit = self.limit(server);
         let queued = ahead + f64::from(server.running) - limit + 1.0;
-        (queued.max(0.0) / limit) * server.service_ms()
+        let wait_ms = (queued.max(0.0) / limit) * server.service_ms();
+        wait_ms.max(self.cold_wait_ms(server, ahead, now))
     }
 
     fn pool_wait_ms(
@@ -110,17 +109,15 @@
     ) -> f64 {
         let servers = self.servers.values();
         let usable: Vec<_> = servers
-            .filter(|server| server.accepts(&request.service, now))
+            .filter(|server| self.is_usable(server, request, now))
             .collect();
-        let room: f64 = usable.iter().map(|server| self.limit(server)).sum();
-        if room <= 0.0 {
-            return f64::INFINITY;
+        if usable.is_empty() {
+            let closed = self.closed_pool_wait_ms(request, now);
+            return closed.unwrap_or(f64::INFINITY);
         }
+        let capacities = usable.iter().map(|server| self.capacity(server, now));
+        let (room, rate) = capacities.fold((0.0, 0.0), |sum, one| (sum.0 + one.0, sum.1 + one.1));
         let running: u32 = usable.iter().map(|server| server.running).sum();
-        let rate: f64 = usable
-            .iter()
-            .map(|server| self.limit(server) / server.service_ms())
-            .sum();
         let queued = ahead + f64::from(running) - room + 1.0;
         queued.max(0.0) / rate
     }
