--- a/src/edge/router/control/mod.rs
+++ b/src/edge/router/control/mod.rs
@@ -27,6 +27,7 @@
 use crate::ownership::granter;
 use crate::ownership::table_records;
 use crate::serving::cluster;
+use crate::serving::cold;
 use crate::serving::replica;
 use crate::serving::status;
 use crate::serving::topic;
@@ -66,6 +67,8 @@
     pub drain: time::Duration,
     /// The time within which the last request must have reached an evacuated failure domain.
     pub evacuate: time::Duration,
+    /// The bound on the requests that arrive at cold servers.
+    pub cold_bounds: cold::ColdBounds,
     /// The host's shutdown.
     pub shutdown: shutdown_watch::ShutdownWatch,
     /// The metrics.
@@ -151,7 +154,9 @@
         let incarnation = parts.own.granter_incarnation();
         let cluster = cluster::ClusterState::new(parts.own, parts.clock.now(), parts.drain)?;
         let state = ControlState {
-            cluster: cluster.with_evacuate(parts.evacuate),
+            cluster: cluster
+                .with_evacuate(parts.evacuate)
+                .with_cold_bounds(parts.cold_bounds),
             granter: granter::KeyGranter::new(incarnation, parts.max_hold)?,
             replicas: topic::StoreTopic::ALL.map(|_| replica::TopicReplica::new()),
             routes: None,
@@ -205,6 +210,7 @@
         } = &mut *state;
         grants.sync(granter.table(), now);
         let view = state.cluster.view(&state.grants, now);
+        self.metrics.note_cold(&view.cold);
         self.view.store(sync::Arc::new(view));
         let ready = state.cluster.is_ready(&state.grants.table);
         let ready = ready && Self::knows_evacuations(&state, now);
--- a/src/serving/cluster/mod.rs
+++ b/src/serving/cluster/mod.rs
@@ -1,6 +1,7 @@
 //! The state of the cluster as one host knows it: routes, servers and other hosts, and the view of
 //! it for the traffic threads.
 
+mod cold_servers;
 mod evacuations;
 pub mod exchange;
 mod records;
@@ -15,6 +16,7 @@
 use crate::ownership::assignment;
 use crate::routing::specification;
 use crate::serving::catch_up;
+use crate::serving::cold;
 use crate::serving::demand;
 use crate::serving::directory;
 use crate::serving::evacuation;
@@ -78,6 +80,8 @@
     catch_up: catch_up::CatchUpState,
     responses: responses::ResponseTracker,
     evacuations: evacuation::EvacuationState,
+    cold_bounds: cold::ColdBounds,
+    host_list: cold::HostListAge,
 }
 
 impl ClusterState {
@@ -112,6 +116,8 @@
             catch_up: catch_up::CatchUpState::new(),
             responses: responses::ResponseTracker::new()?,
             evacuations: evacuation::EvacuationState::new()?,
+            cold_bounds: cold::ColdBounds::new(),
+            host_list: cold::HostListAge::new(),
         })
     }
 
@@ -193,6 +199,7 @@
     /// Records that the records of all servers are known.
     pub fn note_servers_known(&mut self) {
         self.servers_known = true;
+        self.directory.note_complete();
     }
 
     /// Records that the other registered hosts are known.
@@ -381,6 +388,7 @@
             hosts: 1 + others.hosts.max(self.hosts.len()),
             demand: sync::Arc::new(others.by_server(&self.directory)),
             evacuated: sync::Arc::clone(self.evacuations.domains()),
+            cold: sync::Arc::new(self.cold_servers(now)),
         }
     }
 }
--- a/src/serving/view.rs
+++ b/src/serving/view.rs
@@ -8,6 +8,7 @@
 use crate::ownership::assignment;
 use crate::routing::specification;
 use crate::serving::ages;
+use crate::serving::cold;
 use crate::serving::directory;
 use crate::serving::evacuation;
 
@@ -72,6 +73,8 @@
     pub hosts: usize,
     /// The failure domains that are evacuated or return.
     pub evacuated: sync::Arc<evacuation::EvacuatedDomains>,
+    /// The servers that are cold, with this host's part of the requests that they can bear.
+    pub cold: sync::Arc<cold::ColdServers>,
 }
 
 impl ServingView {
@@ -87,6 +90,7 @@
             demand: sync::Arc::default(),
             hosts: 1,
             evacuated: sync::Arc::default(),
+            cold: sync::Arc::default(),
         }
     }
 
--- a/tests/evacuations.rs
+++ b/tests/evacuations.rs
@@ -13,6 +13,7 @@
 use zinniastack::ownership::granter;
 use zinniastack::ownership::key_load;
 use zinniastack::ownership::order;
+use zinniastack::serving::cold;
 use zinniastack::serving::directory;
 use zinniastack::serving::evacuation;
 use zinniastack::serving::scheduler;
@@ -186,6 +187,7 @@
         slots: 4,
         state: directory::ServerState::Ready,
         sequence: 1,
+        cold_remaining: Some(time::Duration::ZERO),
     }
 }
 
@@ -212,6 +214,7 @@
         let known = directory::KnownServer {
             record: sync::Arc::new(record),
             state_since: None,
+            cold: cold::ColdTimes::new(),
         };
         (known.record.life.server.clone(), known)
     });
