Meter requests where a host's share of a server is below one

Cause: where the other hosts' demand left a host less than one request at a server, it sent one all the same. With 65 hosts and servers of 2 slots, servers were full and refused or reset the rest.

Change: scheduler/share.rs. Where more hosts want a server than may have one request each there (two for each slot), a host starts requests at share / service time, by a token that fills while it has demand, holds at most one and starts at a level by chance. The wait estimate uses the same rate, so what cannot be sent in time is refused on arrival. A retry that has waited for a service time may borrow one token. Demand rises at once and falls by half in 250 ms, since refused requests are in no total. Without totals of the other hosts, a host takes an equal part.

--- a/src/serving/scheduler/mod.rs
+++ b/src/serving/scheduler/mod.rs
@@ -8,6 +8,7 @@
 
 mod host_demand;
 mod selection;
+pub mod share;
 mod shutdown;
 mod tracked_server;
 mod wait_estimate;
@@ -172,6 +173,7 @@
             return;
         }
         self.view = sync::Arc::clone(view);
+        let host = view.host.as_ref().map_or("", |host| host.as_str());
         for (name, known) in view.servers.iter() {
             match self.servers.get_mut(name) {
                 Some(server) if server.record.life == known.record.life => {
@@ -181,7 +183,9 @@
                 _ => {
                     let record = sync::Arc::clone(&known.record);
                     let drained_at = self.settings.drained_at(known);
-                    let server = tracked_server::TrackedServer::new(record, drained_at);
+                    let room = tracked_server::room(&record);
+                    let token = share::ShareToken::new(host, name, room, view.hosts);
+                    let server = tracked_server::TrackedServer::new(record, drained_at, token);
                     self.servers.insert(name.clone(), server);
                 }
             }
@@ -204,6 +208,7 @@
         now: clock::MonoTime,
     ) -> Result<WaitTicket, SchedulerRefusal> {
         self.draw_budget(&request)?;
+        self.fill_owner_token(&request, now);
         if !request.is_retry {
             self.check_wait(&request, now)?;
         }
@@ -243,6 +248,7 @@
         elapsed: time::Duration,
         now: clock::MonoTime,
     ) {
+        self.fill_tokens(|server| server.record.life == *incarnation, now);
         let Some(server) = self.servers.get_mut(&incarnation.server) else {
             return;
         };
@@ -324,6 +330,7 @@
         now: clock::MonoTime,
         events: &mut Vec<SchedulerEvent>,
     ) {
+        self.fill_tokens(|server| server.record.service == *service, now);
         let Some(queue) = self.queues.get_mut(service) else {
             return;
         };
@@ -344,9 +351,7 @@
             }
             match self.decide(&waiting, service_ms, now) {
                 selection::Decision::Send(record) => {
-                    if let Some(server) = self.servers.get_mut(&record.life.server) {
-                        server.running += 1;
-                    }
+                    self.start(&record.life.server);
                     events.push(SchedulerEvent::Assigned(place.1, record));
                 }
                 selection::Decision::GiveUp(refusal) => {
@@ -367,6 +372,7 @@
         if let Some(queue) = self.queues.get_mut(service) {
             queue.entries = kept;
         }
+        self.note_pool_waiting(service);
     }
 
     // Why too little time is left for a server to respond, if it is.
--- a/src/serving/scheduler/selection.rs
+++ b/src/serving/scheduler/selection.rs
@@ -53,7 +53,7 @@
         let Some(server) = server.filter(|server| server.accepts_keyed(incarnation, now)) else {
             return Self::decide_unavailable(waiting, now);
         };
-        if f64::from(server.running) + 1.0 <= self.limit(server) {
+        if self.has_room(server, waiting, now) {
             return Decision::Send(sync::Arc::clone(&server.record));
         }
         Decision::Wait
@@ -92,7 +92,7 @@
         let free: Vec<_> = usable
             .iter()
             .copied()
-            .filter(|server| f64::from(server.running) + 1.0 <= self.limit(server))
+            .filter(|server| self.has_room(server, waiting, now))
             .collect();
         if free.is_empty() {
             return Decision::PoolFull;
--- a/src/serving/scheduler/wait_estimate.rs
+++ b/src/serving/scheduler/wait_estimate.rs
@@ -6,7 +6,6 @@
 use crate::names;
 use crate::ownership::assignment;
 use crate::serving::scheduler;
-use crate::serving::scheduler::tracked_server;
 use crate::serving::view;
 
 impl scheduler::RequestScheduler {
@@ -97,9 +96,15 @@
         if !server.accepts_keyed(incarnation, now) {
             return f64::INFINITY;
         }
-        let limit = self.limit(server);
+        let share = self.share(server);
+        let limit = share.limit();
+        let service_ms = server.service_ms();
+        if share.is_metered() {
+            let rate = share.rate_per_ms(service_ms);
+            return server.token.wait_ms(ahead + 1.0, rate);
+        }
         let queued = ahead + f64::from(server.running) - limit + 1.0;
-        (queued.max(0.0) / limit) * server.service_ms()
+        (queued.max(0.0) / limit) * service_ms
     }
 
     fn pool_wait_ms(
@@ -112,17 +117,13 @@
         let usable: Vec<_> = servers
             .filter(|server| server.accepts(&request.service, now))
             .collect();
-        let room: f64 = usable.iter().map(|server| self.limit(server)).sum();
-        if room <= 0.0 {
+        if usable.is_empty() {
             return f64::INFINITY;
         }
-        let running: u32 = usable.iter().map(|server| server.running).sum();
-        let rate: f64 = usable
-            .iter()
-            .map(|server| self.limit(server) / server.service_ms())
-            .sum();
-        let queued = ahead + f64::from(running) - room + 1.0;
-        queued.max(0.0) / rate
+        let starts = usable.iter().map(|server| self.pool_starts(server));
+        let (open, rate_per_ms) =
+            starts.fold((0.0, 0.0), |sum, (open, rate)| (sum.0 + open, sum.1 + rate));
+        (ahead + 1.0 - open).max(0.0) / rate_per_ms
     }
 
     // The number of matching requests that are ahead of `request` in the queue.
@@ -168,15 +169,4 @@
         }
         known.iter().sum::<f64>() / scheduler::to_f64(known.len())
     }
-
-    // How many requests this host may have running at a server: the room that the other hosts'
-    // demand leaves, or its share in proportion to demand where that is more.
-    pub(super) fn limit(&self, server: &tracked_server::TrackedServer) -> f64 {
-        let room = f64::from(server.record.slots) * scheduler::REQUESTS_PER_SLOT;
-        let others = self.view.demand.get(&server.record.life.server);
-        let others = others.copied().unwrap_or(0.0);
-        let own = f64::from(server.running + server.waiting).max(1.0);
-        let share = room * own / (own + others);
-        share.max(room - others).clamp(1.0, room.max(1.0))
-    }
 }
