--- a/src/edge/host.rs
+++ b/src/edge/host.rs
@@ -268,7 +268,11 @@
     result.map_err(|source| HostError::Peers { source })
 }
 
-fn listen_callers(
+/// Starts the server for callers.
+///
+/// # Errors
+/// Fails when the address for callers cannot be listened on.
+pub fn listen_callers(
     settings: &HostSettings,
     context: &web::Data<callers::CallerContext>,
 ) -> Result<caller_listener::CallerListener, HostError> {
--- a/src/edge/router/host.rs
+++ b/src/edge/router/host.rs
@@ -311,7 +311,11 @@
     }
 }
 
-fn listen_callers<C: ports::HeaderCodec + Send>(
+/// Starts the server for callers, whose traffic thread is created with these parts.
+///
+/// # Errors
+/// Fails when the address for callers cannot be listened on.
+pub fn listen_callers<C: ports::HeaderCodec + Send>(
     settings: &RouterSettings,
     traffic: traffic::TrafficParts<C>,
 ) -> Result<caller_listener::CallerListener, RouterError> {
