Take no response for complete before the request is known to have arrived

Cause: hyper takes the end of a connection for the end of a response without a length, also while it is writing the request, so a reset that followed was not seen; neither client refuses statuses of 600 to 999 or a final 1xx; zinnia entry stated 503 for a retry that is refused after a broken attempt. Change: src/final_response.rs decides which statuses are final and what the end of a server's bytes means; src/edge/router/request_stream.rs holds that end back from hyper until the request has been written and acknowledged. Both front ends take any status outside 200 to 599 for a failed attempt, before any other header. A reason whose status is 503 is not stated of a request that may have run.

--- a/src/edge/exchange.rs
+++ b/src/edge/exchange.rs
@@ -13,6 +13,7 @@
 use actix_web::web;
 
 use crate::contract;
+use crate::final_response;
 use crate::gate;
 use crate::names;
 use crate::outcome;
@@ -169,6 +170,10 @@
             }
         };
         let mut response = sent.map_err(|e| classify_send_error(&e))?;
+        if !final_response::is_final_status(response.status().as_u16()) {
+            self.drop_connections(&target);
+            return Err(WorkFailure::Broken("status is not a final one".into()));
+        }
         if !echoes_request_id(response.headers(), request.id) {
             self.drop_connections(&target);
             return Err(WorkFailure::Broken(
--- a/src/edge/request_driver.rs
+++ b/src/edge/request_driver.rs
@@ -241,7 +241,7 @@
             ));
         }
         Err(callers::RefusedRequest {
-            reason: state.reason,
+            reason: state.reason.with_outcome(state.flow.outcome()),
             outcome: state.flow.outcome(),
             step: match state.flow.outcome() {
                 outcome::RequestOutcome::Unknown => "exchange",
--- a/src/edge/router/exchange.rs
+++ b/src/edge/router/exchange.rs
@@ -5,6 +5,7 @@
 use crate::edge::router::body;
 use crate::edge::router::http_client;
 use crate::edge::router::ports;
+use crate::final_response;
 use crate::names;
 use crate::serving::delivery;
 use crate::serving::estimate;
@@ -169,6 +170,12 @@
     let http_client::HttpResponse { head, mut body } = response;
     let headers = codec.read_response(&head.headers, id);
     let status = head.status;
+    if !final_response::is_final_status(status.as_u16()) {
+        return AttemptEnd::Broken(format!(
+            "step=check-response peer={peer} fault=\"status {} is not a final one\"",
+            status.as_u16()
+        ));
+    }
     if headers.not_run {
         if headers.id_match == ports::IdMatch::Same {
             drain_body(client, body).await;
--- a/src/edge/router/http_client.rs
+++ b/src/edge/router/http_client.rs
@@ -16,6 +16,7 @@
 use hyper_util::rt;
 
 use crate::edge::router::body as request_body;
+use crate::edge::router::request_stream;
 
 /// Time-out of a connection attempt where the client has no other, in milliseconds.
 pub const CONNECT_TIMEOUT_MS: u64 = 300;
@@ -34,7 +35,7 @@
 /// The number of idle connections that are kept for each address.
 pub const MAX_IDLE_CONNECTIONS: usize = 32;
 
-type RequestSender = http1::SendRequest<request_body::RequestBody>;
+type RequestSender = http1::SendRequest<request_stream::TrackedBody>;
 
 /// Why an exchange failed.
 #[derive(Debug)]
@@ -83,6 +84,7 @@
 
 struct HttpConnection {
     sender: RequestSender,
+    state: request_stream::RequestState,
     // Kept so that the task is aborted when the connection is dropped.
     _task: ConnectionTask,
 }
@@ -291,6 +293,7 @@
     request: hyper::Request<request_body::RequestBody>,
 ) -> Result<HttpResponse, ExchangeError> {
     let mut connection = connection;
+    let request = request.map(|body| connection.state.begin(body));
     match connection.sender.try_send_request(request).await {
         Ok(response) => {
             let (head, body) = response.into_parts();
@@ -304,7 +307,10 @@
             Ok(HttpResponse { head, body })
         }
         Err(mut error) => match error.take_message() {
-            Some(request) => Err(ExchangeError::Returned(Box::new(request))),
+            Some(request) => {
+                let request = request.map(request_stream::TrackedBody::into_inner);
+                Err(ExchangeError::Returned(Box::new(request)))
+            }
             None => Err(ExchangeError::Failed(HttpError::Broken {
                 step: "send",
                 peer,
@@ -332,6 +338,8 @@
     let connected = connected.map_err(|_| unsent("connect", "timeout".into()))?;
     let stream = connected.map_err(|e| unsent("connect", e.to_string()))?;
     set_options(&stream).map_err(|e| unsent("set-options", e.to_string()))?;
+    let state = request_stream::RequestState::new();
+    let stream = request_stream::RequestStream::new(stream, state.clone());
     let handshake = http1::handshake(rt::TokioIo::new(stream)).await;
     let (sender, connection) = handshake.map_err(|e| unsent("handshake", e.to_string()))?;
     let task = actix::spawn(async move {
@@ -340,6 +348,7 @@
     });
     Ok(HttpConnection {
         sender,
+        state,
         _task: ConnectionTask(task),
     })
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod domain;
 pub mod edge;
 pub mod fence;
+pub mod final_response;
 pub mod flow;
 pub mod gate;
 pub mod grant;
--- a/src/outcome.rs
+++ b/src/outcome.rs
@@ -104,6 +104,16 @@
 }
 
 impl RefusalReason {
+    /// Returns the reason to state with an outcome. A status of 503 tells a caller that its request did not
+    /// run, so it is not stated of a request that may have run in an earlier attempt.
+    #[must_use]
+    pub const fn with_outcome(self, outcome: RequestOutcome) -> Self {
+        if matches!(outcome, RequestOutcome::Unknown) && self.status() == 503 {
+            return Self::ExchangeBroken;
+        }
+        self
+    }
+
     /// Reports whether a retry by the caller may succeed soon.
     #[must_use]
     pub const fn is_transient(self) -> bool {
--- a/tests/front_responses.rs
+++ b/tests/front_responses.rs
@@ -8,7 +8,6 @@
 use tokio::io::AsyncWriteExt as _;
 
 use zinnia_lab::fronts;
-use zinnia_lab::fronts::CallerFront as _;
 use zinnia_lab::scripted_server;
 use zinnia_lab::scripted_server::ServerStep;
 use zinniastack::routing::specification;
