Send no request to a server that is behind a response which closes its connection

Cause: the HTTP library runs all requests that it has parsed, also behind one that closes the connection, and behind the response of a stopping host. Callers take those for unread and send them again. Change: src/edge/caller_connection.rs keeps with each connection whether a response closes it.

--- a/src/edge/callers.rs
+++ b/src/edge/callers.rs
@@ -14,6 +14,7 @@
 use crate::clock;
 use crate::clock::MonoClock as _;
 use crate::contract;
+use crate::edge::caller_connection;
 use crate::edge::caller_listener;
 use crate::edge::controller;
 use crate::edge::dispatcher;
@@ -96,7 +97,11 @@
 ) -> actix_web::HttpResponse {
     let arrived = context.clock.now();
     let _guard = InFlightGuard::new(&context.metrics);
-    let result = serve(&head, payload, &context, arrived).await;
+    let result = if caller_connection::is_closing(&head) {
+        Err(refuse_unread(&head))
+    } else {
+        serve(&head, payload, &context, arrived).await
+    };
     let elapsed = context.clock.now().since(arrived);
     context.metrics.latency.observe(elapsed.as_secs_f64());
     let mut response = match result {
@@ -109,14 +114,20 @@
             refusal_response(&refused)
         }
     };
-    if context.stopping.load(atomic::Ordering::Relaxed) {
-        response
-            .head_mut()
-            .set_connection_type(actix_web::http::ConnectionType::Close);
-    }
+    let is_stopping = context.stopping.load(atomic::Ordering::Relaxed);
+    caller_connection::finish(&head, &mut response, is_stopping);
     response
 }
 
+// The response to a request behind a response that closes the connection.
+fn refuse_unread(head: &actix_web::HttpRequest) -> RefusedRequest {
+    let refused = RefusedRequest::new(outcome::RefusalReason::Unread, "accept-request");
+    match parse(head) {
+        Ok(envelope) => refused.with_id(&envelope.id),
+        Err(_) => refused,
+    }
+}
+
 struct InFlightGuard<'a>(&'a metrics::HostMetrics);
 
 impl<'a> InFlightGuard<'a> {
@@ -306,10 +317,16 @@
 }
 
 /// Refuses a path that names no service and key.
-pub async fn handle_unknown(context: web::Data<CallerContext>) -> actix_web::HttpResponse {
+pub async fn handle_unknown(
+    head: actix_web::HttpRequest,
+    context: web::Data<CallerContext>,
+) -> actix_web::HttpResponse {
     let reason = outcome::RefusalReason::UnknownService;
     context.metrics.count_refusal(reason);
-    refusal_response(&RefusedRequest::new(reason, "parse-request"))
+    let mut response = refusal_response(&RefusedRequest::new(reason, "parse-request"));
+    let is_stopping = context.stopping.load(atomic::Ordering::Relaxed);
+    caller_connection::finish(&head, &mut response, is_stopping);
+    response
 }
 
 /// Adds the callers' routes.
--- a/src/edge/host.rs
+++ b/src/edge/host.rs
@@ -13,6 +13,7 @@
 use crate::clock;
 use crate::configuration;
 use crate::control;
+use crate::edge::caller_connection;
 use crate::edge::caller_listener;
 use crate::edge::callers;
 use crate::edge::controller;
@@ -289,6 +290,7 @@
             .app_data(exchange::OwnerClient::new(threads))
             .configure(callers::configure)
     })
+    .on_connect(caller_connection::add)
     .workers(threads)
     .disable_signals()
     .shutdown_timeout(max_deadline)
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! Decisions are made by the modules outside `edge`, which perform no I/O.
 
+pub mod caller_connection;
 pub mod caller_listener;
 pub mod callers;
 pub mod controller;
--- a/src/edge/router/front/mod.rs
+++ b/src/edge/router/front/mod.rs
@@ -12,6 +12,7 @@
 
 use crate::clock;
 use crate::clock::MonoClock as _;
+use crate::edge::caller_connection;
 use crate::edge::router::body;
 use crate::edge::router::exchange;
 use crate::edge::router::local_response;
@@ -48,7 +49,8 @@
     body_limit: u64,
 }
 
-/// Handles one request of a caller. While the host is stopping, the response closes the connection.
+/// Handles one request of a caller. While the host is stopping, the response closes the connection. A request
+/// behind a response that closes the connection is not sent to a server.
 pub async fn handle<C: ports::HeaderCodec>(
     caller: actix_web::HttpRequest,
     payload: web::Payload,
@@ -59,7 +61,14 @@
     let thread = rc::Rc::clone(thread);
     let _in_flight = traffic::InFlight::new(&thread.parts.in_flight);
     let shared = rc::Rc::clone(&thread);
-    let mut response = match CallerRequest::new(thread, caller) {
+    let head = caller.clone();
+    let request = if caller_connection::is_closing(&head) {
+        let id = shared.parts.codec.read_request(head.headers()).id;
+        Err((local_response::LocalResponse::NotRun, id))
+    } else {
+        CallerRequest::new(thread, caller)
+    };
+    let mut response = match request {
         Ok(request) => request.serve(payload).await,
         Err((response, id)) => {
             responses::record_early_refusal(&shared, response, id.as_deref());
@@ -68,15 +77,8 @@
             local_response::respond(response, retry_after)
         }
     };
-    if shared.parts.shutdown.times().is_some() {
-        let close = actix_web::http::header::HeaderValue::from_static("close");
-        response
-            .headers_mut()
-            .insert(actix_web::http::header::CONNECTION, close);
-        response
-            .head_mut()
-            .set_connection_type(actix_web::http::ConnectionType::Close);
-    }
+    let is_stopping = shared.parts.shutdown.times().is_some();
+    caller_connection::finish(&head, &mut response, is_stopping);
     response
 }
 
--- a/src/edge/router/host.rs
+++ b/src/edge/router/host.rs
@@ -10,6 +10,7 @@
 use crate::chart;
 use crate::clock;
 use crate::clock::MonoClock as _;
+use crate::edge::caller_connection;
 use crate::edge::caller_listener;
 use crate::edge::listen;
 use crate::edge::router::admin;
@@ -329,6 +330,7 @@
             .app_data(thread)
             .default_service(web::to(front::handle::<C>))
     })
+    .on_connect(caller_connection::add)
     .workers(1)
     .shutdown_timeout(settings.grace.as_secs())
     .keep_alive(time::Duration::from_secs(IDLE_TIMEOUT_S))
--- a/src/outcome.rs
+++ b/src/outcome.rs
@@ -73,6 +73,8 @@
     Starting = "starting" 503,
     /// The host is stopping.
     Stopping = "stopping" 503,
+    /// A response before the request closes the connection, so the request counts as not read.
+    Unread = "unread" 503,
     /// The host is out of contact, and the feature's requests are held meanwhile.
     FeatureHeld = "feature-held" 503,
     /// The key's shard has no owner.
