--- a/src/edge/host.rs
+++ b/src/edge/host.rs
@@ -13,6 +13,7 @@
 use crate::clock;
 use crate::configuration;
 use crate::control;
+use crate::edge::caller_connection;
 use crate::edge::caller_listener;
 use crate::edge::callers;
 use crate::edge::controller;
@@ -268,7 +269,11 @@
     result.map_err(|source| HostError::Peers { source })
 }
 
-fn listen_callers(
+/// Starts the server for callers.
+///
+/// # Errors
+/// Fails when the address for callers cannot be listened on.
+pub fn listen_callers(
     settings: &HostSettings,
     context: &web::Data<callers::CallerContext>,
 ) -> Result<caller_listener::CallerListener, HostError> {
@@ -285,6 +290,7 @@
             .app_data(exchange::OwnerClient::new(threads))
             .configure(callers::configure)
     })
+    .on_connect(caller_connection::add)
     .workers(threads)
     .disable_signals()
     .shutdown_timeout(max_deadline)
--- a/src/edge/router/host.rs
+++ b/src/edge/router/host.rs
@@ -10,6 +10,7 @@
 use crate::chart;
 use crate::clock;
 use crate::clock::MonoClock as _;
+use crate::edge::caller_connection;
 use crate::edge::caller_listener;
 use crate::edge::listen;
 use crate::edge::router::admin;
@@ -318,7 +319,11 @@
     }
 }
 
-fn listen_callers<C: ports::HeaderCodec + Send>(
+/// Starts the server for callers, whose traffic thread is created with these parts.
+///
+/// # Errors
+/// Fails when the address for callers cannot be listened on.
+pub fn listen_callers<C: ports::HeaderCodec + Send>(
     settings: &RouterSettings,
     traffic: traffic::TrafficParts<C>,
 ) -> Result<caller_listener::CallerListener, RouterError> {
@@ -332,6 +337,7 @@
             .app_data(thread)
             .default_service(web::to(front::handle::<C>))
     })
+    .on_connect(caller_connection::add)
     .workers(1)
     .shutdown_timeout(settings.grace.as_secs())
     .keep_alive(time::Duration::from_secs(IDLE_TIMEOUT_S))
--- a/src/outcome.rs
+++ b/src/outcome.rs
@@ -73,6 +73,8 @@
     Starting = "starting" 503,
     /// The host is stopping.
     Stopping = "stopping" 503,
+    /// A response before the request closes the connection, so the request counts as not read.
+    Unread = "unread" 503,
     /// The host is out of contact, and the feature's requests are held meanwhile.
     FeatureHeld = "feature-held" 503,
     /// The key's shard has no owner.
@@ -104,6 +106,16 @@
 }
 
 impl RefusalReason {
+    /// Returns the reason to state with an outcome. A status of 503 tells a caller that its request did not
+    /// run, so it is not stated of a request that may have run in an earlier attempt.
+    #[must_use]
+    pub const fn with_outcome(self, outcome: RequestOutcome) -> Self {
+        if matches!(outcome, RequestOutcome::Unknown) && self.status() == 503 {
+            return Self::ExchangeBroken;
+        }
+        self
+    }
+
     /// Reports whether a retry by the caller may succeed soon.
     #[must_use]
     pub const fn is_transient(self) -> bool {
