Test both front ends against crowds that hold memory and connections

Nothing bounds what a front end's process holds for its callers.

The stand-ins respond with a body of the size that the header x-response-bytes names.

--- a/lab/src/http.rs
+++ b/lab/src/http.rs
@@ -21,6 +21,17 @@
 /// The maximum size of a request body, in bytes.
 pub const MAX_BODY_BYTES: usize = 64 << 20;
 
+/// A request with this header gets a response body of that many bytes, at most [`MAX_BODY_BYTES`].
+pub const RESPONSE_BYTES_HEADER: &str = "x-response-bytes";
+
+/// Returns the size of the response body that a request calls for, in bytes.
+#[must_use]
+pub fn response_bytes(request: &actix_web::HttpRequest) -> Option<usize> {
+    let value = request.headers().get(RESPONSE_BYTES_HEADER)?;
+    let bytes = value.to_str().ok()?.parse::<usize>().ok()?;
+    Some(bytes.min(MAX_BODY_BYTES))
+}
+
 /// A state that is shared by HTTP handlers and tests.
 pub type Shared<T> = sync::Arc<sync::Mutex<T>>;
 
@@ -366,13 +377,16 @@
     } else {
         work.entry.id.as_str()
     };
-    actix_web::HttpResponse::Ok()
-        .insert_header((contract::REQUEST_ID_HEADER, echo))
-        .json(WorkReceipt {
-            id: work.entry.id.clone(),
-            shard: work.entry.shard,
-            bytes: body.len(),
-        })
+    let mut response = actix_web::HttpResponse::Ok();
+    response.insert_header((contract::REQUEST_ID_HEADER, echo));
+    if let Some(bytes) = response_bytes(&head) {
+        return response.body(vec![b'x'; bytes]);
+    }
+    response.json(WorkReceipt {
+        id: work.entry.id.clone(),
+        shard: work.entry.shard,
+        bytes: body.len(),
+    })
 }
 
 fn read_work(head: &actix_web::HttpRequest) -> Option<server_state::ServerWork> {
--- a/lab/src/platform_site/case.rs
+++ b/lab/src/platform_site/case.rs
@@ -42,6 +42,17 @@
 }
 
 impl RouterProcess {
+    /// Returns the id of the process.
+    #[must_use]
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Reports whether the process still runs.
+    pub fn is_running(&mut self) -> bool {
+        matches!(self.child.try_wait(), Ok(None))
+    }
+
     /// Sends it a signal, by the signal's option of `kill`.
     ///
     /// # Panics
@@ -77,6 +88,8 @@
     pub hosts: Vec<RouterProcess>,
     program: path::PathBuf,
     started: u16,
+    // The limits of the machine that the settings files state, if any.
+    limits: Option<serde_json::Value>,
 }
 
 impl SiteCase {
@@ -93,9 +106,17 @@
             hosts: Vec::new(),
             program: lab.with_file_name("zinnia-router"),
             started: 0,
+            limits: None,
         }
     }
 
+    /// Sets the limits of the machine that the settings files of the hosts state.
+    #[must_use]
+    pub fn with_limits(mut self, limits: serde_json::Value) -> Self {
+        self.limits = Some(limits);
+        self
+    }
+
     /// Starts a site with this number of hosts, and waits until they are ready.
     ///
     /// # Panics
@@ -119,8 +140,11 @@
         self.started += 1;
         let name = format!("zinnia-{}-{}-{number}", process::id(), self.site.ip);
         let file = std::env::temp_dir().join(format!("{name}.json"));
-        let text = self.site.settings_file(number).to_string();
-        std::fs::write(&file, text).expect("the settings file is written");
+        let mut settings = self.site.settings_file(number);
+        if let Some(limits) = &self.limits {
+            settings["self"]["limits"] = limits.clone();
+        }
+        std::fs::write(&file, settings.to_string()).expect("the settings file is written");
         let port = site::METRICS_PORT + number;
         let child = process::Command::new(&self.program)
             .env("ZINNIASTACK_CONFIG", &file)
--- a/lab/src/platform_site/worker/calls.rs
+++ b/lab/src/platform_site/worker/calls.rs
@@ -255,6 +255,9 @@
     let mut response = actix_web::HttpResponse::Ok();
     response.insert_header((REQUEST_ID, echoed));
     response.insert_header(("x-response-signature", format!("s-{id}")));
+    if let Some(bytes) = http::response_bytes(&request) {
+        return response.body(vec![b'x'; bytes]);
+    }
     if faults.endless_responses > 0 {
         return response.streaming(endless_body());
     }
