Bound the memory and the connections that callers take

One account of bytes for the process (src/memory/) decides what may be held: bodies that are buffered or streamed, responses that are held, and connections. Under pressure the transfers that have stalled longest give way, and one client address gets at most half while others wait. What is refused before a server gets any of it is answered 503 `host-full` with retry-after and its connection closes; what is already on its way to a server ends as 502 `broken` or `unknown`. Connections beyond the limit get a short 503.

A streamed response of zinnia-router has a task of its own, so that a slow reader gives up its slot at the deadline.

--- a/lab/src/site.rs
+++ b/lab/src/site.rs
@@ -12,6 +12,7 @@
 
 use zinniastack::configuration;
 use zinniastack::edge::host;
+use zinniastack::memory::limits;
 use zinniastack::names;
 
 use crate::host_list;
@@ -216,6 +217,7 @@
                 host_list: Some(list),
                 bootstrap: Vec::new(),
                 threads: 1,
+                limits: limits::ProcessLimits::default(),
             });
         }
     }
--- a/src/cmd/entry.rs
+++ b/src/cmd/entry.rs
@@ -4,6 +4,8 @@
 
 use crate::cmd;
 use crate::edge::host;
+use crate::edge::machine;
+use crate::memory::limits;
 use crate::names;
 use crate::settings;
 
@@ -13,7 +15,7 @@
 
 Usage: zinnia entry --name NAME --domain DOMAIN --callers IP:PORT --operators IP:PORT
                     --peers IP:PORT --log IP:PORT [--host-list IP:PORT]
-                    [--bootstrap IP:PORT,...] [--threads N]
+                    [--bootstrap IP:PORT,...] [--threads N] [--memory-mb N] [--connections N]
 Each flag may be given as an environment variable instead, such as ZINNIA_HOST_LIST for --host-list.";
 
 /// The number of traffic threads by default.
@@ -21,6 +23,15 @@
 /// The greatest number of traffic threads.
 pub const MAX_THREADS: usize = 64;
 
+/// The least memory that the process can be limited to, in MiB.
+pub const MIN_MEMORY_MB: usize = 32;
+/// The greatest limit of the memory, in MiB.
+pub const MAX_MEMORY_MB: usize = 1_048_576;
+/// The least limit of the caller connections.
+pub const MIN_CONNECTIONS: usize = 16;
+/// The greatest limit of the caller connections.
+pub const MAX_CONNECTIONS: usize = 1_000_000;
+
 const EXPECTED_ADDRESS: &str = "an IP and port, such as 127.0.0.1:7000";
 const EXPECTED_NAME: &str =
     "1 to 63 characters of a-z, 0-9 and '-', starting with a letter or digit";
@@ -62,6 +73,18 @@
     /// The number of traffic threads.
     #[options(no_short, help = "the number of traffic threads (default: 2)")]
     pub threads: Option<String>,
+    /// The memory that the process may take, in MiB.
+    #[options(
+        no_short,
+        help = "the memory that the process may take, in MiB (default: from the system)"
+    )]
+    pub memory_mb: Option<String>,
+    /// The number of caller connections that may be open.
+    #[options(
+        no_short,
+        help = "the caller connections that may be open (default: from the descriptors)"
+    )]
+    pub connections: Option<String>,
 }
 
 impl EntryArgs {
@@ -78,6 +101,7 @@
             "a number from 1 to 64",
         );
         let threads = threads.optional::<settings::BoundedCount<1, MAX_THREADS>>()?;
+        let limits = self.limits()?;
         Ok(host::HostSettings {
             name: name("name", self.name.as_deref()).required::<names::HostName>()?,
             domain: name("domain", self.domain.as_deref()).required::<names::DomainName>()?,
@@ -89,6 +113,30 @@
                 .optional::<net::SocketAddr>()?,
             bootstrap: address("bootstrap", self.bootstrap.as_deref()).list()?,
             threads: threads.map_or(DEFAULT_THREADS, |count| count.0),
+            limits,
+        })
+    }
+
+    fn limits(&self) -> Result<limits::ProcessLimits, settings::SettingError> {
+        let memory = settings::SettingSource::new(
+            "memory-mb",
+            self.memory_mb.as_deref(),
+            "a number from 32 to 1048576",
+        );
+        let memory = memory.optional::<settings::BoundedCount<MIN_MEMORY_MB, MAX_MEMORY_MB>>()?;
+        let memory_mb = memory.map(|count| count.0 as u64);
+        let memory_mb = memory_mb.unwrap_or_else(machine::memory_mb);
+        let derived = limits::ProcessLimits::new(memory_mb, machine::descriptors());
+        let connections = settings::SettingSource::new(
+            "connections",
+            self.connections.as_deref(),
+            "a number from 16 to 1000000",
+        );
+        let connections =
+            connections.optional::<settings::BoundedCount<MIN_CONNECTIONS, MAX_CONNECTIONS>>()?;
+        Ok(match connections {
+            Some(count) => derived.with_connections(count.0 as u64),
+            None => derived,
         })
     }
 }
--- a/src/edge/callers.rs
+++ b/src/edge/callers.rs
@@ -20,6 +20,7 @@
 use crate::edge::exchange;
 use crate::edge::metrics;
 use crate::edge::request_driver;
+use crate::edge::reservation;
 use crate::flow;
 use crate::names;
 use crate::outcome;
@@ -96,20 +97,24 @@
 ) -> actix_web::HttpResponse {
     let arrived = context.clock.now();
     let _guard = InFlightGuard::new(&context.metrics);
-    let result = serve(&head, payload, &context, arrived).await;
+    let reservation = reservation::attach(&head);
+    let result = serve(&head, payload, &context, arrived, &reservation).await;
     let elapsed = context.clock.now().since(arrived);
     context.metrics.latency.observe(elapsed.as_secs_f64());
     let mut response = match result {
         Ok(response) => {
             context.metrics.answered.inc();
-            response
+            reservation::reserve_body(response, reservation)
         }
         Err(refused) => {
             context.metrics.count_refusal(refused.reason);
             refusal_response(&refused)
         }
     };
-    if context.stopping.load(atomic::Ordering::Relaxed) {
+    let is_pressed = head
+        .app_data::<reservation::SharedAccount>()
+        .is_some_and(reservation::SharedAccount::is_connection_pressed);
+    if is_pressed || context.stopping.load(atomic::Ordering::Relaxed) {
         response
             .head_mut()
             .set_connection_type(actix_web::http::ConnectionType::Close);
@@ -137,6 +142,7 @@
     payload: web::Payload,
     context: &CallerContext,
     arrived: clock::MonoTime,
+    reservation: &reservation::Reservation,
 ) -> Result<actix_web::HttpResponse, RefusedRequest> {
     let envelope = parse(head)?;
     let table = context.table.load_full();
@@ -145,7 +151,8 @@
         .map_err(|reason| RefusedRequest::new(reason, "check-request").with_id(&envelope.id))?;
     let deadline = admitted.deadline;
     let limit = admitted.lookup.service.max_body_bytes;
-    let body = read_body(payload, &envelope, limit, context, deadline).await?;
+    let reading = read_body(payload, &envelope, limit, context, deadline, reservation);
+    let body = reading.await?;
     let client = head.app_data::<exchange::OwnerClient>();
     let Some(client) = client else {
         return Err(RefusedRequest::new(
@@ -213,29 +220,38 @@
     limit: u64,
     context: &CallerContext,
     deadline: clock::MonoTime,
+    reservation: &reservation::Reservation,
 ) -> Result<exchange::WorkBody, RefusedRequest> {
     let refuse = |reason| RefusedRequest::new(reason, "read-body").with_id(&envelope.id);
     if let Some(length) = envelope.body_bytes
         && length > BUFFERED_BODY_BYTES
     {
+        let held = reservation::BodyMeter::new(reservation).stream();
+        held.map_err(|_| refuse(outcome::RefusalReason::HostFull))?;
         return Ok(exchange::WorkBody::Stream(length, payload));
     }
     let limit = usize::try_from(limit.min(BUFFERED_BODY_BYTES)).unwrap_or(usize::MAX);
     let mut buffer = web::BytesMut::new();
+    let mut meter = reservation::BodyMeter::new(reservation);
     loop {
         let left = deadline.since(context.clock.now());
         let next = tokio::select! {
             next = tokio::time::timeout(left, payload.next()) => next,
             () = context.ended() => return Err(refuse(outcome::RefusalReason::Stopping)),
+            () = reservation.evicted() => return Err(refuse(outcome::RefusalReason::HostFull)),
         };
         let next = next.map_err(|_| refuse(outcome::RefusalReason::DeadlineQueued))?;
         let Some(chunk) = next else {
+            let held = meter.finish(&buffer);
+            held.map_err(|_| refuse(outcome::RefusalReason::HostFull))?;
             return Ok(exchange::WorkBody::Buffered(buffer.freeze()));
         };
         let chunk = chunk.map_err(|_| refuse(outcome::RefusalReason::BodyIncomplete))?;
         if buffer.len() + chunk.len() > limit {
             return Err(refuse(outcome::RefusalReason::BodyTooLarge));
         }
+        let held = meter.take(&buffer, &chunk);
+        held.map_err(|_| refuse(outcome::RefusalReason::HostFull))?;
         buffer.extend_from_slice(&chunk);
     }
 }
@@ -262,6 +278,10 @@
     let status = http::StatusCode::from_u16(refused.reason.status())
         .unwrap_or(http::StatusCode::SERVICE_UNAVAILABLE);
     let mut builder = actix_web::HttpResponse::build(status);
+    if refused.reason == outcome::RefusalReason::HostFull {
+        // The remainder of the body is not read.
+        builder.force_close();
+    }
     builder.insert_header((contract::OUTCOME_HEADER, refused.outcome.as_str()));
     builder.insert_header((contract::REASON_HEADER, refused.reason.as_str()));
     if refused.reason.is_transient() {
--- a/src/edge/exchange.rs
+++ b/src/edge/exchange.rs
@@ -13,6 +13,7 @@
 use actix_web::web;
 
 use crate::contract;
+use crate::edge::reservation;
 use crate::gate;
 use crate::names;
 use crate::outcome;
@@ -163,9 +164,9 @@
         let sent = match content {
             WorkBody::Buffered(bytes) => builder.send_body(bytes).await,
             WorkBody::Stream(length, payload) => {
-                builder
-                    .send_body(body::SizedStream::new(length, payload))
-                    .await
+                let payload = reservation::watch_payload(request.head, length, payload);
+                let sized = body::SizedStream::new(length, Box::pin(payload));
+                builder.send_body(sized).await
             }
         };
         let mut response = sent.map_err(|e| classify_send_error(&e))?;
@@ -185,6 +186,11 @@
         let status = response.status();
         let headers = copy_headers(response.headers());
         let declared_bytes = declared_length(request.head.method(), status, response.headers());
+        let held_bytes = declared_bytes.unwrap_or(MAX_RESPONSE_BYTES);
+        if reservation::hold_response(request.head, held_bytes.min(MAX_RESPONSE_BYTES)).is_err() {
+            self.drop_connections(&target);
+            return Err(WorkFailure::Broken("no memory for the response".into()));
+        }
         let received = response.body().limit(MAX_RESPONSE_BYTES).await;
         let received = received.map_err(|e| WorkFailure::Broken(e.to_string()))?;
         if declared_bytes != Some(received.len()) {
--- a/src/edge/host.rs
+++ b/src/edge/host.rs
@@ -24,8 +24,10 @@
 use crate::edge::peers;
 use crate::edge::platform;
 use crate::edge::ports;
+use crate::edge::reservation;
 use crate::edge::servers;
 use crate::lifecycle;
+use crate::memory::limits;
 use crate::names;
 use crate::peer;
 use crate::timing;
@@ -60,6 +62,8 @@
     pub bootstrap: Vec<net::SocketAddr>,
     /// The number of traffic threads.
     pub threads: usize,
+    /// What the process may hold.
+    pub limits: limits::ProcessLimits,
 }
 
 /// An entry host could not start.
@@ -134,7 +138,9 @@
             callers: callers.clone(),
             metrics: sync::Arc::clone(&metrics),
         });
-        let caller_listener = listen_callers(&settings, &callers)?;
+        let pressure = metrics.pressure.clone();
+        let account = reservation::SharedAccount::new(settings.limits, clock, pressure);
+        let caller_listener = listen_callers(&settings, &callers, account)?;
         let operator_server = listen_operators(&settings, &operators)?;
         tracing::info!(
             event = "host-started",
@@ -271,7 +277,9 @@
 fn listen_callers(
     settings: &HostSettings,
     context: &web::Data<callers::CallerContext>,
+    account: reservation::SharedAccount,
 ) -> Result<caller_listener::CallerListener, HostError> {
+    let connections = account.clone();
     let threads = settings.threads;
     let context = context.clone();
     let address = settings.callers;
@@ -282,9 +290,16 @@
     let server = actix_web::HttpServer::new(move || {
         actix_web::App::new()
             .app_data(context.clone())
+            .app_data(account.clone())
             .app_data(exchange::OwnerClient::new(threads))
             .configure(callers::configure)
     })
+    .on_connect(move |io, extensions| {
+        if let Some(stream) = io.downcast_ref::<actix_web::rt::net::TcpStream>() {
+            connections.admit(stream, extensions);
+        }
+    })
+    .max_connections(reservation::worker_connections(settings.limits, threads))
     .workers(threads)
     .disable_signals()
     .shutdown_timeout(max_deadline)
--- a/src/edge/metrics.rs
+++ b/src/edge/metrics.rs
@@ -9,6 +9,7 @@
 
 use crate::control;
 use crate::edge::ports;
+use crate::edge::reservation;
 use crate::outcome;
 use crate::replay;
 
@@ -113,6 +114,8 @@
     pub configuration_version: gauge::Gauge,
     /// The number of failure domains in which this host is the granter.
     pub domains_granted: gauge::Gauge,
+    /// The memory and the connections that callers take.
+    pub pressure: reservation::PressureMetrics,
 }
 
 impl HostMetrics {
@@ -136,6 +139,7 @@
             terms_ended: counter::Counter::default(),
             configuration_version: gauge::Gauge::default(),
             domains_granted: gauge::Gauge::default(),
+            pressure: reservation::PressureMetrics::new(),
         };
         metrics.register();
         for verdict in VERDICTS {
@@ -208,6 +212,7 @@
         );
         let help = "Domains that this host grants in";
         registry.register("domains_granted", help, self.domains_granted.clone());
+        self.pressure.register(registry);
     }
 
     /// Encodes all metrics as text.
--- a/src/edge/request_driver.rs
+++ b/src/edge/request_driver.rs
@@ -12,6 +12,7 @@
 use crate::edge::callers;
 use crate::edge::dispatcher;
 use crate::edge::exchange;
+use crate::edge::reservation;
 use crate::flow;
 use crate::gate;
 use crate::limit;
@@ -152,6 +153,10 @@
                 let fault = "the host ends".to_owned();
                 Ok(Err(exchange::WorkFailure::Broken(fault)))
             }
+            () = reservation::evicted(self.head) => {
+                let fault = "the request gave way to others".to_owned();
+                Ok(Err(exchange::WorkFailure::Broken(fault)))
+            }
         };
         apply_result(state, result)
     }
--- a/src/edge/router/body.rs
+++ b/src/edge/router/body.rs
@@ -9,6 +9,9 @@
 use futures_util::Stream as _;
 use hyper::body;
 
+use crate::edge::reservation;
+use crate::memory::account;
+
 /// The body of a request to a server.
 pub enum RequestBody {
     /// A body in memory; `None` once it was sent, or for an empty one.
@@ -76,14 +79,36 @@
 /// The part of a body that a caller has yet to send, up to a size limit.
 pub struct LimitedPayload {
     payload: web::Payload,
+    reservation: rc::Rc<reservation::Reservation>,
     // How many bytes the caller may still send.
     remaining: u64,
     exceeded: rc::Rc<cell::Cell<bool>>,
 }
 
 impl LimitedPayload {
+    // The remainder of a body, which notes its progress in the request's reservation.
+    pub(crate) fn new(
+        payload: web::Payload,
+        reservation: rc::Rc<reservation::Reservation>,
+    ) -> Self {
+        Self {
+            payload,
+            reservation,
+            remaining: 0,
+            exceeded: rc::Rc::default(),
+        }
+    }
+
     fn poll_chunk(&mut self, context: &mut task::Context<'_>) -> FramePoll {
         let polled = pin::Pin::new(&mut self.payload).poll_next(context);
+        match &polled {
+            task::Poll::Ready(Some(_)) => {
+                self.reservation
+                    .note_progress(account::TransferPhase::Streaming);
+            }
+            task::Poll::Ready(None) => self.reservation.finish_body(),
+            task::Poll::Pending => {}
+        }
         polled.map(|next| next.map(|chunk| self.count(chunk?).map(body::Frame::data)))
     }
 
@@ -126,14 +151,12 @@
     }
 
     // A body of which `head` was received, and which may have `limit` bytes in all.
-    pub(crate) fn with_rest(head: bytes::Bytes, payload: web::Payload, limit: u64) -> Self {
-        let remaining = limit.saturating_sub(byte_count(&head));
+    pub(crate) fn with_rest(head: bytes::Bytes, rest: LimitedPayload, limit: u64) -> Self {
+        let mut rest = rest;
+        rest.remaining = limit.saturating_sub(byte_count(&head));
         let mut body = Self::new(head);
-        body.rest = Some(LimitedPayload {
-            payload,
-            remaining,
-            exceeded: rc::Rc::clone(&body.exceeded),
-        });
+        rest.exceeded = rc::Rc::clone(&body.exceeded);
+        body.rest = Some(rest);
         body
     }
 
--- a/src/edge/router/front/mod.rs
+++ b/src/edge/router/front/mod.rs
@@ -1,6 +1,7 @@
 //! Handles callers' requests: finds the route and the service, dispatches the request to a server,
 //! and sends the one response.
 
+mod pump;
 mod responses;
 
 use std::rc;
@@ -12,6 +13,7 @@
 
 use crate::clock;
 use crate::clock::MonoClock as _;
+use crate::edge::reservation;
 use crate::edge::router::body;
 use crate::edge::router::exchange;
 use crate::edge::router::local_response;
@@ -35,6 +37,7 @@
 // A caller's request, from its arrival to its response.
 struct CallerRequest<C: ports::HeaderCodec> {
     thread: rc::Rc<traffic::TrafficThread<C>>,
+    reservation: rc::Rc<reservation::Reservation>,
     caller: actix_web::HttpRequest,
     headers: ports::CallerHeaders,
     arrived: clock::MonoTime,
@@ -59,6 +62,7 @@
     let thread = rc::Rc::clone(thread);
     let _in_flight = traffic::InFlight::new(&thread.parts.in_flight);
     let shared = rc::Rc::clone(&thread);
+    let account = caller.app_data::<reservation::SharedAccount>().cloned();
     let mut response = match CallerRequest::new(thread, caller) {
         Ok(request) => request.serve(payload).await,
         Err((response, id)) => {
@@ -68,7 +72,8 @@
             local_response::respond(response, retry_after)
         }
     };
-    if shared.parts.shutdown.times().is_some() {
+    let is_pressed = account.is_some_and(|account| account.is_connection_pressed());
+    if is_pressed || shared.parts.shutdown.times().is_some() {
         let close = actix_web::http::header::HeaderValue::from_static("close");
         response
             .headers_mut()
@@ -89,6 +94,7 @@
         caller: actix_web::HttpRequest,
     ) -> Result<Self, EarlyRefusal> {
         let arrived = thread.parts.clock.now();
+        let reservation = reservation::attach(&caller);
         let headers = thread.parts.codec.read_request(caller.headers());
         let early = |response| (response, headers.id.clone());
         let shutdown = thread.parts.shutdown.times();
@@ -129,6 +135,7 @@
             deadline: arrived + timeout.min(route.timeout),
             objective,
             thread,
+            reservation,
             caller,
             headers,
             arrived,
@@ -157,13 +164,18 @@
     ) -> Result<body::CallerBody, local_response::LocalResponse> {
         let mut payload = payload;
         let mut head = bytes::BytesMut::new();
+        let mut meter = reservation::BodyMeter::new(&self.reservation);
         let time_left = self.deadline.since(self.thread.parts.clock.now());
         let limit = self.body_limit;
         let read = async {
             while head.len() <= MAX_BUFFERED_BODY_BYTES {
                 match payload.next().await {
                     None => return Ok(true),
-                    Some(Ok(chunk)) => head.extend_from_slice(&chunk),
+                    Some(Ok(chunk)) => {
+                        let taken = meter.take(&head, &chunk);
+                        taken.map_err(|_| local_response::LocalResponse::HostFull)?;
+                        head.extend_from_slice(&chunk);
+                    }
                     Some(Err(_)) => return Err(local_response::LocalResponse::Malformed),
                 }
                 if u64::try_from(head.len()).is_ok_and(|size| size > limit) {
@@ -177,11 +189,20 @@
                 result.unwrap_or(Err(local_response::LocalResponse::BodyTimeout))?
             }
             () = self.thread.ended() => return Err(STOPPING),
+            () = self.reservation.evicted() => return Err(local_response::LocalResponse::HostFull),
         };
+        let reserved = if is_complete {
+            meter.finish(&head)
+        } else {
+            meter.stream()
+        };
+        reserved.map_err(|_| local_response::LocalResponse::HostFull)?;
         let head = head.freeze();
         if is_complete {
             return Ok(body::CallerBody::new(head));
         }
+        let reservation = rc::Rc::clone(&self.reservation);
+        let payload = body::LimitedPayload::new(payload, reservation);
         Ok(body::CallerBody::with_rest(head, payload, limit))
     }
 
@@ -233,6 +254,11 @@
                 return self
                     .respond_locally(local_response::LocalResponse::BodyTooLarge, Some(&record));
             }
+            // The exchange broke off because the caller did not go on sending, which says nothing of
+            // the server.
+            if self.reservation.is_evicted() && matches!(end, exchange::AttemptEnd::Broken(_)) {
+                return self.respond_locally(local_response::LocalResponse::Broken, Some(&record));
+            }
             slot.end = end.exchange_end();
             let metrics = &self.thread.parts.metrics;
             metrics.note_attempt(self.service.as_str(), end.as_str());
@@ -327,6 +353,10 @@
             () = self.thread.ended() => {
                 Some(exchange::AttemptEnd::Broken("the host ends".to_owned()))
             }
+            () = self.reservation.evicted() => {
+                let fault = "the request gave way to others";
+                Some(exchange::AttemptEnd::Broken(fault.to_owned()))
+            }
         }
     }
 
--- a/src/edge/router/front/responses.rs
+++ b/src/edge/router/front/responses.rs
@@ -3,20 +3,18 @@
 
 use std::time;
 
-use futures_util::StreamExt as _;
-
 use crate::clock;
 use crate::clock::MonoClock as _;
 use crate::edge::router::exchange;
 use crate::edge::router::front;
-use crate::edge::router::http_client;
+use crate::edge::router::front::pump;
 use crate::edge::router::local_response;
 use crate::edge::router::ports;
 use crate::edge::router::slots;
 use crate::edge::router::traffic;
+use crate::memory::limits;
 use crate::serving::delivery;
 use crate::serving::directory;
-use crate::serving::estimate;
 
 /// Added to the expected wait in `retry-after`, in milliseconds.
 pub const MIN_RETRY_AFTER_MS: f64 = 40.0;
@@ -54,12 +52,17 @@
             drop(slot);
             return response.body(server_response.prefix);
         };
-        let remainder = ResponseRemainder {
+        if self.reservation.hold_more(limits::STREAM_BYTES).is_err() {
+            let broken = local_response::LocalResponse::Broken;
+            return self.respond_locally(broken, Some(&slot.record));
+        }
+        let remainder = pump::ResponseRemainder {
             body,
             is_reusable: server_response.is_reusable,
             slot,
+            reservation: std::rc::Rc::clone(&self.reservation),
         };
-        let chunks = stream_body(server_response.prefix, remainder, self.caller_deadline());
+        let chunks = pump::stream_body(server_response.prefix, remainder, self.caller_deadline());
         match length {
             Some(length) => response.body(actix_web::body::SizedStream::new(length, chunks)),
             None => response.body(actix_web::body::BodyStream::new(chunks)),
@@ -194,45 +197,3 @@
         );
     }
 }
-
-// The part of a response that has yet to be received, with the slot that its request occupies.
-struct ResponseRemainder<C: ports::HeaderCodec> {
-    body: http_client::ResponseBody,
-    is_reusable: bool,
-    slot: slots::ServerSlot<C>,
-}
-
-type BodyChunk = Result<bytes::Bytes, std::io::Error>;
-
-// Streams a response's body to the caller; the slot is released with the end of the stream. The
-// stream breaks off at `deadline`, since a server may send a body that never ends.
-fn stream_body<C: ports::HeaderCodec>(
-    prefix: bytes::Bytes,
-    remainder: ResponseRemainder<C>,
-    deadline: clock::MonoTime,
-) -> impl futures_util::Stream<Item = BodyChunk> {
-    let first_chunk = futures_util::stream::once(async move { Ok(prefix) });
-    let state = Some(remainder);
-    let other_chunks = futures_util::stream::unfold(state, move |state| async move {
-        let mut remainder = state?;
-        let left = deadline.since(remainder.slot.thread.parts.clock.now());
-        let chunk = tokio::time::timeout(left, remainder.body.next_chunk()).await;
-        match chunk.unwrap_or_else(|_| Err(remainder.body.deadline_error())) {
-            Ok(Some(chunk)) => Some((Ok(chunk), Some(remainder))),
-            Ok(None) => {
-                let mut slot = remainder.slot;
-                slot.end = estimate::ExchangeEnd::Answered;
-                if remainder.is_reusable {
-                    slot.thread.client.recycle(remainder.body);
-                }
-                None
-            }
-            Err(error) => {
-                tracing::info!(event = "answer-cut", fault = %error);
-                remainder.slot.end = estimate::ExchangeEnd::Broken;
-                Some((Err(std::io::Error::other(error.to_string())), None))
-            }
-        }
-    });
-    first_chunk.chain(other_chunks)
-}
--- a/src/edge/router/host.rs
+++ b/src/edge/router/host.rs
@@ -12,6 +12,7 @@
 use crate::clock::MonoClock as _;
 use crate::edge::caller_listener;
 use crate::edge::listen;
+use crate::edge::reservation;
 use crate::edge::router::admin;
 use crate::edge::router::control;
 use crate::edge::router::front;
@@ -21,6 +22,7 @@
 use crate::edge::router::shutdown_watch;
 use crate::edge::router::status_exchange;
 use crate::edge::router::traffic;
+use crate::memory::limits;
 use crate::serving::scheduler;
 use crate::serving::shutdown;
 use crate::serving::status;
@@ -58,6 +60,8 @@
     pub max_hold: time::Duration,
     /// The time from the request to stop to the end of the process.
     pub grace: time::Duration,
+    /// What the process may hold.
+    pub limits: limits::ProcessLimits,
 }
 
 /// Creates the parts of a platform's adapter, each on the thread that uses it.
@@ -319,12 +323,22 @@
     let failed = |error| listen_error(address, &error);
     let listener = caller_listener::bind(address, LISTEN_BACKLOG).map_err(failed)?;
     let accepted = listener.try_clone().map_err(failed)?;
+    let pressure = traffic.metrics.pressure.clone();
+    let account = reservation::SharedAccount::new(settings.limits, traffic.clock, pressure);
+    let connections = account.clone();
     let server = actix_web::HttpServer::new(move || {
         let thread = traffic::TrafficThread::start(traffic.clone());
         actix_web::App::new()
             .app_data(thread)
+            .app_data(account.clone())
             .default_service(web::to(front::handle::<C>))
     })
+    .on_connect(move |io, extensions| {
+        if let Some(stream) = io.downcast_ref::<actix_web::rt::net::TcpStream>() {
+            connections.admit(stream, extensions);
+        }
+    })
+    .max_connections(reservation::worker_connections(settings.limits, 1))
     .workers(1)
     .shutdown_timeout(settings.grace.as_secs())
     .keep_alive(time::Duration::from_secs(IDLE_TIMEOUT_S))
--- a/src/edge/router/local_response.rs
+++ b/src/edge/router/local_response.rs
@@ -23,6 +23,8 @@
     BodyTooLarge,
     /// The body was not received in time.
     BodyTimeout,
+    /// The host's memory is used up, or the request gave way to others; it did not run.
+    HostFull,
     /// The scheduler refused the request; it did not run.
     Refused(scheduler::SchedulerRefusal),
     /// No server accepted the request; it did not run.
@@ -35,7 +37,7 @@
 
 impl LocalResponse {
     /// All local responses.
-    pub const ALL: [Self; 15] = [
+    pub const ALL: [Self; 16] = [
         Self::NoRoute,
         Self::RoutesUnconfirmed,
         Self::Starting,
@@ -43,6 +45,7 @@
         Self::HeadTooLarge,
         Self::BodyTooLarge,
         Self::BodyTimeout,
+        Self::HostFull,
         Self::Refused(scheduler::SchedulerRefusal::Crowded),
         Self::Refused(scheduler::SchedulerRefusal::NoServer),
         Self::Refused(scheduler::SchedulerRefusal::TooLate),
@@ -62,7 +65,11 @@
             Self::HeadTooLarge => 431,
             Self::BodyTooLarge => 413,
             Self::BodyTimeout => 408,
-            Self::RoutesUnconfirmed | Self::Starting | Self::Refused(_) | Self::NotRun => 503,
+            Self::RoutesUnconfirmed
+            | Self::Starting
+            | Self::HostFull
+            | Self::Refused(_)
+            | Self::NotRun => 503,
             Self::Broken => 502,
             Self::Timeout => 504,
         }
@@ -79,6 +86,7 @@
             Self::HeadTooLarge => "head-too-large",
             Self::BodyTooLarge => "body-too-large",
             Self::BodyTimeout => "body-timeout",
+            Self::HostFull => "host-full",
             Self::Refused(scheduler::SchedulerRefusal::Crowded) => "crowded",
             Self::Refused(scheduler::SchedulerRefusal::NoServer) => "no-server",
             Self::Refused(scheduler::SchedulerRefusal::TooLate) => "too-late",
@@ -114,6 +122,10 @@
     let status = actix_web::http::StatusCode::from_u16(local.status());
     let status = status.unwrap_or(actix_web::http::StatusCode::BAD_GATEWAY);
     let mut response = actix_web::HttpResponse::build(status);
+    if local == LocalResponse::HostFull {
+        // The remainder of the body is not read.
+        response.force_close();
+    }
     if let Some(delay) = retry_after {
         response.insert_header(("retry-after", retry_after_text(delay)));
     }
--- a/src/edge/router/metrics.rs
+++ b/src/edge/router/metrics.rs
@@ -10,6 +10,8 @@
 use prometheus_client::metrics::histogram;
 use prometheus_client::registry;
 
+use crate::edge::reservation;
+
 /// The bucket bounds of the latency histograms, in seconds.
 pub const LATENCY_BOUNDS_S: [f64; 10] = [0.005, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.2, 3.0];
 
@@ -121,6 +123,8 @@
     pub in_flight: gauge::Gauge,
     /// Log lines that were suppressed by the rate limit.
     pub lines_left_out: counter::Counter<u64, atomic::AtomicU64>,
+    /// The memory and the connections that callers take.
+    pub pressure: reservation::PressureMetrics,
 }
 
 impl RouterMetrics {
@@ -148,6 +152,7 @@
             store_era: gauge::Gauge::default(),
             in_flight: gauge::Gauge::default(),
             lines_left_out: counter::Counter::default(),
+            pressure: reservation::PressureMetrics::new(),
         };
         metrics.register_requests();
         metrics.register_control();
@@ -184,6 +189,7 @@
         registry.register("in_flight", "Requests under way", in_flight);
         let left_out = self.lines_left_out.clone();
         registry.register("lines_left_out", "Log lines that were left out", left_out);
+        self.pressure.register(registry);
     }
 
     fn register_control(&mut self) {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod limit;
 pub mod load;
 pub mod membership;
+pub mod memory;
 pub mod names;
 pub mod outcome;
 pub mod ownership;
--- a/src/outcome.rs
+++ b/src/outcome.rs
@@ -73,6 +73,8 @@
     Starting = "starting" 503,
     /// The host is stopping.
     Stopping = "stopping" 503,
+    /// The host's memory is used up, or the request gave way to others.
+    HostFull = "host-full" 503,
     /// The host is out of contact, and the feature's requests are held meanwhile.
     FeatureHeld = "feature-held" 503,
     /// The key's shard has no owner.
--- a/tests/contracts.rs
+++ b/tests/contracts.rs
@@ -23,6 +23,7 @@
 use zinniastack::edge::ports;
 use zinniastack::edge::servers;
 use zinniastack::fence;
+use zinniastack::memory::limits;
 use zinniastack::peer;
 use zinniastack::platform;
 use zinniastack::record;
@@ -364,6 +365,7 @@
             host_list: None,
             bootstrap: Vec::new(),
             threads: 1,
+            limits: limits::ProcessLimits::default(),
         };
         let peers = settings.peers;
         let entry = host::EntryHost::start(settings).await;
