--- a/lab/src/fronts.rs
+++ b/lab/src/fronts.rs
@@ -17,13 +17,16 @@
 use zinniastack::edge::dispatcher;
 use zinniastack::edge::host;
 use zinniastack::edge::metrics;
+use zinniastack::edge::reservation;
 use zinniastack::edge::router::host as router_host;
 use zinniastack::edge::router::metrics as router_metrics;
 use zinniastack::edge::router::shutdown_watch;
 use zinniastack::edge::router::traffic;
 use zinniastack::gate;
+use zinniastack::memory::limits;
 use zinniastack::ownership::assignment;
 use zinniastack::routing::specification;
+use zinniastack::serving::cold;
 use zinniastack::serving::directory;
 use zinniastack::serving::scheduler;
 use zinniastack::serving::shutdown;
@@ -108,6 +111,9 @@
             join_interval: GRACE,
             max_hold: GRACE,
             grace: GRACE,
+            cold_bounds: cold::ColdBounds::new(),
+            evacuate: GRACE,
+            limits: limits::ProcessLimits::default(),
         };
         let listener = router_host::listen_callers(&settings, parts);
         Self {
@@ -157,15 +163,16 @@
         name: fixtures::name("orders"),
         sharded: false,
         max_connections: 100,
+        cold: None,
     };
-    let limits = specification::CallerLimits {
+    let caller_limits = specification::CallerLimits {
         head_bytes: 16_384,
         body_bytes: MAX_BODY_BYTES,
         head_timeout: REQUEST_TIMEOUT,
         idle_timeout: REQUEST_TIMEOUT,
     };
     let routes = vec![(sync::Arc::from("desk.example"), route)];
-    let routes = specification::RouteSet::new(1, routes, vec![service], limits);
+    let routes = specification::RouteSet::new(1, routes, vec![service], caller_limits);
     let record = directory::ServerRecord {
         life: assignment::ServerIncarnation {
             server: fixtures::name("orders-1"),
@@ -177,10 +184,12 @@
         slots: 8,
         state: directory::ServerState::Ready,
         sequence: 1,
+        cold_remaining: Some(time::Duration::ZERO),
     };
     let known = directory::KnownServer {
         record: sync::Arc::new(record),
         state_since: None,
+        cold: cold::ColdTimes::new(),
     };
     view::ServingView {
         routes: Some(sync::Arc::new(routes.expect("the routes are valid"))),
@@ -242,8 +251,11 @@
             host_list: None,
             bootstrap: Vec::new(),
             threads: 1,
+            limits: limits::ProcessLimits::default(),
         };
-        let listener = host::listen_callers(&settings, &context);
+        let pressure = reservation::PressureMetrics::new();
+        let account = reservation::SharedAccount::new(settings.limits, clock, pressure);
+        let listener = host::listen_callers(&settings, &context, account);
         Self {
             address,
             context,
--- a/src/edge/caller_connection.rs
+++ b/src/edge/caller_connection.rs
@@ -1,7 +1,6 @@
 //! What a caller's connection has come to, for requests that were pipelined: those behind a response that
 //! closes the connection count as not read, and callers send them again, so no server may get them.
 
-use std::any;
 use std::cell;
 
 use actix_web::http;
@@ -21,7 +20,7 @@
 }
 
 /// Adds the state of a connection that the HTTP server has accepted.
-pub fn add(_: &dyn any::Any, data: &mut actix_web::dev::Extensions) {
+pub fn add(data: &mut actix_web::dev::Extensions) {
     data.insert(CallerConnection::new());
 }
 
@@ -32,15 +31,15 @@
     connection.is_some_and(|connection| connection.is_closing.get())
 }
 
-/// Makes a response close its connection where the caller requested that, or where the host is stopping.
+/// Makes a response close its connection where the caller or the host (`closes`) wants that.
 /// The HTTP library does so by the last request that it has decoded, which may be another one.
 pub fn finish(
     request: &actix_web::HttpRequest,
     response: &mut actix_web::HttpResponse,
-    is_stopping: bool,
+    closes: bool,
 ) {
     let keeps = request.head().connection_type() == http::ConnectionType::KeepAlive;
-    if keeps && !is_stopping && !is_closing(request) {
+    if keeps && !closes && !is_closing(request) {
         return;
     }
     let head = response.head_mut();
--- a/src/edge/router/front/mod.rs
+++ b/src/edge/router/front/mod.rs
@@ -1,6 +1,7 @@
 //! Handles callers' requests: finds the route and the service, dispatches the request to a server,
 //! and sends the one response.
 
+mod pump;
 mod responses;
 
 use std::rc;
@@ -13,6 +14,7 @@
 use crate::clock;
 use crate::clock::MonoClock as _;
 use crate::edge::caller_connection;
+use crate::edge::reservation;
 use crate::edge::router::body;
 use crate::edge::router::exchange;
 use crate::edge::router::local_response;
@@ -36,6 +38,7 @@
 // A caller's request, from its arrival to its response.
 struct CallerRequest<C: ports::HeaderCodec> {
     thread: rc::Rc<traffic::TrafficThread<C>>,
+    reservation: rc::Rc<reservation::Reservation>,
     caller: actix_web::HttpRequest,
     headers: ports::CallerHeaders,
     arrived: clock::MonoTime,
@@ -61,6 +64,7 @@
     let thread = rc::Rc::clone(thread);
     let _in_flight = traffic::InFlight::new(&thread.parts.in_flight);
     let shared = rc::Rc::clone(&thread);
+    let account = caller.app_data::<reservation::SharedAccount>().cloned();
     let head = caller.clone();
     let request = if caller_connection::is_closing(&head) {
         let id = shared.parts.codec.read_request(head.headers()).id;
@@ -77,8 +81,9 @@
             local_response::respond(response, retry_after)
         }
     };
-    let is_stopping = shared.parts.shutdown.times().is_some();
-    caller_connection::finish(&head, &mut response, is_stopping);
+    let is_pressed = account.is_some_and(|account| account.is_connection_pressed());
+    let closes = is_pressed || shared.parts.shutdown.times().is_some();
+    caller_connection::finish(&head, &mut response, closes);
     response
 }
 
@@ -91,6 +96,7 @@
         caller: actix_web::HttpRequest,
     ) -> Result<Self, EarlyRefusal> {
         let arrived = thread.parts.clock.now();
+        let reservation = reservation::attach(&caller);
         let headers = thread.parts.codec.read_request(caller.headers());
         let early = |response| (response, headers.id.clone());
         let shutdown = thread.parts.shutdown.times();
@@ -131,6 +137,7 @@
             deadline: arrived + timeout.min(route.timeout),
             objective,
             thread,
+            reservation,
             caller,
             headers,
             arrived,
@@ -159,13 +166,18 @@
     ) -> Result<body::CallerBody, local_response::LocalResponse> {
         let mut payload = payload;
         let mut head = bytes::BytesMut::new();
+        let mut meter = reservation::BodyMeter::new(&self.reservation);
         let time_left = self.deadline.since(self.thread.parts.clock.now());
         let limit = self.body_limit;
         let read = async {
             while head.len() <= MAX_BUFFERED_BODY_BYTES {
                 match payload.next().await {
                     None => return Ok(true),
-                    Some(Ok(chunk)) => head.extend_from_slice(&chunk),
+                    Some(Ok(chunk)) => {
+                        let taken = meter.take(&head, &chunk);
+                        taken.map_err(|_| local_response::LocalResponse::HostFull)?;
+                        head.extend_from_slice(&chunk);
+                    }
                     Some(Err(_)) => return Err(local_response::LocalResponse::Malformed),
                 }
                 if u64::try_from(head.len()).is_ok_and(|size| size > limit) {
@@ -179,11 +191,20 @@
                 result.unwrap_or(Err(local_response::LocalResponse::BodyTimeout))?
             }
             () = self.thread.ended() => return Err(STOPPING),
+            () = self.reservation.evicted() => return Err(local_response::LocalResponse::HostFull),
         };
+        let reserved = if is_complete {
+            meter.finish(&head)
+        } else {
+            meter.stream()
+        };
+        reserved.map_err(|_| local_response::LocalResponse::HostFull)?;
         let head = head.freeze();
         if is_complete {
             return Ok(body::CallerBody::new(head));
         }
+        let reservation = rc::Rc::clone(&self.reservation);
+        let payload = body::LimitedPayload::new(payload, reservation);
         Ok(body::CallerBody::with_rest(head, payload, limit))
     }
 
@@ -235,6 +256,11 @@
                 return self
                     .respond_locally(local_response::LocalResponse::BodyTooLarge, Some(&record));
             }
+            // The exchange broke off because the caller did not go on sending, which says nothing of
+            // the server.
+            if self.reservation.is_evicted() && matches!(end, exchange::AttemptEnd::Broken(_)) {
+                return self.respond_locally(local_response::LocalResponse::Broken, Some(&record));
+            }
             slot.end = end.exchange_end();
             let metrics = &self.thread.parts.metrics;
             metrics.note_attempt(self.service.as_str(), end.as_str());
@@ -329,6 +355,10 @@
             () = self.thread.ended() => {
                 Some(exchange::AttemptEnd::Broken("the host ends".to_owned()))
             }
+            () = self.reservation.evicted() => {
+                let fault = "the request gave way to others";
+                Some(exchange::AttemptEnd::Broken(fault.to_owned()))
+            }
         }
     }
 
--- a/src/edge/router/http_client.rs
+++ b/src/edge/router/http_client.rs
@@ -201,6 +201,7 @@
         if connection.sender.is_closed() {
             return;
         }
+        connection.state.end();
         let mut pools = self.idle.borrow_mut();
         let pool = pools.entry(peer).or_default();
         if pool.len() < MAX_IDLE_CONNECTIONS {
--- a/src/edge/router/metrics.rs
+++ b/src/edge/router/metrics.rs
@@ -10,6 +10,7 @@
 use prometheus_client::metrics::histogram;
 use prometheus_client::registry;
 
+use crate::edge::reservation;
 use crate::serving::cold;
 
 /// The bucket bounds of the latency histograms, in seconds.
@@ -143,6 +144,8 @@
     pub in_flight: gauge::Gauge,
     /// Log lines that were suppressed by the rate limit.
     pub lines_left_out: counter::Counter<u64, atomic::AtomicU64>,
+    /// The memory and the connections that callers take.
+    pub pressure: reservation::PressureMetrics,
 }
 
 impl RouterMetrics {
@@ -176,6 +179,7 @@
             store_era: gauge::Gauge::default(),
             in_flight: gauge::Gauge::default(),
             lines_left_out: counter::Counter::default(),
+            pressure: reservation::PressureMetrics::new(),
         };
         metrics.register_requests();
         metrics.register_control();
@@ -214,6 +218,7 @@
         registry.register("in_flight", "Requests under way", in_flight);
         let left_out = self.lines_left_out.clone();
         registry.register("lines_left_out", "Log lines that were left out", left_out);
+        self.pressure.register(registry);
     }
 
     fn register_control(&mut self) {
--- a/src/edge/router/request_stream.rs
+++ b/src/edge/router/request_stream.rs
@@ -57,6 +57,13 @@
         }
     }
 
+    /// Ends a request whose response was read whole. An end of the server's bytes then closes an idle
+    /// connection at once, so that no further request is sent on it.
+    pub fn end(&self) {
+        let progress = final_response::RequestProgress::Unsent;
+        self.0.progress.set(progress);
+    }
+
     fn note_written(&self) {
         let progress = final_response::RequestProgress::Writing;
         self.0.progress.set(progress);
--- a/src/outcome.rs
+++ b/src/outcome.rs
@@ -75,6 +75,8 @@
     Stopping = "stopping" 503,
     /// A response before the request closes the connection, so the request counts as not read.
     Unread = "unread" 503,
+    /// The host's memory is used up, or the request gave way to others.
+    HostFull = "host-full" 503,
     /// The host is out of contact, and the feature's requests are held meanwhile.
     FeatureHeld = "feature-held" 503,
     /// The key's shard has no owner.
