--- a/src/edge/router/control/mod.rs
+++ b/src/edge/router/control/mod.rs
@@ -205,13 +205,29 @@
         } = &mut *state;
         grants.sync(granter.table(), now);
         let view = state.cluster.view(&state.grants, now);
-        self.metrics.note_cold(&view.cold);
+        self.note_cold(&view.cold, now);
         self.view.store(sync::Arc::new(view));
         let ready = state.cluster.is_ready(&state.grants.table);
         self.update_gauges(&state);
         self.ready.store(ready, sync::atomic::Ordering::Relaxed);
     }
 
+    // Logs which servers have become cold or warm since the last view.
+    fn note_cold(&self, servers: &cold::ColdServers, now: clock::MonoTime) {
+        self.metrics.note_cold(servers);
+        let last = self.view.load();
+        for (server, share) in servers {
+            if !last.cold.contains_key(server) {
+                let for_ms = share.until.since(now).as_millis();
+                tracing::info!(event = "server-cold", server = %server, for_ms, quota = share.quota);
+            }
+        }
+        let warm = last.cold.keys().filter(|name| !servers.contains_key(*name));
+        for server in warm {
+            tracing::info!(event = "server-warm", server = %server);
+        }
+    }
+
     fn update_gauges(&self, state: &ControlState) {
         let metrics = &self.metrics;
         let version = i64::try_from(state.cluster.routes_version());
