--- a/src/serving/cold.rs
+++ b/src/serving/cold.rs
@@ -23,8 +23,7 @@
 /// Upper bound of the time that bytes are on their way after their connection was abandoned, in
 /// milliseconds: packets wait for half a second each way on a full link.
 pub const MAX_TRANSIT_MS: u64 = 500;
-/// Part of the allowed arrivals that is kept free for hosts which other hosts do not know, and its upper
-/// bound.
+/// The allowed arrivals divided by this are kept free for hosts that other hosts do not know.
 pub const MARGIN_DIVISOR: u32 = 4;
 /// Upper bound of that margin, in hosts.
 pub const MAX_MARGIN: u32 = 3;
--- a/tests/cold_arrivals.rs
+++ b/tests/cold_arrivals.rs
@@ -295,7 +295,7 @@
     }
 }
 
-// Guards against a test that cannot fail: the names tell the hosts apart.
+// Guards against a hash that selects the same hosts for all servers, which would carry all their load.
 fn selects_different_hosts_for_different_servers() {
     let names: Vec<names::HostName> = (0..33)
         .map(|index| fixtures::name(&format!("host-{index}")))
