Test a reset with a held upload in the system's buffers

Change: one more case in tests/front_responses.rs, whose upload zinnia-router writes at once and its server leaves unread. It was not run on the code before the fix.

--- a/tests/front_responses.rs
+++ b/tests/front_responses.rs
@@ -18,6 +18,9 @@
 const UPLOAD_BYTES: usize = 8 << 20;
 /// How much of it a server reads before it responds, in bytes.
 const READ_BYTES: usize = 100_000;
+/// The size of an upload that `zinnia-router` holds, and that no connection takes before its server reads, in
+/// bytes.
+const HELD_UPLOAD_BYTES: usize = 1_000_000;
 /// The part of a response that `zinnia-router` holds until it has ended, in bytes.
 const HELD_BYTES: usize = 4_000;
 /// The part of a response that `zinnia-router` begins to stream, in bytes.
@@ -281,6 +284,8 @@
         router_held_closed:
             expect_cut(router, early(HELD_BYTES, &[ServerStep::Close]), UPLOAD_BYTES, true);
         router_held_shut_down: expect_cut(router, early(HELD_BYTES, &shut_down()), UPLOAD_BYTES, true);
+        router_held_shut_down_held_upload:
+            expect_cut(router, early(HELD_BYTES, &shut_down()), HELD_UPLOAD_BYTES, true);
         router_held_short_request: expect_cut(router, whole_request(&reset()), 10, true);
         router_streamed_reset: expect_cut(router, early(STREAMED_BYTES, &reset()), UPLOAD_BYTES, false);
         router_streamed_closed:
