--- a/lab/tests/evacuation.rs
+++ b/lab/tests/evacuation.rs
@@ -20,7 +20,7 @@
     let mut case = case::SiteCase::new(lab, test);
     case.site.start_workers().expect("the ports are free");
     for worker in SOUTH {
-        http::lock(&case.site.workers[worker]).zone = "south".to_owned();
+        "south".clone_into(&mut http::lock(&case.site.workers[worker]).zone);
     }
     // The workers register anew with each heartbeat.
     case.site.rewrite();
