Deal servers without keys out to hosts, and use what servers report of their load

Cause: without keys, all hosts chose the server that seemed free a moment ago and opened connections to all of them; what other hosts had at a server was known by totals alone, some 250 ms late.

Change: subset.rs and scheduler/pool_subset.rs: where there are more than two hosts for each slot, a host uses a window of the servers of each domain, even and stable, that grows with its demand; others only where none of the window accepts requests. headers.rs reads X-Server-Load; load_report.rs checks, ages and believes it; scheduler/stated_load.rs uses it for the choice without keys and the expected wait. Metrics metered_servers and load_reports, line load-report-malformed. Tokens are filled only for servers that are in use; totals are noted with the time of the view. With up to two hosts for each slot nothing is metered, and missing totals change nothing. A metered pool's wait counts its tokens.

tests/metrics.rs gets a sample of the new family; the check is the same.

Measured: docs/design/SERVER-SHARES.md.

--- a/src/edge/router/mod.rs
+++ b/src/edge/router/mod.rs
@@ -12,6 +12,7 @@
 pub mod log_budget;
 pub mod metrics;
 pub mod ports;
+mod server_loads;
 pub mod shutdown_watch;
 pub mod slots;
 pub mod status_exchange;
--- a/src/serving/scheduler/wait_estimate.rs
+++ b/src/serving/scheduler/wait_estimate.rs
@@ -101,10 +101,13 @@
         let service_ms = server.service_ms();
         if share.is_metered() {
             let rate = share.rate_per_ms(service_ms);
-            return server.token.wait_ms(ahead + 1.0, rate);
+            let wait_ms = server.token.wait_ms(ahead + 1.0, rate);
+            return wait_ms.max(server.stated_wait_ms(now));
         }
         let queued = ahead + f64::from(server.running) - limit + 1.0;
-        (queued.max(0.0) / limit) * service_ms
+        let wait_ms = (queued.max(0.0) / limit) * service_ms;
+        // What the server states covers the requests of other hosts too, which this host's estimate does not.
+        wait_ms.max(server.stated_wait_ms(now))
     }
 
     fn pool_wait_ms(
@@ -113,17 +116,19 @@
         ahead: f64,
         now: clock::MonoTime,
     ) -> f64 {
-        let servers = self.servers.values();
-        let usable: Vec<_> = servers
-            .filter(|server| server.accepts(&request.service, now))
-            .collect();
+        let usable = self.pool_servers(&request.service, now);
         if usable.is_empty() {
             return f64::INFINITY;
         }
-        let starts = usable.iter().map(|server| self.pool_starts(server));
-        let (open, rate_per_ms) =
-            starts.fold((0.0, 0.0), |sum, (open, rate)| (sum.0 + open, sum.1 + rate));
-        (ahead + 1.0 - open).max(0.0) / rate_per_ms
+        let starts = usable.iter().map(|server| self.pool_starts(server, now));
+        let starts: Vec<_> = starts.collect();
+        let open: f64 = starts.iter().map(|start| start.open).sum();
+        let rate_per_ms: f64 = starts.iter().map(|start| start.rate_per_ms).sum();
+        let first_ms = starts.iter().map(|start| start.first_ms);
+        let first_ms = first_ms.fold(f64::INFINITY, f64::min);
+        let wait_ms = ((ahead + 1.0 - open).max(0.0) / rate_per_ms).max(first_ms);
+        let stated = usable.iter().map(|server| server.stated_wait_ms(now));
+        wait_ms.max(stated.fold(f64::INFINITY, f64::min))
     }
 
     // The number of matching requests that are ahead of `request` in the queue.
--- a/src/serving/view.rs
+++ b/src/serving/view.rs
@@ -9,6 +9,7 @@
 use crate::routing::specification;
 use crate::serving::ages;
 use crate::serving::directory;
+use crate::serving::subset;
 
 /// The number of running and waiting requests for each server.
 pub type ServerDemand = collections::BTreeMap<names::ServerName, f64>;
@@ -67,11 +68,15 @@
     pub ages: sync::Arc<ages::RangeAges>,
     /// The sum of the other hosts' demand at each server.
     pub demand: sync::Arc<ServerDemand>,
+    /// When this view was published.
+    pub published_at: clock::MonoTime,
     /// Whether the other hosts' demand is known; it is not before the first report, and while reports are
     /// missing or old.
     pub is_demand_known: bool,
     /// How many hosts are up, including this one.
     pub hosts: usize,
+    /// This host's place among the registered hosts of its failure domain.
+    pub place: subset::HostPlace,
     /// This host, once it is known.
     pub host: Option<names::HostName>,
 }
@@ -87,8 +92,10 @@
             table: sync::Arc::default(),
             ages: sync::Arc::default(),
             demand: sync::Arc::default(),
+            published_at: clock::MonoTime::default(),
             is_demand_known: true,
             hosts: 1,
+            place: subset::HostPlace::default(),
             host: None,
         }
     }
--- a/tests/shares.rs
+++ b/tests/shares.rs
@@ -12,8 +12,10 @@
 use zinniastack::ownership::assignment;
 use zinniastack::serving::directory;
 use zinniastack::serving::estimate;
+use zinniastack::serving::load_report;
 use zinniastack::serving::scheduler;
 use zinniastack::serving::scheduler::share;
+use zinniastack::serving::subset;
 use zinniastack::serving::view;
 
 const HOSTS: usize = 65;
@@ -29,8 +31,11 @@
 const LENGTH_MS: u64 = 20_000;
 // The start, in which estimates and queues settle, is not measured.
 const SETTLING_MS: u64 = 2_000;
+const SEEDS: [u64; 4] = [1, 2, 3, 4];
 // What callers of deployment B need: under 2 of 100 requests that reach servers find them full.
 const MAX_FULL_SHARE: f64 = 0.02;
+// Servers without keys are not there yet: 4.8 of 100 found them full when this was written, 33 before.
+const MAX_FULL_SHARE_WITHOUT_KEYS: f64 = 0.08;
 const MIN_BUSY: f64 = 0.8;
 
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -322,7 +327,12 @@
             }
             let view = view::ServingView {
                 demand: sync::Arc::new(others),
+                published_at: fixtures::at(now_ms),
                 host: Some(fixtures::name(&format!("h{host}"))),
+                place: subset::HostPlace {
+                    rank: host,
+                    hosts: HOSTS,
+                },
                 ..self.view.clone()
             };
             scheduler.sync(&sync::Arc::new(view));
@@ -424,6 +434,26 @@
     (counts, busy)
 }
 
+// Plays with several seeds: the share of requests that find a server full varies between plays of this length.
+fn run_seeds(setup: PlaySetup) -> (PlayCounts, f64) {
+    let plays: Vec<_> = SEEDS.map(|seed| run(PlaySetup { seed, ..setup })).into();
+    let busy: f64 = plays.iter().map(|(_, busy)| busy).sum();
+    let mut sum = PlayCounts::default();
+    for (counts, _) in &plays {
+        sum.arrived += counts.arrived;
+        sum.refused += counts.refused;
+        sum.sent += counts.sent;
+        sum.full += counts.full;
+        sum.on_time += counts.on_time;
+        sum.late += counts.late;
+        sum.given_up += counts.given_up;
+    }
+    (
+        sum,
+        busy / f64::from(u32::try_from(plays.len()).expect("small")),
+    )
+}
+
 // Prints the figures that `docs/design/SERVER-SHARES.md` states.
 fn prints_all_plays() {
     for keyed in [true, false] {
@@ -446,12 +476,27 @@
 // Guards against many hosts that each have one request running at a server with few slots: of every 100
 // requests that reached the servers, 29 found them full.
 fn few_requests_find_a_server_full() {
-    let (counts, busy) = run(PlaySetup::new(1.5));
+    let (counts, busy) = run_seeds(PlaySetup::new(1.5));
     assert!(counts.full_share() < MAX_FULL_SHARE, "{counts:?}");
     assert!(busy > MIN_BUSY, "{busy}");
     assert!(counts.on_time_share() > 0.4, "{counts:?}");
 }
 
+// Guards against hosts that all send to the server without keys that seemed free a moment ago: of every 100
+// requests that reached the servers, 33 found them full.
+fn few_requests_find_a_server_without_keys_full() {
+    let (counts, busy) = run_seeds(PlaySetup {
+        keyed: false,
+        ..PlaySetup::new(1.5)
+    });
+    assert!(
+        counts.full_share() < MAX_FULL_SHARE_WITHOUT_KEYS,
+        "{counts:?}"
+    );
+    assert!(busy > MIN_BUSY, "{busy}");
+    assert!(counts.on_time_share() > 0.3, "{counts:?}");
+}
+
 // Guards against tokens that hold requests back while servers have room.
 fn sends_at_once_where_there_is_room() {
     let (counts, _) = run(PlaySetup::new(0.5));
@@ -563,6 +608,53 @@
     assert!(refused.count() >= 9);
 }
 
+// Returns a scheduler whose host is alone, and the load that each server but `idle` has reported.
+fn with_loads(keyed: bool, idle: usize) -> scheduler::RequestScheduler {
+    let mut play = Play::new(PlaySetup {
+        keyed,
+        ..PlaySetup::new(1.0)
+    });
+    play.view.hosts = 1;
+    let mut scheduler = play.schedulers.swap_remove(0);
+    scheduler.sync(&sync::Arc::new(play.view));
+    let full = load_report::ServerLoad::new(SLOTS, 8, SLOTS).expect("it is believable");
+    for server in (0..SERVERS).filter(|server| *server != idle) {
+        scheduler.note_load(&incarnation(server), full, fixtures::at(0));
+    }
+    scheduler
+}
+
+// Guards against a choice that knows this host's requests only, where other hosts have filled the server.
+fn chooses_the_server_that_reports_room() {
+    for idle in 0..SERVERS {
+        let mut scheduler = with_loads(false, idle);
+        let request = scheduler::DispatchRequest {
+            key: None,
+            ..keyed_request(0, 0)
+        };
+        let queued = scheduler.enqueue(request, fixtures::at(1));
+        queued.expect("the request is queued");
+        let events = scheduler.dispatch_waiting(fixtures::at(1));
+        let chosen = events.iter().any(|event| {
+            matches!(event, scheduler::SchedulerEvent::Assigned(_, record)
+                if record.life == incarnation(idle))
+        });
+        assert!(chosen, "{idle}: {events:?}");
+    }
+}
+
+// Guards against a request that is sent to wait in the queue of a server until it is late.
+fn refuses_what_would_wait_too_long_at_the_server() {
+    let mut scheduler = with_loads(true, 1);
+    let refused = scheduler.enqueue(keyed_request(0, 0), fixtures::at(1));
+    assert_eq!(refused, Err(scheduler::SchedulerRefusal::Crowded));
+    let idle = scheduler.enqueue(keyed_request(1, 0), fixtures::at(1));
+    assert!(idle.is_ok());
+    let later = load_report::LOAD_STALE_MS + 1;
+    let stale = scheduler.enqueue(keyed_request(0, later), fixtures::at(later));
+    assert!(stale.is_ok());
+}
+
 macro_rules! share_cases {
     ($($name:ident),* $(,)?) => {
         mod cases {
@@ -577,6 +669,7 @@
 share_cases! {
     prints_all_plays,
     few_requests_find_a_server_full,
+    few_requests_find_a_server_without_keys_full,
     sends_at_once_where_there_is_room,
     keeps_servers_busy_for_few_hosts,
     fills_a_token_at_the_rate_of_the_share,
@@ -585,4 +678,6 @@
     starts_hosts_with_tokens_that_differ,
     takes_an_equal_part_without_totals,
     refuses_on_arrival_what_its_share_cannot_serve,
+    chooses_the_server_that_reports_room,
+    refuses_what_would_wait_too_long_at_the_server,
 }
