--- a/src/serving/scheduler/stated_load.rs
+++ b/src/serving/scheduler/stated_load.rs
@@ -31,7 +31,9 @@
 
     // The expected service time at the moment, in milliseconds.
     pub(super) fn momentary_ms(&self, now: clock::MonoTime) -> f64 {
-        let pace = self.stated_load(now).map_or(1.0, |load| load.pace());
+        let pace = self
+            .stated_load(now)
+            .map_or(1.0, load_report::ServerLoad::pace);
         self.service_ms() * pace
     }
 
