--- a/lab/tests/evacuation.rs
+++ b/lab/tests/evacuation.rs
@@ -78,6 +78,22 @@
     case.expect_invariants();
 }
 
+// Guards against keys that are refused while they leave the domain: all other servers respond.
+async fn serves_all_keys_while_they_leave(test: u8) {
+    let case = start(test).await;
+    write(&case, "evacuate/south", "{}");
+    let end = time::Instant::now() + BOUND;
+    let (mut sent, mut answered) = (0, 0);
+    while time::Instant::now() < end {
+        let prefix = format!("leave-{sent}");
+        answered += case.send_many("/stock/a", &prefix, 20).await;
+        sent += 20;
+    }
+    assert_eq!(answered, sent);
+    expect_south_unused(&case, "left").await;
+    case.expect_invariants();
+}
+
 // Guards against an evacuation that ends because the store has lost the request, at hosts that knew it and at
 // one that starts after that.
 async fn keeps_an_evacuation_that_the_store_has_lost(test: u8) {
@@ -162,4 +178,5 @@
     keeps_an_evacuation_when_all_hosts_restart = 3,
     answers_503_when_the_last_domain_is_evacuated = 4,
     ignores_records_that_request_nothing = 5,
+    serves_all_keys_while_they_leave = 6,
 }
