--- a/src/ownership/granter/plans.rs
+++ b/src/ownership/granter/plans.rs
@@ -90,7 +90,10 @@
         if !changed {
             return None;
         }
-        self.planned_at = now;
+        // A table that only completes earlier moves does not put off the next ones.
+        if settled {
+            self.planned_at = now;
+        }
         Some(next)
     }
 
--- a/tests/shares.rs
+++ b/tests/shares.rs
@@ -35,8 +35,6 @@
 const SEEDS: [u64; 4] = [1, 2, 3, 4];
 // What callers of deployment B need: under 2 of 100 requests that reach servers find them full.
 const MAX_FULL_SHARE: f64 = 0.02;
-// Servers without keys are not there yet: 4.8 of 100 found them full when this was written, 33 before.
-const MAX_FULL_SHARE_WITHOUT_KEYS: f64 = 0.08;
 const MIN_BUSY: f64 = 0.8;
 
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -492,12 +490,9 @@
         keyed: false,
         ..PlaySetup::new(1.5)
     });
-    assert!(
-        counts.full_share() < MAX_FULL_SHARE_WITHOUT_KEYS,
-        "{counts:?}"
-    );
+    assert!(counts.full_share() < MAX_FULL_SHARE, "{counts:?}");
     assert!(busy > MIN_BUSY, "{busy}");
-    assert!(counts.on_time_share() > 0.3, "{counts:?}");
+    assert!(counts.on_time_share() > 0.4, "{counts:?}");
 }
 
 // Guards against tokens that hold requests back while servers have room.
