Close connections whose chunked body is left unread by a refusal

After a response, the HTTP library waits without a limit for the end of a chunked body that nobody reads. A refusal now keeps the unread body until it was sent, which makes the library close the connection.

--- a/src/edge/callers.rs
+++ b/src/edge/callers.rs
@@ -98,7 +98,8 @@
     let arrived = context.clock.now();
     let _guard = InFlightGuard::new(&context.metrics);
     let reservation = reservation::attach(&head);
-    let result = serve(&head, payload, &context, arrived, &reservation).await;
+    let mut payload = Some(payload);
+    let result = serve(&head, &mut payload, &context, arrived, &reservation).await;
     let elapsed = context.clock.now().since(arrived);
     context.metrics.latency.observe(elapsed.as_secs_f64());
     let mut response = match result {
@@ -108,7 +109,8 @@
         }
         Err(refused) => {
             context.metrics.count_refusal(refused.reason);
-            refusal_response(&refused)
+            let unread = payload.filter(|_| reservation::has_body(&head));
+            reservation::hold_unread(refusal_response(&refused), unread)
         }
     };
     let is_pressed = head
@@ -139,7 +141,7 @@
 
 async fn serve(
     head: &actix_web::HttpRequest,
-    payload: web::Payload,
+    payload: &mut Option<web::Payload>,
     context: &CallerContext,
     arrived: clock::MonoTime,
     reservation: &reservation::Reservation,
@@ -215,7 +217,7 @@
 
 // Small bodies are read whole before a slot is requested, so that a slow caller occupies no slot.
 async fn read_body(
-    mut payload: web::Payload,
+    payload: &mut Option<web::Payload>,
     envelope: &admission::RequestEnvelope,
     limit: u64,
     context: &CallerContext,
@@ -228,20 +230,26 @@
     {
         let held = reservation::BodyMeter::new(reservation).stream();
         held.map_err(|_| refuse(outcome::RefusalReason::HostFull))?;
-        return Ok(exchange::WorkBody::Stream(length, payload));
+        if let Some(payload) = payload.take() {
+            return Ok(exchange::WorkBody::Stream(length, payload));
+        }
     }
     let limit = usize::try_from(limit.min(BUFFERED_BODY_BYTES)).unwrap_or(usize::MAX);
+    let Some(unread) = payload else {
+        return Ok(exchange::WorkBody::Buffered(web::Bytes::new()));
+    };
     let mut buffer = web::BytesMut::new();
     let mut meter = reservation::BodyMeter::new(reservation);
     loop {
         let left = deadline.since(context.clock.now());
         let next = tokio::select! {
-            next = tokio::time::timeout(left, payload.next()) => next,
+            next = tokio::time::timeout(left, unread.next()) => next,
             () = context.ended() => return Err(refuse(outcome::RefusalReason::Stopping)),
             () = reservation.evicted() => return Err(refuse(outcome::RefusalReason::HostFull)),
         };
         let next = next.map_err(|_| refuse(outcome::RefusalReason::DeadlineQueued))?;
         let Some(chunk) = next else {
+            *payload = None;
             let held = meter.finish(&buffer);
             held.map_err(|_| refuse(outcome::RefusalReason::HostFull))?;
             return Ok(exchange::WorkBody::Buffered(buffer.freeze()));
--- a/src/edge/reservation.rs
+++ b/src/edge/reservation.rs
@@ -14,6 +14,7 @@
 use actix_web::body;
 use actix_web::dev;
 use actix_web::http::header;
+use actix_web::web;
 use futures_util::StreamExt as _;
 use prometheus_client::metrics::counter;
 use prometheus_client::metrics::family;
@@ -451,14 +452,22 @@
     }
     let reservation = shared.unwrap_or_default().open(address, connection);
     let reservation = rc::Rc::new(reservation);
-    let mut framing = [header::CONTENT_LENGTH, header::TRANSFER_ENCODING].into_iter();
-    if !framing.any(|name| request.headers().contains_key(name)) {
+    if !has_body(request) {
         reservation.finish_body();
     }
     request.extensions_mut().insert(rc::Rc::clone(&reservation));
     reservation
 }
 
+/// Reports whether a request announces a body.
+#[must_use]
+pub fn has_body(request: &actix_web::HttpRequest) -> bool {
+    let headers = request.headers();
+    let length = headers.get(header::CONTENT_LENGTH);
+    length.is_some_and(|length| length.as_bytes() != b"0")
+        || headers.contains_key(header::TRANSFER_ENCODING)
+}
+
 /// Returns the reservation of a request.
 #[must_use]
 pub fn find(request: &actix_web::HttpRequest) -> Option<rc::Rc<Reservation>> {
@@ -583,3 +592,56 @@
         task::Poll::Ready(Some(Ok(piece)))
     }
 }
+
+/// Keeps the unread remainder of a request's body until the response was sent, which closes the
+/// connection. The library would otherwise wait, without a limit, for the end of a chunked body that
+/// nobody reads.
+#[must_use]
+pub fn hold_unread(
+    response: actix_web::HttpResponse,
+    unread: Option<web::Payload>,
+) -> actix_web::HttpResponse {
+    let Some(unread) = unread else {
+        return response;
+    };
+    let mut response = response.map_body(|_, content| {
+        let bytes = body::MessageBody::try_into_bytes(content);
+        bytes.map_or_else(
+            |content| content,
+            |bytes| {
+                body::BoxBody::new(UnreadBody {
+                    length: u64::try_from(bytes.len()).unwrap_or(u64::MAX),
+                    bytes: Some(bytes),
+                    _unread: unread,
+                })
+            },
+        )
+    });
+    response
+        .head_mut()
+        .set_connection_type(actix_web::http::ConnectionType::Close);
+    response
+}
+
+/// The body of a response to a request whose own body was not read to its end.
+struct UnreadBody {
+    length: u64,
+    bytes: Option<bytes::Bytes>,
+    _unread: web::Payload,
+}
+
+impl body::MessageBody for UnreadBody {
+    type Error = io::Error;
+
+    fn size(&self) -> body::BodySize {
+        body::BodySize::Sized(self.length)
+    }
+
+    fn poll_next(
+        self: pin::Pin<&mut Self>,
+        _: &mut task::Context<'_>,
+    ) -> task::Poll<Option<Result<bytes::Bytes, io::Error>>> {
+        let bytes = self.get_mut().bytes.take();
+        task::Poll::Ready(bytes.filter(|bytes| !bytes.is_empty()).map(Ok))
+    }
+}
--- a/src/edge/router/front/mod.rs
+++ b/src/edge/router/front/mod.rs
@@ -63,8 +63,10 @@
     let _in_flight = traffic::InFlight::new(&thread.parts.in_flight);
     let shared = rc::Rc::clone(&thread);
     let account = caller.app_data::<reservation::SharedAccount>().cloned();
-    let mut response = match CallerRequest::new(thread, caller) {
-        Ok(request) => request.serve(payload).await,
+    let has_body = reservation::has_body(&caller);
+    let mut payload = Some(payload);
+    let response = match CallerRequest::new(thread, caller) {
+        Ok(request) => request.serve(&mut payload).await,
         Err((response, id)) => {
             responses::record_early_refusal(&shared, response, id.as_deref());
             let retry_after = (response.status() == 503)
@@ -72,6 +74,7 @@
             local_response::respond(response, retry_after)
         }
     };
+    let mut response = reservation::hold_unread(response, payload.filter(|_| has_body));
     let is_pressed = account.is_some_and(|account| account.is_connection_pressed());
     if is_pressed || shared.parts.shutdown.times().is_some() {
         let close = actix_web::http::header::HeaderValue::from_static("close");
@@ -146,7 +149,7 @@
         })
     }
 
-    async fn serve(self, payload: web::Payload) -> actix_web::HttpResponse {
+    async fn serve(self, payload: &mut Option<web::Payload>) -> actix_web::HttpResponse {
         self.record_key_work();
         let body = match self.read_body(payload).await {
             Ok(body) => body,
@@ -160,16 +163,18 @@
     // Buffers the body up to `MAX_BUFFERED_BODY_BYTES`; the remainder of a longer one is streamed.
     async fn read_body(
         &self,
-        payload: web::Payload,
+        payload: &mut Option<web::Payload>,
     ) -> Result<body::CallerBody, local_response::LocalResponse> {
-        let mut payload = payload;
+        let Some(unread) = payload else {
+            return Ok(body::CallerBody::new(bytes::Bytes::new()));
+        };
         let mut head = bytes::BytesMut::new();
         let mut meter = reservation::BodyMeter::new(&self.reservation);
         let time_left = self.deadline.since(self.thread.parts.clock.now());
         let limit = self.body_limit;
         let read = async {
             while head.len() <= MAX_BUFFERED_BODY_BYTES {
-                match payload.next().await {
+                match unread.next().await {
                     None => return Ok(true),
                     Some(Ok(chunk)) => {
                         let taken = meter.take(&head, &chunk);
@@ -198,11 +203,12 @@
         };
         reserved.map_err(|_| local_response::LocalResponse::HostFull)?;
         let head = head.freeze();
-        if is_complete {
+        let rest = payload.take().filter(|_| !is_complete);
+        let Some(rest) = rest else {
             return Ok(body::CallerBody::new(head));
-        }
+        };
         let reservation = rc::Rc::clone(&self.reservation);
-        let payload = body::LimitedPayload::new(payload, reservation);
+        let payload = body::LimitedPayload::new(rest, reservation);
         Ok(body::CallerBody::with_rest(head, payload, limit))
     }
 
