--- a/src/edge/router/exchange.rs
+++ b/src/edge/router/exchange.rs
@@ -9,7 +9,6 @@
 use crate::names;
 use crate::serving::delivery;
 use crate::serving::estimate;
-use crate::serving::load_report;
 
 /// Response bodies up to this size are buffered before the response is forwarded, in bytes, so that
 /// one that is cut short can still be replaced by a retry.
@@ -43,8 +42,6 @@
     pub remainder: Option<http_client::ResponseBody>,
     /// Whether another request may be sent on the connection once the body has been read.
     pub is_reusable: bool,
-    /// What the response says of the server's load.
-    pub load: load_report::LoadHeader,
 }
 
 /// How an attempt is made.
@@ -93,8 +90,6 @@
     NotRun {
         /// The status of the response.
         status: u16,
-        /// What the response says of the server's load.
-        load: load_report::LoadHeader,
     },
     /// The exchange broke off, or the response is not valid; the request may have run.
     Broken(String),
@@ -121,7 +116,7 @@
         match self {
             Self::Answered(_) => estimate::ExchangeEnd::Answered,
             Self::Failed(_) => estimate::ExchangeEnd::Failed,
-            Self::NotRun { status: 421, .. } => estimate::ExchangeEnd::WrongServer,
+            Self::NotRun { status: 421 } => estimate::ExchangeEnd::WrongServer,
             Self::NotRun { .. } => estimate::ExchangeEnd::Full,
             Self::Broken(_) => estimate::ExchangeEnd::Broken,
             Self::Unsent(_) => estimate::ExchangeEnd::Unsent,
@@ -140,22 +135,12 @@
         }
     }
 
-    /// Returns what the response says of the server's load.
-    #[must_use]
-    pub const fn load(&self) -> load_report::LoadHeader {
-        match self {
-            Self::Answered(response) | Self::Failed(response) => response.load,
-            Self::NotRun { load, .. } => *load,
-            Self::Broken(_) | Self::Unsent(_) => load_report::LoadHeader::Missing,
-        }
-    }
-
     /// Returns the status or the error, for logs.
     #[must_use]
     pub fn error_text(&self) -> String {
         match self {
             Self::Answered(response) | Self::Failed(response) => response.head.status.to_string(),
-            Self::NotRun { status, .. } => format!("not run, status {status}"),
+            Self::NotRun { status } => format!("not run, status {status}"),
             Self::Broken(error) | Self::Unsent(error) => error.clone(),
         }
     }
@@ -197,7 +182,6 @@
         }
         return AttemptEnd::NotRun {
             status: status.as_u16(),
-            load: headers.load,
         };
     }
     if headers.id_match == ports::IdMatch::Different {
@@ -238,7 +222,6 @@
         prefix,
         remainder,
         is_reusable,
-        load: headers.load,
     };
     if status.is_server_error() {
         return AttemptEnd::Failed(response);
--- a/src/edge/router/front/mod.rs
+++ b/src/edge/router/front/mod.rs
@@ -357,9 +357,7 @@
         let client = &self.thread.client;
         let sent = exchange::attempt(codec, client, record.address, options, request, id);
         tokio::select! {
-            end = tokio::time::timeout(time_left, sent) => {
-                end.ok().inspect(|end| self.thread.note_load(record, end.load()))
-            }
+            end = tokio::time::timeout(time_left, sent) => end.ok(),
             () = self.thread.ended() => {
                 Some(exchange::AttemptEnd::Broken("the host ends".to_owned()))
             }
--- a/src/edge/router/metrics.rs
+++ b/src/edge/router/metrics.rs
@@ -59,11 +59,11 @@
     pub outcome: &'static str,
 }
 
-/// The label of what has an outcome only.
+/// The label of an exchange of status updates.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 #[derive(prometheus_client::encoding::EncodeLabelSet)]
 pub struct OutcomeLabel {
-    /// How it ended: `done` or `failed` for an exchange of status updates.
+    /// How the exchange ended: `done` or `failed`.
     pub outcome: &'static str,
 }
 
@@ -140,10 +140,6 @@
     pub store_lost: gauge::Gauge,
     /// The highest era of the store that this host knows.
     pub store_era: gauge::Gauge,
-    /// Servers' reports of their load, by outcome: `noted` or `malformed`.
-    pub load_reports: family::Family<OutcomeLabel, counter::Counter>,
-    /// Servers at which this host's share is below one request.
-    pub metered_servers: gauge::Gauge,
     /// Requests in flight.
     pub in_flight: gauge::Gauge,
     /// Log lines that were suppressed by the rate limit.
@@ -181,8 +177,6 @@
             routes_version: gauge::Gauge::default(),
             store_lost: gauge::Gauge::default(),
             store_era: gauge::Gauge::default(),
-            load_reports: family::Family::default(),
-            metered_servers: gauge::Gauge::default(),
             in_flight: gauge::Gauge::default(),
             lines_left_out: counter::Counter::default(),
             pressure: reservation::PressureMetrics::new(),
@@ -220,18 +214,6 @@
             "Bytes of servers' responses that were sent to callers",
             response,
         );
-        let load_reports = self.load_reports.clone();
-        registry.register(
-            "load_reports",
-            "Servers' reports of their load, by outcome",
-            load_reports,
-        );
-        let metered = self.metered_servers.clone();
-        registry.register(
-            "metered_servers",
-            "Servers at which this host's share is below one request",
-            metered,
-        );
         let in_flight = self.in_flight.clone();
         registry.register("in_flight", "Requests under way", in_flight);
         let left_out = self.lines_left_out.clone();
@@ -417,13 +399,6 @@
             .get()
     }
 
-    /// Counts a server's report of its load.
-    pub fn note_load_report(&self, outcome: &'static str) {
-        self.load_reports
-            .get_or_create(&OutcomeLabel { outcome })
-            .inc();
-    }
-
     /// Counts a record that could not be decoded.
     pub fn note_record_refused(&self, topic: &'static str) {
         self.records_refused
--- a/src/edge/router/mod.rs
+++ b/src/edge/router/mod.rs
@@ -13,7 +13,6 @@
 pub mod metrics;
 pub mod ports;
 pub mod request_stream;
-mod server_loads;
 pub mod shutdown_watch;
 pub mod slots;
 pub mod status_exchange;
--- a/src/edge/router/ports.rs
+++ b/src/edge/router/ports.rs
@@ -11,7 +11,6 @@
 use crate::routing::specification;
 use crate::serving::directory;
 use crate::serving::evacuation;
-use crate::serving::load_report;
 use crate::serving::topic;
 
 /// The newest record of each key.
@@ -198,8 +197,6 @@
     /// Whether the server reports that it did not run the request. A response with the id of another
     /// request does not report that.
     pub not_run: bool,
-    /// What it says of the server's load.
-    pub load: load_report::LoadHeader,
 }
 
 /// Reads and writes the platform's headers of requests and responses.
--- a/src/edge/router/traffic.rs
+++ b/src/edge/router/traffic.rs
@@ -141,8 +141,6 @@
             self.parts.metrics.lines_left_out.inc_by(count);
             tracing::warn!(event = "lines-left-out", count);
         }
-        let metered = self.scheduler.borrow().metered_servers();
-        self.parts.metrics.metered_servers.set(metered);
         let in_flight = self.parts.in_flight.load(atomic::Ordering::Relaxed);
         self.parts.metrics.in_flight.set(in_flight);
     }
--- a/src/serving/cluster/mod.rs
+++ b/src/serving/cluster/mod.rs
@@ -22,7 +22,6 @@
 use crate::serving::evacuation;
 use crate::serving::responses;
 use crate::serving::status;
-use crate::serving::subset;
 use crate::serving::topic;
 use crate::serving::upstream;
 use crate::serving::view;
@@ -387,9 +386,7 @@
             ages: sync::Arc::clone(&grants.ages),
             // A host that does not report at the moment may still be up.
             hosts: 1 + others.hosts.max(self.hosts.len()),
-            place: subset::HostPlace::new(&self.own, &self.hosts),
             host: Some(self.own.host.clone()),
-            published_at: now,
             is_demand_known: others.hosts > 0 || self.upstream.present(&self.hosts) == 0,
             demand: sync::Arc::new(others.by_server(&self.directory)),
             evacuated: sync::Arc::clone(self.evacuations.domains()),
--- a/src/serving/scheduler/cold_servers.rs
+++ b/src/serving/scheduler/cold_servers.rs
@@ -4,7 +4,6 @@
 use crate::serving::cold;
 use crate::serving::estimate;
 use crate::serving::scheduler;
-use crate::serving::scheduler::share;
 use crate::serving::scheduler::tracked_server;
 use crate::serving::view;
 
@@ -43,12 +42,18 @@
         self.cold_use(server, now) == ColdUse::Warm
     }
 
-    // Whether the server is cold and takes no requests of this host.
-    pub(super) fn is_closed(
+    // Whether the server is ready for a request without a key, now or once others have ended.
+    pub(super) fn is_usable(
         &self,
         server: &tracked_server::TrackedServer,
+        request: &scheduler::DispatchRequest,
         now: clock::MonoTime,
     ) -> bool {
+        server.accepts(&request.service, now) && !self.is_closed(server, now)
+    }
+
+    // Whether the server is cold and takes no requests of this host.
+    fn is_closed(&self, server: &tracked_server::TrackedServer, now: clock::MonoTime) -> bool {
         matches!(self.cold_use(server, now), ColdUse::Cold(_, 0))
     }
 
@@ -64,23 +69,21 @@
         }
     }
 
-    // How soon requests without keys may start at a server, within what it takes of this host while cold.
+    // How many requests without keys this host may start at a server at once, and how many a millisecond
+    // after that.
     pub(super) fn starts(
         &self,
         server: &tracked_server::TrackedServer,
         now: clock::MonoTime,
-    ) -> share::PoolStarts {
-        let starts = self.pool_starts(server, now);
+    ) -> (f64, f64) {
+        let (open, rate) = self.pool_starts(server);
         let ColdUse::Cold(_, quota) = self.cold_use(server, now) else {
-            return starts;
+            return (open, rate);
         };
         let counted = server.arrivals.count(server.running, now);
         let period_ms = scheduler::millis(cold::period(server.service_ms()));
-        share::PoolStarts {
-            open: starts.open.min(f64::from(quota.saturating_sub(counted))),
-            rate_per_ms: starts.rate_per_ms.min(f64::from(quota) / period_ms),
-            ..starts
-        }
+        let open = open.min(f64::from(quota.saturating_sub(counted)));
+        (open, rate.min(f64::from(quota) / period_ms))
     }
 
     // The wait for a cold server's quota behind `ahead` other requests, in milliseconds: the server may
--- a/src/serving/scheduler/mod.rs
+++ b/src/serving/scheduler/mod.rs
@@ -9,11 +9,9 @@
 mod cold_servers;
 mod evacuation;
 mod host_demand;
-mod pool_subset;
 mod selection;
 pub mod share;
 mod shutdown;
-mod stated_load;
 mod tracked_server;
 mod wait_estimate;
 
@@ -122,9 +120,6 @@
     // Ordered by priority, then by arrival.
     entries: collections::BTreeMap<(u32, WaitTicket), Waiting>,
     budget: Option<retry::RetryBudget>,
-    pool_peak: pool_subset::PoolDemandPeak,
-    // Whether there ever were requests without keys.
-    has_pool: bool,
 }
 
 /// The settings of a scheduler.
@@ -157,7 +152,6 @@
     view: sync::Arc<view::ServingView>,
     servers: collections::BTreeMap<names::ServerName, tracked_server::TrackedServer>,
     queues: collections::BTreeMap<names::ServiceName, ServiceQueue>,
-    subsets: pool_subset::SubsetWindows,
     next: u64,
     // The time by which the host ends, once it is stopping.
     ends_at: Option<clock::MonoTime>,
@@ -172,7 +166,6 @@
             view: sync::Arc::new(view::ServingView::new()),
             servers: collections::BTreeMap::new(),
             queues: collections::BTreeMap::new(),
-            subsets: pool_subset::SubsetWindows::default(),
             next: 0,
             ends_at: None,
         }
@@ -207,8 +200,6 @@
         self.servers
             .retain(|_, server| server.running > 0 || server.listed);
         self.apply_evacuations();
-        self.sync_subsets();
-        self.note_totals();
     }
 
     /// Adds a request to the queue, where it waits until [`Self::dispatch_waiting`] decides.
@@ -232,7 +223,6 @@
             server.waiting += 1;
         }
         let queue = self.queues.entry(request.service.clone()).or_default();
-        queue.has_pool |= request.key.is_none();
         let place = (request.priority, ticket);
         queue.entries.insert(
             place,
@@ -263,15 +253,14 @@
         elapsed: time::Duration,
         now: clock::MonoTime,
     ) {
+        self.fill_tokens(|server| server.record.life == *incarnation, now);
         let Some(server) = self.servers.get_mut(&incarnation.server) else {
             return;
         };
         if server.record.life != *incarnation {
             return;
         }
-        server.fill_token(&self.view, now);
         server.running = server.running.saturating_sub(1);
-        server.load.note_progress(server.running, now);
         server.estimate.note(end, elapsed, now);
         server.note_arrival_end(end, now);
         if end == estimate::ExchangeEnd::Answered {
@@ -347,7 +336,7 @@
         now: clock::MonoTime,
         events: &mut Vec<SchedulerEvent>,
     ) {
-        self.fill_tokens(service, now);
+        self.fill_tokens(|server| server.record.service == *service, now);
         let Some(queue) = self.queues.get_mut(service) else {
             return;
         };
@@ -368,7 +357,7 @@
             }
             match self.decide(&waiting, service_ms, now) {
                 selection::Decision::Send(record) => {
-                    self.start(&record.life.server, now);
+                    self.start(&record.life.server);
                     events.push(SchedulerEvent::Assigned(place.1, record));
                 }
                 selection::Decision::GiveUp(refusal) => {
@@ -389,8 +378,7 @@
         if let Some(queue) = self.queues.get_mut(service) {
             queue.entries = kept;
         }
-        self.note_pool_demand(service, now);
-        self.note_pool_waiting(service, now);
+        self.note_pool_waiting(service);
     }
 
     // Why too little time is left for a server to respond, if it is.
--- a/src/serving/scheduler/selection.rs
+++ b/src/serving/scheduler/selection.rs
@@ -73,7 +73,10 @@
 
     fn decide_pool(&self, waiting: &scheduler::Waiting, now: clock::MonoTime) -> Decision {
         let request = &waiting.request;
-        let usable = self.pool_servers(&request.service, now);
+        let servers = self.servers.values();
+        let usable: Vec<_> = servers
+            .filter(|server| self.is_usable(server, request, now))
+            .collect();
         if usable.is_empty() {
             return self.decide_closed_pool(waiting, now);
         }
@@ -112,12 +115,9 @@
             } else {
                 remote_penalty_ms
             };
-            Self::score_ms(server, now) + penalty_ms
+            Self::score_ms(server) + penalty_ms
         };
-        let best = open.min_by(|a, b| {
-            let by_score = score(a).total_cmp(&score(b));
-            by_score.then_with(|| a.position.cmp(&b.position))
-        });
+        let best = open.min_by(|a, b| score(a).total_cmp(&score(b)));
         best.map_or(Decision::Wait, |server| {
             Decision::Send(sync::Arc::clone(&server.record))
         })
@@ -133,10 +133,10 @@
     }
 
     // The estimated response time of a server, in milliseconds.
-    fn score_ms(server: &tracked_server::TrackedServer, now: clock::MonoTime) -> f64 {
-        let fill = server.expected_fill(now);
+    fn score_ms(server: &tracked_server::TrackedServer) -> f64 {
+        let fill = f64::from(server.running + 1) / f64::from(server.record.slots.max(1));
         let penalty = 1.0 + server.estimate.failure_rate() * scheduler::FAILURE_PENALTY;
-        server.momentary_ms(now) * penalty * (1.0 + fill)
+        server.service_ms() * penalty * (1.0 + fill)
     }
 
     fn is_local(&self, server: &tracked_server::TrackedServer) -> bool {
--- a/src/serving/scheduler/tracked_server.rs
+++ b/src/serving/scheduler/tracked_server.rs
@@ -8,7 +8,6 @@
 use crate::serving::cold;
 use crate::serving::directory;
 use crate::serving::estimate;
-use crate::serving::load_report;
 use crate::serving::scheduler;
 use crate::serving::scheduler::share;
 
@@ -22,17 +21,12 @@
     pub(super) evacuated_until: Option<clock::MonoTime>,
     pub(super) running: u32,
     pub(super) waiting: u32,
-    // The position in this host's order of the servers of the domain.
-    pub(super) position: usize,
-    // Whether it is one of those that this host uses for requests without keys.
-    pub(super) in_subset: bool,
     // This host's requests that wait for any server of the service, in equal parts at each.
     pub(super) pool_part: f64,
     // What one such request counts at the server.
     pub(super) pool_unit: f64,
     pub(super) token: share::ShareToken,
     pub(super) smoothed: share::SmoothedDemand,
-    pub(super) load: load_report::LoadState,
     pub(super) estimate: estimate::ServerEstimate,
     // The service times of the requests answered since the last report, in milliseconds, and their
     // number.
@@ -54,13 +48,10 @@
             evacuated_until: None,
             running: 0,
             waiting: 0,
-            position: usize::MAX,
-            in_subset: true,
             pool_part: 0.0,
             pool_unit: 1.0,
             token,
             smoothed: share::SmoothedDemand::new(),
-            load: load_report::LoadState::new(),
             estimate: estimate::ServerEstimate::new(),
             answered: (0.0, 0),
             arrivals: cold::ArrivalWindow::new(),
--- a/src/serving/scheduler/wait_estimate.rs
+++ b/src/serving/scheduler/wait_estimate.rs
@@ -99,14 +99,12 @@
         let service_ms = server.service_ms();
         if share.is_metered() {
             let rate = share.rate_per_ms(service_ms);
-            let wait_ms = server.token.wait_ms(ahead + 1.0, rate);
-            return wait_ms.max(cold_wait_ms).max(server.stated_wait_ms(now));
+            return server.token.wait_ms(ahead + 1.0, rate).max(cold_wait_ms);
         }
         let limit = share.limit();
         let queued = ahead + f64::from(server.running) - limit + 1.0;
         let wait_ms = (queued.max(0.0) / limit) * service_ms;
-        // What the server states covers the requests of other hosts too, which this host's estimate does not.
-        wait_ms.max(cold_wait_ms).max(server.stated_wait_ms(now))
+        wait_ms.max(cold_wait_ms)
     }
 
     fn pool_wait_ms(
@@ -115,20 +113,18 @@
         ahead: f64,
         now: clock::MonoTime,
     ) -> f64 {
-        let usable = self.pool_servers(&request.service, now);
+        let servers = self.servers.values();
+        let usable: Vec<_> = servers
+            .filter(|server| self.is_usable(server, request, now))
+            .collect();
         if usable.is_empty() {
             let closed = self.closed_pool_wait_ms(request, now);
             return closed.unwrap_or(f64::INFINITY);
         }
         let starts = usable.iter().map(|server| self.starts(server, now));
-        let starts: Vec<_> = starts.collect();
-        let open: f64 = starts.iter().map(|start| start.open).sum();
-        let rate_per_ms: f64 = starts.iter().map(|start| start.rate_per_ms).sum();
-        let first_ms = starts.iter().map(|start| start.first_ms);
-        let first_ms = first_ms.fold(f64::INFINITY, f64::min);
-        let wait_ms = ((ahead + 1.0 - open).max(0.0) / rate_per_ms).max(first_ms);
-        let stated = usable.iter().map(|server| server.stated_wait_ms(now));
-        wait_ms.max(stated.fold(f64::INFINITY, f64::min))
+        let (open, rate_per_ms) =
+            starts.fold((0.0, 0.0), |sum, (open, rate)| (sum.0 + open, sum.1 + rate));
+        (ahead + 1.0 - open).max(0.0) / rate_per_ms
     }
 
     // The number of matching requests that are ahead of `request` in the queue.
--- a/src/serving/view.rs
+++ b/src/serving/view.rs
@@ -11,7 +11,6 @@
 use crate::serving::cold;
 use crate::serving::directory;
 use crate::serving::evacuation;
-use crate::serving::subset;
 
 /// The number of running and waiting requests for each server.
 pub type ServerDemand = collections::BTreeMap<names::ServerName, f64>;
@@ -70,8 +69,6 @@
     pub ages: sync::Arc<ages::RangeAges>,
     /// The sum of the other hosts' demand at each server.
     pub demand: sync::Arc<ServerDemand>,
-    /// When this view was published.
-    pub published_at: clock::MonoTime,
     /// Whether the other hosts' demand is known; it is not before the first report, and while reports are
     /// missing or old.
     pub is_demand_known: bool,
@@ -81,8 +78,6 @@
     pub evacuated: sync::Arc<evacuation::EvacuatedDomains>,
     /// The servers that are cold, with this host's part of the requests that they can bear.
     pub cold: sync::Arc<cold::ColdServers>,
-    /// This host's place among the registered hosts of its failure domain.
-    pub place: subset::HostPlace,
     /// This host, once it is known.
     pub host: Option<names::HostName>,
 }
@@ -98,12 +93,10 @@
             table: sync::Arc::default(),
             ages: sync::Arc::default(),
             demand: sync::Arc::default(),
-            published_at: clock::MonoTime::default(),
             is_demand_known: true,
             hosts: 1,
             evacuated: sync::Arc::default(),
             cold: sync::Arc::default(),
-            place: subset::HostPlace::default(),
             host: None,
         }
     }
