--- a/src/serving/cluster/mod.rs
+++ b/src/serving/cluster/mod.rs
@@ -386,8 +386,6 @@
             ages: sync::Arc::clone(&grants.ages),
             // A host that does not report at the moment may still be up.
             hosts: 1 + others.hosts.max(self.hosts.len()),
-            host: Some(self.own.host.clone()),
-            is_demand_known: others.hosts > 0 || self.upstream.present(&self.hosts) == 0,
             demand: sync::Arc::new(others.by_server(&self.directory)),
             evacuated: sync::Arc::clone(self.evacuations.domains()),
             cold: sync::Arc::new(self.cold_servers(now)),
--- a/src/serving/scheduler/cold_servers.rs
+++ b/src/serving/scheduler/cold_servers.rs
@@ -57,33 +57,35 @@
         matches!(self.cold_use(server, now), ColdUse::Cold(_, 0))
     }
 
-    // Whether one more request is within what a cold server takes of this host.
-    pub(super) fn is_within_quota(
+    // Whether one more request may be sent to the server.
+    pub(super) fn has_room(
         &self,
         server: &tracked_server::TrackedServer,
         now: clock::MonoTime,
     ) -> bool {
-        match self.cold_use(server, now) {
+        let is_within_quota = match self.cold_use(server, now) {
             ColdUse::Warm => true,
             ColdUse::Cold(_, quota) => server.arrivals.count(server.running, now) < quota,
-        }
+        };
+        is_within_quota && f64::from(server.running) + 1.0 <= self.limit(server)
     }
 
-    // How many requests without keys this host may start at a server at once, and how many a millisecond
-    // after that.
-    pub(super) fn starts(
+    // How many requests this host may have running at a server, and how many it can send there in a
+    // millisecond.
+    pub(super) fn capacity(
         &self,
         server: &tracked_server::TrackedServer,
         now: clock::MonoTime,
     ) -> (f64, f64) {
-        let (open, rate) = self.pool_starts(server);
+        let limit = self.limit(server);
+        let rate = limit / server.service_ms();
         let ColdUse::Cold(_, quota) = self.cold_use(server, now) else {
-            return (open, rate);
+            return (limit, rate);
         };
-        let counted = server.arrivals.count(server.running, now);
+        let ended = server.arrivals.count(0, now);
+        let room = f64::from(quota.saturating_sub(ended)).min(limit);
         let period_ms = scheduler::millis(cold::period(server.service_ms()));
-        let open = open.min(f64::from(quota.saturating_sub(counted)));
-        (open, rate.min(f64::from(quota) / period_ms))
+        (room, rate.min(f64::from(quota) / period_ms))
     }
 
     // The wait for a cold server's quota behind `ahead` other requests, in milliseconds: the server may
--- a/src/serving/scheduler/host_demand.rs
+++ b/src/serving/scheduler/host_demand.rs
@@ -24,7 +24,7 @@
 }
 
 impl scheduler::ServiceQueue {
-    pub(super) fn waiting_without_key(&self) -> u32 {
+    fn waiting_without_key(&self) -> u32 {
         let waiting = self.entries.values();
         let count = waiting.filter(|w| w.request.key.is_none()).count();
         u32::try_from(count).unwrap_or(u32::MAX)
--- a/src/serving/scheduler/mod.rs
+++ b/src/serving/scheduler/mod.rs
@@ -10,7 +10,6 @@
 mod evacuation;
 mod host_demand;
 mod selection;
-pub mod share;
 mod shutdown;
 mod tracked_server;
 mod wait_estimate;
@@ -177,7 +176,6 @@
             return;
         }
         self.view = sync::Arc::clone(view);
-        let host = view.host.as_ref().map_or("", |host| host.as_str());
         for (name, known) in view.servers.iter() {
             match self.servers.get_mut(name) {
                 Some(server) if server.record.life == known.record.life => {
@@ -187,9 +185,7 @@
                 _ => {
                     let record = sync::Arc::clone(&known.record);
                     let drained_at = self.settings.drained_at(known);
-                    let room = tracked_server::room(&record);
-                    let token = share::ShareToken::new(host, name, room, view.hosts);
-                    let server = tracked_server::TrackedServer::new(record, drained_at, token);
+                    let server = tracked_server::TrackedServer::new(record, drained_at);
                     self.servers.insert(name.clone(), server);
                 }
             }
@@ -213,7 +209,6 @@
         now: clock::MonoTime,
     ) -> Result<WaitTicket, SchedulerRefusal> {
         self.draw_budget(&request)?;
-        self.fill_owner_token(&request, now);
         if !request.is_retry {
             self.check_wait(&request, now)?;
         }
@@ -253,7 +248,6 @@
         elapsed: time::Duration,
         now: clock::MonoTime,
     ) {
-        self.fill_tokens(|server| server.record.life == *incarnation, now);
         let Some(server) = self.servers.get_mut(&incarnation.server) else {
             return;
         };
@@ -336,7 +330,6 @@
         now: clock::MonoTime,
         events: &mut Vec<SchedulerEvent>,
     ) {
-        self.fill_tokens(|server| server.record.service == *service, now);
         let Some(queue) = self.queues.get_mut(service) else {
             return;
         };
@@ -357,7 +350,9 @@
             }
             match self.decide(&waiting, service_ms, now) {
                 selection::Decision::Send(record) => {
-                    self.start(&record.life.server);
+                    if let Some(server) = self.servers.get_mut(&record.life.server) {
+                        server.running += 1;
+                    }
                     events.push(SchedulerEvent::Assigned(place.1, record));
                 }
                 selection::Decision::GiveUp(refusal) => {
@@ -378,7 +373,6 @@
         if let Some(queue) = self.queues.get_mut(service) {
             queue.entries = kept;
         }
-        self.note_pool_waiting(service);
     }
 
     // Why too little time is left for a server to respond, if it is.
--- a/src/serving/scheduler/selection.rs
+++ b/src/serving/scheduler/selection.rs
@@ -53,7 +53,7 @@
         let Some(server) = server.filter(|server| server.accepts_keyed(incarnation, now)) else {
             return Self::decide_unavailable(waiting, now);
         };
-        if self.has_room(server, waiting, now) {
+        if self.has_room(server, now) {
             return Decision::Send(sync::Arc::clone(&server.record));
         }
         let cold_wait_ms = self.cold_wait_ms(server, 0.0, now);
@@ -96,7 +96,7 @@
         let free: Vec<_> = usable
             .iter()
             .copied()
-            .filter(|server| self.has_room(server, waiting, now))
+            .filter(|server| self.has_room(server, now))
             .collect();
         if free.is_empty() {
             return Decision::PoolFull;
--- a/src/serving/scheduler/tracked_server.rs
+++ b/src/serving/scheduler/tracked_server.rs
@@ -9,7 +9,6 @@
 use crate::serving::directory;
 use crate::serving::estimate;
 use crate::serving::scheduler;
-use crate::serving::scheduler::share;
 
 pub(super) struct TrackedServer {
     pub(super) record: sync::Arc<directory::ServerRecord>,
@@ -21,12 +20,6 @@
     pub(super) evacuated_until: Option<clock::MonoTime>,
     pub(super) running: u32,
     pub(super) waiting: u32,
-    // This host's requests that wait for any server of the service, in equal parts at each.
-    pub(super) pool_part: f64,
-    // What one such request counts at the server.
-    pub(super) pool_unit: f64,
-    pub(super) token: share::ShareToken,
-    pub(super) smoothed: share::SmoothedDemand,
     pub(super) estimate: estimate::ServerEstimate,
     // The service times of the requests answered since the last report, in milliseconds, and their
     // number.
@@ -39,7 +32,6 @@
     pub(super) fn new(
         record: sync::Arc<directory::ServerRecord>,
         drained_at: Option<clock::MonoTime>,
-        token: share::ShareToken,
     ) -> Self {
         Self {
             record,
@@ -48,26 +40,12 @@
             evacuated_until: None,
             running: 0,
             waiting: 0,
-            pool_part: 0.0,
-            pool_unit: 1.0,
-            token,
-            smoothed: share::SmoothedDemand::new(),
             estimate: estimate::ServerEstimate::new(),
             answered: (0.0, 0),
             arrivals: cold::ArrivalWindow::new(),
         }
     }
 
-    // How many requests all hosts together may have running at the server.
-    pub(super) fn room(&self) -> f64 {
-        room(&self.record)
-    }
-
-    // The running and waiting requests of this host.
-    pub(super) fn demand(&self) -> f64 {
-        f64::from(self.running + self.waiting) + self.pool_part
-    }
-
     pub(super) fn service_ms(&self) -> f64 {
         self.estimate
             .service_ms()
@@ -96,7 +74,3 @@
             && !self.estimate.is_backing_off(now)
     }
 }
-
-pub(super) fn room(record: &directory::ServerRecord) -> f64 {
-    f64::from(record.slots) * scheduler::REQUESTS_PER_SLOT
-}
--- a/src/serving/scheduler/wait_estimate.rs
+++ b/src/serving/scheduler/wait_estimate.rs
@@ -6,6 +6,7 @@
 use crate::names;
 use crate::ownership::assignment;
 use crate::serving::scheduler;
+use crate::serving::scheduler::tracked_server;
 use crate::serving::view;
 
 impl scheduler::RequestScheduler {
@@ -94,17 +95,10 @@
         if !server.accepts_keyed(incarnation, now) {
             return f64::INFINITY;
         }
-        let cold_wait_ms = self.cold_wait_ms(server, ahead, now);
-        let share = self.share(server);
-        let service_ms = server.service_ms();
-        if share.is_metered() {
-            let rate = share.rate_per_ms(service_ms);
-            return server.token.wait_ms(ahead + 1.0, rate).max(cold_wait_ms);
-        }
-        let limit = share.limit();
+        let limit = self.limit(server);
         let queued = ahead + f64::from(server.running) - limit + 1.0;
-        let wait_ms = (queued.max(0.0) / limit) * service_ms;
-        wait_ms.max(cold_wait_ms)
+        let wait_ms = (queued.max(0.0) / limit) * server.service_ms();
+        wait_ms.max(self.cold_wait_ms(server, ahead, now))
     }
 
     fn pool_wait_ms(
@@ -121,10 +115,11 @@
             let closed = self.closed_pool_wait_ms(request, now);
             return closed.unwrap_or(f64::INFINITY);
         }
-        let starts = usable.iter().map(|server| self.starts(server, now));
-        let (open, rate_per_ms) =
-            starts.fold((0.0, 0.0), |sum, (open, rate)| (sum.0 + open, sum.1 + rate));
-        (ahead + 1.0 - open).max(0.0) / rate_per_ms
+        let capacities = usable.iter().map(|server| self.capacity(server, now));
+        let (room, rate) = capacities.fold((0.0, 0.0), |sum, one| (sum.0 + one.0, sum.1 + one.1));
+        let running: u32 = usable.iter().map(|server| server.running).sum();
+        let queued = ahead + f64::from(running) - room + 1.0;
+        queued.max(0.0) / rate
     }
 
     // The number of matching requests that are ahead of `request` in the queue.
@@ -170,4 +165,15 @@
         }
         known.iter().sum::<f64>() / scheduler::to_f64(known.len())
     }
+
+    // How many requests this host may have running at a server: the room that the other hosts'
+    // demand leaves, or its share in proportion to demand where that is more.
+    pub(super) fn limit(&self, server: &tracked_server::TrackedServer) -> f64 {
+        let room = f64::from(server.record.slots) * scheduler::REQUESTS_PER_SLOT;
+        let others = self.view.demand.get(&server.record.life.server);
+        let others = others.copied().unwrap_or(0.0);
+        let own = f64::from(server.running + server.waiting).max(1.0);
+        let share = room * own / (own + others);
+        share.max(room - others).clamp(1.0, room.max(1.0))
+    }
 }
--- a/src/serving/upstream.rs
+++ b/src/serving/upstream.rs
@@ -207,15 +207,6 @@
         fault.is_some_and(|fault| fault.kind == FaultKind::Unresponsive && fault.delay >= gone)
     }
 
-    /// Returns the number of other hosts that are not gone.
-    #[must_use]
-    pub fn present(&self, hosts: &HostRegistry) -> usize {
-        hosts
-            .values()
-            .filter(|record| !self.is_gone(record))
-            .count()
-    }
-
     /// Returns this host's rank among the hosts of its domain that are not gone, 0 for the first.
     #[must_use]
     pub fn rank(&self, hosts: &HostRegistry) -> usize {
--- a/src/serving/view.rs
+++ b/src/serving/view.rs
@@ -69,17 +69,12 @@
     pub ages: sync::Arc<ages::RangeAges>,
     /// The sum of the other hosts' demand at each server.
     pub demand: sync::Arc<ServerDemand>,
-    /// Whether the other hosts' demand is known; it is not before the first report, and while reports are
-    /// missing or old.
-    pub is_demand_known: bool,
     /// How many hosts are up, including this one.
     pub hosts: usize,
     /// The failure domains that are evacuated or return.
     pub evacuated: sync::Arc<evacuation::EvacuatedDomains>,
     /// The servers that are cold, with this host's part of the requests that they can bear.
     pub cold: sync::Arc<cold::ColdServers>,
-    /// This host, once it is known.
-    pub host: Option<names::HostName>,
 }
 
 impl ServingView {
@@ -93,25 +88,12 @@
             table: sync::Arc::default(),
             ages: sync::Arc::default(),
             demand: sync::Arc::default(),
-            is_demand_known: true,
             hosts: 1,
             evacuated: sync::Arc::default(),
             cold: sync::Arc::default(),
-            host: None,
         }
     }
 
-    /// Returns the other hosts' demand at a server. Where it is not known, each of them counts as wanting
-    /// what this host wants, so that all get equal parts.
-    #[must_use]
-    pub fn other_demand(&self, server: &names::ServerName, own: f64) -> f64 {
-        if self.is_demand_known {
-            return self.demand.get(server).copied().unwrap_or(0.0);
-        }
-        let others = u32::try_from(self.hosts.saturating_sub(1)).unwrap_or(u32::MAX);
-        own * f64::from(others)
-    }
-
     /// Returns the state of a key's ownership.
     #[must_use]
     pub fn owner(&self, service: &names::ServiceName, key: u16) -> KeyOwner<'_> {
