Keep half of the memory for what the account does not count

Cause: two thirds were granted. The allocator and the library's buffers need more room.

Change: half of what the idle process leaves is the account.

--- a/src/memory/limits.rs
+++ b/src/memory/limits.rs
@@ -39,13 +39,13 @@
 }
 
 impl ProcessLimits {
-    /// Derives the limits from a machine's memory, in MiB, and its descriptors. A third of what the
+    /// Derives the limits from a machine's memory, in MiB, and its descriptors. Half of what the
     /// idle process leaves is kept for the allocator and the library's buffers; a quarter of the
     /// descriptors that are not reserved is kept for connections to servers.
     #[must_use]
     pub fn new(memory_mb: u64, descriptors: u64) -> Self {
         let memory = memory_mb.max(MIN_MEMORY_MB) << 20;
-        let bytes = (memory - BASE_BYTES) / 3 * 2;
+        let bytes = (memory - BASE_BYTES) / 2;
         let usable = descriptors.max(MIN_DESCRIPTORS) - RESERVED_DESCRIPTORS;
         Self {
             bytes,
