End the exchange with a server when the caller leaves a streamed response

Cause: the task that hands on a streamed response noticed that the caller had left only with the server's next chunk, so a server that was working on the rest went on until the request's deadline.

Change: the task also ends when the stream to the caller is dropped.

Tested: tests/caller_disconnects.rs, which failed before.

--- a/src/edge/router/front/pump.rs
+++ b/src/edge/router/front/pump.rs
@@ -79,6 +79,8 @@
     let ended: Option<Result<bool, http_client::HttpError>> = tokio::select! {
         ended = tokio::time::timeout(left, passed) => ended.ok(),
         () = reservation.evicted() => None,
+        // The server must not work on for a caller that has left.
+        () = sender.closed() => Some(Ok(false)),
     };
     let fault = match ended {
         Some(Ok(true)) => {
