Take out the spreading of hot spots and the phases of renewals

The spreading acts on the load of a quarter of a second, which is noise where a server has 2 slots: it is the suspected cause, not traced. The phases of renewals were not measured by themselves.

Change: both are out, as are plans that no longer wait after completed moves. A key that overloads any server still stays where it is.

--- a/src/ownership/granter/mod.rs
+++ b/src/ownership/granter/mod.rs
@@ -6,7 +6,6 @@
 mod evacuations;
 mod orders;
 mod plans;
-pub mod renewals;
 mod unresponsive;
 
 use std::collections;
--- a/src/ownership/granter/orders.rs
+++ b/src/ownership/granter/orders.rs
@@ -6,7 +6,6 @@
 use crate::clock;
 use crate::ownership::assignment;
 use crate::ownership::granter;
-use crate::ownership::granter::renewals;
 use crate::ownership::hold_expiry;
 use crate::ownership::order;
 use crate::ownership::tracked_range;
@@ -51,7 +50,7 @@
                 return false;
             }
         };
-        tracked.next_order_at = renewals::due_at(&order.range, renewal, now);
+        tracked.next_order_at = now + renewal;
         let Some(step) = self.range_chart.step_unguarded(tracked.state, event) else {
             return false;
         };
--- a/src/ownership/granter/plans.rs
+++ b/src/ownership/granter/plans.rs
@@ -90,10 +90,7 @@
         if !changed {
             return None;
         }
-        // A table that only completes earlier moves does not put off the next ones.
-        if settled {
-            self.planned_at = now;
-        }
+        self.planned_at = now;
         Some(next)
     }
 
--- a/src/ownership/plan/mod.rs
+++ b/src/ownership/plan.rs
@@ -1,8 +1,6 @@
 //! Plans assignments: reassigns the ranges of lost servers, gives keys to new servers and balances
 //! load. A plan changes a copy of the assignment table, which takes effect once it is in the log.
 
-pub mod hot_spot;
-
 use std::collections;
 
 use crate::names;
@@ -87,15 +85,7 @@
     if plan.candidates.is_empty() {
         return false;
     }
-    let mut ranges = table.services.remove(service).unwrap_or_default();
-    let mut changed = false;
-    // Before ordinary balancing, which would move parts that are too large for one server.
-    if plan.may_move {
-        let quick = &plan.key_loads.quick;
-        let mut state = PlanState::new(table, plan.candidates, quick, ranges);
-        state.spread_hot_spots();
-        (ranges, changed) = (state.ranges, state.changed);
-    }
+    let ranges = table.services.remove(service).unwrap_or_default();
     let mut state = PlanState::new(table, plan.candidates, &plan.key_loads.steady, ranges);
     if state.ranges.is_empty() {
         state.assign_initially();
@@ -106,8 +96,7 @@
             state.move_for_load(STEADY_GAP);
         }
     }
-    changed |= state.changed;
-    ranges = state.ranges;
+    let (ranges, mut changed) = (state.ranges, state.changed);
     let mut quick = PlanState::new(table, plan.candidates, &plan.key_loads.quick, ranges);
     if plan.may_move {
         quick.move_for_load(QUICK_GAP);
@@ -153,28 +142,17 @@
                 *load += key_loads.range(range.first, range.last);
             }
         }
-        let mut state = Self {
+        let capacity: f64 = candidates.iter().map(CandidateServer::capacity).sum();
+        let filled = key_loads.range(0, assignment::MAX_KEY) / capacity.max(f64::MIN_POSITIVE);
+        Self {
             table,
             candidates,
             key_loads,
             ranges,
             loads,
-            slowness: 0.0,
+            slowness: SLOWNESS_WEIGHT * (1.0 - filled).clamp(0.0, 1.0),
             changed: false,
-        };
-        state.slowness = SLOWNESS_WEIGHT * (1.0 - state.filled()).clamp(0.0, 1.0);
-        state
-    }
-
-    // The load of all keys as a fraction of the capacity of all servers.
-    fn filled(&self) -> f64 {
-        let capacity: f64 = self.candidates.iter().map(CandidateServer::capacity).sum();
-        self.key_loads.range(0, assignment::MAX_KEY) / capacity.max(f64::MIN_POSITIVE)
-    }
-
-    // The number of ranges from which no more are split for load.
-    fn max_ranges(&self) -> usize {
-        self.candidates.len() * MAX_RANGES_PER_SERVER
+        }
     }
 
     // Assigns equal numbers of keys to all candidates.
@@ -240,7 +218,7 @@
 
     fn move_for_load(&mut self, gap: f64) {
         for _ in 0..MAX_MOVES {
-            if self.ranges.len() >= self.max_ranges() {
+            if self.ranges.len() >= self.candidates.len() * MAX_RANGES_PER_SERVER {
                 return;
             }
             let (most_loaded, least_loaded) = (self.most_loaded(), self.least_loaded());
