--- a/tests/metrics.rs
+++ b/tests/metrics.rs
@@ -43,6 +43,7 @@
     metrics.note_order("grant", "done");
     metrics.note_record_refused("routes");
     metrics.note_status_exchange("done");
+    metrics.note_evacuation_ignored("duplicate");
     let text = metrics.encode().expect("the metrics are encoded as text");
     let with_prefix = documented("## What to watch").into_iter();
     let documented: NameSet = with_prefix.map(|n| format!("{ROUTER_PREFIX}{n}")).collect();
