--- a/review/standins-2/machines.rs
+++ b/review/standins-2/machines.rs
@@ -3,6 +3,7 @@
 //! The check is the rule **Fault** as written: on a tenth of the machines in use, two at least, processes end
 //! by themselves three times in the day with no disruption there; memory over the limit counts.
 
+use std::fs;
 use std::io;
 use std::net;
 use std::sync;
@@ -10,6 +11,7 @@
 use std::thread;
 use std::time;
 
+use crate::ordinary;
 use crate::record;
 use crate::site;
 
@@ -82,6 +84,7 @@
 fn strike(
     mut machine: site::Machine,
     limit_mb: u64,
+    orders: &ordinary::OrderLedger,
     crowd: &(impl Fn(&CrowdTask) -> io::Result<String> + Sync),
 ) -> io::Result<usize> {
     let record = machine.record().clone();
@@ -94,16 +97,31 @@
             ended: sync::Arc::default(),
         };
         let done = atomic::AtomicBool::new(false);
-        let has_ended = thread::scope(|scope| {
-            scope.spawn(|| {
-                let told = crowd(&task).unwrap_or_else(|error| error.to_string());
-                record.tell(&format!("{} crowd {round}: {told}", machine.name()));
+        let (has_ended, sent) = thread::scope(|scope| {
+            let sender = scope.spawn(|| {
+                let sent = crowd(&task);
                 done.store(true, atomic::Ordering::Relaxed);
+                sent
             });
+            let caller =
+                scope.spawn(|| orders.send(&task, || done.load(atomic::Ordering::Relaxed)));
             let has_ended = watch(&machine, limit_mb, &done, &record);
             task.ended.store(true, atomic::Ordering::Relaxed);
-            has_ended
+            let (answered, lost) = caller.join().expect("a caller panicked");
+            record.tell(&format!(
+                "{}: {answered} ordinary orders answered, begun and never answered: {lost:?}",
+                machine.name()
+            ));
+            (has_ended, sender.join().expect("a crowd panicked"))
         });
+        match sent {
+            Ok(told) => record.tell(&format!("{} crowd {round}: {told}", machine.name())),
+            // A crowd ends with its process.
+            Err(error) if has_ended => {
+                record.note(&format!("{} crowd {round}: {error}", machine.name()))
+            }
+            Err(error) => return Err(error),
+        }
         if has_ended {
             ends += 1;
             thread::sleep(time::Duration::from_millis(RESTART_MS));
@@ -113,17 +131,32 @@
     Ok(ends)
 }
 
+/// Fails where this process may not open as many descriptors as a case needs.
+pub fn check_descriptors(needed: u64) -> io::Result<()> {
+    let limits = fs::read_to_string("/proc/self/limits")?;
+    let line = limits
+        .lines()
+        .find(|line| line.starts_with("Max open files"));
+    let allowed = line.and_then(|line| line.split_whitespace().nth(3)?.parse::<u64>().ok());
+    if allowed.is_some_and(|allowed| allowed < needed) {
+        return Err(io::Error::other(format!("{needed} descriptors are needed")));
+    }
+    Ok(())
+}
+
 /// Sends crowds to all machines at a time. Reports whether the rule is broken.
 pub fn strike_all(
     machines: Vec<site::Machine>,
     limit_mb: u64,
     record: &record::Record,
+    orders: &ordinary::OrderLedger,
     crowd: impl Fn(&CrowdTask) -> io::Result<String> + Sync,
 ) -> io::Result<bool> {
     let crowd = &crowd;
     let ends = thread::scope(|scope| {
         let struck = machines.into_iter();
-        let struck = struck.map(|machine| scope.spawn(move || strike(machine, limit_mb, crowd)));
+        let struck =
+            struck.map(|machine| scope.spawn(move || strike(machine, limit_mb, orders, crowd)));
         let struck: Vec<_> = struck.collect();
         let ends = struck
             .into_iter()
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -5,6 +5,7 @@
 mod leaving_case;
 mod machines;
 mod memory_cases;
+mod ordinary;
 mod record;
 mod site;
 mod stop_case;
--- a/review/standins-2/memory_cases.rs
+++ b/review/standins-2/memory_cases.rs
@@ -10,6 +10,7 @@
 
 use crate::http;
 use crate::machines;
+use crate::ordinary;
 use crate::record;
 use crate::site;
 use crate::worker;
@@ -17,6 +18,9 @@
 /// How long a client waits for an answer, in seconds.
 const READ_TIMEOUT_S: u64 = 10;
 
+/// The descriptors that this process and the routers need at most.
+const DESCRIPTORS: u64 = 8_000;
+
 // The statuses that a crowd got, 0 for a connection that ended without an answer.
 type Statuses = collections::BTreeMap<u16, usize>;
 
@@ -75,12 +79,20 @@
         .collect()
 }
 
+// Puts a configuration with the route of a crowd and that of ordinary orders in force.
+fn configure(site: &site::Site, service: &str, route: &str) {
+    let orders = site::route("orders", ordinary::PREFIX, "unsafe", ordinary::SERVICE);
+    let services = [service, ordinary::SERVICE];
+    site.configure(3, &services, &format!("{route},{orders}"));
+}
+
 /// The uploads of one crowd, and the size of each, in bytes: the sheet has up to 360,000.
 const UPLOADS: usize = 3_200;
 const UPLOAD_BYTES: usize = 300_000;
 
 /// Each client sends one upload, is answered and keeps its connection. Without trouble it closes it.
 pub fn idle_after_upload(record: &record::Record, trouble: bool) -> io::Result<bool> {
+    machines::check_descriptors(DESCRIPTORS)?;
     let limits = site::MachineLimits {
         memory_mb: 390,
         max_fds: 6_150,
@@ -92,13 +104,14 @@
         connection.respond("200 OK", &worker::answer_headers(head), b"stored")?;
         Ok(true)
     })?;
-    site.configure(
-        3,
-        &["returns"],
+    let orders = ordinary::OrderLedger::start(&site)?;
+    configure(
+        &site,
+        "returns",
         &site::route("sheets", "/sheets/", "upload", "returns"),
     );
     let machines = start_machines(&site, limits)?;
-    machines::strike_all(machines, limits.memory_mb, record, |task| {
+    machines::strike_all(machines, limits.memory_mb, record, &orders, |task| {
         let body = vec![b's'; UPLOAD_BYTES];
         let mut kept = Vec::new();
         let mut statuses = Statuses::new();
@@ -140,6 +153,7 @@
 /// Each client sends further safe requests before the first has been answered. Without trouble it waits for each
 /// answer.
 pub fn pipelined_requests(record: &record::Record, trouble: bool) -> io::Result<bool> {
+    machines::check_descriptors(DESCRIPTORS)?;
     let limits = site::MachineLimits {
         memory_mb: 160,
         max_fds: 4_100,
@@ -151,14 +165,15 @@
         connection.respond("200 OK", &worker::answer_headers(head), b"roster")?;
         Ok(true)
     })?;
-    site.configure(
-        3,
-        &["roster"],
+    let orders = ordinary::OrderLedger::start(&site)?;
+    configure(
+        &site,
+        "roster",
         &site::route("view", "/view/", "safe", "roster"),
     );
     let machines = start_machines(&site, limits)?;
     let cookie = format!("cookie: {}\r\n", "c".repeat(COOKIE_BYTES));
-    machines::strike_all(machines, limits.memory_mb, record, |task| {
+    machines::strike_all(machines, limits.memory_mb, record, &orders, |task| {
         let mut statuses = Statuses::new();
         let mut clients = Vec::new();
         for number in 0..PIPELINING_CLIENTS {
@@ -209,6 +224,7 @@
 
 /// Each client reads its response slowly. Without trouble it reads it at once.
 pub fn slow_readers(record: &record::Record, trouble: bool) -> io::Result<bool> {
+    machines::check_descriptors(DESCRIPTORS)?;
     let limits = site::MachineLimits {
         memory_mb: 160,
         max_fds: 4_100,
@@ -228,13 +244,14 @@
         }
         Ok(true)
     })?;
-    site.configure(
-        3,
-        &["plans"],
+    let orders = ordinary::OrderLedger::start(&site)?;
+    configure(
+        &site,
+        "plans",
         &site::route("plan", "/plan/", "safe", "plans"),
     );
     let machines = start_machines(&site, limits)?;
-    machines::strike_all(machines, limits.memory_mb, record, |task| {
+    machines::strike_all(machines, limits.memory_mb, record, &orders, |task| {
         let statuses = sync::Mutex::new(Statuses::new());
         thread::scope(|scope| {
             for number in 0..READING_CLIENTS {
