--- a/review/12/case.py
+++ b/review/7/case.py
@@ -18,8 +18,13 @@
 CUT_S = 5.5
 # How long the worker is down, in seconds.
 DOWN_S = 0.3
+# How often this is played, as long as the rule has held: where the former granter renews a hold after the release and
+# before the crash, it is refused, and renews no more.
+ROUNDS = 2
 # How long two workers may hold the same keys, in seconds.
 MOST_HELD_S = 0.5
+# For how long after the end of a cut grants don't count, in seconds.
+THAW_S = 0.3
 
 
 def granter_of(routers):
@@ -41,6 +46,7 @@
         self.workers, self.record = workers, record
         # The two workers with their lives, and the keys: when that began, and when it was seen last.
         self.spans = {}
+        self.healed_at = []
 
     async def watch(self, stop):
         while not stop.is_set():
@@ -64,6 +70,8 @@
         """Returns how many times the rule was broken: held for too long, or requests begun by both."""
         count = 0
         for (one, one_life, other, other_life, first, last), (since, until) in self.spans.items():
+            if any(healed <= since <= healed + THAW_S for healed in self.healed_at):
+                continue
             begun = [
                 sum(
                     1
@@ -96,9 +104,9 @@
         await standin.serve_peers(gateway, gateways[1 - number])
     workers = [
         standin.Worker(store, record, f"w-{number}", "stock", ports.pop())
-        for number in range(1, WORKERS + 2)
+        for number in range(1, WORKERS + ROUNDS + 1)
     ]
-    for worker in workers[:-1]:
+    for worker in workers[:WORKERS]:
         await worker.start()
     for number, gateway in enumerate(gateways):
         own = (ports.pop(), ports.pop(), gateway.inner_port, ports.pop())
@@ -113,12 +121,39 @@
     return gateways, workers
 
 
+async def play_round(gateways, workers, added, routers, watch):
+    """Adds a worker and, with the disruption, cuts the granter off meanwhile and crashes a former holder."""
+    record = watch.record
+    granter = granter_of(routers)
+    record.note("granter", host=routers[granter].name)
+    if not standin.is_troubled():
+        await added.start()
+        await asyncio.sleep(CUT_S + 3)
+        return
+    cut_at = time.monotonic()
+    record.note("cut", host=routers[granter].name)
+    gateways[granter].cut()
+    # An empty worker is added; it gets keys of others.
+    await added.start()
+    await standin.wait_for(added.held, CUT_S - 1, "no keys moved while the host was cut off")
+    fence = added.held()[0][2]
+    others = [worker for worker in workers if worker is not added and worker.is_up]
+    formers = [worker for worker in others if any(seen[2] == fence for seen in worker.seen)]
+    if not formers:
+        raise standin.CannotRun("the moved keys had no former holder")
+    formers[0].crash()
+    await asyncio.sleep(DOWN_S)
+    await formers[0].start()
+    await asyncio.sleep(max(0, cut_at + CUT_S - time.monotonic()))
+    watch.healed_at.append(time.monotonic())
+    gateways[granter].heal()
+    record.note("healed", host=routers[granter].name)
+    await asyncio.sleep(3)
+
+
 async def play(folder, record, routers):
     gateways, workers = await start_site(folder, record, routers)
-    added = workers[-1]
     await asyncio.sleep(2)
-    granter = granter_of(routers)
-    record.note("granter", host=routers[granter].name)
     stop = asyncio.Event()
 
     async def client(number):
@@ -139,32 +174,15 @@
     tasks.append(asyncio.create_task(watch.watch(stop)))
     await asyncio.sleep(2)
 
-    cut_at = time.monotonic()
-    if standin.is_troubled():
-        record.note("cut", host=routers[granter].name)
-        gateways[granter].cut()
-    # An empty worker is added; it gets keys of others.
-    await added.start()
-    if standin.is_troubled():
-        await standin.wait_for(added.held, CUT_S - 1, "no keys moved while the host was cut off")
-        fence = added.held()[0][2]
-        formers = [
-            worker for worker in workers[:-1] if any(seen[2] == fence for seen in worker.seen)
-        ]
-        if not formers:
-            raise standin.CannotRun("the moved keys had no former holder")
-        formers[0].crash()
-        await asyncio.sleep(DOWN_S)
-        await formers[0].start()
-        await asyncio.sleep(max(0, cut_at + CUT_S - time.monotonic()))
-        gateways[granter].heal()
-        record.note("healed", host=routers[granter].name)
-        await asyncio.sleep(3)
-    else:
-        await asyncio.sleep(CUT_S + 3)
+    is_broken = False
+    for added in workers[WORKERS:]:
+        await play_round(gateways, workers, added, routers, watch)
+        is_broken = watch.broken() > 0
+        if is_broken:
+            break
     stop.set()
     await asyncio.gather(*tasks)
-    return 1 if watch.broken() else 0
+    return 1 if is_broken else 0
 
 
 standin.run(play)
--- a/review/standin.py
+++ b/review/standin.py
@@ -311,6 +311,7 @@
         self.server = None
         self.streams = set()
         self.life = 0
+        self.holds, self.seen = [], []
         self.body = b"ok"
         self.runs = []
 
