--- a/lab/src/fronts.rs
+++ b/lab/src/fronts.rs
@@ -18,6 +18,7 @@
 use zinniastack::edge::host;
 use zinniastack::edge::metrics;
 use zinniastack::edge::reservation;
+use zinniastack::edge::router::grant_relay;
 use zinniastack::edge::router::host as router_host;
 use zinniastack::edge::router::metrics as router_metrics;
 use zinniastack::edge::router::shutdown_watch;
@@ -91,6 +92,7 @@
             chart: sync::Arc::new(chart::ChartTable::new().expect("the chart is valid")),
             shutdown: watch,
             in_flight: sync::Arc::default(),
+            relay: grant_relay::new_relay().1,
             reports,
             clock,
             metrics: router_metrics::RouterMetrics::new(),
--- a/lab/src/grants/simulation/event.rs
+++ b/lab/src/grants/simulation/event.rs
@@ -8,6 +8,7 @@
 use zinniastack::ownership::assignment;
 use zinniastack::ownership::former_granters;
 use zinniastack::ownership::order;
+use zinniastack::serving::topic;
 
 #[derive(Clone, Debug)]
 pub(crate) enum SimulationEvent {
@@ -36,9 +37,22 @@
         host: usize,
         incarnation: u64,
         order: order::GrantOrder,
-        delivery: OrderDelivery,
+        sending: OrderSending,
         arrived: Option<clock::MonoTime>,
     },
+    Confirm {
+        host: usize,
+        incarnation: u64,
+        // The end of the log as the host knows it.
+        end: topic::LogPosition,
+        sent: clock::MonoTime,
+    },
+    Confirmed {
+        host: usize,
+        incarnation: u64,
+        is_unchanged: bool,
+        sent: clock::MonoTime,
+    },
     Granted {
         host: usize,
         incarnation: u64,
@@ -105,6 +119,13 @@
     AppliedLate,
 }
 
+// How a grant order is sent, and to which process of the server its connection leads.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct OrderSending {
+    pub(crate) delivery: OrderDelivery,
+    pub(crate) born: u64,
+}
+
 pub(crate) struct QueuedEvent {
     pub(super) at: clock::MonoTime,
     pub(super) number: u64,
--- a/lab/src/grants/simulation/held_orders.rs
+++ b/lab/src/grants/simulation/held_orders.rs
@@ -43,14 +43,17 @@
 #[derive(Clone, Debug)]
 pub(crate) struct HeldOrder {
     pub(crate) order: order::GrantOrder,
+    // The process of the server to which its connection leads.
+    born: u64,
     sent: clock::MonoTime,
     interval_ms: u64,
 }
 
 impl HeldOrder {
-    pub(crate) const fn new(order: order::GrantOrder, sent: clock::MonoTime) -> Self {
+    pub(crate) const fn new(order: order::GrantOrder, born: u64, sent: clock::MonoTime) -> Self {
         Self {
             order,
+            born,
             sent,
             interval_ms: FIRST_RESEND_MS,
         }
@@ -121,7 +124,10 @@
             host,
             incarnation: 0,
             order: held.order,
-            delivery: simulation::OrderDelivery::ResponseLost,
+            sending: simulation::OrderSending {
+                delivery: simulation::OrderDelivery::ResponseLost,
+                born: held.born,
+            },
             arrived: None,
         };
         self.push_at(arrives, arrival);
--- a/lab/src/grants/simulation/log.rs
+++ b/lab/src/grants/simulation/log.rs
@@ -154,6 +154,53 @@
         state.granter.note_read(end, now);
     }
 
+    pub(super) fn send_confirmation(&mut self, host: usize) {
+        let confirm = simulation::SimulationEvent::Confirm {
+            host,
+            incarnation: self.hosts[host].incarnation,
+            end: self.hosts[host].granter.log_end(),
+            sent: self.clock_of(host),
+        };
+        let delay = self.delay();
+        self.push(delay, confirm);
+    }
+
+    pub(super) fn answer_confirmation(
+        &mut self,
+        host: usize,
+        incarnation: u64,
+        end: topic::LogPosition,
+        sent: clock::MonoTime,
+    ) {
+        let newest = topic::LogPosition {
+            era: self.log.era,
+            offset: self.log.end(),
+        };
+        let confirmed = simulation::SimulationEvent::Confirmed {
+            host,
+            incarnation,
+            is_unchanged: self.store_serves(host) && newest == end,
+            sent,
+        };
+        let delay = self.delay();
+        self.push(delay, confirmed);
+    }
+
+    pub(super) fn note_confirmation(
+        &mut self,
+        host: usize,
+        is_unchanged: bool,
+        sent: clock::MonoTime,
+    ) {
+        let now = self.clock_of(host);
+        let granter = &mut self.hosts[host].granter;
+        if is_unchanged {
+            granter.note_confirmed(sent);
+        }
+        granter.note_confirmation_ended(is_unchanged, now);
+        self.decide(host);
+    }
+
     fn entries(&self) -> Vec<directory::ServerRecord> {
         let there = self.servers.iter().filter(|server| {
             let entry = time::Duration::from_millis(simulation::ENTRY_TTL_MS);
--- a/lab/src/grants/simulation/mod.rs
+++ b/lab/src/grants/simulation/mod.rs
@@ -3,6 +3,7 @@
 //! injected faults. Every step is checked.
 
 mod checks;
+mod connections;
 mod event;
 pub(crate) mod held_orders;
 mod log;
@@ -27,6 +28,7 @@
 use crate::grants::key_server;
 
 pub(crate) use crate::grants::simulation::event::OrderDelivery;
+pub(crate) use crate::grants::simulation::event::OrderSending;
 pub(crate) use crate::grants::simulation::event::QueuedEvent;
 pub(crate) use crate::grants::simulation::event::SimulationEvent;
 
@@ -71,6 +73,10 @@
     LapsedIsDead,
     /// A response from a former granter's host is taken as proof that the former granter has ended.
     AnswerIsEnd,
+    /// Grants are sent over connections that were opened after the last confirmation.
+    LateConnection,
+    /// Grants are sent over connections over which a request was refused, as if it had been run.
+    RefusedRequest,
 }
 
 pub(crate) struct SimulatedHost {
@@ -84,8 +90,8 @@
     pub(crate) cut_from_store: bool,
     pub(crate) cut_from_hosts: bool,
     pub(crate) cut_from: collections::BTreeSet<usize>,
-    // The servers to which the host has an open connection.
-    connected: collections::BTreeSet<usize>,
+    // The host's connections, by server.
+    pub(crate) connections: collections::BTreeMap<usize, connections::ServerConnection>,
     // The orders that were sent over such connections to servers that are cut off.
     pub(crate) held_orders: Vec<held_orders::HeldOrder>,
     pub(crate) delayed: Vec<SimulationEvent>,
@@ -195,10 +201,10 @@
     /// the other hosts, but not from the servers. Those compare only names, like the platform's: after
     /// a restart they carry out orders for their earlier incarnations.
     #[must_use]
-    pub fn with_cut_granters(seed: u64, faults: u32) -> Self {
+    pub fn with_cut_granters(seed: u64, faults: u32, mutation: GrantMutation) -> Self {
         Self {
             has_cut_granters: true,
-            ..Self::new(seed, faults, GrantMutation::None)
+            ..Self::new(seed, faults, mutation)
         }
     }
 
@@ -283,7 +289,7 @@
             cut_from_store: false,
             cut_from_hosts: false,
             cut_from: collections::BTreeSet::new(),
-            connected: collections::BTreeSet::new(),
+            connections: collections::BTreeMap::new(),
             held_orders: Vec::new(),
             delayed: Vec::new(),
         }
@@ -371,21 +377,33 @@
             }
             | SimulationEvent::Fenced {
                 host, incarnation, ..
+            }
+            | SimulationEvent::Confirmed {
+                host, incarnation, ..
             } => Some((*host, Some(*incarnation))),
             _ => None,
         }
     }
 
-    fn handle(&mut self, event: SimulationEvent) {
-        if let Some((host, incarnation)) = Self::host_of(&event) {
-            if incarnation.is_some_and(|incarnation| incarnation != self.hosts[host].incarnation) {
-                return;
-            }
-            if self.now < self.hosts[host].frozen_until {
-                self.hosts[host].delayed.push(event);
-                return;
-            }
+    // Drops an event for a process that has ended, and keeps one for a host that is frozen.
+    fn deliver(&mut self, event: SimulationEvent) -> Option<SimulationEvent> {
+        let Some((host, incarnation)) = Self::host_of(&event) else {
+            return Some(event);
+        };
+        if incarnation.is_some_and(|incarnation| incarnation != self.hosts[host].incarnation) {
+            return None;
+        }
+        if self.now < self.hosts[host].frozen_until {
+            self.hosts[host].delayed.push(event);
+            return None;
         }
+        Some(event)
+    }
+
+    fn handle(&mut self, event: SimulationEvent) {
+        let Some(event) = self.deliver(event) else {
+            return;
+        };
         match event {
             SimulationEvent::Tick(host) => self.tick(host),
             SimulationEvent::Read(host) => self.read(host),
@@ -413,27 +431,29 @@
                 host,
                 incarnation,
                 order,
-                delivery,
+                sending,
                 arrived,
             } => {
-                self.grant(host, incarnation, order, delivery, arrived);
+                self.grant(host, incarnation, order, sending, arrived);
             }
             SimulationEvent::Granted {
                 host,
                 order,
                 outcome,
                 ..
-            } => {
-                let now = self.clock_of(host);
-                if outcome == order::OrderOutcome::Done(None) {
-                    let server = self.server_of(&order.address);
-                    self.hosts[host].connected.insert(server);
-                }
-                let is_first = self.hosts[host].granter.note_granted(&order, &outcome, now);
-                if is_first {
-                    self.decide(host);
-                }
-            }
+            } => self.note_granted(host, &order, &outcome),
+            SimulationEvent::Confirm {
+                host,
+                incarnation,
+                end,
+                sent,
+            } => self.answer_confirmation(host, incarnation, end, sent),
+            SimulationEvent::Confirmed {
+                host,
+                is_unchanged,
+                sent,
+                ..
+            } => self.note_confirmation(host, is_unchanged, sent),
             SimulationEvent::Release {
                 host,
                 incarnation,
@@ -552,6 +572,7 @@
                 };
                 self.push(delay, fence);
             }
+            order::GranterAction::Confirm => self.send_confirmation(host),
             order::GranterAction::Yield => {
                 self.members.remove(&host);
                 self.hosts[host].granter.note_candidate(false);
--- a/lab/src/grants/simulation/orders.rs
+++ b/lab/src/grants/simulation/orders.rs
@@ -17,9 +17,11 @@
         if self.is_cut(host, server) || !self.servers[server].alive {
             // An order sent over a connection that was open before the server became unreachable
             // gets no answer; after that, connecting mostly fails, and the order is unsent.
-            let has_connection = self.hosts[host].connected.remove(&server);
-            if has_connection && self.server_cuts.contains(server) {
-                let held = held_orders::HeldOrder::new(order.clone(), self.now);
+            let known = self.hosts[host].connections.remove(&server);
+            let known = known.filter(|known| known.has_answered);
+            let has_connection = known.is_some();
+            if let Some(known) = known.filter(|_| self.server_cuts.contains(server)) {
+                let held = held_orders::HeldOrder::new(order.clone(), known.born, self.now);
                 self.hosts[host].held_orders.push(held);
             }
             let sent = has_connection || (!self.is_reliable && self.chance(20));
@@ -39,6 +41,18 @@
             );
             return;
         }
+        let Some(born) = self.connect(host, server, &order) else {
+            let outcome = order::OrderOutcome::Withheld;
+            let withheld = simulation::SimulationEvent::Granted {
+                host,
+                incarnation,
+                order,
+                outcome,
+            };
+            let delay = self.delay();
+            self.push(delay, withheld);
+            return;
+        };
         let delivery = match self.random.random_range(0..40) {
             _ if self.is_reliable => simulation::OrderDelivery::Answered,
             0 => simulation::OrderDelivery::ResponseLost,
@@ -73,7 +87,7 @@
                 host,
                 incarnation,
                 order,
-                delivery,
+                sending: simulation::OrderSending { delivery, born },
                 arrived: None,
             },
         );
@@ -84,10 +98,11 @@
         host: usize,
         incarnation: u64,
         order: order::GrantOrder,
-        delivery: simulation::OrderDelivery,
+        sending: simulation::OrderSending,
         arrived: Option<clock::MonoTime>,
     ) {
         let index = self.server_of(&order.address);
+        let delivery = sending.delivery;
         let is_postponed = delivery == simulation::OrderDelivery::AppliedLate && arrived.is_none();
         if is_postponed {
             let arrived = Some(self.now);
@@ -98,14 +113,15 @@
                     host,
                     incarnation,
                     order,
-                    delivery,
+                    sending,
                     arrived,
                 },
             );
             return;
         }
         let server = &mut self.servers[index];
-        if !server.alive {
+        // The connection ended with the process that it led to.
+        if !server.alive || server.server.incarnation.born != sending.born {
             if delivery == simulation::OrderDelivery::Answered {
                 let outcome = order::OrderOutcome::Unanswered;
                 let ended = simulation::SimulationEvent::Granted {
@@ -229,6 +245,22 @@
         );
     }
 
+    pub(super) fn note_granted(
+        &mut self,
+        host: usize,
+        order: &order::GrantOrder,
+        outcome: &order::OrderOutcome,
+    ) {
+        let now = self.clock_of(host);
+        if *outcome == order::OrderOutcome::Done(None) {
+            self.note_answered(host, order);
+        }
+        let granter = &mut self.hosts[host].granter;
+        if granter.note_granted(order, outcome, now) {
+            self.decide(host);
+        }
+    }
+
     pub(super) fn released(
         &mut self,
         host: usize,
--- a/src/edge/router/control/granting.rs
+++ b/src/edge/router/control/granting.rs
@@ -98,6 +98,9 @@
                 order::GranterAction::Fence(order) => {
                     actix::spawn(rc::Rc::clone(self).send_fence(order));
                 }
+                order::GranterAction::Confirm => {
+                    actix::spawn(rc::Rc::clone(self).confirm_role());
+                }
                 order::GranterAction::Yield => {
                     actix::spawn(rc::Rc::clone(self).yield_role());
                 }
@@ -111,6 +114,17 @@
         self.leave().await;
     }
 
+    // Confirms that no other host has claimed the granter role, and lets the granter decide.
+    async fn confirm_role(self: rc::Rc<Self>) {
+        let is_unchanged = self.read_confirmation().await;
+        let now = self.clock.now();
+        self.state
+            .borrow_mut()
+            .granter
+            .note_confirmation_ended(is_unchanged, now);
+        self.decide();
+    }
+
     async fn append_table(
         self: rc::Rc<Self>,
         number: u64,
@@ -198,7 +212,8 @@
         self.metrics.note_order("grant", outcome.as_str());
         let now = self.clock.now();
         let term = self.state.borrow().granter.table().term;
-        if !matches!(outcome, order::OrderOutcome::Done(_)) {
+        let is_withheld = outcome == order::OrderOutcome::Withheld;
+        if !is_withheld && !matches!(outcome, order::OrderOutcome::Done(_)) {
             tracing::warn!(
                 event = "grant-unanswered",
                 term,
@@ -214,7 +229,12 @@
         let changed = state.granter.note_granted(&order, &outcome, now);
         drop(state);
         if changed {
-            log_order("grant-ended", term, &order.range, &order.life, &outcome);
+            let event = if is_withheld {
+                "grant-withheld"
+            } else {
+                "grant-ended"
+            };
+            log_order(event, term, &order.range, &order.life, &outcome);
             self.decide();
         }
     }
--- a/src/edge/router/control/store.rs
+++ b/src/edge/router/control/store.rs
@@ -130,6 +130,26 @@
         }
     }
 
+    // Reads the assignment table's log without waiting. Reports whether it held nothing new.
+    pub(super) async fn read_confirmation(&self) -> bool {
+        let topic = topic::StoreTopic::Assignments;
+        let from = self.state.borrow().replicas[topic.index()].position();
+        let sent = self.clock.now();
+        let result = self
+            .store
+            .read(topic, from.offset, time::Duration::ZERO)
+            .await;
+        let update = match result {
+            Ok(batch) if batch.era != from.era => return false,
+            Ok(batch) if batch.next == from.offset => store_reader::StoreUpdate::Unchanged(sent),
+            Ok(batch) => store_reader::StoreUpdate::Batch(batch, sent),
+            Err(error) => store_reader::StoreUpdate::Failed(error),
+        };
+        let is_unchanged = matches!(update, store_reader::StoreUpdate::Unchanged(_));
+        self.apply_update(topic, store_reader::ReadPurpose::Confirm, update);
+        is_unchanged
+    }
+
     pub(super) fn note_store(&self, call: &'static str, purpose: &'static str, lost: bool) {
         let now = self.clock.now();
         let outcome = if lost { "failed" } else { "done" };
--- a/src/edge/router/exchange.rs
+++ b/src/edge/router/exchange.rs
@@ -3,6 +3,7 @@
 use std::net;
 
 use crate::edge::router::body;
+use crate::edge::router::connection_pool;
 use crate::edge::router::http_client;
 use crate::edge::router::ports;
 use crate::final_response;
@@ -45,12 +46,14 @@
 }
 
 /// How an attempt is made.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct AttemptOptions {
     /// The connection to the server.
     pub connection: ConnectionChoice,
     /// Up to which size a response is buffered, in bytes.
     pub buffered_bytes: usize,
+    /// The key of the request, where its service is sharded.
+    pub key: Option<connection_pool::ServiceKey>,
 }
 
 impl AttemptOptions {
@@ -60,6 +63,7 @@
         Self {
             connection,
             buffered_bytes: MAX_BUFFERED_RESPONSE_BYTES,
+            key: None,
         }
     }
 
@@ -69,6 +73,12 @@
         self.buffered_bytes = bytes;
         self
     }
+
+    /// Sets the key of the request.
+    #[must_use]
+    pub fn with_key(self, key: Option<connection_pool::ServiceKey>) -> Self {
+        Self { key, ..self }
+    }
 }
 
 /// Which connection a request is sent on.
@@ -204,6 +214,9 @@
             "step=check-response peer={peer} fault=\"unexpected content encoding\""
         ));
     }
+    if let Some(key) = options.key.filter(|_| status.is_success()) {
+        body.note_run(key);
+    }
     let (prefix, is_complete) = match read_prefix(&mut body, options.buffered_bytes).await {
         Ok(prefix) => prefix,
         Err(error) => return AttemptEnd::Broken(error.to_string()),
--- a/src/edge/router/front/mod.rs
+++ b/src/edge/router/front/mod.rs
@@ -16,6 +16,7 @@
 use crate::edge::caller_connection;
 use crate::edge::reservation;
 use crate::edge::router::body;
+use crate::edge::router::connection_pool;
 use crate::edge::router::exchange;
 use crate::edge::router::local_response;
 use crate::edge::router::ports;
@@ -354,6 +355,7 @@
         let id = self.headers.id.as_deref();
         let options = exchange::AttemptOptions::new(choice);
         let options = options.with_buffered_bytes(self.buffered_bytes());
+        let options = options.with_key(self.service_key());
         let client = &self.thread.client;
         let sent = exchange::attempt(codec, client, record.address, options, request, id);
         tokio::select! {
@@ -368,6 +370,12 @@
         }
     }
 
+    fn service_key(&self) -> Option<connection_pool::ServiceKey> {
+        let service = self.service.clone();
+        self.key
+            .map(|key| connection_pool::ServiceKey { service, key })
+    }
+
     // Adds the expected service time to the work of the request's key, whether or not the request
     // will be served. The mean over the servers of the service is used, so that the work of a key
     // does not depend on which server holds it.
--- a/src/edge/router/host.rs
+++ b/src/edge/router/host.rs
@@ -17,6 +17,7 @@
 use crate::edge::router::admin;
 use crate::edge::router::control;
 use crate::edge::router::front;
+use crate::edge::router::grant_relay;
 use crate::edge::router::local_response;
 use crate::edge::router::metrics;
 use crate::edge::router::ports;
@@ -85,7 +86,11 @@
     fn new_store(&self) -> Self::Store;
 
     /// Creates the sender of orders.
-    fn new_orders(&self) -> Self::Orders;
+    fn new_orders(
+        &self,
+        clock: clock::SystemClock,
+        relay: grant_relay::RelaySender,
+    ) -> Self::Orders;
 
     /// Creates the decoder of records.
     fn new_decoder(&self) -> Self::Decoder;
@@ -139,6 +144,7 @@
         let ready = sync::Arc::new(atomic::AtomicBool::new(false));
         let in_flight = sync::Arc::new(atomic::AtomicI64::new(0));
         let (shutdown, shutdown_watch) = shutdown_watch::ShutdownWatch::new();
+        let (relay, relay_in) = grant_relay::new_relay();
         let (reports, reports_in) = tokio::sync::mpsc::unbounded_channel();
         let chart = chart::ChartTable::new().map_err(|source| RouterError::Chart { source })?;
         let control = actix::Arbiter::new();
@@ -149,6 +155,7 @@
             view: sync::Arc::clone(&view),
             ready: sync::Arc::clone(&ready),
             reports: reports_in,
+            relay,
             shutdown: shutdown_watch.clone(),
         };
         start_control(&control, &settings, adapter.clone(), shared).await?;
@@ -159,6 +166,7 @@
             chart: sync::Arc::new(chart),
             shutdown: shutdown_watch.clone(),
             in_flight: sync::Arc::clone(&in_flight),
+            relay: relay_in,
             reports,
             clock,
             metrics: sync::Arc::clone(&metrics),
@@ -241,6 +249,7 @@
     view: traffic::SharedView,
     ready: sync::Arc<atomic::AtomicBool>,
     reports: tokio::sync::mpsc::UnboundedReceiver<traffic::TrafficReport>,
+    relay: grant_relay::RelaySender,
     shutdown: shutdown_watch::ShutdownWatch,
 }
 
@@ -281,7 +290,7 @@
     })?;
     let parts = control::ControlParts {
         store: adapter.new_store(),
-        orders: adapter.new_orders(),
+        orders: adapter.new_orders(shared.clock, shared.relay),
         decoder: adapter.new_decoder(),
         clock: shared.clock,
         view: shared.view,
--- a/src/edge/router/http_client.rs
+++ b/src/edge/router/http_client.rs
@@ -5,37 +5,27 @@
 //! `awc_takes_a_cut_body_for_whole`). hyper reports an error.
 
 use std::cell;
-use std::collections;
 use std::net;
 use std::rc;
 use std::time;
 
 use http_body_util::BodyExt as _;
 use hyper::body;
-use hyper::client::conn::http1;
-use hyper_util::rt;
 
+use crate::clock;
 use crate::edge::router::body as request_body;
+use crate::edge::router::connection_pool;
 use crate::edge::router::request_stream;
 
 /// Time-out of a connection attempt where the client has no other, in milliseconds.
 pub const CONNECT_TIMEOUT_MS: u64 = 300;
-/// `TCP_USER_TIMEOUT`: how long sent data may stay unacknowledged, in milliseconds.
-pub const UNACKED_TIMEOUT_MS: u64 = 1_000;
-/// Idle time before the first TCP keep-alive probe, in seconds.
-pub const KEEPALIVE_IDLE_S: u64 = 1;
-/// Unanswered keep-alive probes after which a connection is closed.
-pub const KEEPALIVE_PROBES: u32 = 2;
 /// How long an idle connection is reused where the peer states no keep-alive time-out, in
 /// milliseconds.
 pub const DEFAULT_IDLE_MS: u64 = 500;
-/// The part of the peer's keep-alive time-out during which a connection is reused, so that no
-/// request is sent while the peer closes the connection.
-pub const IDLE_REUSE_RATIO: f64 = 0.6;
-/// The number of idle connections that are kept for each address.
-pub const MAX_IDLE_CONNECTIONS: usize = 32;
 
-type RequestSender = http1::SendRequest<request_stream::TrackedBody>;
+/// How long an idle connection for grants is reused where the server states no keep-alive time-out, in
+/// milliseconds: beyond the interval of renewals. A grant may arrive twice.
+pub const GRANT_IDLE_MS: u64 = 6_000;
 
 /// Why an exchange failed.
 #[derive(Debug)]
@@ -62,38 +52,22 @@
         /// The cause.
         error: String,
     },
+    /// Nothing of the request was sent, since no connection leads to a process that may get it.
+    #[snafu(display("peer={peer} sent=no fault=\"no usable connection\""))]
+    NotUsable {
+        /// The address of the peer.
+        peer: net::SocketAddr,
+    },
 }
 
 impl HttpError {
     /// Reports whether nothing of the request was sent.
     #[must_use]
     pub const fn is_unsent(&self) -> bool {
-        matches!(self, Self::Unsent { .. })
+        matches!(self, Self::Unsent { .. } | Self::NotUsable { .. })
     }
 }
 
-// Aborts the connection's task when it is dropped, which closes the socket; the linger time of zero
-// makes that a reset.
-struct ConnectionTask(tokio::task::JoinHandle<()>);
-
-impl Drop for ConnectionTask {
-    fn drop(&mut self) {
-        self.0.abort();
-    }
-}
-
-struct HttpConnection {
-    sender: RequestSender,
-    state: request_stream::RequestState,
-    // Kept so that the task is aborted when the connection is dropped.
-    _task: ConnectionTask,
-}
-
-struct IdleConnection {
-    connection: HttpConnection,
-    expires: time::Instant,
-}
-
 /// A response whose body has not been read yet.
 pub struct HttpResponse {
     /// The status and the headers.
@@ -105,17 +79,18 @@
 /// The unread body of a response. Dropping it before the end resets the connection.
 pub struct ResponseBody {
     body: body::Incoming,
-    connection: HttpConnection,
+    connection: connection_pool::HttpConnection,
     peer: net::SocketAddr,
-    // How long the connection may be reused after this response; `None` where the peer closes it.
-    reuse_window: Option<time::Duration>,
+    reuse_window: connection_pool::ReuseWindow,
 }
 
 /// HTTP client of one thread, with a pool of idle connections for each address.
 #[derive(Clone)]
 pub struct HttpClient {
-    idle: rc::Rc<cell::RefCell<collections::HashMap<net::SocketAddr, Vec<IdleConnection>>>>,
+    idle: rc::Rc<cell::RefCell<connection_pool::ConnectionPool>>,
     connect_timeout: time::Duration,
+    default_idle: time::Duration,
+    clock: clock::SystemClock,
 }
 
 impl Default for HttpClient {
@@ -137,6 +112,23 @@
         Self {
             idle: rc::Rc::default(),
             connect_timeout,
+            default_idle: time::Duration::from_millis(DEFAULT_IDLE_MS),
+            clock: clock::SystemClock::new(),
+        }
+    }
+
+    /// Takes the times at which connections are opened from `clock`.
+    #[must_use]
+    pub fn with_clock(self, clock: clock::SystemClock) -> Self {
+        Self { clock, ..self }
+    }
+
+    /// Reuses a connection for `idle` where the peer states no keep-alive time-out.
+    #[must_use]
+    pub fn with_default_idle(self, idle: time::Duration) -> Self {
+        Self {
+            default_idle: idle,
+            ..self
         }
     }
 
@@ -150,15 +142,47 @@
         peer: net::SocketAddr,
         request: hyper::Request<request_body::RequestBody>,
     ) -> Result<HttpResponse, HttpError> {
-        let mut request = request;
-        while let Some(connection) = self.take_idle(peer) {
-            match exchange(peer, connection, request).await {
-                Ok(response) => return Ok(response),
-                Err(ExchangeError::Returned(unsent)) => request = *unsent,
-                Err(ExchangeError::Failed(error)) => return Err(error),
-            }
+        match send_idle(peer, request, || self.take(peer)).await {
+            Ok(response) => Ok(response),
+            Err(ExchangeError::Returned(request)) => self.send_anew(peer, *request).await,
+            Err(ExchangeError::Failed(error)) => Err(error),
+        }
+    }
+
+    /// Sends a request over an idle connection that the rule allows, and waits for the head of the
+    /// response. Where there is none, a new connection is kept for a later try.
+    ///
+    /// # Errors
+    /// Fails with `NotUsable` where there is no such connection, and otherwise like `send`.
+    pub async fn send_by(
+        &self,
+        rule: &connection_pool::ConnectionRule,
+        request: hyper::Request<request_body::RequestBody>,
+    ) -> Result<HttpResponse, HttpError> {
+        let peer = rule.peer;
+        let sent = match send_idle(peer, request, || self.take_allowed(rule)).await {
+            Ok(response) => return Ok(response),
+            Err(error) => error.or_not_usable(peer),
+        };
+        if matches!(sent, HttpError::NotUsable { .. }) && !self.idle.borrow_mut().has_idle(peer) {
+            self.open_idle(peer).await?;
         }
-        self.send_anew(peer, request).await
+        Err(sent)
+    }
+
+    // Opens a connection and adds it to the pool.
+    async fn open_idle(&self, peer: net::SocketAddr) -> Result<(), HttpError> {
+        let mut connection =
+            connection_pool::connect(peer, self.connect_timeout, self.clock).await?;
+        let ready = connection.sender.ready().await;
+        ready.map_err(|error| HttpError::Unsent {
+            step: "handshake",
+            peer,
+            error: error_chain(&error),
+        })?;
+        let idle = self.default_idle;
+        self.idle.borrow_mut().keep(peer, connection, idle);
+        Ok(())
     }
 
     /// Sends a request over a new connection and waits for the head of the response, which cannot
@@ -171,7 +195,7 @@
         peer: net::SocketAddr,
         request: hyper::Request<request_body::RequestBody>,
     ) -> Result<HttpResponse, HttpError> {
-        let connection = connect(peer, self.connect_timeout).await?;
+        let connection = connection_pool::connect(peer, self.connect_timeout, self.clock).await?;
         exchange(peer, connection, request)
             .await
             .map_err(|error| match error {
@@ -195,45 +219,34 @@
             reuse_window,
             ..
         } = body;
-        let Some(window) = reuse_window else {
-            return;
-        };
-        if connection.sender.is_closed() {
-            return;
-        }
-        connection.state.end();
-        let mut pools = self.idle.borrow_mut();
-        let pool = pools.entry(peer).or_default();
-        if pool.len() < MAX_IDLE_CONNECTIONS {
-            let expires = time::Instant::now() + window;
-            pool.push(IdleConnection {
-                connection,
-                expires,
-            });
+        if let Some(window) = reuse_window.within(self.default_idle) {
+            connection.state.end();
+            self.idle.borrow_mut().keep(peer, connection, window);
         }
     }
 
     /// Closes idle connections that are no longer reused.
     pub fn close_idle(&self) {
-        let now = time::Instant::now();
-        let mut pools = self.idle.borrow_mut();
-        for pool in pools.values_mut() {
-            pool.retain(|idle| now < idle.expires && !idle.connection.sender.is_closed());
-        }
-        pools.retain(|_, pool| !pool.is_empty());
+        self.idle.borrow_mut().close_idle();
     }
 
-    fn take_idle(&self, peer: net::SocketAddr) -> Option<HttpConnection> {
-        let now = time::Instant::now();
-        let mut pools = self.idle.borrow_mut();
-        let pool = pools.get_mut(&peer)?;
-        while let Some(idle) = pool.pop() {
-            let ready = idle.connection.sender.is_ready();
-            if now < idle.expires && ready {
-                return Some(idle.connection);
-            }
-        }
-        None
+    /// Creates a client for grants, which are sent again and again over the connections that it keeps.
+    #[must_use]
+    pub fn for_grants(clock: clock::SystemClock) -> Self {
+        let idle = time::Duration::from_millis(GRANT_IDLE_MS);
+        Self::new().with_clock(clock).with_default_idle(idle)
+    }
+
+    // Functions of their own, since the pool may not stay borrowed while a request is sent.
+    fn take(&self, peer: net::SocketAddr) -> Option<connection_pool::HttpConnection> {
+        self.idle.borrow_mut().take(peer)
+    }
+
+    pub(super) fn take_allowed(
+        &self,
+        rule: &connection_pool::ConnectionRule,
+    ) -> Option<connection_pool::HttpConnection> {
+        self.idle.borrow_mut().take_allowed(rule)
     }
 }
 
@@ -267,6 +280,11 @@
         Ok(whole.freeze())
     }
 
+    /// Records that the server has run a request for a key over this connection.
+    pub fn note_run(&mut self, run: connection_pool::ServiceKey) {
+        self.connection.origin.note_run(run);
+    }
+
     /// Returns the error of a body that has not ended by the caller's deadline.
     #[must_use]
     pub fn deadline_error(&self) -> HttpError {
@@ -282,7 +300,33 @@
     }
 }
 
-enum ExchangeError {
+impl ExchangeError {
+    // The error of a request that is not sent over another connection.
+    pub(super) fn or_not_usable(self, peer: net::SocketAddr) -> HttpError {
+        match self {
+            Self::Returned(_) => HttpError::NotUsable { peer },
+            Self::Failed(error) => error,
+        }
+    }
+}
+
+// Sends a request over the first of the connections from `take` that is still open.
+pub(super) async fn send_idle(
+    peer: net::SocketAddr,
+    request: hyper::Request<request_body::RequestBody>,
+    take: impl Fn() -> Option<connection_pool::HttpConnection>,
+) -> Result<HttpResponse, ExchangeError> {
+    let mut request = request;
+    while let Some(connection) = take() {
+        match exchange(peer, connection, request).await {
+            Err(ExchangeError::Returned(unsent)) => request = *unsent,
+            ended => return ended,
+        }
+    }
+    Err(ExchangeError::Returned(Box::new(request)))
+}
+
+pub(super) enum ExchangeError {
     // The request was not sent and is handed back.
     Returned(Box<hyper::Request<request_body::RequestBody>>),
     Failed(HttpError),
@@ -290,7 +334,7 @@
 
 async fn exchange(
     peer: net::SocketAddr,
-    connection: HttpConnection,
+    connection: connection_pool::HttpConnection,
     request: hyper::Request<request_body::RequestBody>,
 ) -> Result<HttpResponse, ExchangeError> {
     let mut connection = connection;
@@ -298,7 +342,7 @@
     match connection.sender.try_send_request(request).await {
         Ok(response) => {
             let (head, body) = response.into_parts();
-            let reuse_window = reuse_window(&head.headers);
+            let reuse_window = connection_pool::reuse_window(&head.headers);
             let body = ResponseBody {
                 body,
                 connection,
@@ -329,62 +373,3 @@
         .collect();
     texts.join(": ")
 }
-
-async fn connect(
-    peer: net::SocketAddr,
-    limit: time::Duration,
-) -> Result<HttpConnection, HttpError> {
-    let unsent = |step: &'static str, error: String| HttpError::Unsent { step, peer, error };
-    let connected = tokio::time::timeout(limit, tokio::net::TcpStream::connect(peer)).await;
-    let connected = connected.map_err(|_| unsent("connect", "timeout".into()))?;
-    let stream = connected.map_err(|e| unsent("connect", e.to_string()))?;
-    set_options(&stream).map_err(|e| unsent("set-options", e.to_string()))?;
-    let state = request_stream::RequestState::new();
-    let stream = request_stream::RequestStream::new(stream, state.clone());
-    let handshake = http1::handshake(rt::TokioIo::new(stream)).await;
-    let (sender, connection) = handshake.map_err(|e| unsent("handshake", e.to_string()))?;
-    let task = actix::spawn(async move {
-        // The error is also reported to the request that awaits the response.
-        let _ = connection.await;
-    });
-    Ok(HttpConnection {
-        sender,
-        state,
-        _task: ConnectionTask(task),
-    })
-}
-
-// A linger time of zero resets the connection when it is closed, so that data that a network
-// partition holds up cannot arrive later.
-fn set_options(stream: &tokio::net::TcpStream) -> std::io::Result<()> {
-    let socket = socket2::SockRef::from(stream);
-    let keepalive = socket2::TcpKeepalive::new()
-        .with_time(time::Duration::from_secs(KEEPALIVE_IDLE_S))
-        .with_interval(time::Duration::from_secs(1))
-        .with_retries(KEEPALIVE_PROBES);
-    socket.set_tcp_nodelay(true)?;
-    socket.set_linger(Some(time::Duration::ZERO))?;
-    socket.set_tcp_user_timeout(Some(time::Duration::from_millis(UNACKED_TIMEOUT_MS)))?;
-    socket.set_tcp_keepalive(&keepalive)
-}
-
-// How long the connection may be reused after this response; `None` where the peer closes it.
-fn reuse_window(headers: &hyper::HeaderMap) -> Option<time::Duration> {
-    let text = |name: hyper::header::HeaderName| {
-        let value = headers.get(name).and_then(|value| value.to_str().ok());
-        value.unwrap_or_default().to_ascii_lowercase()
-    };
-    if text(hyper::header::CONNECTION).contains("close") {
-        return None;
-    }
-    let stated = text(hyper::header::HeaderName::from_static("keep-alive"));
-    let options = stated.split(',').map(str::trim);
-    let mut options = options;
-    let seconds = options.find_map(|option| option.strip_prefix("timeout="));
-    let seconds = seconds.and_then(|seconds| seconds.parse::<u64>().ok());
-    let default = time::Duration::from_millis(DEFAULT_IDLE_MS);
-    let window = seconds.map_or(default, |s| {
-        time::Duration::from_secs(s).mul_f64(IDLE_REUSE_RATIO)
-    });
-    Some(window)
-}
--- a/src/edge/router/mod.rs
+++ b/src/edge/router/mod.rs
@@ -3,9 +3,11 @@
 
 pub mod admin;
 pub mod body;
+pub mod connection_pool;
 pub mod control;
 pub mod exchange;
 pub mod front;
+pub mod grant_relay;
 pub mod host;
 pub mod http_client;
 pub mod local_response;
--- a/src/edge/router/store_reader.rs
+++ b/src/edge/router/store_reader.rs
@@ -33,6 +33,8 @@
     Snapshot,
     /// To wait for records.
     Wait,
+    /// To confirm at once that there are no new records.
+    Confirm,
 }
 
 impl ReadPurpose {
@@ -42,6 +44,7 @@
         match self {
             Self::Snapshot => "snapshot",
             Self::Wait => "wait",
+            Self::Confirm => "confirm",
         }
     }
 }
--- a/src/edge/router/traffic.rs
+++ b/src/edge/router/traffic.rs
@@ -11,6 +11,7 @@
 use crate::chart;
 use crate::clock;
 use crate::clock::MonoClock as _;
+use crate::edge::router::grant_relay;
 use crate::edge::router::http_client;
 use crate::edge::router::log_budget;
 use crate::edge::router::metrics;
@@ -61,6 +62,8 @@
     pub shutdown: shutdown_watch::ShutdownWatch,
     /// The number of requests in flight.
     pub in_flight: sync::Arc<atomic::AtomicI64>,
+    /// The grants to send for the control thread.
+    pub relay: grant_relay::RelayReceiver,
     /// Receives the reports.
     pub reports: tokio::sync::mpsc::UnboundedSender<TrafficReport>,
     /// The clock.
@@ -98,13 +101,15 @@
             split: cell::RefCell::default(),
             longest_timeouts: cell::RefCell::default(),
             key_work_ms: cell::RefCell::default(),
-            client: http_client::HttpClient::new(),
+            client: http_client::HttpClient::new().with_clock(parts.clock),
             queue_nonempty: tokio::sync::Notify::new(),
             log_budget: log_budget::LogBudget::new(),
             parts,
         });
         actix::spawn(rc::Rc::clone(&thread).dispatch_periodically());
         actix::spawn(rc::Rc::clone(&thread).report_periodically());
+        let relay = grant_relay::RelayThread::new(thread.parts.clock, thread.client.clone());
+        actix::spawn(relay.run(thread.parts.relay.clone()));
         thread
     }
 
--- a/src/ownership/assignment.rs
+++ b/src/ownership/assignment.rs
@@ -4,6 +4,7 @@
 use std::net;
 
 use crate::names;
+use crate::ownership::order;
 
 /// The highest key.
 pub const MAX_KEY: u16 = u16::MAX;
@@ -203,6 +204,13 @@
         fence
     }
 
+    /// Reports whether the table has the range under the same fence.
+    #[must_use]
+    pub fn has_range(&self, id: &order::RangeId) -> bool {
+        let mut ranges = self.services.get(&id.service).into_iter().flatten();
+        ranges.any(|range| (range.first, range.last, range.fence) == (id.first, id.last, id.fence))
+    }
+
     /// Returns the table for an append in `era`. Terms and fences of a later era are above all of
     /// earlier ones, also of those that the store has lost.
     #[must_use]
--- a/src/ownership/fencing.rs
+++ b/src/ownership/fencing.rs
@@ -170,7 +170,8 @@
             order::OrderOutcome::Refused
             | order::OrderOutcome::Rejected
             | order::OrderOutcome::Unanswered
-            | order::OrderOutcome::Unsent => FencingEvent::Failed,
+            | order::OrderOutcome::Unsent
+            | order::OrderOutcome::Withheld => FencingEvent::Failed,
         };
         let Some(step) = self.table.step_unguarded(pending.state, event) else {
             return false;
--- a/src/ownership/granter/mod.rs
+++ b/src/ownership/granter/mod.rs
@@ -2,6 +2,7 @@
 //! orders to send.
 
 pub mod appends;
+pub mod confirmation;
 pub mod era;
 mod evacuations;
 mod orders;
@@ -57,6 +58,7 @@
     appending: Option<appends::PendingAppend>,
     append_number: u64,
     append_retry: clock::MonoTime,
+    confirmation: confirmation::RoleConfirmation,
     candidate: bool,
     planned_at: clock::MonoTime,
     tracked_ranges: collections::BTreeMap<order::RangeId, tracked_range::TrackedRange>,
@@ -111,6 +113,7 @@
             appending: None,
             append_number: 0,
             append_retry: origin,
+            confirmation: confirmation::RoleConfirmation::new(),
             candidate: false,
             planned_at: origin,
             tracked_ranges: collections::BTreeMap::new(),
@@ -368,6 +371,9 @@
         if self.election.may_order(now) {
             self.push_due_orders(now, servers, &mut actions);
             self.push_due_fences(now, servers, &mut actions);
+            if self.is_in_force() && self.confirmation.begin(self.election.confirmed(), now) {
+                actions.push(order::GranterAction::Confirm);
+            }
         }
         actions
     }
--- a/src/ownership/granter/orders.rs
+++ b/src/ownership/granter/orders.rs
@@ -15,8 +15,8 @@
 pub const RENEWALS_PER_HOLD: u32 = 4;
 
 impl granter::KeyGranter {
-    /// Handles the outcome of a grant order. Reports whether the range's state changed, or the
-    /// server was found to have been replaced.
+    /// Handles the outcome of a grant order. Reports whether the granter has to decide again: the
+    /// range's state changed, the order was withheld, or the server was found to have been replaced.
     pub fn note_granted(
         &mut self,
         order: &order::GrantOrder,
@@ -29,10 +29,14 @@
             self.unresponsive.remove(&order.life);
         }
         let renewal = self.hold / RENEWALS_PER_HOLD;
+        if *outcome == order::OrderOutcome::Withheld {
+            return self.note_withheld(&order.range, now);
+        }
         let Some(tracked) = self.tracked_ranges.get_mut(&order.range) else {
             return false;
         };
         tracked.in_flight = false;
+        tracked.withheld_at = None;
         let event = match outcome {
             order::OrderOutcome::Replaced => {
                 self.note_responder(&order.life, order.address, outcome);
@@ -45,7 +49,9 @@
             }
             order::OrderOutcome::Done(_) => tracked_range::RangeEvent::Accepted,
             order::OrderOutcome::Refused => tracked_range::RangeEvent::Refused,
-            order::OrderOutcome::Unanswered | order::OrderOutcome::Unsent => {
+            order::OrderOutcome::Unanswered
+            | order::OrderOutcome::Unsent
+            | order::OrderOutcome::Withheld => {
                 tracked.next_order_at = now + time::Duration::from_millis(order::ORDER_RETRY_MS);
                 return false;
             }
@@ -151,6 +157,11 @@
         servers: &directory::ServerDirectory,
         actions: &mut Vec<order::GranterAction>,
     ) {
+        let basis = tracked_range::GrantBasis {
+            pending: self.appending.as_ref().map(|pending| &pending.table),
+            hold: self.hold,
+            confirmed: self.election.confirmed(),
+        };
         let has_losses = self.table.lost_grants.is_some();
         let is_provisional = self.lost_grants.is_provisional();
         for (id, tracked) in &mut self.tracked_ranges {
@@ -180,7 +191,7 @@
                     .step_unguarded(tracked.state, tracked_range::RangeEvent::Vacated);
                 tracked.state = step.map_or(tracked.state, |step| step.next);
             }
-            let due = !tracked.in_flight && now >= tracked.next_order_at;
+            let due = tracked.is_due(now, basis.confirmed);
             let incarnation = &tracked.holder.life;
             let gone = tracked_range::has_restarted(incarnation, servers)
                 || self.ended.contains(incarnation);
@@ -189,15 +200,9 @@
                 tracked_range::RangeState::Ordered | tracked_range::RangeState::Held
             );
             if due && !gone && orderable {
-                tracked.in_flight = true;
                 self.hold_expiry.note_sent(&tracked.holder.life);
-                actions.push(order::GranterAction::Grant(order::GrantOrder {
-                    range: id.clone(),
-                    life: tracked.holder.life.clone(),
-                    address: tracked.holder.address,
-                    hold: self.hold,
-                    handover: tracked.handover.clone(),
-                }));
+                let order = tracked.next_grant(id, &basis);
+                actions.push(order::GranterAction::Grant(order));
             }
         }
     }
--- a/src/ownership/granter/plans.rs
+++ b/src/ownership/granter/plans.rs
@@ -90,6 +90,9 @@
         if !changed {
             return None;
         }
+        if !next.former_granters.is_empty() {
+            plan::raise_split_fences(&mut next, &self.table);
+        }
         self.planned_at = now;
         Some(next)
     }
--- a/src/ownership/hold_expiry.rs
+++ b/src/ownership/hold_expiry.rs
@@ -22,6 +22,8 @@
     latest_arrival: Option<clock::MonoTime>,
     in_flight: u32,
     failing_since: Option<clock::MonoTime>,
+    // Whether the last order was not sent because its connection was opened too late.
+    is_withheld: bool,
 }
 
 /// Whether an order that ended can have arrived at the server.
@@ -33,6 +35,8 @@
     Possible,
     /// It cannot have arrived: no connection was opened.
     Unsent,
+    /// It was not sent, because its connection was opened too late. The server may well respond.
+    Withheld,
 }
 
 /// Tracks the latest possible arrival of orders at each server.
@@ -95,16 +99,19 @@
     ) {
         let history = self.histories.entry(incarnation.clone()).or_default();
         history.in_flight = history.in_flight.saturating_sub(1);
-        if arrival != OrderArrival::Unsent {
+        if matches!(arrival, OrderArrival::Answered | OrderArrival::Possible) {
             history.latest_arrival = history.latest_arrival.max(Some(now));
         }
+        history.is_withheld = arrival == OrderArrival::Withheld;
         history.failing_since = match arrival {
             OrderArrival::Answered => None,
             OrderArrival::Possible | OrderArrival::Unsent => history.failing_since.or(Some(now)),
+            OrderArrival::Withheld => history.failing_since,
         };
     }
 
-    /// Reports whether orders to an incarnation have failed for at least `span`.
+    /// Reports whether orders to an incarnation have failed for at least `span`. An order that was
+    /// withheld says nothing about the server.
     #[must_use]
     pub fn is_failing(
         &self,
@@ -113,6 +120,7 @@
         now: clock::MonoTime,
     ) -> bool {
         let history = self.histories.get(incarnation);
+        let history = history.filter(|history| !history.is_withheld);
         let since = history.and_then(|history| history.failing_since);
         since.is_some_and(|since| now >= since + span)
     }
--- a/src/ownership/order.rs
+++ b/src/ownership/order.rs
@@ -4,6 +4,7 @@
 use std::sync;
 use std::time;
 
+use crate::clock;
 use crate::names;
 use crate::ownership::assignment;
 use crate::ownership::hold_expiry;
@@ -40,6 +41,11 @@
     pub address: net::SocketAddr,
     /// How long the server may hold the keys, counted from the arrival of the order.
     pub hold: time::Duration,
+    /// The latest time at which the connection that carries the order may have been opened.
+    pub connected_by: clock::MonoTime,
+    /// Whether a later connection may carry the order too, if the server has run a request for a key of the
+    /// range over it.
+    pub may_be_proven: bool,
     /// The handover token that the former holder returned on release.
     pub handover: Option<sync::Arc<str>>,
 }
@@ -86,6 +92,8 @@
     Release(ReleaseOrder),
     /// Send a release order to a server whose hold has expired without a response.
     Fence(FenceOrder),
+    /// Read the log without waiting, to confirm that no other host has claimed the role.
+    Confirm,
     /// Leave the granter role to another host for a while.
     Yield,
 }
@@ -119,6 +127,8 @@
     Unanswered,
     /// The connection could not be opened.
     Unsent,
+    /// The grant was not sent: no connection leads to a process that is known to be the right one.
+    Withheld,
     /// A different server responded at the address: the intended one has ended.
     Replaced,
     /// The response says that the server does not support the order, as one of an unsharded service
@@ -135,6 +145,7 @@
             Self::Refused => "refused",
             Self::Unanswered => "unanswered",
             Self::Unsent => "unsent",
+            Self::Withheld => "withheld",
             Self::Replaced => "replaced",
             Self::Rejected => "rejected",
         }
@@ -147,6 +158,7 @@
             }
             Self::Unanswered => hold_expiry::OrderArrival::Possible,
             Self::Unsent => hold_expiry::OrderArrival::Unsent,
+            Self::Withheld => hold_expiry::OrderArrival::Withheld,
         }
     }
 }
--- a/src/ownership/plan.rs
+++ b/src/ownership/plan.rs
@@ -107,6 +107,29 @@
     changed
 }
 
+/// Allocates a new fence for each range that is a part of one in `before` and has its fence. A former granter
+/// that knows the whole range may take a hold of the part for one of the whole.
+pub fn raise_split_fences(
+    table: &mut assignment::AssignmentTable,
+    before: &assignment::AssignmentTable,
+) {
+    let mut services = std::mem::take(&mut table.services);
+    for (service, ranges) in &mut services {
+        let known = before.services.get(service).into_iter().flatten();
+        let known = known.map(|range| (range.fence, (range.first, range.last)));
+        let known: collections::BTreeSet<_> = known.collect();
+        let fences: collections::BTreeSet<_> = known.iter().map(|(fence, _)| *fence).collect();
+        let parts = ranges.iter_mut().filter(|range| {
+            let is_known = known.contains(&(range.fence, (range.first, range.last)));
+            fences.contains(&range.fence) && !is_known
+        });
+        for range in parts {
+            range.fence = table.allocate_fence();
+        }
+    }
+    table.services = services;
+}
+
 // A sub-range of the range at `index`.
 struct RangePart {
     index: usize,
--- a/src/ownership/tracked_range.rs
+++ b/src/ownership/tracked_range.rs
@@ -1,6 +1,7 @@
 //! A range of keys as the granter tracks it: its state in the chart `key-range`, and its orders.
 
 use std::sync;
+use std::time;
 
 use crate::chart;
 use crate::clock;
@@ -54,6 +55,16 @@
     pub(crate) next_order_at: clock::MonoTime,
 }
 
+// What the granter's orders are based on.
+#[derive(Clone, Copy)]
+pub(crate) struct GrantBasis<'a> {
+    // The table that is being appended.
+    pub(crate) pending: Option<&'a assignment::AssignmentTable>,
+    pub(crate) hold: time::Duration,
+    // When the granter's right was last confirmed.
+    pub(crate) confirmed: clock::MonoTime,
+}
+
 pub(crate) struct TrackedRange {
     pub(crate) state: RangeState,
     pub(crate) holder: assignment::KeyHolder,
@@ -63,6 +74,35 @@
     pub(crate) handover: Option<sync::Arc<str>>,
     pub(crate) in_flight: bool,
     pub(crate) next_order_at: clock::MonoTime,
+    // When the last order was withheld: the right must be confirmed after that.
+    pub(crate) withheld_at: Option<clock::MonoTime>,
+}
+
+impl TrackedRange {
+    // Whether an order is due, given the time of the last confirmation of the granter's right.
+    pub(crate) fn is_due(&self, now: clock::MonoTime, confirmed: clock::MonoTime) -> bool {
+        let may_go = self.withheld_at.is_some_and(|at| confirmed >= at);
+        !self.in_flight && (may_go || now >= self.next_order_at)
+    }
+
+    // Returns the next grant order, which is in flight from now on.
+    pub(crate) fn next_grant(
+        &mut self,
+        id: &order::RangeId,
+        basis: &GrantBasis<'_>,
+    ) -> order::GrantOrder {
+        self.in_flight = true;
+        order::GrantOrder {
+            range: id.clone(),
+            life: self.holder.life.clone(),
+            address: self.holder.address,
+            hold: basis.hold,
+            handover: self.handover.clone(),
+            connected_by: basis.confirmed,
+            // An append without an outcome may have changed the range.
+            may_be_proven: basis.pending.is_none_or(|t| t.has_range(id)),
+        }
+    }
 }
 
 // Pushes the release orders that are due. Returns the former holders that are dropped because their holds
@@ -145,5 +185,6 @@
         handover: None,
         in_flight: false,
         next_order_at: now,
+        withheld_at: None,
     }
 }
--- a/tests/evacuations.rs
+++ b/tests/evacuations.rs
@@ -384,6 +384,10 @@
             order::GranterAction::Fence(order) => {
                 self.granter.note_fenced(&order, &done, now);
             }
+            order::GranterAction::Confirm => {
+                self.granter.note_confirmed(now);
+                self.granter.note_confirmation_ended(true, now);
+            }
             order::GranterAction::Yield => {}
         }
     }
--- a/tests/granting.rs
+++ b/tests/granting.rs
@@ -151,6 +151,10 @@
                 let outcome = self.outcome_of(&order.address);
                 self.granter.note_fenced(&order, &outcome, now);
             }
+            order::GranterAction::Confirm => {
+                self.granter.note_confirmed(now);
+                self.granter.note_confirmation_ended(true, now);
+            }
             order::GranterAction::Yield => self.yields += 1,
         }
     }
@@ -195,6 +199,14 @@
 fn claim_with_an_unresponsive_holder() -> GranterCase {
     let mut case = GranterCase::new(3);
     case.unresponsive.insert(address(0));
+    case.read(table_of_one_holder(Some(granter_incarnation("former", 1))));
+    case
+}
+
+// A table in which the first server holds all keys under the fence 1.
+fn table_of_one_holder(
+    granter: Option<assignment::GranterIncarnation>,
+) -> assignment::AssignmentTable {
     let range = assignment::RangeEntry {
         first: 0,
         last: assignment::MAX_KEY,
@@ -205,15 +217,36 @@
         },
         formers: Vec::new(),
     };
-    case.read(assignment::AssignmentTable {
+    assignment::AssignmentTable {
         term: 1,
-        granter: Some(granter_incarnation("former", 1)),
+        granter,
         longest_hold_millis: granter::GRANT_HOLD_MS,
         next_fence: 2,
         services: [(service(), vec![range])].into(),
         ..assignment::AssignmentTable::default()
-    });
-    case
+    }
+}
+
+// The fences under which the first server holds keys once others have got some of them.
+fn fences_after_a_split(former: Option<assignment::GranterIncarnation>) -> Vec<u64> {
+    let mut case = GranterCase::new(3);
+    case.read(table_of_one_holder(former));
+    case.run(2_000);
+    let ranges = &case.granter.table().services[&service()];
+    assert!(ranges.len() > 1, "no keys have moved");
+    let kept = ranges.iter();
+    let kept = kept.filter(|range| range.holder.life == server_incarnation(0));
+    kept.map(|range| range.fence).collect()
+}
+
+// A former granter took a part of a range, which its successor had left with the server, for the whole.
+fn raises_the_fence_of_a_split_range_while_a_former_granter_may_order() {
+    let fences = fences_after_a_split(Some(granter_incarnation("former", 1)));
+    assert!(fences.iter().all(|fence| *fence > 1), "{fences:?}");
+}
+
+fn keeps_the_fence_of_a_split_range_without_a_former_granter() {
+    assert!(fences_after_a_split(None).contains(&1));
 }
 
 fn waits_for_the_right_of_a_granter_that_is_silent() {
@@ -392,6 +425,8 @@
 }
 
 granter_cases! {
+    raises_the_fence_of_a_split_range_while_a_former_granter_may_order,
+    keeps_the_fence_of_a_split_range_without_a_former_granter,
     waits_for_the_right_of_a_granter_that_is_silent,
     moves_keys_soon_where_the_former_granter_runs_another_process,
     forgets_former_granters_once_their_orders_have_arrived,
--- a/tests/ownership.rs
+++ b/tests/ownership.rs
@@ -56,7 +56,8 @@
 // while it was cut off.
 fn expect_no_violation_with_cut_granters(first: u64, faults: u32) {
     expect_sound(first, |seed| {
-        simulation::GrantSimulation::with_cut_granters(seed, faults)
+        let mutation = simulation::GrantMutation::None;
+        simulation::GrantSimulation::with_cut_granters(seed, faults, mutation)
     });
 }
 
@@ -105,6 +106,18 @@
     );
 }
 
+fn expect_detected_beside_cut_granters(mutation: simulation::GrantMutation) {
+    let found = (20_000..20_000 + MUTATION_SCHEDULES).any(|seed| {
+        let mut simulation = simulation::GrantSimulation::with_cut_granters(seed, FAULTS, mutation);
+        simulation.run(time::Duration::from_secs(RUN_S));
+        !simulation.violations().is_empty()
+    });
+    assert!(
+        found,
+        "{mutation:?} was not detected in {MUTATION_SCHEDULES} schedules"
+    );
+}
+
 // Cuts the granter off from the store, or freezes it, while it alone can reach one of the servers.
 fn isolate(
     seed: u64,
@@ -178,6 +191,8 @@
     holds_keys_alone_beside_many_server_cuts: expect_no_violation_with_server_cuts(40_000, FAULTS);
     holds_keys_alone_when_orders_of_a_killed_granter_arrive_after_a_cut: expect_no_violation_when_killed_beside_a_cut();
     finds_a_lapse_counted_from_sending: expect_detected(simulation::GrantMutation::LapseFromSending);
+    finds_a_connection_opened_after_the_confirmation: expect_detected_beside_cut_granters(simulation::GrantMutation::LateConnection);
+    finds_a_refused_request_taken_for_a_hold: expect_detected_beside_cut_granters(simulation::GrantMutation::RefusedRequest);
     keeps_to_its_right_when_cut_from_the_store: expect_no_violation_when_isolated(false);
     keeps_to_its_right_over_a_freeze: expect_no_violation_when_isolated(true);
     finds_the_steady_clock_over_a_freeze: expect_detected_when_isolated(true, simulation::GrantMutation::SteadyClock);
--- a/tests/traffic.rs
+++ b/tests/traffic.rs
@@ -9,6 +9,7 @@
 use zinniastack::chart;
 use zinniastack::clock;
 use zinniastack::clock::MonoClock as _;
+use zinniastack::edge::router::grant_relay;
 use zinniastack::edge::router::metrics;
 use zinniastack::edge::router::ports;
 use zinniastack::edge::router::shutdown_watch;
@@ -94,6 +95,7 @@
             chart: sync::Arc::new(chart),
             shutdown,
             in_flight: sync::Arc::default(),
+            relay: grant_relay::new_relay().1,
             reports,
             clock,
             metrics: metrics::RouterMetrics::new(),
