Share the event queue of the lab's simulations

Four simulations kept their events in time order with code of their own: a heap with a reversed order, twice, and a map with a counter, twice. lab/src/event_queue.rs has it once.

--- a/lab/src/flood/mod.rs
+++ b/lab/src/flood/mod.rs
@@ -11,6 +11,7 @@
 use rand::RngExt as _;
 use rand::SeedableRng as _;
 
+use crate::event_queue;
 use zinniastack::chart;
 use zinniastack::clock;
 use zinniastack::configuration;
@@ -223,8 +224,7 @@
     phase_ms: u64,
     generator: rand::rngs::StdRng,
     now: clock::MonoTime,
-    event_count: u64,
-    events: collections::BTreeMap<(clock::MonoTime, u64), FloodEvent>,
+    events: event_queue::EventQueue<FloodEvent>,
     requests: Vec<FloodRequest>,
     queues: Vec<queue::ServerQueue<usize>>,
     servers: Vec<FloodServer>,
@@ -258,8 +258,7 @@
             phase_ms,
             generator: rand::rngs::StdRng::seed_from_u64(seed),
             now: clock::MonoTime::default(),
-            event_count: 0,
-            events: collections::BTreeMap::new(),
+            events: event_queue::EventQueue::new(),
             requests: Vec::new(),
             queues: (0..site.hosts * site.servers).map(|_| queue()).collect(),
             servers: (0..site.servers).map(|_| server()).collect(),
@@ -285,12 +284,7 @@
         self.push(FloodEvent::Sweep, time::Duration::from_millis(SWEEP_MS));
         let phases = FloodPhase::ALL.len() as u64;
         let end = clock::MonoTime::from_millis(self.phase_ms * phases);
-        while let Some(entry) = self.events.first_entry() {
-            let at = entry.key().0;
-            if at > end {
-                break;
-            }
-            let event = entry.remove();
+        while let Some((at, event)) = self.events.pop_due(end) {
             self.now = at;
             self.handle(event);
         }
@@ -305,9 +299,7 @@
     }
 
     fn push(&mut self, event: FloodEvent, delay: time::Duration) {
-        self.event_count += 1;
-        self.events
-            .insert((self.now + delay, self.event_count), event);
+        self.events.push(self.now + delay, event);
     }
 
     fn schedule_arrival(&mut self, rank: usize) {
--- a/lab/src/grants/faults.rs
+++ b/lab/src/grants/faults.rs
@@ -137,13 +137,13 @@
             simulation::SimulationEvent::QueryFormer(host),
         ];
         let old = std::mem::replace(&mut self.hosts[host], fresh);
-        let kept = |event: &simulation::QueuedEvent| {
+        let kept = |event: &simulation::SimulationEvent| {
             !matches!(
-                event.event,
+                event,
                 simulation::SimulationEvent::Tick(h)
                     | simulation::SimulationEvent::Read(h)
                     | simulation::SimulationEvent::Join(h)
-                    | simulation::SimulationEvent::QueryFormer(h) if h == host
+                    | simulation::SimulationEvent::QueryFormer(h) if *h == host
             )
         };
         self.queue.retain(kept);
--- a/lab/src/grants/simulation/event.rs
+++ b/lab/src/grants/simulation/event.rs
@@ -1,7 +1,5 @@
 //! The events of the simulation, and the order in which they are handled.
 
-use std::cmp;
-
 use crate::grants::simulation::held_orders;
 use crate::grants::simulation::stored_log;
 use zinniastack::clock;
@@ -125,31 +123,3 @@
     pub(crate) delivery: OrderDelivery,
     pub(crate) born: u64,
 }
-
-pub(crate) struct QueuedEvent {
-    pub(super) at: clock::MonoTime,
-    pub(super) number: u64,
-    pub(crate) event: SimulationEvent,
-}
-
-impl PartialEq for QueuedEvent {
-    fn eq(&self, other: &Self) -> bool {
-        self.number == other.number
-    }
-}
-
-impl Eq for QueuedEvent {}
-
-impl PartialOrd for QueuedEvent {
-    fn partial_cmp(&self, other: &Self) -> Option<cmp::Ordering> {
-        Some(self.cmp(other))
-    }
-}
-
-// Reversed, because a binary heap returns its greatest entry first: the earliest event is next, and of
-// several at one time the one that was queued first.
-impl Ord for QueuedEvent {
-    fn cmp(&self, other: &Self) -> cmp::Ordering {
-        (other.at, other.number).cmp(&(self.at, self.number))
-    }
-}
--- a/lab/src/grants/simulation/mod.rs
+++ b/lab/src/grants/simulation/mod.rs
@@ -15,6 +15,7 @@
 use std::net;
 use std::time;
 
+use crate::event_queue;
 use crate::fixtures;
 use rand::RngExt as _;
 use rand::SeedableRng as _;
@@ -29,7 +30,6 @@
 
 pub(crate) use crate::grants::simulation::event::OrderDelivery;
 pub(crate) use crate::grants::simulation::event::OrderSending;
-pub(crate) use crate::grants::simulation::event::QueuedEvent;
 pub(crate) use crate::grants::simulation::event::SimulationEvent;
 
 /// The interval at which a host runs its granter, in milliseconds.
@@ -113,8 +113,7 @@
     pub(crate) now: clock::MonoTime,
     pub(crate) random: rand::rngs::StdRng,
     pub(crate) mutation: GrantMutation,
-    pub(crate) number: u64,
-    pub(crate) queue: collections::BinaryHeap<QueuedEvent>,
+    pub(crate) queue: event_queue::EventQueue<SimulationEvent>,
     pub(crate) hosts: Vec<SimulatedHost>,
     pub(crate) servers: Vec<SimulatedServer>,
     pub(crate) log: stored_log::StoredLog,
@@ -160,8 +159,7 @@
             now: clock::MonoTime::from_millis(1_000),
             random: rand::rngs::StdRng::seed_from_u64(seed),
             mutation,
-            number: 0,
-            queue: collections::BinaryHeap::new(),
+            queue: event_queue::EventQueue::new(),
             hosts: Vec::new(),
             servers: Vec::new(),
             log: stored_log::StoredLog::new(),
@@ -241,13 +239,12 @@
     pub fn run(&mut self, duration: time::Duration) {
         let end = self.now + duration;
         while self.violations.is_empty() {
-            let due = self.queue.peek().is_some_and(|next| next.at <= end);
-            let Some(next) = due.then(|| self.queue.pop()).flatten() else {
+            let Some((at, event)) = self.queue.pop_due(end) else {
                 break;
             };
-            self.record_gap(next.at);
-            self.now = next.at;
-            self.handle(next.event);
+            self.record_gap(at);
+            self.now = at;
+            self.handle(event);
             self.check();
         }
         self.now = end;
@@ -332,9 +329,7 @@
     }
 
     fn push_at(&mut self, at: clock::MonoTime, event: SimulationEvent) {
-        self.number += 1;
-        let number = self.number;
-        self.queue.push(QueuedEvent { at, number, event });
+        self.queue.push(at, event);
     }
 
     pub(crate) fn chance(&mut self, one_in: u32) -> bool {
--- a/lab/src/host_simulation.rs
+++ b/lab/src/host_simulation.rs
@@ -1,7 +1,6 @@
 //! A simulation in virtual time of the entry hosts among themselves: hosts that run the production
 //! decisions on where records come from and to whom demand is reported, and a store with one log.
 
-use std::cmp;
 use std::collections;
 use std::time;
 
@@ -19,6 +18,7 @@
 use zinniastack::serving::upstream;
 use zinniastack::serving::view;
 
+use crate::event_queue;
 use crate::fixtures;
 
 /// The topic whose records are simulated.
@@ -68,33 +68,6 @@
     },
 }
 
-struct QueuedEvent {
-    at: clock::MonoTime,
-    number: u64,
-    event: HostEvent,
-}
-
-impl PartialEq for QueuedEvent {
-    fn eq(&self, other: &Self) -> bool {
-        self.number == other.number
-    }
-}
-
-impl Eq for QueuedEvent {}
-
-impl PartialOrd for QueuedEvent {
-    fn partial_cmp(&self, other: &Self) -> Option<cmp::Ordering> {
-        Some(self.cmp(other))
-    }
-}
-
-// Reversed, because a binary heap returns its greatest entry first.
-impl Ord for QueuedEvent {
-    fn cmp(&self, other: &Self) -> cmp::Ordering {
-        (other.at, other.number).cmp(&(self.at, self.number))
-    }
-}
-
 /// A simulated entry host.
 pub struct SimulatedHost {
     /// Its production state.
@@ -128,8 +101,7 @@
     /// The position at which the store's log ends.
     pub store_end: topic::LogPosition,
     random: rand::rngs::StdRng,
-    queue: collections::BinaryHeap<QueuedEvent>,
-    number: u64,
+    queue: event_queue::EventQueue<HostEvent>,
     by_name: collections::BTreeMap<names::HostName, usize>,
 }
 
@@ -145,8 +117,7 @@
             lost_per_mille: 0,
             store_end: topic::LogPosition::new(0, 1),
             random: rand::rngs::StdRng::seed_from_u64(seed),
-            queue: collections::BinaryHeap::new(),
-            number: 0,
+            queue: event_queue::EventQueue::new(),
             by_name: collections::BTreeMap::new(),
         };
         for (index, own) in records.iter().enumerate() {
@@ -233,12 +204,9 @@
     /// Runs for `duration` of simulated time.
     pub fn run(&mut self, duration: time::Duration) {
         let end = self.now + duration;
-        while self.queue.peek().is_some_and(|next| next.at <= end) {
-            let Some(next) = self.queue.pop() else {
-                break;
-            };
-            self.now = next.at;
-            self.handle(next.event);
+        while let Some((at, event)) = self.queue.pop_due(end) {
+            self.now = at;
+            self.handle(event);
         }
         self.now = end;
     }
@@ -260,17 +228,13 @@
     }
 
     fn push(&mut self, delay_ms: u64, event: HostEvent) {
-        self.number += 1;
-        self.queue.push(QueuedEvent {
-            at: self.now + time::Duration::from_millis(delay_ms),
-            number: self.number,
-            event,
-        });
+        let at = self.now + time::Duration::from_millis(delay_ms);
+        self.queue.push(at, event);
     }
 
     // Schedules a host's next read, in place of one that is scheduled already.
     fn push_read(&mut self, host: usize, delay_ms: u64) {
-        let number = self.number + 1;
+        let number = self.queue.next_number();
         self.hosts[host].next_read = number;
         self.push(delay_ms, HostEvent::Read { host, number });
     }
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod capacity;
 pub mod checker;
 pub mod cmd;
+pub mod event_queue;
 pub mod fakes;
 pub mod faults;
 pub mod fixtures;
--- a/lab/src/simulation/mod.rs
+++ b/lab/src/simulation/mod.rs
@@ -21,6 +21,7 @@
 use zinniastack::record;
 use zinniastack::timing;
 
+use crate::event_queue;
 use crate::log_state;
 use crate::server_state;
 
@@ -201,8 +202,7 @@
 pub struct LabSimulation {
     pub(crate) now: clock::MonoTime,
     pub(crate) generator: rand::rngs::StdRng,
-    pub(crate) queue: collections::BTreeMap<(clock::MonoTime, u64), SimulationEvent>,
-    pub(crate) event_count: u64,
+    pub(crate) queue: event_queue::EventQueue<SimulationEvent>,
     pub(crate) plan: SimulationPlan,
     /// The hosts.
     pub hosts: collections::BTreeMap<names::HostName, SimulatedHost>,
@@ -244,8 +244,7 @@
         let mut simulation = Self {
             now: clock::MonoTime::from_millis(1_000),
             generator: rand::rngs::StdRng::seed_from_u64(plan.seed),
-            queue: collections::BTreeMap::new(),
-            event_count: 0,
+            queue: event_queue::EventQueue::new(),
             plan,
             hosts: collections::BTreeMap::new(),
             servers: collections::BTreeMap::new(),
@@ -282,9 +281,7 @@
     }
 
     pub(crate) fn push(&mut self, event: SimulationEvent, delay: time::Duration) {
-        self.event_count += 1;
-        self.queue
-            .insert((self.now + delay, self.event_count), event);
+        self.queue.push(self.now + delay, event);
     }
 
     pub(crate) fn push_host(
@@ -333,15 +330,13 @@
     /// Delivers the next event, provided that it is due by `until`, and reports whether it did.
     /// When the next event is due later, the time advances to `until`.
     pub fn step(&mut self, until: clock::MonoTime) -> bool {
-        let Some(entry) = self.queue.first_entry() else {
+        if self.queue.next_at().is_none() {
             return false;
-        };
-        let at = entry.key().0;
-        if at > until {
+        }
+        let Some((at, event)) = self.queue.pop_due(until) else {
             self.now = self.now.max(until);
             return false;
-        }
-        let event = entry.remove();
+        };
         self.now = self.now.max(at);
         self.deliver(event);
         true
