--- a/src/edge/router/connection_pool.rs
+++ b/src/edge/router/connection_pool.rs
@@ -1,4 +1,5 @@
-//! The HTTP connections of one thread: how they are opened, and how long they are kept and reused.
+//! The HTTP connections of one thread: how they are opened, how long they are kept and reused, and which of
+//! them may carry a grant.
 
 use std::collections;
 use std::net;
@@ -25,8 +26,7 @@
 pub const IDLE_REUSE_RATIO: f64 = 0.6;
 /// The number of idle connections that are kept for each address.
 pub const MAX_IDLE_CONNECTIONS: usize = 32;
-
-/// The number of keys that are kept for each connection of requests that were run over it.
+/// The number of keys that are remembered for each connection, of requests that the peer has run.
 const MAX_RUN_KEYS: usize = 16;
 
 type RequestSender = http1::SendRequest<request_stream::TrackedBody>;
--- a/src/edge/router/grant_relay.rs
+++ b/src/edge/router/grant_relay.rs
@@ -1,8 +1,10 @@
 //! Grants that the control thread has the traffic thread send over its connections to servers.
 //!
-//! The traffic thread has more connections than the control thread, also older ones, and those over which a
-//! server has run a request show that its process held the key of the request.
+//! A grant may go only over a connection to the right process of the server. The traffic thread has more
+//! connections than the control thread, older ones among them, and a server that has run a request over one has
+//! shown that its process held the key.
 
+use std::rc;
 use std::sync;
 use std::time;
 
@@ -90,13 +92,13 @@
 
     /// Sends the grants that arrive, until the control thread has ended.
     pub async fn run(self, receiver: RelayReceiver) {
-        let relay = std::rc::Rc::new(self);
+        let relay = rc::Rc::new(self);
         loop {
             let call = receiver.0.lock().await.recv().await;
             let Some(RelayCall { grant, reply }) = call else {
                 return;
             };
-            let relay = std::rc::Rc::clone(&relay);
+            let relay = rc::Rc::clone(&relay);
             actix::spawn(async move {
                 // The control thread may have ended.
                 let _ = reply.send(relay.send(grant).await);
