--- a/lab/src/grants/simulation/event.rs
+++ b/lab/src/grants/simulation/event.rs
@@ -1,4 +1,4 @@
-//! The events of the simulation, and the order in which they are handled.
+//! The events of the simulation.
 
 use crate::grants::simulation::held_orders;
 use crate::grants::simulation::stored_log;
--- a/src/ownership/granter/confirmation.rs
+++ b/src/ownership/granter/confirmation.rs
@@ -2,7 +2,8 @@
 //!
 //! An order names a server and not its start. A connection leads to one process and ends with it, so
 //! an order goes over a connection that was opened while no other host had claimed the granter role:
-//! what a later granter releases is released at the same process, which refuses the order then.
+//! what a later granter releases is released at the same process, which refuses the order then. One
+//! over which the process has run a request for the range needs no confirmation.
 
 use std::time;
 
--- a/src/ownership/hold_expiry.rs
+++ b/src/ownership/hold_expiry.rs
@@ -22,7 +22,7 @@
     latest_arrival: Option<clock::MonoTime>,
     in_flight: u32,
     failing_since: Option<clock::MonoTime>,
-    // Whether the last order was not sent because its connection was opened too late.
+    // Whether the last order was not sent, since no connection may carry it.
     is_withheld: bool,
 }
 
@@ -35,7 +35,7 @@
     Possible,
     /// It cannot have arrived: no connection was opened.
     Unsent,
-    /// It was not sent, because its connection was opened too late. The server may well respond.
+    /// It was not sent, since no connection may carry it. The server may well respond.
     Withheld,
 }
 
