Report how old the records are by which a host sends requests

Each response of the store, and each status update and relay of another host that names nothing newer, confirms them for the time at which its request was sent, less the age that the other host states of its own. New: the gauge records_age_ms, the counter requests_outdated, the field records_age_ms on attempt-ended and request-answered, both in hosts-exchanged. request_bytes counts a body as it is read, so that one that breaks off counts too; from it and response_bytes a host tells whether its link is full. No decision changes.

--- a/src/edge/router/body.rs
+++ b/src/edge/router/body.rs
@@ -127,7 +127,7 @@
     }
 }
 
-fn byte_count(bytes: &[u8]) -> u64 {
+pub(crate) fn byte_count(bytes: &[u8]) -> u64 {
     u64::try_from(bytes.len()).unwrap_or(u64::MAX)
 }
 
--- a/src/edge/router/control/hosts.rs
+++ b/src/edge/router/control/hosts.rs
@@ -36,6 +36,7 @@
     relayed_bytes: u64,
     request_bytes: u64,
     response_bytes: u64,
+    requests_outdated: u64,
 }
 
 impl<S, O, D> control::ControlThread<S, O, D>
@@ -160,7 +161,10 @@
                 self.note_former_granter(&response, asked);
                 let now = self.clock.now();
                 self.note_supplier_status(&response, asked);
-                self.state.borrow_mut().cluster.note_response(response, now);
+                let state = &mut *self.state.borrow_mut();
+                let own = state.ends();
+                state.cluster.note_confirmation(&response, &own, asked);
+                state.cluster.note_response(response, now);
             }
             Err(error) => {
                 self.metrics.note_status_exchange("failed");
@@ -201,7 +205,9 @@
                 event = "hosts-exchanged",
                 done = counts.done - logged.done,
                 failed = counts.failed - logged.failed,
-                relayed_bytes = counts.relayed_bytes - logged.relayed_bytes
+                relayed_bytes = counts.relayed_bytes - logged.relayed_bytes,
+                records_age_ms = self.metrics.records_age_ms.get(),
+                requests_outdated = counts.requests_outdated - logged.requests_outdated
             );
             tracing::info!(
                 event = "link-used",
@@ -219,6 +225,7 @@
             relayed_bytes: self.metrics.relayed_bytes.get(),
             request_bytes: self.metrics.request_bytes.get(),
             response_bytes: self.metrics.response_bytes.get(),
+            requests_outdated: self.metrics.requests_outdated.get(),
         }
     }
 
--- a/src/edge/router/control/mod.rs
+++ b/src/edge/router/control/mod.rs
@@ -211,6 +211,7 @@
         grants.sync(granter.table(), now);
         let view = state.cluster.view(&state.grants, now);
         self.note_cold(&view.cold, now);
+        self.metrics.note_records_age(view.records_age(now));
         self.view.store(sync::Arc::new(view));
         let ready = state.cluster.is_ready(&state.grants.table);
         let ready = ready && Self::knows_evacuations(&state, now);
@@ -259,6 +260,7 @@
             tokio::time::sleep(time::Duration::from_millis(TICK_MS)).await;
             self.decide();
             self.check_supply();
+            self.check_link();
             self.update_reading();
             self.request_records();
             let now = self.clock.now();
@@ -280,6 +282,12 @@
         }
     }
 
+    fn check_link(&self) {
+        let now = self.clock.now();
+        let bytes = self.metrics.request_bytes.get() + self.metrics.response_bytes.get();
+        self.state.borrow_mut().cluster.note_link_total(bytes, now);
+    }
+
     async fn report_key_loads(self: rc::Rc<Self>) {
         loop {
             tokio::time::sleep(time::Duration::from_millis(LOAD_REPORT_INTERVAL_MS)).await;
--- a/src/edge/router/control/records.rs
+++ b/src/edge/router/control/records.rs
@@ -34,6 +34,32 @@
     next: topic::LogPosition,
 }
 
+/// A request for records that another host has answered.
+#[derive(Clone, Copy, Debug)]
+struct RelayRequest {
+    sent: clock::MonoTime,
+    wait: time::Duration,
+}
+
+impl RelayRequest {
+    // A request that was sent at `sent`, for which the other host was to wait for up to `wait_ms`.
+    const fn new(sent: clock::MonoTime, wait_ms: u64) -> Self {
+        let wait = time::Duration::from_millis(wait_ms);
+        Self { sent, wait }
+    }
+
+    // Until when the other host surely had no newer records than `relay` brings. It sends an empty one only
+    // once it has waited.
+    fn newest_at(&self, relay: &status::StoreRelay) -> clock::MonoTime {
+        let is_empty = relay.pages.is_empty() && relay.table.is_none();
+        if is_empty {
+            self.sent + self.wait
+        } else {
+            self.sent
+        }
+    }
+}
+
 impl<S, O, D> control::ControlThread<S, O, D>
 where
     S: ports::StorePort,
@@ -71,7 +97,10 @@
             let request = self.record_request(&pending, SUPPLY_WAIT_MS);
             let asked = self.clock.now();
             match self.status_client.records(host.peers, request).await {
-                Ok(relay) => self.apply_relay(&host.host, relay, asked, &mut pending),
+                Ok(relay) => {
+                    let asked = RelayRequest::new(asked, SUPPLY_WAIT_MS);
+                    self.apply_relay(&host.host, relay, asked, &mut pending);
+                }
                 Err(error) => {
                     tracing::debug!(event = "records-not-received", host = %host.host, fault = %error);
                     tokio::time::sleep(time::Duration::from_millis(SUPPLY_RETRY_MS)).await;
@@ -129,6 +158,7 @@
                 host = %host.host,
                 records = relay.pages.iter().map(|page| page.records.len()).sum::<usize>()
             );
+            let asked = RelayRequest::new(asked, 0);
             self.apply_relay(&host.host, relay, asked, &mut pending);
             if pending.is_empty() {
                 return true;
@@ -167,9 +197,12 @@
         &self,
         host: &names::HostName,
         relay: status::StoreRelay,
-        asked: clock::MonoTime,
+        asked: RelayRequest,
         pending: &mut PendingPages,
     ) {
+        let newest_at = asked.newest_at(&relay);
+        let age = relay.records_age_millis;
+        let ends: Vec<_> = relay.pages.iter().map(page_end).collect();
         for page in relay.pages {
             if let Some(size) = too_large(&page) {
                 let topic = page.topic.as_str();
@@ -186,7 +219,29 @@
             self.apply_lost_table(table);
         }
         if let Some(followed) = relay.followed {
-            self.apply_followed(followed, asked);
+            self.apply_followed(followed, asked.sent);
+        }
+        if let Some(age) = age.filter(|_| pending.is_empty()) {
+            self.note_relayed(&ends, newest_at, age);
+        }
+    }
+
+    // Applies that another host had no newer records at `newest_at` than those up to `ends`, which it had
+    // last had confirmed `age_millis` earlier.
+    fn note_relayed(
+        &self,
+        ends: &[(topic::StoreTopic, topic::LogPosition)],
+        newest_at: clock::MonoTime,
+        age_millis: u64,
+    ) {
+        let state = &mut *self.state.borrow_mut();
+        let has_all = ends
+            .iter()
+            .all(|(topic, end)| state.replicas[topic.index()].position() >= *end);
+        if has_all {
+            let age = time::Duration::from_millis(age_millis);
+            let newest_at = newest_at.saturating_sub(age);
+            state.cluster.note_records_newest(newest_at);
         }
     }
 
@@ -260,6 +315,11 @@
         }
     }
 
+    fn records_age_millis(&self) -> Option<u64> {
+        let now = self.clock.now();
+        self.state.borrow().cluster.records_age_millis(now)
+    }
+
     fn relay_for(&self, request: &status::RecordRequest) -> status::StoreRelay {
         let state = self.state.borrow();
         let pages = request.pages.iter().filter_map(|request| {
@@ -281,6 +341,7 @@
             routes,
             table,
             followed: self.followed_table(),
+            records_age_millis: self.records_age_millis(),
         }
     }
 }
@@ -296,6 +357,12 @@
     is_lost.then(|| replica::PageRecord::new(&topic::LogRecord { offset, record }))
 }
 
+// The position at which the sender's copy of a page's topic ends.
+fn page_end(page: &replica::RecordPage) -> (topic::StoreTopic, topic::LogPosition) {
+    let era = page.start().era;
+    (page.topic, topic::LogPosition::new(era, page.end))
+}
+
 // The size of a record that is larger than the store accepts, in bytes.
 fn too_large(page: &replica::RecordPage) -> Option<usize> {
     let sizes = page.records.iter().map(replica::PageRecord::size);
--- a/src/edge/router/control/store.rs
+++ b/src/edge/router/control/store.rs
@@ -122,6 +122,7 @@
                     self.note_stated_era();
                     self.state.borrow_mut().granter.note_confirmed(sent);
                 }
+                self.state.borrow_mut().cluster.note_topic_read(topic, sent);
                 self.note_operators_read(topic, sent);
             }
             store_reader::StoreUpdate::Failed(error) => {
@@ -167,8 +168,9 @@
         }
     }
 
-    // Tells the granter how far this host's own read of the assignment table got.
+    // Tells how far this host's own read of a topic got.
     fn note_read(&self, topic: topic::StoreTopic, end: topic::LogPosition, sent: clock::MonoTime) {
+        self.state.borrow_mut().cluster.note_topic_read(topic, sent);
         if topic == topic::StoreTopic::Assignments {
             self.state.borrow_mut().granter.note_read(end, sent);
         }
--- a/src/edge/router/front/mod.rs
+++ b/src/edge/router/front/mod.rs
@@ -158,8 +158,6 @@
             Ok(body) => body,
             Err(response) => return self.respond_locally(response, None),
         };
-        let metrics = &self.thread.parts.metrics;
-        metrics.request_bytes.inc_by(body.size());
         self.deliver(body).await
     }
 
@@ -175,11 +173,13 @@
         let mut meter = reservation::BodyMeter::new(&self.reservation);
         let time_left = self.deadline.since(self.thread.parts.clock.now());
         let limit = self.body_limit;
+        let metrics = &self.thread.parts.metrics;
         let read = async {
             while head.len() <= MAX_BUFFERED_BODY_BYTES {
                 match unread.next().await {
                     None => return Ok(true),
                     Some(Ok(chunk)) => {
+                        metrics.request_bytes.inc_by(body::byte_count(&chunk));
                         let taken = meter.take(&head, &chunk);
                         taken.map_err(|_| local_response::LocalResponse::HostFull)?;
                         head.extend_from_slice(&chunk);
@@ -274,7 +274,7 @@
             let may_retry = body.is_replayable() && self.has_time_left();
             let action = delivery.handle(end.event(), may_retry);
             if action != Some(delivery::DeliveryAction::PassAnswer) {
-                self.log_attempt(&record, &end, action);
+                self.log_attempt(&slot, &end, action);
             }
             match (action, end) {
                 (
--- a/src/edge/router/front/responses.rs
+++ b/src/edge/router/front/responses.rs
@@ -85,6 +85,7 @@
                 key = self.key,
                 version = self.version,
                 server = %slot.record.life.server,
+                records_age_ms = slot.records_age.as_millis(),
                 status,
                 after_ms = elapsed.as_millis()
             );
@@ -162,7 +163,7 @@
 
     pub(super) fn log_attempt(
         &self,
-        record: &directory::ServerRecord,
+        slot: &slots::ServerSlot<C>,
         end: &exchange::AttemptEnd,
         action: Option<delivery::DeliveryAction>,
     ) {
@@ -173,8 +174,9 @@
             event = "attempt-ended",
             id = self.headers.id.as_deref().unwrap_or(""),
             route = %self.route.name,
-            server = %record.life.server,
+            server = %slot.record.life.server,
             key = self.key,
+            records_age_ms = slot.records_age.as_millis(),
             then = ?action,
             fault = end.error_text()
         );
--- a/src/edge/router/metrics.rs
+++ b/src/edge/router/metrics.rs
@@ -2,6 +2,7 @@
 
 use std::sync;
 use std::sync::atomic;
+use std::time;
 
 use prometheus_client::encoding::text;
 use prometheus_client::metrics::counter;
@@ -138,6 +139,10 @@
     pub routes_version: gauge::Gauge,
     /// Whether calls of this host to the store are failing.
     pub store_lost: gauge::Gauge,
+    /// For how long the routes and the servers may have been outdated, in milliseconds.
+    pub records_age_ms: gauge::Gauge,
+    /// Requests that were sent to servers by records that had not been confirmed for too long.
+    pub requests_outdated: counter::Counter<u64, atomic::AtomicU64>,
     /// The highest era of the store that this host knows.
     pub store_era: gauge::Gauge,
     /// Requests in flight.
@@ -176,6 +181,8 @@
             evacuations_ignored: family::Family::default(),
             routes_version: gauge::Gauge::default(),
             store_lost: gauge::Gauge::default(),
+            records_age_ms: gauge::Gauge::default(),
+            requests_outdated: counter::Counter::default(),
             store_era: gauge::Gauge::default(),
             in_flight: gauge::Gauge::default(),
             lines_left_out: counter::Counter::default(),
@@ -279,6 +286,18 @@
         );
         let lost = self.store_lost.clone();
         registry.register("store_lost", "Whether the store turns this host away", lost);
+        let age = self.records_age_ms.clone();
+        registry.register(
+            "records_age_ms",
+            "For how long the routes and the servers may have been outdated",
+            age,
+        );
+        let outdated = self.requests_outdated.clone();
+        registry.register(
+            "requests_outdated",
+            "Requests that were sent by records that were not confirmed in time",
+            outdated,
+        );
         let era = self.store_era.clone();
         registry.register(
             "store_era",
@@ -309,6 +328,12 @@
         );
     }
 
+    /// Updates the age of the routes and the servers.
+    pub fn note_records_age(&self, age: time::Duration) {
+        let age_ms = i64::try_from(age.as_millis());
+        self.records_age_ms.set(age_ms.unwrap_or(i64::MAX));
+    }
+
     /// Counts a record about an evacuation that had no effect.
     pub fn note_evacuation_ignored(&self, cause: &'static str) {
         self.evacuations_ignored
--- a/src/edge/router/slots.rs
+++ b/src/edge/router/slots.rs
@@ -3,6 +3,7 @@
 
 use std::rc;
 use std::sync;
+use std::time;
 
 use crate::clock;
 use crate::clock::MonoClock as _;
@@ -24,6 +25,8 @@
     /// The server.
     pub record: sync::Arc<directory::ServerRecord>,
     started: clock::MonoTime,
+    /// How old the records were by which the server was chosen.
+    pub records_age: time::Duration,
     pub(crate) end: estimate::ExchangeEnd,
 }
 
@@ -32,12 +35,14 @@
         thread: &rc::Rc<traffic::TrafficThread<C>>,
         record: sync::Arc<directory::ServerRecord>,
         now: clock::MonoTime,
+        records_age: time::Duration,
     ) -> Self {
         Self {
             _in_flight: traffic::InFlight::new(&thread.parts.in_flight),
             thread: rc::Rc::clone(thread),
             record,
             started: now,
+            records_age,
             end: estimate::ExchangeEnd::Cancelled,
         }
     }
--- a/src/edge/router/traffic.rs
+++ b/src/edge/router/traffic.rs
@@ -169,6 +169,7 @@
     pub(crate) fn dispatch_waiting(self: &rc::Rc<Self>) {
         let now = self.parts.clock.now();
         let view = self.parts.view.load_full();
+        let records_age = view.records_age(now);
         let events = {
             let mut scheduler = self.scheduler.borrow_mut();
             scheduler.sync(&view);
@@ -180,7 +181,9 @@
         for event in events {
             let (ticket, result) = match event {
                 scheduler::SchedulerEvent::Assigned(ticket, record) => {
-                    (ticket, Ok(slots::ServerSlot::new(self, record, now)))
+                    self.note_records_age(records_age);
+                    let slot = slots::ServerSlot::new(self, record, now, records_age);
+                    (ticket, Ok(slot))
                 }
                 scheduler::SchedulerEvent::GivenUp(ticket, refusal) => (ticket, Err(refusal)),
             };
@@ -193,6 +196,13 @@
         }
     }
 
+    // Counts a request that is sent by records of this age.
+    fn note_records_age(&self, age: time::Duration) {
+        if age > self.parts.scheduler.max_records_age() {
+            self.parts.metrics.requests_outdated.inc();
+        }
+    }
+
     pub(crate) fn finish(
         &self,
         incarnation: &assignment::ServerIncarnation,
--- a/src/serving/cluster/exchange.rs
+++ b/src/serving/cluster/exchange.rs
@@ -189,6 +189,7 @@
             uptime_millis: u64::try_from(uptime).unwrap_or(u64::MAX),
             store_lost: self.store_lost(),
             ends: grants.ends,
+            records_age_millis: self.records_age_millis(now),
             store_era: Some(self.store_era),
             term: grants.term,
             granter: grants.granter.clone(),
--- a/src/serving/cluster/mod.rs
+++ b/src/serving/cluster/mod.rs
@@ -2,6 +2,7 @@
 //! it for the traffic threads.
 
 mod cold_servers;
+mod confirmations;
 mod evacuations;
 pub mod exchange;
 mod records;
@@ -17,9 +18,11 @@
 use crate::routing::specification;
 use crate::serving::catch_up;
 use crate::serving::cold;
+use crate::serving::confirmation;
 use crate::serving::demand;
 use crate::serving::directory;
 use crate::serving::evacuation;
+use crate::serving::link_load;
 use crate::serving::responses;
 use crate::serving::status;
 use crate::serving::topic;
@@ -82,6 +85,8 @@
     evacuations: evacuation::EvacuationState,
     cold_bounds: cold::ColdBounds,
     host_list: cold::HostListAge,
+    confirmations: confirmation::ConfirmationTimes,
+    link: link_load::LinkLoad,
 }
 
 impl ClusterState {
@@ -97,6 +102,7 @@
     ) -> Result<Self, chart::ChartError> {
         Ok(Self {
             upstream: upstream::UpstreamSelection::new(own.clone()),
+            link: link_load::LinkLoad::new(own.link_mbps),
             own,
             started,
             routes: None,
@@ -118,6 +124,7 @@
             evacuations: evacuation::EvacuationState::new()?,
             cold_bounds: cold::ColdBounds::new(),
             host_list: cold::HostListAge::new(),
+            confirmations: confirmation::ConfirmationTimes::new(),
         })
     }
 
@@ -381,6 +388,8 @@
         view::ServingView {
             routes: self.routes.clone(),
             store_lost: self.store_lost(),
+            confirmed_at: self.records_confirmed_at(now),
+            is_link_full: self.is_link_full(now),
             servers: sync::Arc::new(servers.collect()),
             table: sync::Arc::clone(&grants.table),
             ages: sync::Arc::clone(&grants.ages),
--- a/src/serving/scheduler/mod.rs
+++ b/src/serving/scheduler/mod.rs
@@ -34,6 +34,9 @@
 /// Fraction of the drain time during which a draining server still gets requests for keys that it
 /// holds.
 pub const DRAIN_FRACTION: f64 = 0.6;
+/// Fraction of the drain time for which records that were not confirmed again speak for a server. The rest is
+/// for the way of a request to the server.
+pub const RECORDS_AGE_FRACTION: f64 = 0.7;
 /// Longest accepted wait of a request that cannot meet its latency objective, as a fraction of the
 /// time left until its deadline.
 pub const LATE_WAIT_FRACTION: f64 = 0.15;
@@ -135,6 +138,12 @@
 }
 
 impl SchedulerSettings {
+    /// Returns the age up to which records of servers surely name no server that has left.
+    #[must_use]
+    pub fn max_records_age(&self) -> time::Duration {
+        self.drain.mul_f64(RECORDS_AGE_FRACTION)
+    }
+
     // The time from which a server that drains gets no more requests for its keys. One whose drain began
     // at an unknown time may end at any moment.
     fn drained_at(&self, known: &directory::KnownServer) -> Option<clock::MonoTime> {
--- a/src/serving/status.rs
+++ b/src/serving/status.rs
@@ -67,6 +67,9 @@
     pub store_lost: bool,
     /// The positions at which its copies of the store's topics end.
     pub ends: topic::TopicEnds,
+    /// For how long its records of routes and servers may have been outdated, in milliseconds; none before
+    /// it has all, and from earlier builds.
+    pub records_age_millis: Option<u64>,
     /// The highest era of the store that it knows; earlier builds send none.
     pub store_era: Option<u64>,
     /// The term of the newest assignment table that it knows.
@@ -142,6 +145,9 @@
     /// How far the sender has followed the log of the assignment table; none where it has not, and from
     /// earlier builds.
     pub followed: Option<FollowedTable>,
+    /// For how long the sender's records of routes and servers may have been outdated, in milliseconds; none
+    /// before it has all, and from earlier builds.
+    pub records_age_millis: Option<u64>,
 }
 
 /// An assignment table that the store has lost, as changes to a copy of its log.
--- a/src/serving/view.rs
+++ b/src/serving/view.rs
@@ -2,6 +2,7 @@
 
 use std::collections;
 use std::sync;
+use std::time;
 
 use crate::clock;
 use crate::names;
@@ -61,6 +62,10 @@
     pub routes: Option<sync::Arc<specification::RouteSet>>,
     /// Whether store calls fail at this host, so that newer routes may exist.
     pub store_lost: bool,
+    /// When the routes and the servers were last known to be the newest.
+    pub confirmed_at: clock::MonoTime,
+    /// Whether this host's link is full, so that its records arrive late.
+    pub is_link_full: bool,
     /// The servers, by name.
     pub servers: sync::Arc<collections::BTreeMap<names::ServerName, directory::KnownServer>>,
     /// The assignment table.
@@ -84,6 +89,8 @@
         Self {
             routes: None,
             store_lost: false,
+            confirmed_at: clock::MonoTime::default(),
+            is_link_full: false,
             servers: sync::Arc::default(),
             table: sync::Arc::default(),
             ages: sync::Arc::default(),
@@ -94,6 +101,12 @@
         }
     }
 
+    /// Returns for how long the routes and the servers may have been outdated.
+    #[must_use]
+    pub const fn records_age(&self, now: clock::MonoTime) -> time::Duration {
+        now.since(self.confirmed_at)
+    }
+
     /// Returns the state of a key's ownership.
     #[must_use]
     pub fn owner(&self, service: &names::ServiceName, key: u16) -> KeyOwner<'_> {
--- a/tests/catch_up.rs
+++ b/tests/catch_up.rs
@@ -82,6 +82,7 @@
         routes: None,
         table: None,
         followed: None,
+        records_age_millis: None,
     }
 }
 
