Refuse requests by outdated records while the link is full

Cause: a host sends requests by the records of servers and routes that it has, however old they are. Callers' uploads fill links of 10 to 12 Mbit/s; status updates, relays and reads of the store then come seconds late or time out, and the host goes on. Class: a decision by knowledge whose age nobody checks.

A host that is cut off, or whose store is away, goes on serving: its link has room. Over a full link waiting reads of routes and servers end after 0.5 s, since only responses confirm there.

Why not the age alone: a domain that is cut off must go on serving.

--- a/src/edge/router/control/mod.rs
+++ b/src/edge/router/control/mod.rs
@@ -284,7 +284,7 @@
 
     fn check_link(&self) {
         let now = self.clock.now();
-        let bytes = self.metrics.request_bytes.get() + self.metrics.response_bytes.get();
+        let bytes = self.metrics.link_bytes();
         self.state.borrow_mut().cluster.note_link_total(bytes, now);
     }
 
--- a/src/edge/router/control/store.rs
+++ b/src/edge/router/control/store.rs
@@ -20,6 +20,9 @@
 pub const GRANTER_READ_WAIT_MS: u64 = 1_000;
 /// The long-poll wait of other reads of routes, servers and the assignment table, in milliseconds.
 pub const READ_WAIT_MS: u64 = 3_000;
+/// The long-poll wait of reads of routes and servers over a full link, in milliseconds. There only a response
+/// tells that there are no newer records.
+pub const FULL_LINK_WAIT_MS: u64 = 500;
 /// The long-poll wait of reads of the hosts, in milliseconds.
 pub const HOSTS_WAIT_MS: u64 = 20_000;
 /// The pause between two reads of the hosts, in milliseconds. Hosts that start together register
@@ -77,9 +80,13 @@
     fn read_position(&self, topic: topic::StoreTopic) -> store_reader::ReadPosition {
         let state = self.state.borrow();
         let granting = state.granter.is_granting();
+        let is_link_full = state.cluster.is_link_full(self.clock.now());
         let wait_ms = match topic {
             topic::StoreTopic::Assignments if granting => GRANTER_READ_WAIT_MS,
             topic::StoreTopic::Hosts => HOSTS_WAIT_MS,
+            topic::StoreTopic::Routes | topic::StoreTopic::Servers if is_link_full => {
+                FULL_LINK_WAIT_MS
+            }
             _ => READ_WAIT_MS,
         };
         let pause = match topic {
--- a/src/edge/router/front/mod.rs
+++ b/src/edge/router/front/mod.rs
@@ -30,12 +30,19 @@
 /// Request bodies up to this size are buffered, in bytes, so that an attempt can be retried; longer
 /// ones are streamed.
 pub const MAX_BUFFERED_BODY_BYTES: usize = 1 << 20;
+/// The most of a body that has arrived before its request can be refused, in bytes: what a connection takes
+/// that nobody reads.
+pub const MAX_UNREAD_BYTES: u64 = 64 * 1_024;
 /// The `retry-after` of requests that are refused before a route is found, in milliseconds.
 pub const EARLY_RETRY_AFTER_MS: u64 = 50;
 /// The response to a request that the host cannot serve before it ends.
 const STOPPING: local_response::LocalResponse =
     local_response::LocalResponse::Refused(scheduler::SchedulerRefusal::Stopping);
 
+/// The response to a request that the host would serve by records that may be outdated.
+const OUTDATED: local_response::LocalResponse =
+    local_response::LocalResponse::Refused(scheduler::SchedulerRefusal::Outdated);
+
 // A caller's request, from its arrival to its response.
 struct CallerRequest<C: ports::HeaderCodec> {
     thread: rc::Rc<traffic::TrafficThread<C>>,
@@ -79,6 +86,9 @@
         Ok(request) => request.serve(&mut payload).await,
         Err((response, id)) => {
             responses::record_early_refusal(&shared, response, id.as_deref());
+            let unread = exchange::content_length(&head).unwrap_or(0);
+            let metrics = &shared.parts.metrics;
+            metrics.unread_bytes.inc_by(unread.min(MAX_UNREAD_BYTES));
             let retry_after = (response.status() == 503)
                 .then(|| time::Duration::from_millis(EARLY_RETRY_AFTER_MS));
             local_response::respond(response, retry_after)
@@ -108,6 +118,9 @@
             return Err(early(STOPPING));
         }
         let view = thread.parts.view.load();
+        if view.is_outdated(arrived, thread.parts.scheduler.max_records_age()) {
+            return Err(early(OUTDATED));
+        }
         let routes = view
             .routes
             .as_ref()
--- a/src/edge/router/front/responses.rs
+++ b/src/edge/router/front/responses.rs
@@ -134,8 +134,10 @@
             );
         }
         let retry_after = match response {
-            // Other hosts serve the caller now.
-            front::STOPPING => Some(time::Duration::from_millis(front::EARLY_RETRY_AFTER_MS)),
+            // Other hosts can serve the caller now.
+            front::STOPPING | front::OUTDATED => {
+                Some(time::Duration::from_millis(front::EARLY_RETRY_AFTER_MS))
+            }
             _ => (response.status() == 503).then(|| self.retry_after(now)),
         };
         local_response::respond(response, retry_after)
--- a/src/edge/router/local_response.rs
+++ b/src/edge/router/local_response.rs
@@ -37,7 +37,7 @@
 
 impl LocalResponse {
     /// All local responses.
-    pub const ALL: [Self; 17] = [
+    pub const ALL: [Self; 18] = [
         Self::NoRoute,
         Self::RoutesUnconfirmed,
         Self::Starting,
@@ -52,6 +52,7 @@
         Self::Refused(scheduler::SchedulerRefusal::Budget),
         Self::Refused(scheduler::SchedulerRefusal::Stopping),
         Self::Refused(scheduler::SchedulerRefusal::ColdServer),
+        Self::Refused(scheduler::SchedulerRefusal::Outdated),
         Self::NotRun,
         Self::Broken,
         Self::Timeout,
@@ -94,6 +95,7 @@
             Self::Refused(scheduler::SchedulerRefusal::Budget) => "retry-budget",
             Self::Refused(scheduler::SchedulerRefusal::Stopping) => "stopping",
             Self::Refused(scheduler::SchedulerRefusal::ColdServer) => "cold-server",
+            Self::Refused(scheduler::SchedulerRefusal::Outdated) => "records-outdated",
             Self::NotRun => "not-run",
             Self::Broken => "broken",
             Self::Timeout => "timeout",
--- a/src/edge/router/metrics.rs
+++ b/src/edge/router/metrics.rs
@@ -100,6 +100,9 @@
     pub attempts: family::Family<AttemptLabel, counter::Counter>,
     /// The size of the bodies that were read from callers, in bytes.
     pub request_bytes: counter::Counter<u64, atomic::AtomicU64>,
+    /// The size of the bodies of requests that were refused before these were read, as far as they arrive, in
+    /// bytes.
+    pub unread_bytes: counter::Counter<u64, atomic::AtomicU64>,
     /// The size of the servers' responses that were sent to callers, in bytes.
     pub response_bytes: counter::Counter<u64, atomic::AtomicU64>,
     /// Calls to the store.
@@ -162,6 +165,7 @@
             latency: family::Family::new_with_constructor(latency_histogram),
             attempts: family::Family::default(),
             request_bytes: counter::Counter::default(),
+            unread_bytes: counter::Counter::default(),
             response_bytes: counter::Counter::default(),
             store_calls: family::Family::default(),
             orders: family::Family::default(),
@@ -215,6 +219,12 @@
             "Bytes of bodies that were read from callers",
             request,
         );
+        let unread = self.unread_bytes.clone();
+        registry.register(
+            "unread_bytes",
+            "Bytes of bodies of requests that were refused before these were read",
+            unread,
+        );
         let response = self.response_bytes.clone();
         registry.register(
             "response_bytes",
@@ -402,6 +412,12 @@
         self.store_calls.get_or_create(&label).inc();
     }
 
+    /// Returns how many bytes callers and servers have sent over the host's link.
+    #[must_use]
+    pub fn link_bytes(&self) -> u64 {
+        self.request_bytes.get() + self.unread_bytes.get() + self.response_bytes.get()
+    }
+
     /// Counts an order to a server.
     pub fn note_order(&self, call: &'static str, outcome: &'static str) {
         self.orders
--- a/src/serving/scheduler/mod.rs
+++ b/src/serving/scheduler/mod.rs
@@ -99,6 +99,8 @@
     Budget,
     /// The host ends before a server could respond.
     Stopping,
+    /// The routes and the servers that the host knows may be outdated.
+    Outdated,
     /// The server is cold, and this host's part of the requests that it can bear is used up.
     ColdServer,
 }
@@ -217,6 +219,9 @@
         request: DispatchRequest,
         now: clock::MonoTime,
     ) -> Result<WaitTicket, SchedulerRefusal> {
+        if self.is_outdated(now) {
+            return Err(SchedulerRefusal::Outdated);
+        }
         self.draw_budget(&request)?;
         if !request.is_retry {
             self.check_wait(&request, now)?;
@@ -303,6 +308,10 @@
         times.collect()
     }
 
+    fn is_outdated(&self, now: clock::MonoTime) -> bool {
+        self.view.is_outdated(now, self.settings.max_records_age())
+    }
+
     fn draw_budget(&mut self, request: &DispatchRequest) -> Result<(), SchedulerRefusal> {
         let hosts = to_f64(self.view.hosts.max(1));
         let ratio = self.settings.retry_ratio * RETRY_BUDGET_FRACTION;
@@ -353,7 +362,7 @@
         }
         for (place, waiting) in entries {
             let fits_pool = !pool_full || waiting.request.key.is_some();
-            if !fits_pool && self.late_refusal(&waiting, service_ms, now).is_none() {
+            if !fits_pool && self.end_refusal(&waiting, service_ms, now).is_none() {
                 kept.insert(place, waiting);
                 continue;
             }
@@ -384,13 +393,17 @@
         }
     }
 
-    // Why too little time is left for a server to respond, if it is.
-    fn late_refusal(
+    // Why a request may not wait any longer, if it may not: the records are outdated, or too little time is
+    // left for a server to respond.
+    fn end_refusal(
         &self,
         waiting: &Waiting,
         service_ms: f64,
         now: clock::MonoTime,
     ) -> Option<SchedulerRefusal> {
+        if self.is_outdated(now) {
+            return Some(SchedulerRefusal::Outdated);
+        }
         if self.ends_before(0.0, service_ms, now) {
             return Some(SchedulerRefusal::Stopping);
         }
--- a/src/serving/scheduler/selection.rs
+++ b/src/serving/scheduler/selection.rs
@@ -26,7 +26,7 @@
         service_ms: f64,
         now: clock::MonoTime,
     ) -> Decision {
-        if let Some(refusal) = self.late_refusal(waiting, service_ms, now) {
+        if let Some(refusal) = self.end_refusal(waiting, service_ms, now) {
             return Decision::GiveUp(refusal);
         }
         match waiting.request.key {
