Count a server's drain time from when it was last known to be ready

A host counted the time for which a draining server still gets requests for its keys (0.6 of the drain time) from when it learned of the drain. One that learned it 1.7 s late, which is the age up to which it serves by its records, could so send such requests 3.2 s after the drain had begun; the bound is 2.5 s.

It now counts from when its records of routes and servers were last known to be the newest before the one that says so: a drain may have begun any time since. At a host that reads the store over a link with room nothing changes; at one that another host supplies the time ends up to some 0.3 s earlier, its usual age.

The new case of tests/full_links.rs failed before, and passes.

--- a/src/serving/cluster/mod.rs
+++ b/src/serving/cluster/mod.rs
@@ -190,7 +190,8 @@
     pub fn note_server(&mut self, record: directory::ServerRecord, now: clock::MonoTime) {
         if self.names_service(&record.service) {
             self.unnamed.remove(&record.life.server);
-            self.directory.note(record, now);
+            let confirmed_at = self.records_confirmed_at(now);
+            self.directory.note_changed(record, confirmed_at, now);
         } else {
             let name = record.life.server.clone();
             self.unnamed.insert(name, (record, now));
--- a/src/serving/directory.rs
+++ b/src/serving/directory.rs
@@ -84,20 +84,21 @@
 pub struct KnownServer {
     /// The server's newest record.
     pub record: sync::Arc<ServerRecord>,
-    /// When this host learned that the server entered its state; `None` where the first record that the
-    /// host had of this incarnation has that state, so that the server may have entered it long before.
+    /// The earliest time at which the server may have entered its state: when this host last knew it to be in
+    /// another one. `None` where the first record that the host had of this incarnation has that state, so
+    /// that the server may have entered it long before.
     pub state_since: Option<clock::MonoTime>,
     /// What this host knows of the incarnation's cold times.
     pub cold: cold::ColdTimes,
 }
 
 impl KnownServer {
-    // What is known of a server once its `record` was received at `now`.
+    // What is known of a server once its `record` was received.
     fn with_record(
         known: Option<&Self>,
         record: ServerRecord,
         cold: cold::ColdTimes,
-        now: clock::MonoTime,
+        received: ReceivedAt,
     ) -> Self {
         let known = known.filter(|known| known.record.life == record.life);
         let state_since = known.and_then(|known| {
@@ -105,7 +106,7 @@
             if is_same {
                 known.state_since
             } else {
-                Some(now)
+                Some(received.changed_since)
             }
         });
         let is_repeated = known.is_some_and(|known| known.record.version() == record.version());
@@ -113,11 +114,18 @@
         Self {
             record: sync::Arc::new(record),
             state_since,
-            cold: cold.with_remaining(remaining.unwrap_or_default(), now),
+            cold: cold.with_remaining(remaining.unwrap_or_default(), received.now),
         }
     }
 }
 
+/// When a record was received, and since when it may have been written.
+#[derive(Clone, Copy, Debug)]
+struct ReceivedAt {
+    now: clock::MonoTime,
+    changed_since: clock::MonoTime,
+}
+
 /// A server that has left, as one host tells another.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(serde::Serialize, serde::Deserialize)]
@@ -183,6 +191,17 @@
     /// removed record itself counts again only where the removal may have been an effect of a failure of
     /// the store.
     pub fn note(&mut self, record: ServerRecord, now: clock::MonoTime) {
+        self.note_changed(record, now, now);
+    }
+
+    /// Does the same for a record that may have been written at any time since `changed_since`, because the
+    /// records before it were last known to be the newest then.
+    pub fn note_changed(
+        &mut self,
+        record: ServerRecord,
+        changed_since: clock::MonoTime,
+        now: clock::MonoTime,
+    ) {
         let name = record.life.server.clone();
         let known = self.find_known(&name);
         let is_outdated = match known {
@@ -197,7 +216,8 @@
         }
         let cold = self.cold_times(&record.life);
         let cold = cold.unwrap_or_else(|| self.first_cold_times(now));
-        let known = KnownServer::with_record(known, record, cold, now);
+        let received = ReceivedAt { now, changed_since };
+        let known = KnownServer::with_record(known, record, cold, received);
         self.lapsed.remove(&name);
         self.removed.remove(&name);
         self.entries.insert(name, known);
--- a/tests/full_links.rs
+++ b/tests/full_links.rs
@@ -238,6 +238,21 @@
     assert!(!case.sends(None, OLD_MS));
 }
 
+// Guards against a draining server that gets requests for its keys for the whole time that a host allows itself
+// from when it learns of the drain, though the drain may have begun when it had last heard of the server.
+fn counts_a_drain_from_when_the_server_was_last_known_to_be_ready() {
+    let mut case = HostCase::new();
+    case.use_link(STEP_BYTES, OLD_MS);
+    let draining = directory::ServerRecord {
+        state: directory::ServerState::Draining,
+        sequence: 2,
+        ..server()
+    };
+    case.cluster.note_server(draining, fixtures::at(OLD_MS));
+    case.confirm(1, 0, OLD_MS);
+    assert!(!case.sends(Some(7), OLD_MS));
+}
+
 macro_rules! link_cases {
     ($($name:ident),* $(,)?) => {
         mod cases {
@@ -257,4 +272,5 @@
     goes_on_by_records_that_are_confirmed_over_a_full_link,
     is_not_confirmed_by_a_host_with_newer_records,
     is_not_confirmed_by_a_host_with_old_records,
+    counts_a_drain_from_when_the_server_was_last_known_to_be_ready,
 }
