--- a/lab/src/platform_site/site.rs
+++ b/lab/src/platform_site/site.rs
@@ -92,6 +92,13 @@
         Ok(())
     }
 
+    /// Reports whether a worker has begun to work on a request.
+    #[must_use]
+    pub fn has_run(&self, id: &str) -> bool {
+        let mut workers = self.workers.iter();
+        workers.any(|worker| http::lock(worker).runs().contains_key(id))
+    }
+
     /// Starts a worker again under its id, as a new incarnation.
     pub fn restart_worker(&self, number: usize) {
         let surroundings = self.surroundings();
