Run no request of a connection that is refused

Cause: the refusal is written to the socket as it is accepted and the socket is shut down, but the connection still goes to the HTTP library, which reads what has arrived and calls the handler. Nothing told the handler. The connection now counts as closing from its refusal on, as it does behind a response that closes it, and no server gets its requests.

--- a/src/edge/caller_connection.rs
+++ b/src/edge/caller_connection.rs
@@ -24,7 +24,14 @@
     data.insert(CallerConnection::new());
 }
 
-/// Reports whether a response before this request closes the connection.
+/// Marks a connection that is refused, so that no server gets a request that has already arrived on it.
+pub fn refuse(data: &actix_web::dev::Extensions) {
+    if let Some(connection) = data.get::<CallerConnection>() {
+        connection.is_closing.set(true);
+    }
+}
+
+/// Reports whether the connection of this request was refused, or a response before it closes the connection.
 #[must_use]
 pub fn is_closing(request: &actix_web::HttpRequest) -> bool {
     let connection = request.conn_data::<CallerConnection>();
--- a/src/edge/reservation.rs
+++ b/src/edge/reservation.rs
@@ -23,6 +23,7 @@
 
 use crate::clock;
 use crate::clock::MonoClock as _;
+use crate::edge::caller_connection;
 use crate::edge::caller_listener;
 use crate::edge::router::log_budget;
 use crate::memory::account;
@@ -149,7 +150,7 @@
     }
 
     /// Counts an accepted connection of a caller until `extensions` are dropped, and refuses it where
-    /// too many are open.
+    /// too many are open. [`caller_connection::add`] must have been called for it.
     pub fn admit(&self, stream: &actix_web::rt::net::TcpStream, extensions: &mut dev::Extensions) {
         let now = self.clock.now();
         let refused = {
@@ -163,6 +164,7 @@
             reads_ahead: atomic::AtomicBool::new(true),
         })));
         if refused.is_some() {
+            caller_connection::refuse(extensions);
             let socket = socket2::SockRef::from(stream);
             // The caller may have closed the connection already.
             let _ = socket.send(refusal_text().as_bytes());
