Bound what a streamed response holds

Cause: the HTTP client reads up to 400 KB at once from a server, by its own default, and each response holds several such pieces: one read, one on its way to the caller's connection, one being written. It now reads 64 KiB at once, and the account counts 256 KiB for a stream.

--- a/src/edge/router/connection_pool.rs
+++ b/src/edge/router/connection_pool.rs
@@ -12,6 +12,7 @@
 use crate::clock::MonoClock as _;
 use crate::edge::router::http_client;
 use crate::edge::router::request_stream;
+use crate::memory::limits;
 use crate::names;
 use crate::ownership::order;
 
@@ -216,7 +217,9 @@
     set_options(&stream).map_err(|e| unsent("set-options", e.to_string()))?;
     let state = request_stream::RequestState::new();
     let stream = request_stream::RequestStream::new(stream, state.clone());
-    let handshake = http1::handshake(rt::TokioIo::new(stream)).await;
+    let mut builder = http1::Builder::new();
+    builder.max_buf_size(limits::SERVER_READ_BYTES);
+    let handshake = builder.handshake(rt::TokioIo::new(stream)).await;
     let (sender, connection) = handshake.map_err(|e| unsent("handshake", e.to_string()))?;
     let task = actix::spawn(async move {
         // The error is also reported to the request that awaits the response.
--- a/src/memory/limits.rs
+++ b/src/memory/limits.rs
@@ -8,9 +8,12 @@
 /// The further cost of a connection from its start, or from the start of a request, until the request's
 /// body has been read, in bytes: the library reads up to 128 KiB ahead, also of a body that it discards.
 pub const READ_AHEAD_BYTES: u64 = 128 << 10;
+/// The most that is read at once from a server's connection, in bytes. A response that is streamed is held in
+/// pieces of up to this size: read, on its way to the caller's connection, and being written.
+pub const SERVER_READ_BYTES: usize = 64 << 10;
 /// The flat cost of a body or response that is streamed, in bytes: what was read ahead and decoded,
 /// and the buffers towards the other side.
-pub const STREAM_BYTES: u64 = 192 << 10;
+pub const STREAM_BYTES: u64 = 256 << 10;
 /// Chunks of a body that are smaller than this count as small, in bytes.
 pub const SMALL_CHUNK_BYTES: usize = 1_024;
 /// The cost of a small chunk in the library's queue of decoded chunks, in bytes: its entry takes 32,
