Count what the HTTP library holds for a connection beside its requests

Cause: the account gave the read-ahead of a connection back once the body of its request had been read. The library keeps its buffer, some 180 KiB after such an upload, and decodes further requests while one is served.

A connection now counts its read-ahead to the end of its request, and for good once it has carried a body of 16 KiB or more. Above seven eighths of the account each response closes its connection, as it did for connections alone; a request that finds the account overdrawn is refused at once.

--- a/src/edge/callers.rs
+++ b/src/edge/callers.rs
@@ -158,6 +158,10 @@
     reservation: &reservation::Reservation,
 ) -> Result<actix_web::HttpResponse, RefusedRequest> {
     let envelope = parse(head)?;
+    if reservation.is_evicted() {
+        let full = outcome::RefusalReason::HostFull;
+        return Err(RefusedRequest::new(full, "accept-request").with_id(&envelope.id));
+    }
     let table = context.table.load_full();
     let now = context.clock.now();
     let admitted = admission::check(&table, &envelope, arrived, now)
--- a/src/edge/reservation.rs
+++ b/src/edge/reservation.rs
@@ -162,6 +162,7 @@
         extensions.insert(ConnectionGuard(sync::Arc::new(CallerConnection {
             shared: self.clone(),
             reads_ahead: atomic::AtomicBool::new(true),
+            keeps_buffer: atomic::AtomicBool::new(false),
         })));
         if refused.is_some() {
             caller_connection::refuse(extensions);
@@ -187,6 +188,10 @@
         let mut state = lock(&self.state);
         let id = state.account.open(address, self.clock.now());
         state.signals.insert(id, sync::Arc::clone(&signal));
+        if state.account.is_evicted(id) {
+            signal.evict();
+            self.count(&state, account::PressureCause::Memory);
+        }
         drop(state);
         Reservation {
             shared: self.clone(),
@@ -194,6 +199,7 @@
             address,
             signal,
             held: cell::Cell::new(0),
+            is_body_read: cell::Cell::new(false),
             connection,
         }
     }
@@ -259,11 +265,30 @@
 // An open connection of a caller.
 struct CallerConnection {
     shared: SharedAccount,
-    // Whether it may hold bytes of a body that has not been read to its end.
+    // Whether it may hold bytes that the library has read ahead.
     reads_ahead: atomic::AtomicBool,
+    // Whether the library's buffer has become large, which lasts.
+    keeps_buffer: atomic::AtomicBool,
 }
 
 impl CallerConnection {
+    // Notes that a body of this size was received.
+    fn note_body(&self, bytes: u64) {
+        if bytes >= limits::KEPT_BUFFER_BODY_BYTES {
+            self.keeps_buffer.store(true, atomic::Ordering::Relaxed);
+        }
+    }
+
+    fn begin_request(&self) {
+        self.set_read_ahead(true);
+    }
+
+    fn end_request(&self) {
+        if !self.keeps_buffer.load(atomic::Ordering::Relaxed) {
+            self.set_read_ahead(false);
+        }
+    }
+
     fn set_read_ahead(&self, reads_ahead: bool) {
         let was = self
             .reads_ahead
@@ -336,6 +361,7 @@
     pub fn finish(&self, buffer: &bytes::BytesMut) -> Result<(), account::PressureCause> {
         self.reservation.finish_body();
         let size = u64::try_from(buffer.capacity()).unwrap_or(u64::MAX);
+        self.reservation.note_body(size);
         self.reservation.hold(size)
     }
 
@@ -345,6 +371,7 @@
     /// Fails when the bytes are refused, or the request has to give way.
     pub fn stream(&self) -> Result<(), account::PressureCause> {
         self.reservation.note_progress(account::TransferPhase::Held);
+        self.reservation.note_body(limits::STREAM_BYTES);
         // The library decodes further small chunks while the body waits for a server.
         let queued = if self.small_chunks > 0 {
             limits::MAX_QUEUED_CHUNKS * limits::SMALL_CHUNK_COST
@@ -373,16 +400,22 @@
     address: std::net::IpAddr,
     signal: sync::Arc<EvictionSignal>,
     held: cell::Cell<u64>,
+    is_body_read: cell::Cell<bool>,
     connection: Option<sync::Arc<CallerConnection>>,
 }
 
 impl Reservation {
     /// Notes that the request's body has been read to its end.
     pub fn finish_body(&self) {
+        self.is_body_read.set(true);
+        self.note_progress(account::TransferPhase::Held);
+    }
+
+    // Notes that a body of this size was received on the connection.
+    fn note_body(&self, bytes: u64) {
         if let Some(connection) = &self.connection {
-            connection.set_read_ahead(false);
+            connection.note_body(bytes);
         }
-        self.note_progress(account::TransferPhase::Held);
     }
 
     /// Holds `bytes` more.
@@ -438,6 +471,11 @@
         state.account.close(self.id);
         state.signals.remove(&self.id);
         self.shared.show(&state);
+        drop(state);
+        // The remainder of a body that nobody reads stays with the connection until it closes.
+        if let Some(connection) = self.connection.as_ref().filter(|_| self.is_body_read.get()) {
+            connection.end_request();
+        }
     }
 }
 
@@ -450,7 +488,7 @@
     let connection = request.conn_data::<ConnectionGuard>();
     let connection = connection.map(|guard| sync::Arc::clone(&guard.0));
     if let Some(connection) = &connection {
-        connection.set_read_ahead(true);
+        connection.begin_request();
     }
     let reservation = shared.unwrap_or_default().open(address, connection);
     let reservation = rc::Rc::new(reservation);
--- a/src/edge/router/front/mod.rs
+++ b/src/edge/router/front/mod.rs
@@ -113,6 +113,9 @@
         let reservation = reservation::attach(&caller);
         let headers = thread.parts.codec.read_request(caller.headers());
         let early = |response| (response, headers.id.clone());
+        if reservation.is_evicted() {
+            return Err(early(local_response::LocalResponse::HostFull));
+        }
         let shutdown = thread.parts.shutdown.times();
         if shutdown.is_some_and(|times| times.is_closed(arrived)) {
             return Err(early(STOPPING));
--- a/src/memory/account.rs
+++ b/src/memory/account.rs
@@ -141,10 +141,17 @@
         self.connections
     }
 
-    /// Reports whether connections should close with their next response, so that others get one.
+    /// Reports whether connections should close with their next response, so that others get one, and so that
+    /// what idle ones hold is released.
     #[must_use]
     pub const fn is_connection_pressed(&self) -> bool {
-        self.connections >= self.limits.connections / 8 * PRESSURE_EIGHTHS
+        let connections = self.limits.connections / 8 * PRESSURE_EIGHTHS;
+        self.connections >= connections || self.used >= self.pressure_mark()
+    }
+
+    // The bytes above which transfers are asked to give way.
+    const fn pressure_mark(&self) -> u64 {
+        self.limits.bytes / 8 * PRESSURE_EIGHTHS
     }
 
     /// Opens a connection, as one that reads ahead; refuses it where the connections or the bytes are
@@ -182,17 +189,18 @@
     }
 
     /// Notes that a request began on an idle connection. Its bytes may have been read already, so
-    /// they cannot be refused.
+    /// they cannot be refused; the request can ([`Self::open`]).
     pub const fn begin_read_ahead(&mut self) {
         self.used += limits::READ_AHEAD_BYTES;
     }
 
-    /// Notes that the body of a connection's request has been read.
+    /// Notes that a connection's request has ended.
     pub const fn end_read_ahead(&mut self) {
         self.used = self.used.saturating_sub(limits::READ_AHEAD_BYTES);
     }
 
-    /// Opens a transfer that holds no bytes.
+    /// Opens a transfer that holds no bytes. It has to give way at once where connections hold more than the
+    /// account has.
     pub fn open(&mut self, address: net::IpAddr, now: clock::MonoTime) -> TransferId {
         let id = TransferId(self.next);
         self.next += 1;
@@ -202,12 +210,19 @@
             phase: TransferPhase::Receiving,
             bytes: 0,
             progressed: now,
-            is_evicted: false,
+            is_evicted: self.used > self.limits.bytes,
         };
         self.transfers.insert(id, transfer);
         id
     }
 
+    /// Reports whether a transfer has to give way.
+    #[must_use]
+    pub fn is_evicted(&self, id: TransferId) -> bool {
+        let transfer = self.transfers.get(&id);
+        transfer.is_none_or(|transfer| transfer.is_evicted)
+    }
+
     /// Notes that a transfer makes progress in this phase.
     pub fn note_progress(&mut self, id: TransferId, phase: TransferPhase, now: clock::MonoTime) {
         if let Some(transfer) = self.transfers.get_mut(&id) {
@@ -232,7 +247,7 @@
         }
         let (address, held) = (transfer.address, transfer.bytes);
         let added = bytes.saturating_sub(held);
-        let mark = self.limits.bytes / 8 * PRESSURE_EIGHTHS;
+        let mark = self.pressure_mark();
         let is_pressed = added > 0 && self.used - self.leaving + added > mark;
         if is_pressed {
             decision.evicted = self.choose(id, address, added, mark, now);
--- a/src/memory/limits.rs
+++ b/src/memory/limits.rs
@@ -5,9 +5,13 @@
 pub const BASE_BYTES: u64 = 16 << 20;
 /// The flat cost of an idle connection with the library's buffers, in bytes.
 pub const CONNECTION_BYTES: u64 = 24 << 10;
-/// The further cost of a connection from its start, or from the start of a request, until the request's
-/// body has been read, in bytes: the library reads up to 128 KiB ahead, also of a body that it discards.
+/// The further cost of a connection from its start, or from the start of a request, until the request has
+/// ended, in bytes: the library reads up to 128 KiB ahead, also of a body that it discards, and decodes further
+/// requests meanwhile.
 pub const READ_AHEAD_BYTES: u64 = 128 << 10;
+/// The size from which a body leaves the library's buffer large, in bytes: then the further cost lasts as long as
+/// the connection.
+pub const KEPT_BUFFER_BODY_BYTES: u64 = 16 << 10;
 /// The most that is read at once from a server's connection, in bytes. A response that is streamed is held in
 /// pieces of up to this size: read, on its way to the caller's connection, and being written.
 pub const SERVER_READ_BYTES: usize = 64 << 10;
