Split the reservations of requests by what they are for

The meter of bodies, the metrics and the bodies of held responses are modules of their own; the two that replaced a whole response's body did so by the same lines, which are one function now. 432 lines are left.

--- a/lab/src/fronts.rs
+++ b/lab/src/fronts.rs
@@ -17,6 +17,7 @@
 use zinniastack::edge::dispatcher;
 use zinniastack::edge::host;
 use zinniastack::edge::metrics;
+use zinniastack::edge::pressure_metrics;
 use zinniastack::edge::reservation;
 use zinniastack::edge::router::grant_relay;
 use zinniastack::edge::router::host as router_host;
@@ -255,7 +256,7 @@
             threads: 1,
             limits: limits::ProcessLimits::default(),
         };
-        let pressure = reservation::PressureMetrics::new();
+        let pressure = pressure_metrics::PressureMetrics::new();
         let account = reservation::SharedAccount::new(settings.limits, clock, pressure);
         let listener = host::listen_callers(&settings, &context, account);
         Self {
--- a/src/edge/callers.rs
+++ b/src/edge/callers.rs
@@ -14,6 +14,7 @@
 use crate::clock;
 use crate::clock::MonoClock as _;
 use crate::contract;
+use crate::edge::body_meter;
 use crate::edge::caller_connection;
 use crate::edge::caller_listener;
 use crate::edge::controller;
@@ -22,6 +23,7 @@
 use crate::edge::metrics;
 use crate::edge::request_driver;
 use crate::edge::reservation;
+use crate::edge::response_body;
 use crate::flow;
 use crate::names;
 use crate::outcome;
@@ -110,12 +112,12 @@
     let mut response = match result {
         Ok(response) => {
             context.metrics.answered.inc();
-            reservation::reserve_body(response, reservation)
+            response_body::reserve_body(response, reservation)
         }
         Err(refused) => {
             context.metrics.count_refusal(refused.reason);
             let unread = payload.filter(|_| reservation::has_body(&head));
-            reservation::hold_unread(refusal_response(&refused), unread)
+            response_body::hold_unread(refusal_response(&refused), unread)
         }
     };
     let is_pressed = head
@@ -243,7 +245,7 @@
     if let Some(length) = envelope.body_bytes
         && length > BUFFERED_BODY_BYTES
     {
-        let held = reservation::BodyMeter::new(reservation).stream();
+        let held = body_meter::BodyMeter::new(reservation).stream();
         held.map_err(|_| refuse(outcome::RefusalReason::HostFull))?;
         if let Some(payload) = payload.take() {
             return Ok(exchange::WorkBody::Stream(length, payload));
@@ -254,7 +256,7 @@
         return Ok(exchange::WorkBody::Buffered(web::Bytes::new()));
     };
     let mut buffer = web::BytesMut::new();
-    let mut meter = reservation::BodyMeter::new(reservation);
+    let mut meter = body_meter::BodyMeter::new(reservation);
     loop {
         let left = deadline.since(context.clock.now());
         let next = tokio::select! {
--- a/src/edge/metrics.rs
+++ b/src/edge/metrics.rs
@@ -9,7 +9,7 @@
 
 use crate::control;
 use crate::edge::ports;
-use crate::edge::reservation;
+use crate::edge::pressure_metrics;
 use crate::outcome;
 use crate::replay;
 
@@ -115,7 +115,7 @@
     /// The number of failure domains in which this host is the granter.
     pub domains_granted: gauge::Gauge,
     /// The memory and the connections that callers take.
-    pub pressure: reservation::PressureMetrics,
+    pub pressure: pressure_metrics::PressureMetrics,
 }
 
 impl HostMetrics {
@@ -139,7 +139,7 @@
             terms_ended: counter::Counter::default(),
             configuration_version: gauge::Gauge::default(),
             domains_granted: gauge::Gauge::default(),
-            pressure: reservation::PressureMetrics::new(),
+            pressure: pressure_metrics::PressureMetrics::new(),
         };
         metrics.register();
         for verdict in VERDICTS {
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! Decisions are made by the modules outside `edge`, which perform no I/O.
 
+pub mod body_meter;
 pub mod caller_connection;
 pub mod caller_listener;
 pub mod callers;
@@ -16,8 +17,10 @@
 pub mod peers;
 pub mod platform;
 pub mod ports;
+pub mod pressure_metrics;
 mod request_driver;
 pub mod reservation;
+pub mod response_body;
 pub mod router;
 pub mod rpc;
 pub mod servers;
--- a/src/edge/reservation.rs
+++ b/src/edge/reservation.rs
@@ -3,92 +3,29 @@
 
 use std::cell;
 use std::collections;
-use std::io;
-use std::pin;
 use std::rc;
 use std::sync;
 use std::sync::atomic;
-use std::task;
 
 use actix_web::HttpMessage as _;
-use actix_web::body;
 use actix_web::dev;
 use actix_web::http::header;
-use actix_web::web;
 use futures_util::StreamExt as _;
-use prometheus_client::metrics::counter;
-use prometheus_client::metrics::family;
-use prometheus_client::metrics::gauge;
-use prometheus_client::registry;
 
 use crate::clock;
 use crate::clock::MonoClock as _;
 use crate::edge::caller_connection;
 use crate::edge::caller_listener;
+use crate::edge::pressure_metrics;
 use crate::edge::router::log_budget;
 use crate::memory::account;
 use crate::memory::limits;
 
 /// The `retry-after` of refusals for lack of memory or connections, in seconds.
 pub const RETRY_AFTER_S: u64 = 1;
-/// The size of the pieces in which a held response is sent, in bytes.
-pub const PIECE_BYTES: usize = 16 << 10;
-/// The step in which the reservation of a body grows, in bytes.
-pub const HELD_STEP_BYTES: u64 = 16 << 10;
-/// A body in small chunks makes progress once this many have arrived.
-pub const PROGRESS_CHUNKS: u64 = 64;
 /// One in this many of the connections is kept for those that are being refused.
 pub const REFUSED_SHARE: u64 = 16;
 
-/// The label of refusals.
-#[derive(Clone, Debug, PartialEq, Eq, Hash)]
-#[derive(prometheus_client::encoding::EncodeLabelSet)]
-pub struct CauseLabel {
-    /// The cause.
-    pub cause: &'static str,
-}
-
-/// The metrics of the account.
-#[derive(Clone, Debug)]
-pub struct PressureMetrics {
-    refusals: family::Family<CauseLabel, counter::Counter>,
-    held_bytes: gauge::Gauge,
-    connections: gauge::Gauge,
-}
-
-impl PressureMetrics {
-    /// Creates the metrics, with every cause present.
-    #[must_use]
-    pub fn new() -> Self {
-        let metrics = Self {
-            refusals: family::Family::default(),
-            held_bytes: gauge::Gauge::default(),
-            connections: gauge::Gauge::default(),
-        };
-        for cause in account::PressureCause::ALL {
-            let cause = cause.as_str();
-            drop(metrics.refusals.get_or_create(&CauseLabel { cause }));
-        }
-        metrics
-    }
-
-    /// Registers the metrics.
-    pub fn register(&self, registry: &mut registry::Registry) {
-        let help = "Requests and connections refused for lack of memory or connections, by cause";
-        registry.register("pressure_refusals", help, self.refusals.clone());
-        let help = "Bytes that are reserved for requests and connections of callers";
-        registry.register("held_bytes", help, self.held_bytes.clone());
-        let help = "Open connections of callers";
-        registry.register("caller_connections", help, self.connections.clone());
-    }
-}
-
-impl Default for PressureMetrics {
-    fn default() -> Self {
-        Self::new()
-    }
-}
-
 /// Tells a transfer that it has to give way, and holds the bytes that are released then.
 #[derive(Debug, Default)]
 struct EvictionSignal {
@@ -123,7 +60,7 @@
 #[derive(Clone)]
 pub struct SharedAccount {
     state: sync::Arc<sync::Mutex<AccountState>>,
-    metrics: PressureMetrics,
+    metrics: pressure_metrics::PressureMetrics,
     clock: clock::SystemClock,
 }
 
@@ -133,7 +70,7 @@
     pub fn new(
         limits: limits::ProcessLimits,
         clock: clock::SystemClock,
-        metrics: PressureMetrics,
+        metrics: pressure_metrics::PressureMetrics,
     ) -> Self {
         let refused = limits.connections / REFUSED_SHARE;
         let admitted = limits.with_connections(limits.connections - refused);
@@ -221,10 +158,7 @@
     }
 
     fn count(&self, state: &AccountState, cause: account::PressureCause) {
-        let label = CauseLabel {
-            cause: cause.as_str(),
-        };
-        self.metrics.refusals.get_or_create(&label).inc();
+        self.metrics.note_refusal(cause);
         if state.log_budget.try_take() {
             tracing::info!(
                 event = "pressure-refused",
@@ -236,10 +170,8 @@
     }
 
     fn show(&self, state: &AccountState) {
-        let used = i64::try_from(state.account.used()).unwrap_or(i64::MAX);
-        self.metrics.held_bytes.set(used);
-        let connections = i64::try_from(state.account.connections()).unwrap_or(i64::MAX);
-        self.metrics.connections.set(connections);
+        let account = &state.account;
+        self.metrics.show(account.used(), account.connections());
     }
 }
 
@@ -248,7 +180,7 @@
         Self::new(
             limits::ProcessLimits::default(),
             clock::SystemClock::new(),
-            PressureMetrics::new(),
+            pressure_metrics::PressureMetrics::new(),
         )
     }
 }
@@ -311,82 +243,6 @@
     }
 }
 
-/// Reserves the memory of a request's body while it is read.
-pub struct BodyMeter<'a> {
-    reservation: &'a Reservation,
-    small_chunks: u64,
-    held: u64,
-}
-
-impl<'a> BodyMeter<'a> {
-    /// Creates the meter of a body of which nothing was read.
-    #[must_use]
-    pub const fn new(reservation: &'a Reservation) -> Self {
-        Self {
-            reservation,
-            small_chunks: 0,
-            held: 0,
-        }
-    }
-
-    /// Reserves what a body takes when another chunk is added to its buffer.
-    ///
-    /// # Errors
-    /// Fails when the bytes are refused, or the request has to give way.
-    pub fn take(
-        &mut self,
-        buffer: &bytes::BytesMut,
-        chunk: &[u8],
-    ) -> Result<(), account::PressureCause> {
-        let is_small = chunk.len() < limits::SMALL_CHUNK_BYTES;
-        self.small_chunks += u64::from(is_small);
-        let size = buffer.capacity().max(buffer.len() + chunk.len());
-        let needed = u64::try_from(size).unwrap_or(u64::MAX) + self.queue_bytes();
-        if needed > self.held {
-            // Bodies in small chunks would otherwise take the lock for each of them.
-            self.held = needed.next_multiple_of(HELD_STEP_BYTES);
-            self.reservation.hold(self.held)?;
-        }
-        if !is_small || self.small_chunks.is_multiple_of(PROGRESS_CHUNKS) {
-            self.reservation
-                .note_progress(account::TransferPhase::Receiving);
-        }
-        Ok(())
-    }
-
-    /// Reserves what a body takes that was read to its end.
-    ///
-    /// # Errors
-    /// Fails when the request has to give way.
-    pub fn finish(&self, buffer: &bytes::BytesMut) -> Result<(), account::PressureCause> {
-        self.reservation.finish_body();
-        let size = u64::try_from(buffer.capacity()).unwrap_or(u64::MAX);
-        self.reservation.note_body(size);
-        self.reservation.hold(size)
-    }
-
-    /// Reserves what a body takes whose remainder is streamed to a server.
-    ///
-    /// # Errors
-    /// Fails when the bytes are refused, or the request has to give way.
-    pub fn stream(&self) -> Result<(), account::PressureCause> {
-        self.reservation.note_progress(account::TransferPhase::Held);
-        self.reservation.note_body(limits::STREAM_BYTES);
-        // The library decodes further small chunks while the body waits for a server.
-        let queued = if self.small_chunks > 0 {
-            limits::MAX_QUEUED_CHUNKS * limits::SMALL_CHUNK_COST
-        } else {
-            0
-        };
-        let more = limits::STREAM_BYTES + queued - self.queue_bytes().min(queued);
-        self.reservation.hold_more(more)
-    }
-
-    fn queue_bytes(&self) -> u64 {
-        self.small_chunks.min(limits::MAX_QUEUED_CHUNKS) * limits::SMALL_CHUNK_COST
-    }
-}
-
 fn refusal_text() -> String {
     let retry_after = RETRY_AFTER_S.to_string();
     let headers = [("retry-after", retry_after.as_str())];
@@ -412,7 +268,7 @@
     }
 
     // Notes that a body of this size was received on the connection.
-    fn note_body(&self, bytes: u64) {
+    pub(crate) fn note_body(&self, bytes: u64) {
         if let Some(connection) = &self.connection {
             connection.note_body(bytes);
         }
@@ -451,6 +307,19 @@
         state.account.note_progress(self.id, phase, now);
     }
 
+    // Holds a response until it is sent in pieces, or gives way.
+    pub(crate) fn store_response(&self, bytes: bytes::Bytes) {
+        *lock(&self.signal.response) = bytes;
+        self.note_progress(account::TransferPhase::Responding);
+    }
+
+    // Takes the next piece of the response, of up to `size` bytes; an empty one where it gave way.
+    pub(crate) fn take_piece(&self, size: usize) -> bytes::Bytes {
+        let mut held = lock(&self.signal.response);
+        let size = held.len().min(size);
+        held.split_to(size)
+    }
+
     /// Reports whether the request has to give way.
     #[must_use]
     pub fn is_evicted(&self) -> bool {
@@ -561,127 +430,3 @@
         }
     })
 }
-
-/// Replaces the body of a response that is held whole by one that keeps its reservation until it was
-/// sent, and closes the connection where it gives way.
-#[must_use]
-pub fn reserve_body(
-    response: actix_web::HttpResponse,
-    reservation: rc::Rc<Reservation>,
-) -> actix_web::HttpResponse {
-    response.map_body(|_, content| {
-        let bytes = body::MessageBody::try_into_bytes(content);
-        bytes.map_or_else(
-            |content| content,
-            |bytes| {
-                if bytes.len() <= PIECE_BYTES {
-                    return body::BoxBody::new(bytes);
-                }
-                body::BoxBody::new(ReservedBody::new(bytes, reservation))
-            },
-        )
-    })
-}
-
-/// A response body that is held whole and sent in pieces.
-struct ReservedBody {
-    length: u64,
-    left: usize,
-    reservation: rc::Rc<Reservation>,
-}
-
-impl ReservedBody {
-    fn new(bytes: bytes::Bytes, reservation: rc::Rc<Reservation>) -> Self {
-        let left = bytes.len();
-        *lock(&reservation.signal.response) = bytes;
-        reservation.note_progress(account::TransferPhase::Responding);
-        Self {
-            length: u64::try_from(left).unwrap_or(u64::MAX),
-            left,
-            reservation,
-        }
-    }
-}
-
-impl body::MessageBody for ReservedBody {
-    type Error = io::Error;
-
-    fn size(&self) -> body::BodySize {
-        body::BodySize::Sized(self.length)
-    }
-
-    fn poll_next(
-        self: pin::Pin<&mut Self>,
-        _: &mut task::Context<'_>,
-    ) -> task::Poll<Option<Result<bytes::Bytes, io::Error>>> {
-        let reserved = self.get_mut();
-        if reserved.left == 0 {
-            return task::Poll::Ready(None);
-        }
-        let reservation = &reserved.reservation;
-        let mut held = lock(&reservation.signal.response);
-        let size = held.len().min(PIECE_BYTES);
-        let piece = held.split_to(size);
-        drop(held);
-        if piece.is_empty() {
-            let fault = io::Error::other("the response gave way to others");
-            return task::Poll::Ready(Some(Err(fault)));
-        }
-        reserved.left -= size;
-        reservation.note_progress(account::TransferPhase::Responding);
-        task::Poll::Ready(Some(Ok(piece)))
-    }
-}
-
-/// Keeps the unread remainder of a request's body until the response was sent, which closes the
-/// connection. The library would otherwise wait, without a limit, for the end of a chunked body that
-/// nobody reads.
-#[must_use]
-pub fn hold_unread(
-    response: actix_web::HttpResponse,
-    unread: Option<web::Payload>,
-) -> actix_web::HttpResponse {
-    let Some(unread) = unread else {
-        return response;
-    };
-    let mut response = response.map_body(|_, content| {
-        let bytes = body::MessageBody::try_into_bytes(content);
-        bytes.map_or_else(
-            |content| content,
-            |bytes| {
-                body::BoxBody::new(UnreadBody {
-                    length: u64::try_from(bytes.len()).unwrap_or(u64::MAX),
-                    bytes: Some(bytes),
-                    _unread: unread,
-                })
-            },
-        )
-    });
-    response
-        .head_mut()
-        .set_connection_type(actix_web::http::ConnectionType::Close);
-    response
-}
-
-/// The body of a response to a request whose own body was not read to its end.
-struct UnreadBody {
-    length: u64,
-    bytes: Option<bytes::Bytes>,
-    _unread: web::Payload,
-}
-
-impl body::MessageBody for UnreadBody {
-    type Error = io::Error;
-
-    fn size(&self) -> body::BodySize {
-        body::BodySize::Sized(self.length)
-    }
-
-    fn poll_next(
-        self: pin::Pin<&mut Self>,
-        _: &mut task::Context<'_>,
-    ) -> task::Poll<Option<Result<bytes::Bytes, io::Error>>> {
-        let bytes = self.get_mut().bytes.take();
-        task::Poll::Ready(bytes.filter(|bytes| !bytes.is_empty()).map(Ok))
-    }
-}
--- a/src/edge/router/front/mod.rs
+++ b/src/edge/router/front/mod.rs
@@ -13,8 +13,10 @@
 
 use crate::clock;
 use crate::clock::MonoClock as _;
+use crate::edge::body_meter;
 use crate::edge::caller_connection;
 use crate::edge::reservation;
+use crate::edge::response_body;
 use crate::edge::router::body;
 use crate::edge::router::connection_pool;
 use crate::edge::router::exchange;
@@ -94,7 +96,7 @@
             local_response::respond(response, retry_after)
         }
     };
-    let mut response = reservation::hold_unread(response, payload.filter(|_| has_body));
+    let mut response = response_body::hold_unread(response, payload.filter(|_| has_body));
     let is_pressed = account.is_some_and(|account| account.is_connection_pressed());
     let closes = is_pressed || shared.parts.shutdown.times().is_some();
     caller_connection::finish(&head, &mut response, closes);
@@ -186,7 +188,7 @@
             return Ok(body::CallerBody::new(bytes::Bytes::new()));
         };
         let mut head = bytes::BytesMut::new();
-        let mut meter = reservation::BodyMeter::new(&self.reservation);
+        let mut meter = body_meter::BodyMeter::new(&self.reservation);
         let time_left = self.deadline.since(self.thread.parts.clock.now());
         let limit = self.body_limit;
         let metrics = &self.thread.parts.metrics;
--- a/src/edge/router/metrics.rs
+++ b/src/edge/router/metrics.rs
@@ -11,7 +11,7 @@
 use prometheus_client::metrics::histogram;
 use prometheus_client::registry;
 
-use crate::edge::reservation;
+use crate::edge::pressure_metrics;
 use crate::serving::cold;
 
 /// The bucket bounds of the latency histograms, in seconds.
@@ -153,7 +153,7 @@
     /// Log lines that were suppressed by the rate limit.
     pub lines_left_out: counter::Counter<u64, atomic::AtomicU64>,
     /// The memory and the connections that callers take.
-    pub pressure: reservation::PressureMetrics,
+    pub pressure: pressure_metrics::PressureMetrics,
 }
 
 impl RouterMetrics {
@@ -190,7 +190,7 @@
             store_era: gauge::Gauge::default(),
             in_flight: gauge::Gauge::default(),
             lines_left_out: counter::Counter::default(),
-            pressure: reservation::PressureMetrics::new(),
+            pressure: pressure_metrics::PressureMetrics::new(),
         };
         metrics.register_requests();
         metrics.register_control();
