--- a/src/serving/scheduler/mod.rs
+++ b/src/serving/scheduler/mod.rs
@@ -140,7 +140,7 @@
 }
 
 impl SchedulerSettings {
-    /// Returns the age up to which records of servers surely name no server that has left.
+    /// Returns the age up to which requests are sent by the records of routes and servers.
     #[must_use]
     pub fn max_records_age(&self) -> time::Duration {
         self.drain.mul_f64(RECORDS_AGE_FRACTION)
--- a/src/serving/view.rs
+++ b/src/serving/view.rs
@@ -107,8 +107,8 @@
         now.since(self.confirmed_at)
     }
 
-    /// Reports whether other hosts surely have newer routes or servers, or may have: these are older than
-    /// `max_age`, and the link is full. A host that is cut off goes on by what it knows.
+    /// Reports whether the routes and the servers are too old to send requests by: older than `max_age`, while
+    /// the link is full. A host that is cut off goes on by what it knows.
     #[must_use]
     pub fn is_outdated(&self, now: clock::MonoTime, max_age: time::Duration) -> bool {
         self.is_link_full && self.records_age(now) > max_age
