--- a/src/memory/limits.rs
+++ b/src/memory/limits.rs
@@ -1,7 +1,6 @@
 //! The limits of one process, derived from those of its machine.
 
-/// What a process takes without any request, in bytes: 11 MB were measured for an idle entry host, and
-/// its control state grows with the site.
+/// What a process takes without any request, in bytes; its control state grows with the site.
 pub const BASE_BYTES: u64 = 16 << 20;
 /// The flat cost of an idle connection with the library's buffers, in bytes.
 pub const CONNECTION_BYTES: u64 = 24 << 10;
